http_client: calls may share kept connections

Cause: every call opened a connection of its own; orders to workers and calls to the store come by the hundred a second, and new connections are priced. Ruled out: LCCSCF_PIPELINE of libwebsockets 4.1, which queues calls behind a long poll on one connection and ends them together when it closes. Change: libwebsockets carries raw bytes, http_parser reads answers (http_answer.c, apart because the two libraries name the same constants); a pool keeps idle connections; a repeatable call replaces a stale one once.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # mimosalead: "make demo" shows it at work, "make check" runs every test.
 PACKAGES = gcc g++ make pkg-config clang-format clang-tidy cppcheck \
 	libwebsockets-dev libmsgpack-dev libjson-c-dev liblog4c-dev \
-	libcriterion-dev libxxhash-dev librapidcheck-dev uthash-dev \
+	libhttp-parser-dev libcriterion-dev libxxhash-dev librapidcheck-dev uthash-dev \
 	gnuplot-nox
 
 CC = gcc
@@ -20,7 +20,7 @@
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra -MMD -MP $(SANFLAGS)
 LDFLAGS = $(SANFLAGS)
 CORE_LIBS = -ljson-c -lmsgpackc -lxxhash
-SHELL_LIBS = -lwebsockets -llog4c $(CORE_LIBS)
+SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
 core_src := $(wildcard src/core/*.c)
 shell_src := $(wildcard src/shell/*.c)
--- /dev/null
+++ b/src/shell/http_answer.c
@@ -0,0 +1,221 @@
+#include "http_answer.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#define FIELD_BYTES 64 /* a header's name, with NUL; longer ones are cut */
+#define VALUE_BYTES 2048 /* a header's value, with NUL; longer ones are cut */
+
+struct answer_reader {
+	struct http_parser parser;
+	const char *const *keep_headers;
+	size_t max_bytes;
+	bool bodyless;
+	char field[FIELD_BYTES]; /* header being read, lower case */
+	char value[VALUE_BYTES];
+	bool in_value;
+	bool headers_in;
+	bool whole;
+	bool keep_alive;
+	struct answer *answer; /* NULL until its status line is in */
+};
+
+static void
+call_store_header(struct answer_reader *r)
+{
+	const char *const *n = r->keep_headers;
+
+	for (; n != NULL && *n != NULL; n++) {
+		if (strcmp(*n, r->field) == 0)
+			headers_add(&r->answer->headers, *n, r->value);
+	}
+	r->field[0] = r->value[0] = '\0';
+	r->in_value = false;
+}
+
+static void
+append_text(char *to, size_t size, const char *at, size_t len)
+{
+	size_t have = strlen(to);
+
+	if (have + len >= size)
+		len = size - have - 1;
+	memcpy(to + have, at, len);
+	to[have + len] = '\0';
+}
+
+static int
+parse_status(struct http_parser *p, const char *at, size_t len)
+{
+	struct answer_reader *r = p->data;
+
+	(void)at;
+	(void)len;
+	if (r->answer == NULL)
+		r->answer = answer_new(p->status_code);
+	return r->answer == NULL;
+}
+
+static int
+parse_field(struct http_parser *p, const char *at, size_t len)
+{
+	struct answer_reader *r = p->data;
+	char *s;
+
+	if (parse_status(p, at, len) != 0)
+		return 1;
+	if (r->in_value)
+		call_store_header(r);
+	append_text(r->field, sizeof(r->field), at, len);
+	for (s = r->field; *s != '\0'; s++) {
+		if (*s >= 'A' && *s <= 'Z')
+			*s += 'a' - 'A';
+	}
+	return 0;
+}
+
+static int
+parse_value(struct http_parser *p, const char *at, size_t len)
+{
+	struct answer_reader *r = p->data;
+
+	r->in_value = true;
+	append_text(r->value, sizeof(r->value), at, len);
+	return 0;
+}
+
+/* 1 tells the parser that no body follows. */
+static int
+parse_headers_end(struct http_parser *p)
+{
+	struct answer_reader *r = p->data;
+	uint64_t len = p->content_length;
+
+	if (parse_status(p, NULL, 0) != 0)
+		return -1;
+	if (r->in_value)
+		call_store_header(r);
+	if (p->status_code < 200) /* interim: the answer follows */
+		return 0;
+	r->headers_in = true;
+	r->keep_alive = http_should_keep_alive(p) != 0;
+	if (r->bodyless)
+		return 1;
+	if (len != UINT64_MAX && len > r->max_bytes)
+		return -1;
+	r->answer->body = buf_new(len != UINT64_MAX ? len : 1024);
+	return r->answer->body == NULL ? -1 : 0;
+}
+
+static int
+parse_body(struct http_parser *p, const char *at, size_t len)
+{
+	struct answer_reader *r = p->data;
+	struct buf *body = r->answer->body;
+
+	if (body->len + len > r->max_bytes)
+		return 1;
+	return buf_append(body, at, len) == -1;
+}
+
+static int
+parse_end(struct http_parser *p)
+{
+	struct answer_reader *r = p->data;
+
+	if (p->status_code < 200) {
+		answer_unref(r->answer);
+		r->answer = NULL;
+		return 0;
+	}
+	r->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const struct http_parser_settings parser_settings = {
+    .on_status = parse_status,
+    .on_header_field = parse_field,
+    .on_header_value = parse_value,
+    .on_headers_complete = parse_headers_end,
+    .on_body = parse_body,
+    .on_message_complete = parse_end,
+};
+
+struct answer_reader *
+answer_reader_new(const char *const *keep, size_t max_bytes, bool bodyless)
+{
+	struct answer_reader *r;
+
+	r = calloc(1, sizeof(*r));
+	if (r == NULL)
+		return NULL;
+	r->keep_headers = keep;
+	r->max_bytes = max_bytes;
+	r->bodyless = bodyless;
+	answer_reader_reset(r);
+	return r;
+}
+
+void
+answer_reader_free(struct answer_reader *r)
+{
+	if (r == NULL)
+		return;
+	answer_unref(r->answer);
+	free(r);
+}
+
+void
+answer_reader_reset(struct answer_reader *r)
+{
+	answer_unref(r->answer);
+	r->answer = NULL;
+	r->field[0] = r->value[0] = '\0';
+	r->in_value = r->headers_in = r->whole = r->keep_alive = false;
+	http_parser_init(&r->parser, HTTP_RESPONSE);
+	r->parser.data = r;
+}
+
+enum answer_progress
+answer_reader_take(struct answer_reader *r, const void *data, size_t len)
+{
+	size_t n;
+
+	n = http_parser_execute(&r->parser, &parser_settings, data, len);
+	if (r->whole) {
+		if (n < len) /* bytes that belong to no request */
+			r->keep_alive = false;
+		return ANSWER_WHOLE;
+	}
+	if (n != len || HTTP_PARSER_ERRNO(&r->parser) != HPE_OK)
+		return ANSWER_BROKEN;
+	return ANSWER_PARTIAL;
+}
+
+bool
+answer_reader_begun(const struct answer_reader *r)
+{
+	return r->answer != NULL;
+}
+
+bool
+answer_reader_headers_in(const struct answer_reader *r)
+{
+	return r->headers_in;
+}
+
+bool
+answer_reader_keeps_alive(const struct answer_reader *r)
+{
+	return r->keep_alive;
+}
+
+struct answer *
+answer_reader_answer(const struct answer_reader *r)
+{
+	return r->answer;
+}
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -3,72 +3,159 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <strings.h>
+#include <sys/queue.h>
 
 #include "bounds.h"
-#include "http_header.h"
-
-#define BODY_PART_BYTES 4096 /* of a request, in one write */
-#define UPLOAD_WATCH_US (50 * US_PER_MS)
-#define READ_BYTES 16384 /* one read of an answer's body */
-
-/* How the end of an answer's body is known. */
-enum framing {
-	FRAMING_NONE, /* only by the connection's end: never trusted */
-	FRAMING_LENGTH,
-	FRAMING_CHUNKED,
-	FRAMING_EMPTY /* HEAD, 204, 304 */
+#include "http_answer.h"
+
+#define WRITE_BYTES 16384 /* of a request, in one write */
+
+/* One TCP connection: idle in its pool, or carrying one call. */
+struct client_conn {
+	struct lws *wsi; /* NULL once closed */
+	struct http_pool *pool; /* NULL: not kept */
+	struct http_call *call; /* NULL while idle */
+	char addr[ADDR_BYTES];
+	int port;
+	bool connected;
+	bool used; /* carried a call before this one */
+	lws_usec_t idle_since;
+	LIST_ENTRY(client_conn) entries; /* in the pool, while idle */
+};
+
+struct http_pool {
+	LIST_HEAD(idle_list, client_conn) idle;
+	lws_usec_t idle_us;
+	uint64_t connects;
+	unsigned refs; /* the owner and each connection */
+	bool closed;
 };
 
 struct http_call {
-	struct lws *wsi; /* NULL once closed or detached */
+	struct client_conn *conn; /* NULL once let go */
 	struct lws_context *context;
+	struct http_pool *pool;
+	char addr[ADDR_BYTES];
+	int port;
 	char method[16];
-	char *head; /* serialised request headers, ours included */
-	size_t head_len;
+	struct buf *head; /* request line and headers */
 	struct buf *body;
-	size_t body_sent;
-	const char *const *keep_headers;
-	size_t max_bytes;
+	size_t written; /* of head and body together */
 	bool sent;
-	char *read_start; /* of the library's read under way, or NULL */
-	char *read_pos; /* how far its parser has come */
+	bool repeatable;
+	bool retried;
 	bool ended; /* "end" is final; on_end is due */
 	enum http_end end;
-	enum framing framing;
-	uint64_t content_length;
-	struct answer *answer; /* NULL until its headers are in */
+	struct answer_reader *reader;
 	lws_sorted_usec_list_t timeout;
 	lws_sorted_usec_list_t finish;
-	lws_sorted_usec_list_t watch; /* while a body is due */
-	size_t watched_sent; /* body_sent at the watch's last look */
-	bool upload_ended; /* before the body's end: the answer came */
 	void (*on_sent)(void *arg);
 	void (*on_end)(void *arg, enum http_end end, struct answer *answer);
 	void *arg;
 };
 
+static void call_connect(struct http_call *call);
+
+struct http_pool *
+http_pool_new(int idle_ms)
+{
+	struct http_pool *pool;
+
+	pool = calloc(1, sizeof(*pool));
+	if (pool == NULL)
+		return NULL;
+	LIST_INIT(&pool->idle);
+	pool->idle_us = idle_ms * US_PER_MS;
+	pool->refs = 1;
+	return pool;
+}
+
 static void
-call_free(struct http_call *call)
+pool_unref(struct http_pool *pool)
 {
-	lws_sul_cancel(&call->timeout);
-	lws_sul_cancel(&call->finish);
-	lws_sul_cancel(&call->watch);
-	answer_unref(call->answer);
-	buf_unref(call->body);
-	free(call->head);
-	free(call);
+	if (pool != NULL && --pool->refs == 0)
+		free(pool);
+}
+
+uint64_t
+http_pool_connects(const struct http_pool *pool)
+{
+	return pool->connects;
+}
+
+static void
+conn_free(struct client_conn *conn)
+{
+	pool_unref(conn->pool);
+	free(conn);
 }
 
-/* Lets go of the connection: later callbacks find no call. */
+/* Closes the connection from outside the library's callbacks. */
 static void
-call_detach(struct http_call *call)
+conn_close(struct client_conn *conn)
 {
-	if (call->wsi == NULL)
+	if (conn->wsi != NULL) {
+		lws_set_opaque_user_data(conn->wsi, NULL);
+		lws_set_timeout(
+		    conn->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+	}
+	conn_free(conn);
+}
+
+static void
+pool_close_idle(struct http_pool *pool, lws_usec_t before)
+{
+	struct client_conn *conn, *next;
+
+	for (conn = LIST_FIRST(&pool->idle); conn != NULL; conn = next) {
+		next = LIST_NEXT(conn, entries);
+		if (conn->idle_since >= before)
+			continue;
+		LIST_REMOVE(conn, entries);
+		conn_close(conn);
+	}
+}
+
+void
+http_pool_expire(struct http_pool *pool)
+{
+	pool_close_idle(pool, lws_now_usecs() - pool->idle_us);
+}
+
+void
+http_pool_free(struct http_pool *pool)
+{
+	if (pool == NULL)
 		return;
-	lws_set_opaque_user_data(call->wsi, NULL);
-	call->wsi = NULL;
+	pool->closed = true;
+	pool_close_idle(pool, lws_now_usecs() + US_PER_S);
+	pool_unref(pool);
+}
+
+static struct client_conn *
+pool_take(struct http_pool *pool, const char *addr, int port)
+{
+	struct client_conn *conn;
+
+	LIST_FOREACH(conn, &pool->idle, entries) {
+		if (conn->port == port && strcmp(conn->addr, addr) == 0) {
+			LIST_REMOVE(conn, entries);
+			return conn;
+		}
+	}
+	return NULL;
+}
+
+static void
+call_free(struct http_call *call)
+{
+	lws_sul_cancel(&call->timeout);
+	lws_sul_cancel(&call->finish);
+	answer_reader_free(call->reader);
+	buf_unref(call->head);
+	buf_unref(call->body);
+	free(call);
 }
 
 static void
@@ -78,10 +165,39 @@
 	    lws_container_of(sul, struct http_call, finish);
 
 	call->on_end(call->arg, call->end,
-	    call->end == HTTP_WHOLE ? call->answer : NULL);
+	    call->end == HTTP_WHOLE ? answer_reader_answer(call->reader)
+				    : NULL);
 	call_free(call);
 }
 
+static size_t
+call_bytes(const struct http_call *call)
+{
+	return call->head->len + (call->body != NULL ? call->body->len : 0);
+}
+
+/* Gives the connection back to its pool, or closes it. */
+static void
+call_release(struct http_call *call)
+{
+	struct client_conn *conn = call->conn;
+
+	call->conn = NULL;
+	if (conn == NULL)
+		return;
+	conn->call = NULL;
+	conn->used = true;
+	if (conn->wsi != NULL && conn->pool != NULL && !conn->pool->closed &&
+	    call->ended && call->end == HTTP_WHOLE &&
+	    answer_reader_keeps_alive(call->reader) &&
+	    call->written == call_bytes(call)) {
+		conn->idle_since = lws_now_usecs();
+		LIST_INSERT_HEAD(&conn->pool->idle, conn, entries);
+		return;
+	}
+	conn_close(conn);
+}
+
 /*
  * Fixes the outcome.  on_end runs from the loop, so that it may start other
  * calls and is never entered from within http_call_start().
@@ -94,8 +210,7 @@
 	call->ended = true;
 	call->end = end;
 	lws_sul_cancel(&call->timeout);
-	lws_sul_cancel(&call->watch);
-	call_detach(call);
+	call_release(call);
 	lws_sul_schedule(call->context, 0, &call->finish, call_finish, 1);
 }
 
@@ -105,19 +220,8 @@
 {
 	if (!call->sent)
 		return HTTP_UNSENT;
-	return call->answer == NULL ? HTTP_LOST : HTTP_TRUNCATED;
-}
-
-/* Ends the call and closes its connection, outside the library's callbacks. */
-static void
-call_abort(struct http_call *call, enum http_end end)
-{
-	struct lws *wsi = call->wsi;
-
-	call_end(call, end);
-	if (wsi != NULL)
-		lws_set_timeout(
-		    wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+	return answer_reader_headers_in(call->reader) ? HTTP_TRUNCATED
+						      : HTTP_LOST;
 }
 
 static void
@@ -126,233 +230,115 @@
 	struct http_call *call =
 	    lws_container_of(sul, struct http_call, timeout);
 
-	call_abort(call, call->sent ? HTTP_TIMED_OUT : HTTP_UNSENT);
-}
-
-static int
-call_append_head(struct http_call *call, struct lws *wsi, char **p, size_t room)
-{
-	if (call->head_len > room)
-		return -1;
-	memcpy(*p, call->head, call->head_len);
-	*p += call->head_len;
-	if (call->body != NULL) {
-		lws_client_http_body_pending(wsi, 1);
-		lws_callback_on_writable(wsi);
-	}
-	/* The library writes the headers as soon as this returns. */
-	call->sent = true;
-	if (call->on_sent != NULL)
-		call->on_sent(call->arg);
-	return 0;
+	call_end(call, call->sent ? HTTP_TIMED_OUT : HTTP_UNSENT);
 }
 
-/*
- * Ends an upload that stands still while the other side has already answered
- * or closed, so that its answer is read: before the body's end the library
- * reads nothing and would come back to that socket over and over.
- */
 static void
-call_watch_upload(lws_sorted_usec_list_t *sul)
+conn_received(struct client_conn *conn, const void *data, size_t len)
 {
-	struct http_call *call = lws_container_of(sul, struct http_call, watch);
-	int fd = lws_get_socket_fd(call->wsi);
-	bool stands = call->body_sent == call->watched_sent;
-	char byte;
-
-	if (stands && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0) {
-		call->upload_ended = true;
-		lws_client_http_body_pending(call->wsi, 0);
+	struct http_call *call = conn->call;
+
+	if (call == NULL) /* bytes that belong to no request */
 		return;
+	switch (answer_reader_take(call->reader, data, len)) {
+	case ANSWER_PARTIAL:
+		break;
+	case ANSWER_WHOLE:
+		call_end(call, HTTP_WHOLE);
+		break;
+	case ANSWER_BROKEN:
+		call_end(call, call_closed_end(call));
+		break;
 	}
-	call->watched_sent = call->body_sent;
-	lws_sul_schedule(
-	    call->context, 0, &call->watch, call_watch_upload, UPLOAD_WATCH_US);
 }
 
-/*
- * Writes one part of the body, as small as a writable socket takes at once:
- * the library does not flush what a socket left over while a body is due, and
- * then looks at no timer and no other socket.
- */
 static int
-call_write_body(struct http_call *call, struct lws *wsi)
+conn_writable(struct client_conn *conn)
 {
-	size_t left = call->body->len - call->body_sent;
-	size_t n = left < BODY_PART_BYTES ? left : BODY_PART_BYTES;
-	/* HTTP/1 writes use no space in front of the data. */
-	uint8_t *part = call->body->data + call->body_sent;
+	struct http_call *call = conn->call;
+	size_t head, n, at;
+	struct buf *b;
 
-	if (call->upload_ended)
+	if (call == NULL)
 		return 0;
-	if (n > 0 &&
-	    lws_write(wsi, part, n,
-		n == left ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
-		return -1;
-	call->body_sent += n;
-	if (n < left) {
-		if (call->body_sent == n)
-			lws_sul_schedule(call->context, 0, &call->watch,
-			    call_watch_upload, UPLOAD_WATCH_US);
-		lws_callback_on_writable(wsi);
+	head = call->head->len;
+	b = call->written < head ? call->head : call->body;
+	at = call->written < head ? call->written : call->written - head;
+	if (b == NULL || at >= b->len)
 		return 0;
+	if (!call->sent) {
+		call->sent = true;
+		if (call->on_sent != NULL)
+			call->on_sent(call->arg);
+		if (conn->call != call) /* cancelled by on_sent */
+			return 0;
 	}
-	lws_sul_cancel(&call->watch);
-	lws_client_http_body_pending(wsi, 0);
+	n = b->len - at < WRITE_BYTES ? b->len - at : WRITE_BYTES;
+	/* raw writes use no space in front of the data */
+	if (lws_write(conn->wsi, b->data + at, n, LWS_WRITE_RAW) < 0)
+		return -1;
+	call->written += n;
+	if (call->written < call_bytes(call))
+		lws_callback_on_writable(conn->wsi);
 	return 0;
 }
 
+/* The connection is gone; its call may be repeated on a fresh one. */
 static void
-call_keep_headers(struct http_call *call, struct lws *wsi)
-{
-	const struct header_list *names;
-	char value[HEADER_VALUE_BYTES];
-	size_t i;
-
-	if (call->keep_headers == NULL)
-		return;
-	names = header_list_get(call->keep_headers);
-	for (i = 0; names != NULL && i < names->count; i++) {
-		if (header_name_copy(
-			&names->list[i], wsi, value, sizeof(value)) > 0)
-			headers_add(&call->answer->headers,
-			    call->keep_headers[i], value);
-	}
-}
-
-static void
-call_read_framing(struct http_call *call, struct lws *wsi)
+conn_closed(struct client_conn *conn)
 {
-	int status = call->answer->status;
-	char value[32], *end;
+	struct http_call *call = conn->call;
 
-	if (strcmp(call->method, "HEAD") == 0 || status == 204 ||
-	    status == 304) {
-		call->framing = FRAMING_EMPTY;
-		return;
-	}
-	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
-		call->framing = FRAMING_CHUNKED;
+	conn->wsi = NULL;
+	if (call == NULL) {
+		LIST_REMOVE(conn, entries);
+		conn_free(conn);
 		return;
 	}
-	if (lws_hdr_copy(
-		wsi, value, sizeof(value), WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
+	if (conn->used && call->repeatable && !call->retried &&
+	    !answer_reader_begun(call->reader)) {
+		call->retried = true;
+		call->written = 0;
+		answer_reader_reset(call->reader);
+		call->conn = NULL;
+		conn_free(conn);
+		call_connect(call);
 		return;
-	call->content_length = strtoull(value, &end, 10);
-	if (*end == '\0')
-		call->framing = FRAMING_LENGTH;
-}
-
-/* The answer's headers are in.  -1 closes the connection. */
-static int
-call_answer_head(struct http_call *call, struct lws *wsi)
-{
-	size_t cap;
-
-	call->answer = answer_new((int)lws_http_client_http_response(wsi));
-	if (call->answer == NULL) {
-		call_end(call, HTTP_TRUNCATED);
-		return -1;
-	}
-	call_keep_headers(call, wsi);
-	call_read_framing(call, wsi);
-	if (call->framing == FRAMING_EMPTY ||
-	    (call->framing == FRAMING_LENGTH && call->content_length == 0)) {
-		call_end(call, HTTP_WHOLE);
-		return -1;
-	}
-	if (call->framing == FRAMING_LENGTH &&
-	    call->content_length > call->max_bytes) {
-		call_end(call, HTTP_TRUNCATED);
-		return -1;
-	}
-	cap = call->framing == FRAMING_LENGTH ? call->content_length : 1024;
-	call->answer->body = buf_new(cap);
-	if (call->answer->body == NULL) {
-		call_end(call, HTTP_TRUNCATED);
-		return -1;
 	}
-	return 0;
-}
-
-static int
-call_answer_body(struct http_call *call, const void *data, size_t len)
-{
-	struct buf *body = call->answer->body;
-
-	if (body->len + len > call->max_bytes ||
-	    buf_append(body, data, len) == -1) {
-		call_end(call, HTTP_TRUNCATED);
-		return -1;
-	}
-	if (call->framing == FRAMING_LENGTH &&
-	    body->len >= call->content_length) {
-		body->len = call->content_length;
-		call_end(call, HTTP_WHOLE);
-		return -1;
-	}
-	return 0;
-}
-
-static int
-call_completed(struct http_call *call)
-{
-	/*
-	 * The library also says "completed" when the connection ends before
-	 * the last chunk; only then has its parser taken no byte of this read.
-	 */
-	if (call->answer != NULL && call->framing == FRAMING_CHUNKED &&
-	    call->read_start != NULL && call->read_pos != call->read_start)
-		call_end(call, HTTP_WHOLE);
-	else
-		call_end(call, call_closed_end(call));
-	return -1;
-}
-
-static int
-call_read(struct http_call *call, struct lws *wsi)
-{
-	static char chunk[LWS_PRE + READ_BYTES];
-	int n = READ_BYTES, ret;
-
-	call->read_start = call->read_pos = chunk + LWS_PRE;
-	ret = lws_http_client_read(wsi, &call->read_pos, &n);
-	if (lws_get_opaque_user_data(wsi) == call)
-		call->read_start = NULL;
-	return ret < 0 ? -1 : 0;
+	call_end(call, call_closed_end(call));
 }
 
 static int
 callback_http_client(struct lws *wsi, enum lws_callback_reasons reason,
     void *user, void *in, size_t len)
 {
-	struct http_call *call = lws_get_opaque_user_data(wsi);
+	struct client_conn *conn = lws_get_opaque_user_data(wsi);
 
+	(void)user;
 	switch (reason) {
-	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-		return call == NULL ? -1 : call_append_head(call, wsi, in, len);
-	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-		if (call == NULL)
+	case LWS_CALLBACK_RAW_CONNECTED:
+		if (conn == NULL)
 			return -1;
-		return call->body == NULL ? 0 : call_write_body(call, wsi);
-	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-		return call == NULL ? -1 : call_answer_head(call, wsi);
-	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-		return call == NULL ? -1 : call_read(call, wsi);
-	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-		if (call == NULL || call->answer == NULL)
+		conn->connected = true;
+		conn->wsi = wsi;
+		lws_callback_on_writable(wsi);
+		return 0;
+	case LWS_CALLBACK_RAW_RX:
+		if (conn == NULL)
 			return -1;
-		return call_answer_body(call, in, len);
-	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-		return call == NULL ? -1 : call_completed(call);
+		conn_received(conn, in, len);
+		return lws_get_opaque_user_data(wsi) == NULL ? -1 : 0;
+	case LWS_CALLBACK_RAW_WRITEABLE:
+		return conn == NULL ? -1 : conn_writable(conn);
 	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+	case LWS_CALLBACK_RAW_CLOSE:
 	case LWS_CALLBACK_WSI_DESTROY:
-		if (call != NULL)
-			call_end(call, call_closed_end(call));
+		lws_set_opaque_user_data(wsi, NULL);
+		if (conn != NULL)
+			conn_closed(conn);
 		return 0;
 	default:
-		return lws_callback_http_dummy(wsi, reason, user, in, len);
+		return 0;
 	}
 }
 
@@ -367,6 +353,12 @@
 	return strpbrk(s, "\r\n") == NULL;
 }
 
+static bool
+has_host(const struct headers *h)
+{
+	return h != NULL && headers_get(h, "host") != NULL;
+}
+
 static int
 call_serialise_head(struct http_call *call, const struct http_call_opts *opts)
 {
@@ -375,28 +367,27 @@
 	size_t i;
 	int ret = 0;
 
-	b = buf_new(512);
+	b = call->head = buf_new(512);
 	if (b == NULL)
 		return -1;
+	ret |= buf_printf(b, "%s %s HTTP/1.1\r\n", opts->method, opts->path);
+	if (!has_host(h))
+		ret |= buf_printf(b, "host: %s:%d\r\n", opts->addr, opts->port);
 	for (i = 0; h != NULL && i < h->count; i++) {
 		if (header_text_ok(h->list[i].value))
 			ret |= buf_printf(
 			    b, "%s: %s\r\n", h->list[i].name, h->list[i].value);
 	}
+	if (opts->pool == NULL)
+		ret |= buf_printf(b, "connection: close\r\n");
 	if (call->body != NULL)
 		ret |=
 		    buf_printf(b, "content-length: %zu\r\n", call->body->len);
 	else if (strcmp(call->method, "GET") != 0 &&
 	    strcmp(call->method, "HEAD") != 0)
 		ret |= buf_printf(b, "content-length: 0\r\n");
-	if (ret == 0) {
-		call->head = malloc(b->len + 1);
-		if (call->head != NULL)
-			memcpy(call->head, b->data, b->len);
-		call->head_len = b->len;
-	}
-	buf_unref(b);
-	return call->head == NULL ? -1 : 0;
+	ret |= buf_printf(b, "\r\n");
+	return ret;
 }
 
 static struct http_call *
@@ -408,42 +399,89 @@
 	if (call == NULL)
 		return NULL;
 	call->context = opts->context;
+	call->pool = opts->pool;
+	call->repeatable = opts->repeatable;
+	snprintf(call->addr, sizeof(call->addr), "%s", opts->addr);
+	call->port = opts->port;
 	snprintf(call->method, sizeof(call->method), "%s", opts->method);
 	if (opts->body != NULL && opts->body->len > 0)
 		call->body = buf_ref(opts->body);
-	call->keep_headers = opts->keep_headers;
-	call->max_bytes = opts->max_bytes;
 	call->on_sent = opts->on_sent;
 	call->on_end = opts->on_end;
 	call->arg = opts->arg;
-	if (call_serialise_head(call, opts) == -1) {
+	call->reader = answer_reader_new(opts->keep_headers, opts->max_bytes,
+	    strcmp(opts->method, "HEAD") == 0);
+	if (call->reader == NULL || call_serialise_head(call, opts) != 0) {
 		call_free(call);
 		return NULL;
 	}
 	return call;
 }
 
+static struct client_conn *
+conn_new(struct http_call *call)
+{
+	struct client_conn *conn;
+
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL)
+		return NULL;
+	snprintf(conn->addr, sizeof(conn->addr), "%s", call->addr);
+	conn->port = call->port;
+	conn->pool = call->pool;
+	if (conn->pool != NULL) {
+		conn->pool->refs++;
+		conn->pool->connects++;
+	}
+	return conn;
+}
+
+/* Opens a fresh connection for the call. */
 static void
-call_connect(struct http_call *call, const struct http_call_opts *opts)
+call_connect(struct http_call *call)
 {
 	struct lws_client_connect_info ci;
-	char host[ADDR_BYTES + 8];
+	struct client_conn *conn;
 
+	conn = conn_new(call);
+	if (conn == NULL) {
+		call_end(call, call_closed_end(call));
+		return;
+	}
+	conn->call = call;
+	call->conn = conn;
 	memset(&ci, 0, sizeof(ci));
-	snprintf(host, sizeof(host), "%s:%d", opts->addr, opts->port);
-	ci.context = opts->context;
-	ci.address = opts->addr;
-	ci.port = opts->port;
-	ci.path = opts->path;
-	ci.host = host;
-	ci.method = opts->method;
-	ci.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
-	ci.alpn = "http/1.1";
+	ci.context = call->context;
+	ci.address = call->addr;
+	ci.port = call->port;
+	ci.path = "/";
+	ci.host = call->addr;
+	ci.method = "RAW";
 	ci.local_protocol_name = http_client_protocol.name;
-	ci.opaque_user_data = call;
-	ci.pwsi = &call->wsi;
-	if (lws_client_connect_via_info(&ci) == NULL)
+	ci.opaque_user_data = conn;
+	ci.pwsi = &conn->wsi;
+	/* A failure at once has gone through conn_closed() by now, or not. */
+	if (lws_client_connect_via_info(&ci) == NULL && call->conn == conn &&
+	    !call->ended) {
+		conn->wsi = NULL;
 		call_end(call, call_closed_end(call));
+	}
+}
+
+static void
+call_begin(struct http_call *call)
+{
+	struct client_conn *conn = NULL;
+
+	if (call->pool != NULL)
+		conn = pool_take(call->pool, call->addr, call->port);
+	if (conn == NULL) {
+		call_connect(call);
+		return;
+	}
+	conn->call = call;
+	call->conn = conn;
+	lws_callback_on_writable(conn->wsi);
 }
 
 struct http_call *
@@ -465,18 +503,13 @@
 	}
 	lws_sul_schedule(opts->context, 0, &call->timeout, call_timed_out,
 	    opts->timeout_ms * US_PER_MS);
-	call_connect(call, opts);
+	call_begin(call);
 	return call;
 }
 
 void
 http_call_cancel(struct http_call *call)
 {
-	struct lws *wsi = call->wsi;
-
-	call_detach(call);
-	if (wsi != NULL)
-		lws_set_timeout(
-		    wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+	call_release(call);
 	call_free(call);
 }
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -1,13 +1,15 @@
 /*
- * HTTP/1.1 client calls on libwebsockets: one fresh connection for each call
- * (never LCCSCF_PIPELINE, no redirects followed).  "sent" is this module's own
- * record of the first byte handed to the connection.
+ * HTTP/1.1 client calls: libwebsockets carries the bytes, http_parser reads
+ * the answers.  A call takes a fresh connection, or an idle one of its pool;
+ * never two calls at a time on one connection, no redirects followed.  "sent"
+ * is this module's own record of the first byte handed to the connection.
  */
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include <libwebsockets.h>
 
@@ -24,18 +26,35 @@
 
 struct http_call;
 
+/*
+ * Idle connections for later calls to the same address and port.  Free it
+ * before its context.
+ */
+struct http_pool;
+
+struct http_pool *http_pool_new(int idle_ms);
+/* Closes idle connections; calls under way close theirs when they end. */
+void http_pool_free(struct http_pool *pool);
+/* Closes connections that were idle too long.  Call about once a second. */
+void http_pool_expire(struct http_pool *pool);
+/* Connections made since the start. */
+uint64_t http_pool_connects(const struct http_pool *pool);
+
 struct http_call_opts {
 	struct lws_context *context;
+	struct http_pool *pool; /* NULL: a connection for this call alone */
+	/*
+	 * A kept connection that turns out to be closed is replaced once by a
+	 * fresh one, though the request may have been sent on it.
+	 */
+	bool repeatable;
 	const char *addr; /* numeric IP */
 	int port;
 	const char *method;
 	const char *path;
 	const struct headers *headers; /* sent as they are; may be NULL */
 	struct buf *body; /* takes a reference; may be NULL */
-	/*
-	 * Lower-case names of answer headers to keep, NULL-terminated; a
-	 * static list, none longer than HEADER_NAME_BYTES allows.
-	 */
+	/* Lower-case names of answer headers to keep, NULL-terminated. */
 	const char *const *keep_headers;
 	int timeout_ms;
 	size_t max_bytes; /* of the answer's body */
