--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,8 @@
 	-fno-sanitize-recover=undefined
 endif
 
-INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli
+INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/platform \
+	-Isrc/scheduler
 CPPFLAGS = -D_GNU_SOURCE $(INCLUDES)
 WARN = -Wall -Wextra -Wshadow -Wmissing-prototypes -Wpointer-arith
 CFLAGS = -std=gnu11 -O2 -g $(WARN) -MMD -MP $(SANFLAGS)
@@ -22,8 +23,8 @@
 CORE_LIBS = -ljson-c -lmsgpackc -lxxhash
 SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
-core_src := $(wildcard src/core/*.c)
-shell_src := $(wildcard src/shell/*.c)
+core_src := $(wildcard src/core/*.c src/jobs/*.c)
+shell_src := $(wildcard src/shell/*.c src/platform/*.c src/scheduler/*.c)
 cli_src := $(wildcard src/cli/*.c)
 standin_src := $(wildcard standin/*.c)
 bench_src := $(wildcard bench/*.c)
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -23,6 +23,7 @@
 };
 
 int cli_serve(int argc, char **argv);
+int cli_schedule(int argc, char **argv);
 int cli_check(int argc, char **argv);
 int cli_publish(int argc, char **argv);
 int cli_status(int argc, char **argv);
--- /dev/null
+++ b/src/jobs/job.c
@@ -0,0 +1,283 @@
+#include "job.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct job *
+job_new(const char *id, const struct queue_terms *terms, struct order *order,
+    int64_t accepted_ms)
+{
+	struct job *j;
+
+	j = calloc(1, sizeof(*j));
+	if (j == NULL)
+		return NULL;
+	snprintf(j->id, sizeof(j->id), "%s", id);
+	j->terms = *terms;
+	j->order = order_ref(order);
+	j->accepted_ms = accepted_ms;
+	LIST_INIT(&j->occurrences);
+	return j;
+}
+
+static void
+step_uninit(struct job_step *s)
+{
+	unsigned i;
+
+	for (i = 0; s->tasks != NULL && i < s->order->count; i++)
+		free(s->tasks[i].saved);
+	free(s->tasks);
+	free(s->advice.list);
+}
+
+static void
+occurrence_free(struct occurrence *o)
+{
+	size_t i;
+
+	LIST_REMOVE(o, entries);
+	for (i = 0; i < o->job->order->step_count; i++)
+		step_uninit(&o->steps[i]);
+	free(o->steps);
+	free(o);
+}
+
+void
+job_free(struct job *j)
+{
+	struct occurrence *o;
+
+	while ((o = LIST_FIRST(&j->occurrences)) != NULL)
+		occurrence_free(o);
+	order_unref(j->order);
+	free(j);
+}
+
+int64_t
+job_next_due_ms(const struct job *j)
+{
+	const struct order *o = j->order;
+
+	if (job_final(j) || j->next_occurrence >= order_occurrences(o))
+		return INT64_MAX;
+	if (o->repetitions == 0)
+		return 0;
+	return o->first_start_ms + (int64_t)j->next_occurrence * o->interval_ms;
+}
+
+static int
+step_init(struct job_step *s, struct occurrence *o, unsigned number)
+{
+	const struct order_step *order = &o->job->order->steps[number];
+	unsigned i;
+
+	s->occurrence = o;
+	s->order = order;
+	s->number = number;
+	s->ready_after = (unsigned)order->after_count;
+	s->tasks = calloc(order->count, sizeof(*s->tasks));
+	if (s->tasks == NULL)
+		return -1;
+	for (i = 0; i < order->count; i++) {
+		s->tasks[i].step = s;
+		s->tasks[i].index = i;
+		s->tasks[i].pace = 100;
+	}
+	return 0;
+}
+
+struct occurrence *
+job_begin_occurrence(struct job *j)
+{
+	int64_t due_ms = job_next_due_ms(j);
+	struct occurrence *o;
+	size_t i;
+
+	o = calloc(1, sizeof(*o));
+	if (o == NULL)
+		return NULL;
+	o->job = j;
+	o->number = j->next_occurrence;
+	o->due_ms = due_ms;
+	LIST_INSERT_HEAD(&j->occurrences, o, entries);
+	o->steps = calloc(j->order->step_count, sizeof(*o->steps));
+	if (o->steps == NULL)
+		goto fail;
+	for (i = 0; i < j->order->step_count; i++) {
+		if (step_init(&o->steps[i], o, (unsigned)i) == -1)
+			goto fail;
+	}
+	j->next_occurrence++;
+	return o;
+fail:
+	LIST_REMOVE(o, entries);
+	for (i = 0; o->steps != NULL && i < j->order->step_count; i++)
+		free(o->steps[i].tasks);
+	free(o->steps);
+	free(o);
+	return NULL;
+}
+
+struct task *
+job_task(struct job *j, const struct task_name *n)
+{
+	struct occurrence *o;
+
+	LIST_FOREACH(o, &j->occurrences, entries) {
+		if (o->number != n->occurrence)
+			continue;
+		if (n->step >= j->order->step_count ||
+		    n->index >= j->order->steps[n->step].count)
+			return NULL;
+		return &o->steps[n->step].tasks[n->index];
+	}
+	return NULL;
+}
+
+void
+task_name_of(const struct task *t, struct task_name *n)
+{
+	const struct occurrence *o = t->step->occurrence;
+
+	memcpy(n->job, o->job->id, sizeof(n->job));
+	n->occurrence = o->number;
+	n->step = t->step->number;
+	n->index = t->index;
+}
+
+/* Lets the steps begin that waited for this one. */
+static void
+step_done(struct job_step *s)
+{
+	struct occurrence *o = s->occurrence;
+	struct job_step *later;
+	size_t i, k;
+
+	o->steps_done++;
+	for (i = s->number + 1; i < o->job->order->step_count; i++) {
+		later = &o->steps[i];
+		for (k = 0; k < later->order->after_count; k++) {
+			if (later->order->after[k] == s->number)
+				later->ready_after--;
+		}
+	}
+}
+
+static bool
+occurrence_placed(const struct occurrence *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		if (o->steps[i].placed_count > 0)
+			return true;
+	}
+	return false;
+}
+
+void
+task_mark_done(struct task *t, int64_t now_ms)
+{
+	struct job_step *s = t->step;
+	struct occurrence *o = s->occurrence;
+	struct job *j = o->job;
+
+	if (t->done)
+		return;
+	t->done = true;
+	j->dirty = true;
+	if (++s->done_count < s->order->count)
+		return;
+	step_done(s);
+	if (o->steps_done < j->order->step_count)
+		return;
+	j->done_occurrences++;
+	if (j->done_occurrences == order_occurrences(j->order)) {
+		j->state = JOB_COMPLETED;
+		j->ended_ms = now_ms;
+	}
+}
+
+void
+job_drop_finished(struct job *j)
+{
+	struct occurrence *o, *next;
+
+	for (o = LIST_FIRST(&j->occurrences); o != NULL; o = next) {
+		next = LIST_NEXT(o, entries);
+		if ((job_final(j) || o->steps_done == j->order->step_count) &&
+		    !occurrence_placed(o))
+			occurrence_free(o);
+	}
+}
+
+void
+task_set_saved(struct task *t, const char *saved)
+{
+	char *copy;
+
+	if (saved[0] == '\0' ||
+	    (t->saved != NULL && strcmp(t->saved, saved) == 0))
+		return;
+	copy = strdup(saved);
+	if (copy == NULL)
+		return; /* the older checkpoint is as good, only earlier */
+	free(t->saved);
+	t->saved = copy;
+}
+
+double
+occurrence_chain_left_ms(const struct occurrence *o)
+{
+	const struct order *order = o->job->order;
+	double ends[JOB_STEPS_MAX], longest = 0, begin;
+	size_t i, k;
+
+	for (i = 0; i < order->step_count; i++) {
+		begin = 0;
+		for (k = 0; k < order->steps[i].after_count; k++) {
+			if (ends[order->steps[i].after[k]] > begin)
+				begin = ends[order->steps[i].after[k]];
+		}
+		ends[i] = begin;
+		if (o->steps[i].done_count < order->steps[i].count)
+			ends[i] += (double)order->steps[i].estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+double
+occurrence_work_left(const struct occurrence *o)
+{
+	const struct order_step *s;
+	double work = 0;
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		s = o->steps[i].order;
+		work += (double)(s->count - o->steps[i].done_count) *
+		    (double)s->cpu * (double)s->estimate_ms;
+	}
+	return work;
+}
+
+int64_t
+occurrence_length_ms(const struct occurrence *o)
+{
+	const struct queue_terms *t = &o->job->terms;
+
+	return (int64_t)(t->stretch * order_chain_ms(o->job->order)) +
+	    t->target_latency_ms;
+}
+
+int64_t
+occurrence_objective_ms(const struct occurrence *o)
+{
+	int64_t from = o->due_ms > 0 ? o->due_ms : o->job->accepted_ms;
+
+	return from + occurrence_length_ms(o);
+}
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,155 @@
+/*
+ * State of a job and its tasks in the pool that owns it.  Nothing here does
+ * I/O or looks at a clock.
+ */
+#ifndef JOBS_JOB_H
+#define JOBS_JOB_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#include "order.h"
+#include "queue.h"
+#include "worker.h"
+
+enum job_state {
+	JOB_QUEUED,
+	JOB_RUNNING,
+	JOB_COMPLETED, /* all tasks are done */
+	JOB_FAILED, /* a task has failed too often */
+	JOB_CANCELLED
+};
+
+/* Where a task stands on a worker. */
+enum placement {
+	PLACE_NONE,
+	PLACE_STARTING, /* ordered, not answered yet */
+	PLACE_RUNNING,
+	PLACE_UNSURE, /* ordered, answer lost: being barred by a stop */
+	PLACE_STOPPING
+};
+
+struct placed_worker; /* pool_worker.h */
+struct job_step;
+
+struct task {
+	struct job_step *step;
+	unsigned index;
+	bool done;
+	enum placement place;
+	struct placed_worker *worker; /* NULL for PLACE_NONE */
+	TAILQ_ENTRY(task) on_worker;
+	int64_t run; /* highest number given to a start */
+	int64_t failed_run; /* newest run that ended failed */
+	int attempts; /* runs that ended failed */
+	char *saved; /* newest checkpoint; NULL none */
+	char avoid[NAME_BYTES]; /* worker of the last failed run; "" none */
+	int percent; /* of its work, at the worker's last report */
+	int64_t usage; /* see struct run_report */
+	int64_t placed_us; /* start ordered */
+	int64_t answered_us; /* start or stop answered */
+	int64_t progress_us; /* percent last seen to change */
+	int64_t ordered_us; /* newest start or stop sent */
+	int64_t not_before_us; /* no start earlier: backs off */
+	int pace; /* share of its speed, percent */
+	uint64_t reports; /* of its worker, when it was listed last */
+};
+
+/* Workers that a queue's policy allows for a step. */
+struct step_ticket {
+	char worker[NAME_BYTES];
+	int64_t born_ms;
+	char ticket[SAVED_BYTES];
+};
+
+struct step_advice {
+	bool asked; /* an answer is due */
+	int64_t asked_us;
+	int64_t until_us; /* tickets hold; 0: none yet */
+	struct step_ticket *list;
+	size_t count;
+};
+
+/* A step of one occurrence. */
+struct job_step {
+	struct occurrence *occurrence;
+	const struct order_step *order;
+	unsigned number;
+	struct task *tasks; /* order->count of them */
+	unsigned done_count;
+	unsigned placed_count; /* tasks that are on a worker */
+	unsigned ready_after; /* earlier steps that are not done */
+	char rack[LABEL_BYTES]; /* where a same-rack step runs; "" any */
+	struct step_advice advice;
+};
+
+struct occurrence {
+	struct job *job;
+	unsigned number;
+	int64_t due_ms; /* Unix time; 0: when accepted */
+	struct job_step *steps;
+	size_t steps_done;
+	LIST_ENTRY(occurrence) entries;
+};
+
+struct job {
+	char id[JOB_ID_BYTES];
+	struct queue_terms terms;
+	struct order *order;
+	enum job_state state; /* also while not stored yet */
+	uint64_t state_serial; /* write that stores the final state */
+	int64_t accepted_ms; /* Unix time */
+	LIST_HEAD(occurrence_list, occurrence) occurrences; /* under way */
+	unsigned next_occurrence; /* lowest that is not under way yet */
+	unsigned done_occurrences;
+	bool begun; /* a task has started */
+	bool inherited; /* accepted by an owner before this one */
+	bool order_stored; /* written, or being written */
+	bool dirty; /* progress differs from what was written */
+	int64_t ended_ms; /* Unix time of the final state */
+	double rank; /* scratch of the placing order */
+	int rank_class;
+	UT_hash_handle hh; /* by id */
+	TAILQ_ENTRY(job) entries; /* unfinished or finished, in the pool */
+};
+
+struct job *job_new(const char *id, const struct queue_terms *terms,
+    struct order *order, int64_t accepted_ms);
+void job_free(struct job *j);
+static inline bool
+job_final(const struct job *j)
+{
+	return j->state >= JOB_COMPLETED;
+}
+
+/* Puts the next occurrence under way; NULL when memory is short. */
+struct occurrence *job_begin_occurrence(struct job *j);
+/* Unix time at which the next occurrence is due; INT64_MAX: none is left. */
+int64_t job_next_due_ms(const struct job *j);
+/* NULL where no such task is under way. */
+struct task *job_task(struct job *j, const struct task_name *n);
+void task_name_of(const struct task *t, struct task_name *n);
+/*
+ * Marks a task as done and follows what that ends: its step, which may let
+ * others begin, its occurrence, its job.
+ */
+void task_mark_done(struct task *t, int64_t now_ms);
+/*
+ * Frees occurrences that are finished and on no worker any more: members of
+ * a gang may still be listed after one of them ended for all.
+ */
+void job_drop_finished(struct job *j);
+void task_set_saved(struct task *t, const char *saved);
+/* ms of the longest chain of steps that is left, by estimates. */
+double occurrence_chain_left_ms(const struct occurrence *o);
+/* Thousandths of a core times ms that are left, by estimates. */
+double occurrence_work_left(const struct occurrence *o);
+/* Unix time by which an occurrence should be finished. */
+int64_t occurrence_objective_ms(const struct occurrence *o);
+int64_t occurrence_length_ms(const struct occurrence *o);
+
+#endif
--- /dev/null
+++ b/src/jobs/job_record.c
@@ -0,0 +1,322 @@
+#include "job_record.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "codec.h"
+#include "wire.h"
+
+#define PREFIX_ORDER "j/"
+#define PREFIX_PROGRESS "p/"
+#define PREFIX_BYTES 2
+
+void
+job_order_key(char key[JOB_KEY_BYTES], const char *id)
+{
+	snprintf(key, JOB_KEY_BYTES, PREFIX_ORDER "%s", id);
+}
+
+void
+job_progress_key(char key[JOB_KEY_BYTES], const char *id)
+{
+	snprintf(key, JOB_KEY_BYTES, PREFIX_PROGRESS "%s", id);
+}
+
+bool
+job_key_id(const char *key, char id[JOB_ID_BYTES], bool *progress)
+{
+	if (strlen(key) != PREFIX_BYTES + JOB_ID_BYTES - 1)
+		return false;
+	*progress = strncmp(key, PREFIX_PROGRESS, PREFIX_BYTES) == 0;
+	if (!*progress && strncmp(key, PREFIX_ORDER, PREFIX_BYTES) != 0)
+		return false;
+	memcpy(id, key + PREFIX_BYTES, JOB_ID_BYTES);
+	return true;
+}
+
+/* "stretch" travels in thousandths. */
+struct terms_record {
+	struct queue_terms terms;
+	int64_t stretch_milli;
+};
+
+static const struct codec_field terms_fields[] = {
+    CODEC_FIELD("q", CODEC_STR, struct terms_record, terms.name),
+    CODEC_FIELD("pr", CODEC_INT, struct terms_record, terms.priority),
+    CODEC_FIELD("at", CODEC_INT, struct terms_record, terms.max_attempts),
+    CODEC_FIELD("tl", CODEC_INT, struct terms_record, terms.target_latency_ms),
+    CODEC_FIELD("st", CODEC_I64, struct terms_record, stretch_milli),
+    CODEC_FIELD("ad", CODEC_BOOL, struct terms_record, terms.advised),
+    CODEC_FIELD("dm", CODEC_INT, struct terms_record, terms.advice_decide_ms),
+    CODEC_FIELD("wu", CODEC_INT, struct terms_record, terms.advice_worker_us),
+    CODEC_FIELD("vm", CODEC_INT, struct terms_record, terms.advice_valid_ms),
+};
+
+#define TERMS_FIELDS (sizeof(terms_fields) / sizeof(terms_fields[0]))
+
+void
+terms_write(struct wire_writer *w, const struct queue_terms *t)
+{
+	struct terms_record r = {.terms = *t};
+
+	r.stretch_milli = (int64_t)(t->stretch * 1000);
+	codec_write(w, terms_fields, TERMS_FIELDS, &r);
+}
+
+bool
+terms_read(const msgpack_object *map, struct queue_terms *t)
+{
+	struct terms_record r;
+
+	memset(&r, 0, sizeof(r));
+	if (!codec_read(map, terms_fields, TERMS_FIELDS, &r))
+		return false;
+	*t = r.terms;
+	t->stretch = (double)r.stretch_milli / 1000;
+	return true;
+}
+
+struct buf *
+job_order_encode(const struct job *j)
+{
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 3);
+	wire_i64(&w, "a", j->accepted_ms);
+	wire_key(&w, "t");
+	terms_write(&w, &j->terms);
+	wire_bin(&w, "b", j->order->text->data, j->order->text->len);
+	return wire_writer_take(&w);
+}
+
+int
+job_order_decode(const void *data, size_t len, struct err *e,
+    void (*found)(void *arg, const struct order_record *r), void *arg)
+{
+	struct order_record r;
+	const msgpack_object *map;
+	struct wire_reader in;
+	int ret = -1;
+
+	memset(&r, 0, sizeof(r));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	if (wire_get_i64(in.root, "a", &r.accepted_ms) &&
+	    wire_get(in.root, "t", &map) && terms_read(map, &r.terms) &&
+	    wire_get_bin(in.root, "b", &r.text, &r.text_len)) {
+		found(arg, &r);
+		ret = 0;
+	} else {
+		err_set(e, ERR_PROTOCOL, 0, "look at who writes to the topic",
+		    "an order's record lacks a field");
+	}
+	wire_reader_uninit(&in);
+	return ret;
+}
+
+/* Bit i of the set: task i is done. */
+static void
+write_done(struct wire_writer *w, const struct job_step *s)
+{
+	uint8_t bits[JOB_TASKS_MAX / 8 + 1];
+	size_t bytes = (s->order->count + 7) / 8;
+	unsigned i;
+
+	memset(bits, 0, bytes);
+	for (i = 0; i < s->order->count; i++) {
+		if (s->tasks[i].done)
+			bits[i / 8] |= (uint8_t)(1U << i % 8);
+	}
+	msgpack_pack_bin(&w->pk, bytes);
+	msgpack_pack_bin_body(&w->pk, bits, bytes);
+}
+
+static bool
+task_noted(const struct task *t)
+{
+	return !t->done && (t->attempts > 0 || t->saved != NULL);
+}
+
+/* [index, attempts, newest failed run, checkpoint] of tasks not done. */
+static void
+write_notes(struct wire_writer *w, const struct job_step *s)
+{
+	const char *saved;
+	size_t n = 0;
+	unsigned i;
+
+	for (i = 0; i < s->order->count; i++)
+		n += task_noted(&s->tasks[i]);
+	msgpack_pack_array(&w->pk, n);
+	for (i = 0; i < s->order->count; i++) {
+		if (!task_noted(&s->tasks[i]))
+			continue;
+		saved = s->tasks[i].saved != NULL ? s->tasks[i].saved : "";
+		msgpack_pack_array(&w->pk, 4);
+		msgpack_pack_unsigned_int(&w->pk, i);
+		msgpack_pack_int(&w->pk, s->tasks[i].attempts);
+		msgpack_pack_int64(&w->pk, s->tasks[i].failed_run);
+		msgpack_pack_str(&w->pk, strlen(saved));
+		msgpack_pack_str_body(&w->pk, saved, strlen(saved));
+	}
+}
+
+static void
+write_occurrence(struct wire_writer *w, const struct occurrence *o)
+{
+	size_t i, steps = o->job->order->step_count;
+
+	wire_map(w, 3);
+	wire_u64(w, "k", o->number);
+	wire_array(w, "d", (uint32_t)steps);
+	for (i = 0; i < steps; i++)
+		write_done(w, &o->steps[i]);
+	wire_array(w, "n", (uint32_t)steps);
+	for (i = 0; i < steps; i++)
+		write_notes(w, &o->steps[i]);
+}
+
+static bool
+occurrence_open(const struct occurrence *o)
+{
+	return o->steps_done < o->job->order->step_count;
+}
+
+struct buf *
+job_progress_encode(const struct job *j)
+{
+	const struct occurrence *o;
+	struct wire_writer w;
+	uint32_t n = 0;
+
+	wire_writer_init(&w);
+	wire_map(&w, 5);
+	wire_u64(&w, "s", j->state);
+	wire_i64(&w, "e", j->ended_ms);
+	wire_u64(&w, "x", j->next_occurrence);
+	wire_u64(&w, "c", j->done_occurrences);
+	LIST_FOREACH(o, &j->occurrences, entries)
+		n += !job_final(j) && occurrence_open(o);
+	wire_array(&w, "o", n);
+	LIST_FOREACH(o, &j->occurrences, entries) {
+		if (!job_final(j) && occurrence_open(o))
+			write_occurrence(&w, o);
+	}
+	return wire_writer_take(&w);
+}
+
+static void
+read_done(struct job_step *s, const msgpack_object *o)
+{
+	unsigned i;
+
+	if (o->type != MSGPACK_OBJECT_BIN)
+		return;
+	for (i = 0; i < s->order->count && i / 8 < o->via.bin.size; i++) {
+		if ((uint8_t)o->via.bin.ptr[i / 8] >> i % 8 & 1)
+			task_mark_done(&s->tasks[i], 0);
+	}
+}
+
+static void
+read_note(struct job_step *s, const msgpack_object *o)
+{
+	char saved[SAVED_BYTES];
+	const msgpack_object *f;
+	struct task *t;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 4)
+		return;
+	f = o->via.array.ptr;
+	if (f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    f[0].via.u64 >= s->order->count ||
+	    f[3].type != MSGPACK_OBJECT_STR || f[3].via.str.size >= SAVED_BYTES)
+		return;
+	t = &s->tasks[f[0].via.u64];
+	t->attempts = (int)f[1].via.i64;
+	t->failed_run = f[2].via.i64;
+	t->run = t->failed_run;
+	memcpy(saved, f[3].via.str.ptr, f[3].via.str.size);
+	saved[f[3].via.str.size] = '\0';
+	task_set_saved(t, saved);
+}
+
+static void
+read_step(
+    struct job_step *s, const msgpack_object *done, const msgpack_object *notes)
+{
+	uint32_t i;
+
+	if (notes->type == MSGPACK_OBJECT_ARRAY) {
+		for (i = 0; i < notes->via.array.size; i++)
+			read_note(s, &notes->via.array.ptr[i]);
+	}
+	read_done(s, done);
+}
+
+static int
+read_occurrence(struct job *j, const msgpack_object *map)
+{
+	const msgpack_object_array *done, *notes;
+	struct occurrence *o;
+	uint64_t number;
+	uint32_t i;
+
+	if (!wire_get_u64(map, "k", &number) ||
+	    !wire_get_array(map, "d", &done) ||
+	    !wire_get_array(map, "n", &notes) ||
+	    done->size != j->order->step_count ||
+	    notes->size != j->order->step_count ||
+	    number >= order_occurrences(j->order))
+		return -1;
+	j->next_occurrence = (unsigned)number;
+	o = job_begin_occurrence(j);
+	if (o == NULL)
+		return -1;
+	for (i = 0; i < done->size; i++)
+		read_step(&o->steps[i], &done->ptr[i], &notes->ptr[i]);
+	return 0;
+}
+
+static int
+read_progress(struct job *j, const msgpack_object *root)
+{
+	const msgpack_object_array *list;
+	uint64_t state, next, finished;
+	uint32_t i;
+
+	if (!wire_get_u64(root, "s", &state) ||
+	    !wire_get_u64(root, "x", &next) ||
+	    !wire_get_u64(root, "c", &finished) ||
+	    !wire_get_array(root, "o", &list) || state > JOB_CANCELLED ||
+	    next > order_occurrences(j->order))
+		return -1;
+	wire_get_i64(root, "e", &j->ended_ms);
+	for (i = 0; state < JOB_COMPLETED && i < list->size; i++) {
+		if (read_occurrence(j, &list->ptr[i]) == -1)
+			return -1;
+	}
+	j->next_occurrence = (unsigned)next;
+	j->done_occurrences = (unsigned)finished;
+	j->state = (enum job_state)state;
+	j->dirty = false;
+	return 0;
+}
+
+int
+job_progress_decode(struct job *j, const void *data, size_t len, struct err *e)
+{
+	struct wire_reader in;
+	int ret;
+
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ret = read_progress(j, in.root);
+	wire_reader_uninit(&in);
+	if (ret == -1)
+		return err_set(e, ERR_PROTOCOL, 0,
+		    "look at who writes to the topic",
+		    "progress of job %s is damaged", j->id);
+	return 0;
+}
--- /dev/null
+++ b/src/jobs/job_record.h
@@ -0,0 +1,49 @@
+/*
+ * Records that keep a job in the store: the order, written once, and its
+ * progress, written whenever it changes.  A key for each.
+ */
+#ifndef JOBS_JOB_RECORD_H
+#define JOBS_JOB_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "buf.h"
+#include "errors.h"
+#include "job.h"
+#include "wire.h"
+
+#define JOB_KEY_BYTES 24
+
+void job_order_key(char key[JOB_KEY_BYTES], const char *id);
+void job_progress_key(char key[JOB_KEY_BYTES], const char *id);
+/* Id in a key; false where it is neither of the two. */
+bool job_key_id(const char *key, char id[JOB_ID_BYTES], bool *progress);
+
+/* A queue's terms as one map, also between daemons. */
+void terms_write(struct wire_writer *w, const struct queue_terms *t);
+bool terms_read(const msgpack_object *map, struct queue_terms *t);
+
+/* NULL when memory is short. */
+struct buf *job_order_encode(const struct job *j);
+struct buf *job_progress_encode(const struct job *j);
+
+/* What an order's record holds; "text" belongs to the record. */
+struct order_record {
+	struct queue_terms terms;
+	int64_t accepted_ms;
+	const uint8_t *text;
+	size_t text_len;
+};
+
+/*
+ * Calls back with what was read, since the bytes do not outlive the call.
+ * -1 with "e" filled where the record is damaged.
+ */
+int job_order_decode(const void *data, size_t len, struct err *e,
+    void (*found)(void *arg, const struct order_record *r), void *arg);
+/* Applies a progress record to a job that has none yet. */
+int job_progress_decode(
+    struct job *j, const void *data, size_t len, struct err *e);
+
+#endif
--- /dev/null
+++ b/src/jobs/order.c
@@ -0,0 +1,105 @@
+#include "order.h"
+
+#include <stdlib.h>
+
+struct order *
+order_new(size_t steps)
+{
+	struct order *o;
+
+	o = calloc(1, sizeof(*o));
+	if (o == NULL)
+		return NULL;
+	o->refs = 1;
+	o->step_count = steps;
+	o->steps = calloc(steps + 1, sizeof(*o->steps));
+	if (o->steps == NULL) {
+		free(o);
+		return NULL;
+	}
+	return o;
+}
+
+struct order *
+order_ref(struct order *o)
+{
+	o->refs++;
+	return o;
+}
+
+void
+order_unref(struct order *o)
+{
+	size_t i;
+
+	if (o == NULL || --o->refs > 0)
+		return;
+	for (i = 0; i < o->step_count; i++)
+		free(o->steps[i].after);
+	free(o->steps);
+	free(o->spec);
+	buf_unref(o->text);
+	free(o);
+}
+
+unsigned
+order_occurrences(const struct order *o)
+{
+	return o->repetitions > 0 ? o->repetitions : 1;
+}
+
+size_t
+order_tasks(const struct order *o)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < o->step_count; i++)
+		n += o->steps[i].count;
+	return n;
+}
+
+double
+order_work(const struct order *o)
+{
+	const struct order_step *s;
+	double work = 0;
+	size_t i;
+
+	for (i = 0; i < o->step_count; i++) {
+		s = &o->steps[i];
+		work +=
+		    (double)s->count * (double)s->cpu * (double)s->estimate_ms;
+	}
+	return work;
+}
+
+double
+order_chain_ms(const struct order *o)
+{
+	double ends[JOB_STEPS_MAX], longest = 0, begin;
+	size_t i, j;
+
+	for (i = 0; i < o->step_count && i < JOB_STEPS_MAX; i++) {
+		begin = 0;
+		for (j = 0; j < o->steps[i].after_count; j++) {
+			if (ends[o->steps[i].after[j]] > begin)
+				begin = ends[o->steps[i].after[j]];
+		}
+		ends[i] = begin + (double)o->steps[i].estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+bool
+order_lasts(const struct order *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->step_count; i++) {
+		if (o->steps[i].lasting)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/jobs/order.h
@@ -0,0 +1,68 @@
+/*
+ * A job as its caller handed it in: steps of tasks, immutable once parsed.
+ * Reference-counted.
+ */
+#ifndef JOBS_ORDER_H
+#define JOBS_ORDER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bounds.h"
+#include "buf.h"
+
+#define JOB_ID_BYTES 17 /* 16 hexadecimal digits and NUL */
+#define JOB_STEPS_MAX 256
+#define JOB_TASKS_MAX 20000 /* of one occurrence */
+#define LABEL_BYTES NAME_BYTES
+
+struct order_step {
+	unsigned count; /* of tasks */
+	int64_t cpu; /* thousandths of a core, of one task */
+	int64_t memory_mb;
+	int64_t accelerators;
+	int64_t estimate_ms; /* the caller's rough guess; 0 none */
+	unsigned *after; /* earlier steps that must be done */
+	size_t after_count;
+	bool checkpoints;
+	bool gang; /* tasks run only together */
+	bool same_rack; /* slower on more than one rack */
+	bool speculative; /* copies may run side by side */
+	bool lasting; /* runs until the job is cancelled */
+	bool fills; /* takes the cpu that others leave */
+	unsigned per_worker; /* tasks on one worker, at most; 0 any */
+	unsigned may_miss; /* lasting tasks away at once by our orders */
+	int64_t target_ms; /* of a serving task's tail; 0 none */
+	char label[LABEL_BYTES]; /* that the worker must have; "" none */
+	char rack[LABEL_BYTES]; /* where its data is; "" none */
+	char image[LABEL_BYTES]; /* tasks of one image behave alike */
+};
+
+struct order {
+	unsigned refs;
+	char *spec; /* passed on to workers */
+	struct order_step *steps;
+	size_t step_count;
+	unsigned repetitions; /* 0: runs once, now */
+	int64_t first_start_ms; /* Unix time of occurrence 0 */
+	int64_t interval_ms; /* between occurrences */
+	struct buf *text; /* as it came, for the store */
+};
+
+/* One reference, with room for "steps" zeroed steps. */
+struct order *order_new(size_t steps);
+struct order *order_ref(struct order *o);
+void order_unref(struct order *o);
+/* Occurrences of a job: at least 1. */
+unsigned order_occurrences(const struct order *o);
+/* Tasks of one occurrence. */
+size_t order_tasks(const struct order *o);
+/* Thousandths of a core times ms by the caller's estimates, one occurrence. */
+double order_work(const struct order *o);
+/* ms of the longest chain of steps by the caller's estimates. */
+double order_chain_ms(const struct order *o);
+/* Has tasks that run until it is cancelled. */
+bool order_lasts(const struct order *o);
+
+#endif
--- /dev/null
+++ b/src/jobs/pool.c
@@ -0,0 +1,235 @@
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define TICK_US (50 * US_PER_MS) /* longest time between two ticks */
+#define PLACE_PAUSE_US 1500 /* between two looks at all that waits */
+#define FORGET_CHECK_JOBS 1
+
+struct pool *
+pool_new(const struct pool_opts *opts)
+{
+	struct pool *p;
+
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		return NULL;
+	p->opts = *opts;
+	p->settle_until_us =
+	    opts->now_us + (int64_t)opts->settle_ms * US_PER_MS;
+	p->next_due_ms = INT64_MAX;
+	TAILQ_INIT(&p->active);
+	TAILQ_INIT(&p->finished);
+	STAILQ_INIT(&p->pending);
+	return p;
+}
+
+void
+pool_free(struct pool *p)
+{
+	struct placed_worker *w, *next_worker;
+	struct pending_answer *a;
+	struct job *j, *next;
+
+	if (p == NULL)
+		return;
+	HASH_ITER(hh, p->jobs, j, next)
+	{
+		HASH_DEL(p->jobs, j);
+		job_free(j);
+	}
+	HASH_ITER(hh, p->workers, w, next_worker)
+	{
+		HASH_DEL(p->workers, w);
+		free(w);
+	}
+	while ((a = STAILQ_FIRST(&p->pending)) != NULL) {
+		STAILQ_REMOVE_HEAD(&p->pending, entries);
+		free(a);
+	}
+	learned_free(p->learned);
+	free(p);
+}
+
+static void
+take_written(struct pool *p, uint64_t serial)
+{
+	struct pending_answer *a;
+
+	if (serial > p->written)
+		p->written = serial;
+	while ((a = STAILQ_FIRST(&p->pending)) != NULL &&
+	    a->serial <= p->written) {
+		STAILQ_REMOVE_HEAD(&p->pending, entries);
+		*fx_add(p, POOL_ANSWER) = a->effect;
+		free(a);
+	}
+}
+
+/* Jobs that wait go by the terms in force; those that ended are past them. */
+static void
+take_terms(struct pool *p, const struct queue_terms *terms)
+{
+	struct job *j;
+
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (strcmp(j->terms.name, terms->name) == 0)
+			j->terms = *terms;
+	}
+	p->place_due = true;
+}
+
+static void
+dispatch(struct pool *p, const struct pool_event *ev)
+{
+	switch (ev->kind) {
+	case POOL_TICK:
+		break;
+	case POOL_LOADED:
+		p->loaded = true;
+		p->place_due = true;
+		break;
+	case POOL_TERMS:
+		take_terms(p, ev->u.terms.terms);
+		break;
+	case POOL_WORKER:
+		pool_worker_entry(p, ev->u.worker.report);
+		break;
+	case POOL_WORKER_GONE:
+		pool_worker_gone(p, ev->u.gone.id);
+		break;
+	case POOL_HELD:
+		pool_held(p, ev);
+		break;
+	case POOL_STARTED:
+		pool_started(p, ev);
+		break;
+	case POOL_STOPPED:
+		pool_stopped(p, ev);
+		break;
+	case POOL_SUBMIT:
+		pool_submit(p, ev);
+		break;
+	case POOL_CANCEL:
+		pool_cancel(p, ev);
+		break;
+	case POOL_LOOK:
+		pool_look(p, ev);
+		break;
+	case POOL_COUNT:
+		pool_count(p, ev);
+		break;
+	case POOL_WRITTEN:
+		take_written(p, ev->u.written.serial);
+		break;
+	case POOL_ADVISED:
+		pool_advised(p, ev);
+		break;
+	}
+}
+
+void
+pool_step(struct pool *p, const struct pool_event *ev, struct pool_effects *fx)
+{
+	p->now_us = ev->now_us;
+	p->now_ms = ev->now_ms;
+	p->fx = fx;
+	dispatch(p, ev);
+	if (!p->loaded)
+		return;
+	if (p->now_ms >= p->next_due_ms || p->now_us >= p->settle_until_us)
+		p->place_due = true;
+	if (p->place_due && p->now_us >= p->place_after_us) {
+		p->place_due = false;
+		p->place_after_us = p->now_us + PLACE_PAUSE_US;
+		pool_place(p);
+	}
+	pool_flush_jobs(p);
+	pool_hold_due(p);
+	if (ev->kind == POOL_TICK)
+		pool_forget_old(p);
+}
+
+int64_t
+pool_next_us(const struct pool *p)
+{
+	const struct placed_worker *w;
+	int64_t next = p->now_us + TICK_US;
+
+	if (p->place_due && p->place_after_us < next)
+		next = p->place_after_us;
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!w->hold_out && w->hold_due_us < next)
+			next = w->hold_due_us;
+	}
+	return next > p->now_us ? next : p->now_us + 1;
+}
+
+int64_t
+pool_fence(const struct pool *p)
+{
+	return p->opts.fence;
+}
+
+void
+pool_stats(const struct pool *p, struct pool_stats *s)
+{
+	const struct placed_worker *w;
+	const struct job *j;
+
+	*s = p->stats;
+	s->jobs = p->active_count;
+	s->jobs_finished = p->finished_count;
+	TAILQ_FOREACH(j, &p->active, entries)
+		s->jobs_waiting += !j->begun;
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		s->workers++;
+		s->workers_held += w->held;
+		s->tasks_placed += w->task_count;
+	}
+}
+
+bool
+pool_worker_idle(const struct pool *p, const char *id)
+{
+	const struct placed_worker *w = pool_find_worker(p, id);
+
+	return w == NULL || w->task_count == 0;
+}
+
+static void
+dump_worker(const struct placed_worker *w, int64_t now_us, struct buf *out)
+{
+	buf_printf(out,
+	    "{\"worker\":\"%s\",\"listed\":%s,\"held\":%s,\"draining\":%s,"
+	    "\"misses\":%d,\"tasks\":%zu,\"cpu\":%lld,\"heard_ms_ago\":%lld}",
+	    w->report.id, w->listed ? "true" : "false",
+	    w->held ? "true" : "false", w->report.draining ? "true" : "false",
+	    w->misses, w->task_count, (long long)w->cpu,
+	    (long long)((now_us - w->heard_us) / US_PER_MS));
+}
+
+void
+pool_dump(const struct pool *p, struct buf *out)
+{
+	const struct placed_worker *w;
+	const struct job *j;
+
+	buf_printf(out, "{\"pool\":\"%s\",\"fence\":%lld,\"jobs\":[",
+	    p->opts.name, (long long)p->opts.fence);
+	TAILQ_FOREACH(j, &p->active, entries)
+		buf_printf(out,
+		    "%s{\"job\":\"%s\",\"queue\":\"%s\",\"begun\":%s}",
+		    j == TAILQ_FIRST(&p->active) ? "" : ",", j->id,
+		    j->terms.name, j->begun ? "true" : "false");
+	buf_printf(out, "],\"workers\":[");
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (w != p->workers)
+			buf_printf(out, ",");
+		dump_worker(w, p->now_us, out);
+	}
+	buf_printf(out, "]}");
+}
--- /dev/null
+++ b/src/jobs/pool.h
@@ -0,0 +1,227 @@
+/*
+ * The jobs of one pool under one term of its owner, as a reducer: events in,
+ * effects out, no I/O and no clock.  A term has a fence that workers and the
+ * store compare, so that an outlived owner changes nothing any more.
+ */
+#ifndef JOBS_POOL_H
+#define JOBS_POOL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "effect.h"
+#include "job.h"
+#include "job_record.h"
+#include "worker.h"
+
+struct pool;
+
+struct pool_opts {
+	char name[NAME_BYTES];
+	int64_t fence; /* of this term; from 1, rises with each term */
+	bool guarded; /* workers refuse what does not fit */
+	int64_t now_us; /* monotonic clock */
+	int64_t now_ms; /* Unix time */
+	int lease_ms; /* granted to tasks at each hold */
+	int settle_ms; /* tasks of an earlier term have ended after this */
+	int status_keep_ms; /* finished jobs are known this long */
+	int restore_ms; /* a start from a checkpoint takes so long */
+	double remote_factor; /* work time away from its data */
+};
+
+struct worker_target {
+	char id[NAME_BYTES];
+	char addr[ADDR_BYTES];
+	int port;
+};
+
+enum order_end {
+	ORDER_END_TAKEN,
+	ORDER_END_UNSENT, /* the worker has not got it */
+	ORDER_END_LOST, /* it may have got it, or may get it later */
+	ORDER_END_FENCED, /* a later owner commands the worker */
+	ORDER_END_OLD, /* that run has ended there */
+	ORDER_END_NO_ROOM,
+	ORDER_END_NO_TICKET,
+	ORDER_END_REFUSED, /* not done for another reason */
+	ORDER_END_OTHER_LIFE /* the worker has gone for good */
+};
+
+enum pool_event_kind {
+	POOL_TICK,
+	POOL_LOADED, /* all records of earlier terms are in */
+	POOL_TERMS, /* a queue's terms have changed */
+	POOL_WORKER, /* a worker's entry, new or changed */
+	POOL_WORKER_GONE, /* its entry was dropped */
+	POOL_HELD, /* answer to a hold, or none */
+	POOL_STARTED, /* answer to a start */
+	POOL_STOPPED, /* answer to a stop */
+	POOL_SUBMIT,
+	POOL_CANCEL,
+	POOL_LOOK, /* a caller asks for a job's state */
+	POOL_COUNT, /* a caller asks how many jobs of a queue wait */
+	POOL_WRITTEN, /* writes up to a serial are in the store */
+	POOL_ADVISED /* the policy's answer for a step */
+};
+
+struct pool_event {
+	enum pool_event_kind kind;
+	int64_t now_us;
+	int64_t now_ms;
+	union {
+		struct {
+			const struct queue_terms *terms;
+		} terms;
+		struct {
+			const struct worker_report *report;
+		} worker;
+		struct {
+			char id[NAME_BYTES];
+		} gone;
+		struct {
+			char worker[NAME_BYTES];
+			int64_t asked_us; /* when the hold was sent */
+			const struct hold_report *report; /* NULL: none came */
+			enum order_end end;
+		} held;
+		struct {
+			char worker[NAME_BYTES];
+			struct task_name task;
+			int64_t run;
+			enum order_end end;
+		} order;
+		struct {
+			uint64_t token; /* of the answer */
+			char id[JOB_ID_BYTES];
+			const struct queue_terms *terms;
+			struct order *order;
+		} submit;
+		struct {
+			uint64_t token;
+			char id[JOB_ID_BYTES];
+		} job;
+		struct {
+			uint64_t token;
+			char queue[NAME_BYTES];
+		} count;
+		struct {
+			uint64_t serial;
+		} written;
+		struct {
+			struct task_name step; /* its index is of no meaning */
+			bool ok;
+			const struct step_ticket *list;
+			size_t count;
+			int valid_ms;
+		} advised;
+	} u;
+};
+
+enum pool_effect_kind {
+	POOL_START,
+	POOL_STOP,
+	POOL_HOLD,
+	POOL_PACE,
+	POOL_WRITE,
+	POOL_ANSWER,
+	POOL_ADVISE,
+	POOL_LOG
+};
+
+enum pool_answer {
+	POOL_ACCEPTED, /* the job is stored */
+	POOL_OVERLOADED, /* it is not, and never runs; come back later */
+	POOL_CANCELLING, /* the cancel is stored */
+	POOL_STATE,
+	POOL_NO_JOB,
+	POOL_WAITING
+};
+
+#define POOL_LOG_BYTES 256
+#define POOL_ADVISE_MAX 100 /* workers of one question */
+
+struct pool_effect {
+	enum pool_effect_kind kind;
+	union {
+		struct {
+			struct worker_target worker;
+			struct task_name task;
+			int64_t run;
+			struct order *order; /* a reference */
+			int64_t lease_end_ms; /* on the worker's clock */
+			char saved[SAVED_BYTES];
+			char ticket[SAVED_BYTES];
+		} start;
+		struct {
+			struct worker_target worker;
+			struct task_name task;
+			int64_t run;
+			int percent; /* POOL_PACE */
+		} order;
+		struct {
+			struct worker_target worker;
+			int64_t acked_end;
+			int64_t lease_end_ms; /* 0: leaves leases alone */
+			int wait_ms;
+		} hold;
+		struct {
+			char key[JOB_KEY_BYTES];
+			struct buf *value; /* a reference; NULL drops the key */
+			uint64_t serial; /* rises by one */
+		} write;
+		struct {
+			uint64_t token;
+			enum pool_answer answer;
+			enum job_state state;
+			size_t waiting;
+			int retry_ms;
+		} answer;
+		struct {
+			struct task_name step;
+			char (*workers)[NAME_BYTES]; /* owned by the effect */
+			size_t count;
+		} advise;
+		struct {
+			enum log_level level;
+			char line[POOL_LOG_BYTES];
+		} log;
+	} u;
+};
+
+struct pool_effects {
+	struct pool_effect *list;
+	size_t count;
+	size_t room;
+};
+
+void pool_effects_clear(struct pool_effects *fx);
+void pool_effects_uninit(struct pool_effects *fx);
+
+struct pool *pool_new(const struct pool_opts *opts);
+void pool_free(struct pool *p);
+/*
+ * A job of an earlier term, before POOL_LOADED; "progress" may be NULL.
+ * -1 with "e" filled where the record is damaged.
+ */
+int pool_load(struct pool *p, const char *id, const struct order_record *r,
+    struct order *order, const struct buf *progress, struct err *e);
+void pool_step(
+    struct pool *p, const struct pool_event *ev, struct pool_effects *fx);
+/* Monotonic time at which a POOL_TICK is due. */
+int64_t pool_next_us(const struct pool *p);
+
+struct pool_stats {
+	size_t jobs, jobs_waiting, jobs_finished, workers, workers_held;
+	size_t tasks_placed;
+	uint64_t accepted, refused, completed, failed, cancelled;
+	uint64_t starts, starts_refused, ends_done, ends_failed, ends_other;
+};
+
+void pool_stats(const struct pool *p, struct pool_stats *s);
+/* The same and each unfinished job and worker, as JSON text. */
+void pool_dump(const struct pool *p, struct buf *out);
+bool pool_worker_idle(const struct pool *p, const char *id);
+int64_t pool_fence(const struct pool *p);
+
+#endif
--- /dev/null
+++ b/src/jobs/pool_effects.c
@@ -0,0 +1,108 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+static void
+effect_uninit(struct pool_effect *x)
+{
+	switch (x->kind) {
+	case POOL_START:
+		order_unref(x->u.start.order);
+		break;
+	case POOL_WRITE:
+		buf_unref(x->u.write.value);
+		break;
+	case POOL_ADVISE:
+		free(x->u.advise.workers);
+		break;
+	case POOL_STOP:
+	case POOL_HOLD:
+	case POOL_PACE:
+	case POOL_ANSWER:
+	case POOL_LOG:
+		break;
+	}
+}
+
+void
+pool_effects_clear(struct pool_effects *fx)
+{
+	size_t i;
+
+	for (i = 0; i < fx->count; i++)
+		effect_uninit(&fx->list[i]);
+	fx->count = 0;
+}
+
+void
+pool_effects_uninit(struct pool_effects *fx)
+{
+	pool_effects_clear(fx);
+	free(fx->list);
+	memset(fx, 0, sizeof(*fx));
+}
+
+struct pool_effect *
+fx_add(struct pool *p, enum pool_effect_kind kind)
+{
+	struct pool_effects *fx = p->fx;
+	struct pool_effect *x;
+
+	if (fx->count == fx->room) {
+		fx->room = fx->room > 0 ? fx->room * 2 : 16;
+		fx->list = realloc(fx->list, fx->room * sizeof(*fx->list));
+		if (fx->list == NULL)
+			abort(); /* an order or a write must not be dropped */
+	}
+	x = &fx->list[fx->count++];
+	memset(x, 0, sizeof(*x));
+	x->kind = kind;
+	return x;
+}
+
+void
+fx_log(struct pool *p, enum log_level level, const char *fmt, ...)
+{
+	struct pool_effect *x = fx_add(p, POOL_LOG);
+	va_list ap;
+
+	x->u.log.level = level;
+	va_start(ap, fmt);
+	vsnprintf(x->u.log.line, sizeof(x->u.log.line), fmt, ap);
+	va_end(ap);
+}
+
+void
+fx_answer(struct pool *p, uint64_t token, enum pool_answer answer)
+{
+	struct pool_effect *x = fx_add(p, POOL_ANSWER);
+
+	x->u.answer.token = token;
+	x->u.answer.answer = answer;
+}
+
+void
+fx_write(struct pool *p, const char *key, struct buf *value)
+{
+	struct pool_effect *x = fx_add(p, POOL_WRITE);
+
+	snprintf(x->u.write.key, sizeof(x->u.write.key), "%s", key);
+	x->u.write.value = value;
+	x->u.write.serial = ++p->serial;
+}
+
+void
+fx_stop(struct pool *p, const struct placed_worker *w,
+    const struct task_name *task, int64_t run)
+{
+	struct pool_effect *x = fx_add(p, POOL_STOP);
+
+	snprintf(x->u.order.worker.id, NAME_BYTES, "%s", w->report.id);
+	snprintf(x->u.order.worker.addr, ADDR_BYTES, "%s", w->report.addr);
+	x->u.order.worker.port = w->report.port;
+	x->u.order.task = *task;
+	x->u.order.run = run;
+}
--- /dev/null
+++ b/src/jobs/pool_jobs.c
@@ -0,0 +1,354 @@
+/* Jobs of a pool: handed in, cancelled, asked for, written, forgotten. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define ACTIVE_MAX 4000 /* unfinished jobs: bounds memory and the take-over */
+#define LATE_LIMIT 3.0 /* times its objective: nothing is left to gain */
+#define RETRY_MIN_MS 200
+#define RETRY_MAX_MS 10000
+
+struct job *
+pool_find_job(const struct pool *p, const char *id)
+{
+	struct job *j;
+
+	HASH_FIND_STR(p->jobs, id, j);
+	return j;
+}
+
+static void
+answer_when_written(
+    struct pool *p, uint64_t token, enum pool_answer answer, uint64_t serial)
+{
+	struct pending_answer *a;
+
+	if (p->written >= serial) {
+		fx_answer(p, token, answer);
+		return;
+	}
+	a = calloc(1, sizeof(*a));
+	if (a == NULL)
+		abort(); /* an accepted job would never be told so */
+	a->effect.kind = POOL_ANSWER;
+	a->effect.u.answer.token = token;
+	a->effect.u.answer.answer = answer;
+	a->serial = serial;
+	STAILQ_INSERT_TAIL(&p->pending, a, entries);
+}
+
+/* Thousandths of a core that usable workers have. */
+static double
+pool_cpu(const struct pool *p)
+{
+	const struct placed_worker *w;
+	double cpu = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (worker_usable(p, w))
+			cpu += (double)w->report.cpu;
+	}
+	return cpu;
+}
+
+/* ms until the work that is accepted has been done, by learned times. */
+static double
+backlog_ms(const struct pool *p)
+{
+	double work = 0, cpu = pool_cpu(p);
+	const struct occurrence *o;
+	const struct job *j;
+
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (order_lasts(j->order))
+			continue;
+		LIST_FOREACH(o, &j->occurrences, entries)
+			work += occurrence_work_left(o) *
+			    learned_ratio(p->learned, j->terms.name);
+	}
+	return cpu > 0 ? work / cpu : 0;
+}
+
+/*
+ * A job that could only be finished long after its objective is refused at
+ * once; the time it is told is when the backlog leaves room for it.
+ * 0: accepted.
+ */
+static int
+refusal_ms(const struct pool *p, const struct pool_event *ev)
+{
+	const struct order *o = ev->u.submit.order;
+	const struct queue_terms *t = ev->u.submit.terms;
+	double chain_ms, objective_ms, wait_ms;
+
+	if (p->active_count >= ACTIVE_MAX)
+		return RETRY_MAX_MS;
+	if (o->repetitions > 0 || order_lasts(o) || p->active_count < 8)
+		return 0;
+	chain_ms = order_chain_ms(o);
+	objective_ms = t->stretch * chain_ms + t->target_latency_ms;
+	wait_ms = backlog_ms(p);
+	if (wait_ms + chain_ms <= LATE_LIMIT * objective_ms)
+		return 0;
+	wait_ms -= objective_ms - chain_ms;
+	return wait_ms > RETRY_MAX_MS ? RETRY_MAX_MS
+	    : wait_ms < RETRY_MIN_MS  ? RETRY_MIN_MS
+				      : (int)wait_ms;
+}
+
+static void
+refuse(struct pool *p, const struct pool_event *ev, int retry_ms)
+{
+	struct pool_effect *x;
+
+	p->stats.refused++;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"job refused: backlog\" job=%s queue=%s active=%zu "
+	    "retry_ms=%d",
+	    ev->u.submit.id, ev->u.submit.terms->name, p->active_count,
+	    retry_ms);
+	fx_answer(p, ev->u.submit.token, POOL_OVERLOADED);
+	x = &p->fx->list[p->fx->count - 1];
+	x->u.answer.retry_ms = retry_ms;
+}
+
+static void
+file_active(struct pool *p, struct job *j)
+{
+	HASH_ADD_STR(p->jobs, id, j);
+	TAILQ_INSERT_TAIL(&p->active, j, entries);
+	p->active_count++;
+}
+
+static void
+write_order(struct pool *p, struct job *j)
+{
+	struct buf *value = job_order_encode(j);
+	char key[JOB_KEY_BYTES];
+
+	if (value == NULL)
+		abort(); /* it is about to be acknowledged */
+	job_order_key(key, j->id);
+	fx_write(p, key, value);
+	j->order_stored = true;
+}
+
+void
+pool_submit(struct pool *p, const struct pool_event *ev)
+{
+	struct job *j = pool_find_job(p, ev->u.submit.id);
+	int retry_ms;
+
+	if (j != NULL) { /* handed in again: it stays one job */
+		answer_when_written(
+		    p, ev->u.submit.token, POOL_ACCEPTED, p->serial);
+		return;
+	}
+	retry_ms = refusal_ms(p, ev);
+	j = retry_ms > 0 ? NULL
+			 : job_new(ev->u.submit.id, ev->u.submit.terms,
+			       ev->u.submit.order, p->now_ms);
+	if (j == NULL) {
+		refuse(p, ev, retry_ms > 0 ? retry_ms : RETRY_MAX_MS);
+		return;
+	}
+	file_active(p, j);
+	write_order(p, j);
+	answer_when_written(p, ev->u.submit.token, POOL_ACCEPTED, p->serial);
+	p->stats.accepted++;
+	p->place_due = true;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"job taken in\" job=%s queue=%s tasks=%zu chain_ms=%.0f "
+	    "active=%zu",
+	    j->id, j->terms.name, order_tasks(j->order),
+	    order_chain_ms(j->order), p->active_count);
+}
+
+static void
+stop_all(struct pool *p, struct job *j)
+{
+	const struct order *order = j->order;
+	struct occurrence *o;
+	unsigned i;
+	size_t s;
+
+	LIST_FOREACH(o, &j->occurrences, entries) {
+		for (s = 0; s < order->step_count; s++) {
+			for (i = 0; i < order->steps[s].count; i++)
+				task_stop(p, &o->steps[s].tasks[i]);
+		}
+	}
+}
+
+static void
+end_job(struct pool *p, struct job *j, enum job_state state)
+{
+	j->state = state;
+	j->ended_ms = p->now_ms;
+	j->dirty = true;
+	stop_all(p, j);
+	p->place_due = true;
+}
+
+void
+pool_fail_job(struct pool *p, struct job *j, const struct task *t)
+{
+	if (job_final(j))
+		return;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"job has failed\" job=%s queue=%s task=%u.%u attempts=%d",
+	    j->id, j->terms.name, t->step->number, t->index,
+	    t->step->order->gang ? t->step->tasks[0].attempts : t->attempts);
+	end_job(p, j, JOB_FAILED);
+}
+
+void
+pool_cancel(struct pool *p, const struct pool_event *ev)
+{
+	struct job *j = pool_find_job(p, ev->u.job.id);
+
+	if (j == NULL) {
+		fx_answer(p, ev->u.job.token, POOL_NO_JOB);
+		return;
+	}
+	if (!job_final(j)) {
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"job is cancelled\" job=%s queue=%s", j->id,
+		    j->terms.name);
+		p->stats.cancelled++;
+		end_job(p, j, JOB_CANCELLED);
+	}
+	pool_flush_jobs(p);
+	answer_when_written(p, ev->u.job.token, POOL_CANCELLING, p->serial);
+}
+
+/* What may be shown: a final state only once it is stored. */
+static enum job_state
+shown_state(const struct pool *p, const struct job *j)
+{
+	if (!job_final(j) || p->written >= j->state_serial)
+		return j->state;
+	return JOB_RUNNING;
+}
+
+void
+pool_look(struct pool *p, const struct pool_event *ev)
+{
+	const struct job *j = pool_find_job(p, ev->u.job.id);
+
+	if (j == NULL) {
+		fx_answer(p, ev->u.job.token, POOL_NO_JOB);
+		return;
+	}
+	fx_answer(p, ev->u.job.token, POOL_STATE);
+	p->fx->list[p->fx->count - 1].u.answer.state = shown_state(p, j);
+}
+
+void
+pool_count(struct pool *p, const struct pool_event *ev)
+{
+	const struct job *j;
+	size_t n = 0;
+
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (!j->begun && strcmp(j->terms.name, ev->u.count.queue) == 0)
+			n++;
+	}
+	fx_answer(p, ev->u.count.token, POOL_WAITING);
+	p->fx->list[p->fx->count - 1].u.answer.waiting = n;
+}
+
+static void
+write_progress(struct pool *p, struct job *j)
+{
+	struct buf *value = job_progress_encode(j);
+	char key[JOB_KEY_BYTES];
+
+	if (value == NULL)
+		abort(); /* ends are acknowledged on the strength of it */
+	job_progress_key(key, j->id);
+	fx_write(p, key, value);
+	j->dirty = false;
+	if (job_final(j))
+		j->state_serial = p->serial;
+}
+
+static void
+file_finished(struct pool *p, struct job *j)
+{
+	TAILQ_REMOVE(&p->active, j, entries);
+	TAILQ_INSERT_TAIL(&p->finished, j, entries);
+	p->active_count--;
+	p->finished_count++;
+	if (j->state == JOB_COMPLETED)
+		p->stats.completed++;
+	else if (j->state == JOB_FAILED)
+		p->stats.failed++;
+}
+
+void
+pool_flush_jobs(struct pool *p)
+{
+	struct job *j, *next;
+
+	for (j = TAILQ_FIRST(&p->active); j != NULL; j = next) {
+		next = TAILQ_NEXT(j, entries);
+		if (j->dirty)
+			write_progress(p, j);
+		if (!job_final(j))
+			continue;
+		job_drop_finished(j);
+		if (LIST_EMPTY(&j->occurrences))
+			file_finished(p, j);
+	}
+}
+
+void
+pool_forget_old(struct pool *p)
+{
+	int64_t before_ms = p->now_ms - p->opts.status_keep_ms;
+	char key[JOB_KEY_BYTES];
+	struct job *j;
+
+	while ((j = TAILQ_FIRST(&p->finished)) != NULL &&
+	    j->ended_ms < before_ms) {
+		job_order_key(key, j->id);
+		fx_write(p, key, NULL);
+		job_progress_key(key, j->id);
+		fx_write(p, key, NULL);
+		TAILQ_REMOVE(&p->finished, j, entries);
+		p->finished_count--;
+		HASH_DEL(p->jobs, j);
+		job_free(j);
+	}
+}
+
+int
+pool_load(struct pool *p, const char *id, const struct order_record *r,
+    struct order *order, const struct buf *progress, struct err *e)
+{
+	struct job *j = job_new(id, &r->terms, order, r->accepted_ms);
+
+	if (j == NULL)
+		return err_set(e, ERR_MEMORY, 0, "give the process more memory",
+		    "no memory for job %s", id);
+	if (progress != NULL &&
+	    job_progress_decode(j, progress->data, progress->len, e) == -1) {
+		job_free(j);
+		return -1;
+	}
+	j->inherited = true;
+	j->order_stored = true;
+	j->begun = j->state != JOB_QUEUED;
+	HASH_ADD_STR(p->jobs, id, j);
+	if (job_final(j)) {
+		TAILQ_INSERT_TAIL(&p->finished, j, entries);
+		p->finished_count++;
+	} else {
+		TAILQ_INSERT_TAIL(&p->active, j, entries);
+		p->active_count++;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/jobs/pool_place.c
@@ -0,0 +1,472 @@
+/*
+ * Which task goes to which worker next.  Answers the load in which a queue's
+ * demand is several times its pool for some seconds: what can still meet its
+ * objective goes first.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
+#define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
+#define ADVISE_WORKERS 30 /* workers of one question to the policy */
+#define ADVISE_AGAIN_MS 1500 /* a question that got no answer */
+#define ADVISE_SPARE_MS 200 /* a ticket must hold so long yet */
+
+/* Classes of work, the first goes first. */
+enum rank_class {
+	RANK_LASTING,
+	RANK_IN_TIME, /* can still meet its objective */
+	RANK_LATE, /* cannot, but is still worth something */
+	RANK_HOPELESS
+};
+
+struct candidate {
+	struct occurrence *occurrence;
+	enum rank_class class;
+	int priority;
+	double slack_ms; /* until it could not meet its objective any more */
+};
+
+static int
+compare_candidates(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->class != y->class)
+		return x->class < y->class ? -1 : 1;
+	if (x->priority != y->priority)
+		return x->priority < y->priority ? -1 : 1;
+	if (x->slack_ms != y->slack_ms)
+		return x->slack_ms < y->slack_ms ? -1 : 1;
+	return 0;
+}
+
+static void
+rank(const struct pool *p, struct candidate *c, struct occurrence *o)
+{
+	const struct job *j = o->job;
+	double left_ms, limit_ms;
+
+	c->occurrence = o;
+	c->priority = j->terms.priority;
+	left_ms = occurrence_chain_left_ms(o) *
+	    learned_ratio(p->learned, j->terms.name);
+	c->slack_ms =
+	    (double)(occurrence_objective_ms(o) - p->now_ms) - left_ms;
+	limit_ms = (LATE_LIMIT - 1) * (double)occurrence_length_ms(o);
+	if (order_lasts(j->order))
+		c->class = RANK_LASTING;
+	else if (c->slack_ms >= 0)
+		c->class = RANK_IN_TIME;
+	else
+		c->class = c->slack_ms >= -limit_ms ? RANK_LATE : RANK_HOPELESS;
+}
+
+static bool
+step_open(const struct job_step *s)
+{
+	return s->ready_after == 0 &&
+	    s->done_count + s->placed_count < s->order->count;
+}
+
+static bool
+occurrence_open(const struct occurrence *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		if (step_open(&o->steps[i]))
+			return true;
+	}
+	return false;
+}
+
+static void
+begin_due(struct pool *p, struct job *j)
+{
+	int64_t due_ms;
+
+	for (;;) {
+		due_ms = job_next_due_ms(j);
+		if (due_ms > p->now_ms || job_begin_occurrence(j) == NULL)
+			break;
+		j->dirty |= j->order->repetitions > 0;
+	}
+	if (due_ms < p->next_due_ms)
+		p->next_due_ms = due_ms;
+}
+
+static struct candidate *
+gather(struct pool *p, size_t *count)
+{
+	struct candidate *list;
+	struct occurrence *o;
+	struct job *j;
+	size_t room = 0, n = 0;
+
+	p->next_due_ms = INT64_MAX;
+	TAILQ_FOREACH(j, &p->active, entries) {
+		begin_due(p, j);
+		LIST_FOREACH(o, &j->occurrences, entries)
+			room++;
+	}
+	list = calloc(room + 1, sizeof(*list));
+	if (list == NULL)
+		return NULL;
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (job_final(j) || (j->inherited && !pool_settled(p)))
+			continue;
+		LIST_FOREACH(o, &j->occurrences, entries) {
+			if (n < room && occurrence_open(o))
+				rank(p, &list[n++], o);
+		}
+	}
+	qsort(list, n, sizeof(*list), compare_candidates);
+	*count = n;
+	return list;
+}
+
+static bool
+has_label(const struct placed_worker *w, const char *label)
+{
+	size_t i;
+
+	for (i = 0; i < w->report.label_count; i++) {
+		if (strcmp(w->report.labels[i], label) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Rack of a worker.  A worker's labels are its kind and its rack, in this
+ * order.
+ */
+static const char *
+worker_rack(const struct placed_worker *w)
+{
+	return w->report.label_count > 1 ? w->report.labels[1] : "";
+}
+
+static bool
+has_room(const struct placed_worker *w, const struct order_step *s)
+{
+	int64_t cpu = s->fills ? 0 : s->cpu;
+
+	return w->cpu + cpu <= w->report.cpu &&
+	    w->memory_mb + s->memory_mb <= w->report.memory_mb &&
+	    w->accelerators + s->accelerators <= w->report.accelerators;
+}
+
+static unsigned
+placed_of_step(const struct placed_worker *w, const struct job_step *s)
+{
+	const struct task *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker)
+		n += t->step == s;
+	return n;
+}
+
+static bool
+serves_beside(const struct placed_worker *w)
+{
+	const struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->step->order->target_ms > 0)
+			return true;
+	}
+	return false;
+}
+
+const struct step_ticket *
+step_ticket_for(
+    const struct job_step *s, const struct placed_worker *w, int64_t now_us)
+{
+	size_t i;
+
+	if (now_us + ADVISE_SPARE_MS * US_PER_MS > s->advice.until_us)
+		return NULL;
+	for (i = 0; i < s->advice.count; i++) {
+		if (strcmp(s->advice.list[i].worker, w->report.id) == 0 &&
+		    s->advice.list[i].born_ms == w->report.born_ms)
+			return &s->advice.list[i];
+	}
+	return NULL;
+}
+
+static bool
+may_run(
+    const struct pool *p, const struct placed_worker *w, const struct task *t)
+{
+	const struct order_step *s = t->step->order;
+
+	if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
+	    !has_room(w, s))
+		return false;
+	if (s->label[0] != '\0' && !has_label(w, s->label))
+		return false;
+	if (s->per_worker > 0 && placed_of_step(w, t->step) >= s->per_worker)
+		return false;
+	return !t->step->occurrence->job->terms.advised ||
+	    step_ticket_for(t->step, w, p->now_us) != NULL;
+}
+
+/* Tasks of the step on the worker's rack: a lost rack should take few. */
+static unsigned
+placed_on_rack(const struct pool *p, const char *rack, const struct job_step *s)
+{
+	const struct placed_worker *w;
+	unsigned n = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (strcmp(worker_rack(w), rack) == 0)
+			n += placed_of_step(w, s);
+	}
+	return n;
+}
+
+/* Higher is better. */
+static double
+score(const struct pool *p, const struct placed_worker *w, const struct task *t)
+{
+	const struct order_step *s = t->step->order;
+	double points;
+
+	points = 1 -
+	    (double)w->cpu / (double)(w->report.cpu > 0 ? w->report.cpu : 1);
+	if (t->avoid[0] != '\0' && strcmp(t->avoid, w->report.id) == 0)
+		points -= 8;
+	if (w->fail_streak > 0)
+		points -= 1;
+	if (s->lasting)
+		points -= placed_of_step(w, t->step) +
+		    0.5 * placed_on_rack(p, worker_rack(w), t->step);
+	if (s->fills && serves_beside(w))
+		points -= 2;
+	if (s->rack[0] != '\0' && strcmp(worker_rack(w), s->rack) != 0)
+		points -= 16;
+	if (s->same_rack && t->step->rack[0] != '\0' &&
+	    strcmp(worker_rack(w), t->step->rack) != 0)
+		points -= 16;
+	return points;
+}
+
+/* Waits a while for its data's rack, where work takes less time. */
+static bool
+waits_for_rack(
+    const struct pool *p, const struct placed_worker *w, const struct task *t)
+{
+	const struct order_step *s = t->step->order;
+	const struct job *j = t->step->occurrence->job;
+	const struct placed_worker *other;
+	double cost_ms, waited_ms;
+
+	if (s->rack[0] == '\0' || strcmp(worker_rack(w), s->rack) == 0)
+		return false;
+	cost_ms = (p->opts.remote_factor - 1) * (double)s->estimate_ms;
+	waited_ms = (double)(p->now_ms -
+	    (t->step->occurrence->due_ms > 0 ? t->step->occurrence->due_ms
+					     : j->accepted_ms));
+	if (waited_ms > cost_ms * LOCAL_WAIT)
+		return false;
+	for (other = p->workers; other != NULL; other = other->hh.next) {
+		if (worker_usable(p, other) &&
+		    strcmp(worker_rack(other), s->rack) == 0)
+			return true;
+	}
+	return false;
+}
+
+static struct placed_worker *
+choose(struct pool *p, const struct task *t)
+{
+	struct placed_worker *w, *best = NULL;
+	double points, best_points = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!may_run(p, w, t))
+			continue;
+		points = score(p, w, t);
+		if (best == NULL || points > best_points) {
+			best = w;
+			best_points = points;
+		}
+	}
+	if (best != NULL && waits_for_rack(p, best, t))
+		return NULL;
+	return best;
+}
+
+static void
+step_note_rack(struct job_step *s, const struct placed_worker *w)
+{
+	if (s->order->same_rack && s->rack[0] == '\0')
+		snprintf(s->rack, sizeof(s->rack), "%s", worker_rack(w));
+}
+
+/* All members or none; all under one run number, from one checkpoint. */
+static void
+place_gang(struct pool *p, struct job_step *s)
+{
+	const struct order_step *order = s->order;
+	struct placed_worker *w;
+	const char *saved = NULL;
+	int64_t run = 0, next;
+	unsigned i, n;
+
+	if (s->placed_count > 0) /* the run before is still ending */
+		return;
+	for (n = 0; n < order->count; n++) {
+		w = p->now_us >= s->tasks[n].not_before_us
+		    ? choose(p, &s->tasks[n])
+		    : NULL;
+		if (w == NULL)
+			goto undo;
+		task_attach(&s->tasks[n], w);
+		step_note_rack(s, w);
+		next = task_next_run(p, &s->tasks[n]);
+		run = next > run ? next : run;
+		if (s->tasks[n].saved != NULL)
+			saved = s->tasks[n].saved;
+	}
+	for (i = 0; i < order->count; i++) {
+		if (saved != NULL)
+			task_set_saved(&s->tasks[i], saved);
+		task_start(p, &s->tasks[i], run);
+	}
+	return;
+undo:
+	while (n-- > 0)
+		task_detach(p, &s->tasks[n]);
+}
+
+static void
+place_tasks(struct pool *p, struct job_step *s)
+{
+	struct placed_worker *w;
+	struct task *t;
+	unsigned i;
+
+	for (i = 0; i < s->order->count; i++) {
+		t = &s->tasks[i];
+		if (t->done || t->place != PLACE_NONE ||
+		    p->now_us < t->not_before_us)
+			continue;
+		w = choose(p, t);
+		if (w == NULL)
+			return; /* the others need as much */
+		task_attach(t, w);
+		step_note_rack(s, w);
+		task_start(p, t, task_next_run(p, t));
+	}
+}
+
+/* True once the policy has said where the step may run. */
+static bool
+step_advised(struct pool *p, struct job_step *s)
+{
+	const struct placed_worker *w;
+	struct pool_effect *x;
+	size_t n = 0;
+
+	if (!s->occurrence->job->terms.advised ||
+	    p->now_us + ADVISE_SPARE_MS * US_PER_MS <= s->advice.until_us)
+		return true;
+	if (s->advice.asked &&
+	    p->now_us - s->advice.asked_us < ADVISE_AGAIN_MS * US_PER_MS)
+		return false;
+	x = fx_add(p, POOL_ADVISE);
+	task_name_of(&s->tasks[0], &x->u.advise.step);
+	x->u.advise.workers = calloc(ADVISE_WORKERS, NAME_BYTES);
+	if (x->u.advise.workers == NULL)
+		abort(); /* the effect stands already */
+	/* begins at another worker each time, so that all are asked for */
+	for (w = p->workers; w != NULL && n < ADVISE_WORKERS; w = w->hh.next) {
+		if (worker_usable(p, w) && has_room(w, s->order))
+			snprintf(x->u.advise.workers[n++], NAME_BYTES, "%s",
+			    w->report.id);
+	}
+	x->u.advise.count = n;
+	if (n == 0) {
+		free(x->u.advise.workers);
+		p->fx->count--;
+		return false;
+	}
+	s->advice.asked = true;
+	s->advice.asked_us = p->now_us;
+	return false;
+}
+
+static void
+place_occurrence(struct pool *p, struct occurrence *o)
+{
+	struct job_step *s;
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		s = &o->steps[i];
+		if (!step_open(s) || !step_advised(p, s))
+			continue;
+		if (s->order->gang)
+			place_gang(p, s);
+		else
+			place_tasks(p, s);
+	}
+}
+
+void
+pool_place(struct pool *p)
+{
+	struct candidate *list;
+	size_t i, n;
+
+	list = gather(p, &n);
+	if (list == NULL)
+		return; /* short of memory: the next event tries again */
+	for (i = 0; i < n; i++)
+		place_occurrence(p, list[i].occurrence);
+	free(list);
+}
+
+void
+pool_advised(struct pool *p, const struct pool_event *ev)
+{
+	struct job *j = pool_find_job(p, ev->u.advised.step.job);
+	struct task *t = j != NULL ? job_task(j, &ev->u.advised.step) : NULL;
+	struct step_advice *a;
+	size_t bytes;
+
+	if (t == NULL)
+		return;
+	a = &t->step->advice;
+	a->asked = false;
+	if (!ev->u.advised.ok)
+		return;
+	free(a->list);
+	a->count = ev->u.advised.count;
+	bytes = a->count * sizeof(*a->list);
+	a->list = malloc(bytes + 1);
+	if (a->list == NULL) {
+		a->count = 0;
+		return;
+	}
+	memcpy(a->list, ev->u.advised.list, bytes);
+	for (bytes = 0; bytes < a->count; bytes++) {
+		const struct placed_worker *w =
+		    pool_find_worker(p, a->list[bytes].worker);
+
+		a->list[bytes].born_ms = w != NULL ? w->report.born_ms : 0;
+	}
+	a->until_us = a->asked_us + (int64_t)ev->u.advised.valid_ms * US_PER_MS;
+	p->place_due = true;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"policy has answered\" job=%s step=%u "
+	    "workers=%zu",
+	    j->id, t->step->number, a->count);
+}
--- /dev/null
+++ b/src/jobs/pool_runs.c
@@ -0,0 +1,372 @@
+/* Runs of tasks: started, stopped, ended. */
+#include <stdio.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define RETRY_AFTER_REFUSAL_MS 50 /* of a start that a worker refused */
+#define FULL_MS 300 /* a worker that refused for want of room */
+#define STOP_AGAIN_MS 400 /* a stop that got no answer */
+#define SHUN_STREAK 2 /* first failures in a row that count as the worker's */
+#define SHUN_MS 1000 /* no tasks there; doubles with each further failure */
+#define SHUN_DOUBLINGS 4
+#define CPU_OF(s) ((s)->fills ? 0 : (s)->cpu) /* counted against a worker */
+
+int64_t
+task_next_run(const struct pool *p, const struct task *t)
+{
+	int64_t base = (p->opts.fence - 1) * RUNS_OF_A_TERM;
+
+	return (t->run > base ? t->run : base) + 1;
+}
+
+void
+task_attach(struct task *t, struct placed_worker *w)
+{
+	const struct order_step *s = t->step->order;
+
+	t->worker = w;
+	TAILQ_INSERT_TAIL(&w->tasks, t, on_worker);
+	w->task_count++;
+	w->cpu += CPU_OF(s);
+	w->memory_mb += s->memory_mb;
+	w->accelerators += s->accelerators;
+	t->step->placed_count++;
+}
+
+/* Takes the task off its worker; it may be started again unless done. */
+void
+task_detach(struct pool *p, struct task *t)
+{
+	const struct order_step *s = t->step->order;
+	struct placed_worker *w = t->worker;
+
+	if (w == NULL)
+		return;
+	TAILQ_REMOVE(&w->tasks, t, on_worker);
+	w->task_count--;
+	w->cpu -= CPU_OF(s);
+	w->memory_mb -= s->memory_mb;
+	w->accelerators -= s->accelerators;
+	if (--t->step->placed_count == 0)
+		t->step->rack[0] = '\0';
+	t->worker = NULL;
+	t->place = PLACE_NONE;
+	t->percent = 0;
+	t->pace = 100;
+	p->place_due = true;
+}
+
+void
+task_start(struct pool *p, struct task *t, int64_t run)
+{
+	struct placed_worker *w = t->worker;
+	const struct step_ticket *ticket;
+	struct pool_effect *x = fx_add(p, POOL_START);
+
+	t->place = PLACE_STARTING;
+	t->run = run;
+	t->placed_us = t->progress_us = t->ordered_us = p->now_us;
+	t->answered_us = 0;
+	snprintf(x->u.start.worker.id, NAME_BYTES, "%s", w->report.id);
+	snprintf(x->u.start.worker.addr, ADDR_BYTES, "%s", w->report.addr);
+	x->u.start.worker.port = w->report.port;
+	task_name_of(t, &x->u.start.task);
+	x->u.start.run = run;
+	x->u.start.order = order_ref(t->step->occurrence->job->order);
+	x->u.start.lease_end_ms =
+	    worker_clock_ms(w, p->now_us) + p->opts.lease_ms;
+	if (x->u.start.lease_end_ms > w->lease_end_ms)
+		w->lease_end_ms = x->u.start.lease_end_ms;
+	if (t->saved != NULL)
+		snprintf(x->u.start.saved, SAVED_BYTES, "%s", t->saved);
+	ticket = step_ticket_for(t->step, w, p->now_us);
+	if (ticket != NULL)
+		snprintf(x->u.start.ticket, SAVED_BYTES, "%s", ticket->ticket);
+	p->stats.starts++;
+}
+
+void
+task_stop(struct pool *p, struct task *t)
+{
+	struct task_name n;
+
+	switch (t->place) {
+	case PLACE_NONE:
+		return;
+	case PLACE_STARTING:
+	case PLACE_UNSURE:
+		t->place = PLACE_UNSURE;
+		break;
+	case PLACE_RUNNING:
+	case PLACE_STOPPING:
+		t->place = PLACE_STOPPING;
+		break;
+	}
+	t->ordered_us = p->now_us;
+	t->answered_us = 0;
+	task_name_of(t, &n);
+	fx_stop(p, t->worker, &n, t->run);
+}
+
+/* Stops the others of a gang, which cannot go on without this one. */
+static void
+gang_stop(struct pool *p, struct job_step *s)
+{
+	unsigned i;
+
+	for (i = 0; i < s->order->count; i++) {
+		if (s->tasks[i].place == PLACE_STARTING ||
+		    s->tasks[i].place == PLACE_RUNNING)
+			task_stop(p, &s->tasks[i]);
+	}
+}
+
+/* One end "done" represents all members. */
+static void
+mark_done(struct pool *p, struct task *t)
+{
+	struct job_step *s = t->step;
+	struct job *j = s->occurrence->job;
+	unsigned i;
+
+	if (s->order->gang) {
+		for (i = 0; i < s->order->count; i++)
+			task_mark_done(&s->tasks[i], p->now_ms);
+	} else {
+		task_mark_done(t, p->now_ms);
+	}
+	if (job_final(j))
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"job is completed\" job=%s queue=%s took_ms=%lld",
+		    j->id, j->terms.name,
+		    (long long)(p->now_ms - j->accepted_ms));
+}
+
+/* Failures of tasks that had not failed before are held against it. */
+static void
+blame_worker(struct pool *p, struct placed_worker *w)
+{
+	int doublings;
+
+	if (++w->fail_streak < SHUN_STREAK)
+		return;
+	doublings = w->fail_streak - SHUN_STREAK;
+	if (doublings > SHUN_DOUBLINGS)
+		doublings = SHUN_DOUBLINGS;
+	w->shunned_until_us =
+	    p->now_us + ((int64_t)SHUN_MS << doublings) * US_PER_MS;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"worker fails what it starts: no new tasks\" worker=%s "
+	    "failures=%d for_ms=%d",
+	    w->report.id, w->fail_streak, SHUN_MS << doublings);
+}
+
+static void
+run_failed(struct pool *p, struct placed_worker *w, struct task *t,
+    const struct end_report *r)
+{
+	struct job *j = t->step->occurrence->job;
+	/* a gang's failures are counted at its first member */
+	struct task *counted = t->step->order->gang ? t->step->tasks : t;
+
+	p->stats.ends_failed++;
+	if (r->run <= counted->failed_run)
+		return;
+	counted->failed_run = r->run;
+	counted->attempts++;
+	j->dirty = true;
+	snprintf(t->avoid, sizeof(t->avoid), "%s", w->report.id);
+	if (counted->attempts == 1)
+		blame_worker(p, w);
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"run has failed\" job=%s task=%u.%u run=%lld worker=%s "
+	    "attempts=%d of=%d",
+	    j->id, t->step->number, t->index, (long long)r->run, w->report.id,
+	    counted->attempts, j->terms.max_attempts);
+	if (!t->step->order->lasting && j->terms.max_attempts > 0 &&
+	    counted->attempts >= j->terms.max_attempts)
+		pool_fail_job(p, j, t);
+}
+
+static void
+learn_time(struct pool *p, const struct task *t)
+{
+	const struct order_step *s = t->step->order;
+
+	if (t->saved == NULL && s->estimate_ms > 0)
+		learned_add(&p->learned, t->step->occurrence->job->terms.name,
+		    (double)s->estimate_ms,
+		    (double)(p->now_us - t->placed_us) / (double)US_PER_MS);
+}
+
+static void
+run_done(struct pool *p, struct placed_worker *w, struct task *t)
+{
+	p->stats.ends_done++;
+	w->fail_streak = 0;
+	if (t->step->order->lasting || job_final(t->step->occurrence->job))
+		return;
+	mark_done(p, t);
+	if (t->place != PLACE_NONE) /* another run of it */
+		task_stop(p, t);
+}
+
+void
+pool_run_ended(
+    struct pool *p, struct placed_worker *w, const struct end_report *r)
+{
+	struct job *j = pool_find_job(p, r->task.job);
+	struct task *t = j != NULL ? job_task(j, &r->task) : NULL;
+	bool placed;
+
+	if (t == NULL) /* finished or cancelled, and filed */
+		return;
+	placed = t->worker == w && t->run == r->run;
+	if (r->run > t->run)
+		t->run = r->run;
+	if (r->saved[0] != '\0') {
+		task_set_saved(t, r->saved);
+		j->dirty |= !t->done;
+	}
+	if (placed && r->how == RUN_DONE && !t->step->order->lasting)
+		learn_time(p, t);
+	if (placed)
+		task_detach(p, t);
+	switch (r->how) {
+	case RUN_DONE:
+		run_done(p, w, t);
+		break;
+	case RUN_FAILED:
+		run_failed(p, w, t, r);
+		break;
+	case RUN_STOPPED:
+	case RUN_LAPSED:
+	case RUN_BROKEN:
+	case RUN_ALONE:
+		p->stats.ends_other++;
+		break;
+	}
+	if (t->step->order->gang && !t->done && r->how != RUN_DONE && placed)
+		gang_stop(p, t->step);
+	job_drop_finished(j);
+}
+
+static struct task *
+ordered_task(struct pool *p, const struct pool_event *ev)
+{
+	struct job *j = pool_find_job(p, ev->u.order.task.job);
+	struct task *t = j != NULL ? job_task(j, &ev->u.order.task) : NULL;
+
+	if (t == NULL || t->worker == NULL || t->run != ev->u.order.run ||
+	    strcmp(t->worker->report.id, ev->u.order.worker) != 0)
+		return NULL;
+	return t;
+}
+
+static void
+start_refused(struct pool *p, struct task *t, enum order_end end)
+{
+	struct placed_worker *w = t->worker;
+	struct job *j = t->step->occurrence->job;
+
+	p->stats.starts_refused++;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"start was refused\" job=%s task=%u.%u run=%lld worker=%s "
+	    "end=%d cpu_placed=%lld",
+	    j->id, t->step->number, t->index, (long long)t->run, w->report.id,
+	    end, (long long)w->cpu);
+	task_detach(p, t);
+	t->not_before_us = p->now_us + RETRY_AFTER_REFUSAL_MS * US_PER_MS;
+	if (end == ORDER_END_NO_ROOM)
+		w->full_until_us = p->now_us + FULL_MS * US_PER_MS;
+	else if (end == ORDER_END_NO_TICKET)
+		t->step->advice.until_us = 0;
+	else if (end != ORDER_END_OLD)
+		w->shunned_until_us = p->now_us + FULL_MS * US_PER_MS;
+	if (t->step->order->gang)
+		gang_stop(p, t->step);
+}
+
+void
+pool_started(struct pool *p, const struct pool_event *ev)
+{
+	struct task *t = ordered_task(p, ev);
+	struct job *j;
+
+	if (t == NULL ||
+	    (t->place != PLACE_STARTING && t->place != PLACE_UNSURE))
+		return;
+	j = t->step->occurrence->job;
+	switch (ev->u.order.end) {
+	case ORDER_END_TAKEN:
+		if (t->place == PLACE_STARTING) {
+			t->place = PLACE_RUNNING;
+			t->answered_us = p->now_us;
+		}
+		if (!j->begun)
+			fx_log(p, LOG_LEVEL_INFO,
+			    "msg=\"job has begun\" job=%s worker=%s "
+			    "after_ms=%lld",
+			    j->id, ev->u.order.worker,
+			    (long long)(p->now_ms - j->accepted_ms));
+		j->begun = true;
+		if (j->state == JOB_QUEUED)
+			j->state = JOB_RUNNING;
+		return;
+	case ORDER_END_LOST:
+		if (t->place == PLACE_STARTING) {
+			fx_log(p, LOG_LEVEL_INFO,
+			    "msg=\"start got no answer: bars the run\" job=%s "
+			    "task=%u.%u run=%lld worker=%s",
+			    j->id, t->step->number, t->index, (long long)t->run,
+			    ev->u.order.worker);
+			task_stop(p, t);
+		}
+		return;
+	case ORDER_END_OTHER_LIFE:
+		pool_worker_lost(p, t->worker, "other-life");
+		return;
+	case ORDER_END_UNSENT:
+	case ORDER_END_FENCED:
+	case ORDER_END_OLD:
+	case ORDER_END_NO_ROOM:
+	case ORDER_END_NO_TICKET:
+	case ORDER_END_REFUSED:
+		/*
+		 * A refusal says that this run is not there; had it been
+		 * ordered twice, the other order may have been taken.
+		 */
+		if (t->place == PLACE_STARTING)
+			start_refused(p, t, ev->u.order.end);
+		return;
+	}
+}
+
+void
+pool_stopped(struct pool *p, const struct pool_event *ev)
+{
+	struct task *t = ordered_task(p, ev);
+
+	if (t == NULL ||
+	    (t->place != PLACE_STOPPING && t->place != PLACE_UNSURE))
+		return;
+	switch (ev->u.order.end) {
+	case ORDER_END_TAKEN:
+	case ORDER_END_OLD:
+		/* the next hold tells what is there */
+		t->answered_us = p->now_us;
+		t->worker->hold_due_us = p->now_us;
+		return;
+	case ORDER_END_OTHER_LIFE:
+		pool_worker_lost(p, t->worker, "other-life");
+		return;
+	case ORDER_END_UNSENT:
+	case ORDER_END_LOST:
+	case ORDER_END_FENCED:
+	case ORDER_END_NO_ROOM:
+	case ORDER_END_NO_TICKET:
+	case ORDER_END_REFUSED:
+		return; /* sent again by pool_watch_tasks() */
+	}
+}
--- /dev/null
+++ b/src/jobs/pool_state.h
@@ -0,0 +1,134 @@
+/* What the files of the pool's reducer share; for pool*.c only. */
+#ifndef JOBS_POOL_STATE_H
+#define JOBS_POOL_STATE_H
+
+#include "pool.h"
+
+#define RUNS_OF_A_TERM 1000 /* run numbers that a term may hand out */
+/* Worker's clocks are at most 2 % slow. */
+#define CLOCK_SLOW 0.98
+#define LEASE_SLACK_MS 100 /* beyond a lease's end: rounding and delivery */
+
+struct placed_worker {
+	struct worker_report report;
+	bool listed; /* its entry is in the store */
+	bool held; /* has seen this term's fence */
+	bool reborn_stops; /* a new life has orders of an old one to bar */
+	int64_t clock_us; /* when report.clock_ms was observed */
+	int64_t lease_end_ms; /* latest that was sent, on its clock */
+	int64_t heard_us;
+	int misses; /* holds in a row without an answer */
+	bool hold_out; /* a hold is under way */
+	int64_t hold_due_us;
+	int64_t seen_end; /* highest end number that was taken in */
+	int64_t acked_end; /* may be forgotten by the worker */
+	int64_t pending_end; /* … once "pending_serial" is written */
+	uint64_t pending_serial;
+	uint64_t reports; /* holds answered */
+	int64_t cpu, memory_mb, accelerators; /* of what is placed */
+	TAILQ_HEAD(placed_list, task) tasks;
+	size_t task_count;
+	int fail_streak; /* first failures in a row */
+	int64_t shunned_until_us; /* no new tasks: fails what it starts */
+	int64_t full_until_us; /* refused a task for want of room */
+	int64_t drain_end_us; /* it may be gone then; 0: not draining */
+	int64_t paced_us; /* newest change of pace */
+	UT_hash_handle hh; /* by report.id */
+};
+
+/* An answer that waits for a write. */
+struct pending_answer {
+	struct pool_effect effect;
+	uint64_t serial;
+	STAILQ_ENTRY(pending_answer) entries;
+};
+
+/* How long a queue's tasks take, against their callers' estimates. */
+struct learned {
+	char queue[NAME_BYTES];
+	double ratio;
+	UT_hash_handle hh;
+};
+
+struct pool {
+	struct pool_opts opts;
+	int64_t now_us, now_ms; /* of the event */
+	struct pool_effects *fx;
+	bool loaded;
+	int64_t settle_until_us; /* silent workers may run tasks until then */
+	struct job *jobs; /* all, by id */
+	TAILQ_HEAD(job_list, job) active, finished;
+	size_t active_count, finished_count;
+	struct placed_worker *workers; /* by id */
+	struct learned *learned; /* by queue */
+	uint64_t serial; /* newest write */
+	uint64_t written; /* newest that is stored */
+	STAILQ_HEAD(pending_list, pending_answer) pending;
+	bool place_due; /* room or work has changed */
+	int64_t place_after_us; /* … and is looked at then */
+	int64_t next_due_ms; /* of timed jobs */
+	struct pool_stats stats;
+};
+
+/* pool_effects.c */
+struct pool_effect *fx_add(struct pool *p, enum pool_effect_kind kind);
+void fx_log(struct pool *p, enum log_level level, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+void fx_answer(struct pool *p, uint64_t token, enum pool_answer answer);
+void fx_write(struct pool *p, const char *key, struct buf *value);
+void fx_stop(struct pool *p, const struct placed_worker *w,
+    const struct task_name *task, int64_t run);
+
+/* pool_workers.c */
+struct placed_worker *pool_find_worker(const struct pool *p, const char *id);
+void pool_worker_entry(struct pool *p, const struct worker_report *r);
+void pool_worker_gone(struct pool *p, const char *id);
+void pool_held(struct pool *p, const struct pool_event *ev);
+void pool_hold_due(struct pool *p);
+/* The worker runs nothing any more that it was told to run. */
+void pool_worker_lost(struct pool *p, struct placed_worker *w, const char *why);
+int64_t worker_clock_ms(const struct placed_worker *w, int64_t now_us);
+bool worker_lease_over(const struct placed_worker *w, int64_t now_us);
+bool worker_usable(const struct pool *p, const struct placed_worker *w);
+/* All tasks of earlier terms are known or have ended. */
+bool pool_settled(const struct pool *p);
+
+/* pool_runs.c */
+void task_attach(struct task *t, struct placed_worker *w);
+void task_detach(struct pool *p, struct task *t);
+void task_start(struct pool *p, struct task *t, int64_t run);
+void task_stop(struct pool *p, struct task *t);
+void pool_run_ended(
+    struct pool *p, struct placed_worker *w, const struct end_report *r);
+void pool_started(struct pool *p, const struct pool_event *ev);
+void pool_stopped(struct pool *p, const struct pool_event *ev);
+int64_t task_next_run(const struct pool *p, const struct task *t);
+
+/* pool_jobs.c */
+struct job *pool_find_job(const struct pool *p, const char *id);
+void pool_submit(struct pool *p, const struct pool_event *ev);
+void pool_cancel(struct pool *p, const struct pool_event *ev);
+void pool_look(struct pool *p, const struct pool_event *ev);
+void pool_count(struct pool *p, const struct pool_event *ev);
+void pool_fail_job(struct pool *p, struct job *j, const struct task *t);
+/* Writes what has changed and files jobs that have ended. */
+void pool_flush_jobs(struct pool *p);
+void pool_forget_old(struct pool *p);
+
+/* pool_place.c */
+void pool_place(struct pool *p);
+void pool_advised(struct pool *p, const struct pool_event *ev);
+const struct step_ticket *step_ticket_for(
+    const struct job_step *s, const struct placed_worker *w, int64_t now_us);
+
+/* pool_watch.c */
+void pool_watch_tasks(struct pool *p, struct placed_worker *w);
+void pool_pace_fillers(struct pool *p, struct placed_worker *w);
+
+/* learned.c */
+double learned_ratio(const struct learned *table, const char *queue);
+void learned_add(struct learned **table, const char *queue, double estimate_ms,
+    double took_ms);
+void learned_free(struct learned *table);
+
+#endif
--- /dev/null
+++ b/src/jobs/pool_watch.c
@@ -0,0 +1,149 @@
+/* Watches what runs: orders without effect, stalled tasks, tails. */
+#include <stdio.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define STOP_AGAIN_MS 400 /* a stop that had no effect */
+#define STALL_MS 2500 /* without progress: the run stands still */
+#define STALL_ESTIMATES 2.0 /* … and so many times its estimate for 1 % */
+#define PACE_HOLD_MS 700 /* between changes: reports cover half a second */
+#define PACE_HIGH 0.85 /* tail ÷ target: slow the fillers down … */
+#define PACE_LOW 0.6 /* … and let them go on */
+#define PACE_STEP 15 /* percent, upward */
+#define PACE_MIN 10 /* below this they are halted */
+#define PACE_FULL 100
+
+static bool
+task_stalls(const struct pool *p, const struct task *t)
+{
+	const struct order_step *s = t->step->order;
+	int64_t limit_ms = STALL_MS + p->opts.restore_ms;
+
+	if (t->place != PLACE_RUNNING || t->progress_us == 0 || t->pace == 0)
+		return false;
+	if (t->percent >= 100) /* at work, or about to end */
+		return false;
+	/* one percent of a long task takes its time */
+	limit_ms += (int64_t)(STALL_ESTIMATES * (double)s->estimate_ms / 100);
+	return p->now_us - t->progress_us > limit_ms * US_PER_MS;
+}
+
+static void
+stop_stalled(struct pool *p, struct placed_worker *w, struct task *t)
+{
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"run stands still: starts it elsewhere\" job=%s task=%u.%u "
+	    "run=%lld worker=%s percent=%d for_ms=%lld",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    (long long)t->run, w->report.id, t->percent,
+	    (long long)((p->now_us - t->progress_us) / US_PER_MS));
+	snprintf(t->avoid, sizeof(t->avoid), "%s", w->report.id);
+	w->fail_streak++;
+	task_stop(p, t);
+}
+
+/*
+ * Tasks of a worker that leaves move while it still answers: lasting ones at
+ * once, others where they would not end in time.
+ */
+static bool
+task_must_leave(
+    const struct pool *p, const struct placed_worker *w, const struct task *t)
+{
+	double left_ms;
+
+	if (!w->report.draining || t->place != PLACE_RUNNING)
+		return false;
+	if (t->step->order->lasting)
+		return true;
+	left_ms =
+	    (double)t->step->order->estimate_ms * (100 - t->percent) / 100;
+	return (double)(w->drain_end_us - p->now_us) <
+	    left_ms * (double)US_PER_MS &&
+	    t->percent < 80;
+}
+
+void
+pool_watch_tasks(struct pool *p, struct placed_worker *w)
+{
+	struct task *t, *next;
+
+	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
+		next = TAILQ_NEXT(t, on_worker);
+		if ((t->place == PLACE_STOPPING || t->place == PLACE_UNSURE) &&
+		    p->now_us - t->ordered_us > STOP_AGAIN_MS * US_PER_MS)
+			task_stop(p, t);
+		else if (task_stalls(p, t))
+			stop_stalled(p, w, t);
+		else if (task_must_leave(p, w, t))
+			task_stop(p, t);
+	}
+}
+
+/* Worst tail ÷ target of the tasks that serve; 0 where none does. */
+static double
+worker_pressure(const struct placed_worker *w)
+{
+	double worst = 0, tail;
+	const struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->step->order->target_ms <= 0 || t->place != PLACE_RUNNING)
+			continue;
+		tail = (double)t->usage / (double)t->step->order->target_ms;
+		if (tail > worst)
+			worst = tail;
+	}
+	return worst;
+}
+
+static void
+pace_task(struct pool *p, struct placed_worker *w, struct task *t, int percent)
+{
+	struct pool_effect *x;
+
+	if (percent == t->pace)
+		return;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"paces a task that fills\" job=%s task=%u.%u worker=%s "
+	    "from=%d to=%d",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    w->report.id, t->pace, percent);
+	t->pace = percent;
+	w->paced_us = p->now_us;
+	x = fx_add(p, POOL_PACE);
+	snprintf(x->u.order.worker.id, NAME_BYTES, "%s", w->report.id);
+	snprintf(x->u.order.worker.addr, ADDR_BYTES, "%s", w->report.addr);
+	x->u.order.worker.port = w->report.port;
+	task_name_of(t, &x->u.order.task);
+	x->u.order.run = t->run;
+	x->u.order.percent = percent;
+}
+
+static int
+next_pace(int pace, double pressure)
+{
+	if (pressure > PACE_HIGH) {
+		pace /= 2;
+		return pace < PACE_MIN ? 0 : pace;
+	}
+	if (pressure < PACE_LOW)
+		pace += PACE_STEP;
+	return pace > PACE_FULL ? PACE_FULL : pace;
+}
+
+void
+pool_pace_fillers(struct pool *p, struct placed_worker *w)
+{
+	double pressure;
+	struct task *t;
+
+	if (p->now_us - w->paced_us < PACE_HOLD_MS * US_PER_MS)
+		return;
+	pressure = worker_pressure(w);
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->step->order->fills && t->place == PLACE_RUNNING)
+			pace_task(p, w, t, next_pace(t->pace, pressure));
+	}
+}
--- /dev/null
+++ b/src/jobs/pool_workers.c
@@ -0,0 +1,449 @@
+/* Workers of a pool: entries, holds, leases, ends that they list. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool_state.h"
+
+#define HOLD_WAIT_BUSY_MS 1000 /* a hold waits so long for an end … */
+#define HOLD_WAIT_FILLS_MS 400 /* … where tails are watched … */
+#define HOLD_WAIT_IDLE_MS 2000 /* … and where nothing runs: the most allowed \
+				*/
+#define HOLD_RETRY_MS 100 /* after a hold without an answer */
+#define HOLD_RETRY_MAX_MS 1000
+#define HOLD_UNACKED_MS 250 /* between holds that would end at once */
+#define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
+#define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
+
+struct placed_worker *
+pool_find_worker(const struct pool *p, const char *id)
+{
+	struct placed_worker *w;
+
+	HASH_FIND_STR(p->workers, id, w);
+	return w;
+}
+
+int64_t
+worker_clock_ms(const struct placed_worker *w, int64_t now_us)
+{
+	return w->report.clock_ms + (now_us - w->clock_us) / US_PER_MS;
+}
+
+bool
+worker_lease_over(const struct placed_worker *w, int64_t now_us)
+{
+	double passed = (double)(now_us - w->clock_us) / (double)US_PER_MS;
+
+	return (double)w->report.clock_ms + passed * CLOCK_SLOW >
+	    (double)(w->lease_end_ms + LEASE_SLACK_MS);
+}
+
+bool
+worker_usable(const struct pool *p, const struct placed_worker *w)
+{
+	return w->listed && w->held && !w->report.draining &&
+	    w->misses < SILENT_MISSES && p->now_us >= w->shunned_until_us;
+}
+
+bool
+pool_settled(const struct pool *p)
+{
+	const struct placed_worker *w;
+
+	if (p->now_us >= p->settle_until_us)
+		return true;
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!w->held && w->listed)
+			return false;
+	}
+	return p->workers != NULL;
+}
+
+static void
+worker_free(struct pool *p, struct placed_worker *w)
+{
+	HASH_DEL(p->workers, w);
+	free(w);
+}
+
+void
+pool_worker_lost(struct pool *p, struct placed_worker *w, const char *why)
+{
+	struct task *t, *next;
+
+	if (w->task_count > 0)
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"tasks of a worker have ended\" worker=%s tasks=%zu "
+		    "why=%s clock_age_ms=%lld",
+		    w->report.id, w->task_count, why,
+		    (long long)((p->now_us - w->clock_us) / US_PER_MS));
+	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
+		next = TAILQ_NEXT(t, on_worker);
+		task_detach(p, t);
+	}
+}
+
+/*
+ * Another life of the machine under the same id: what ran has ended, and
+ * orders that were not answered may yet arrive at the new life.
+ */
+static void
+worker_reborn(struct pool *p, struct placed_worker *w)
+{
+	struct task *t, *next;
+
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"worker started anew\" worker=%s tasks=%zu", w->report.id,
+	    w->task_count);
+	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
+		next = TAILQ_NEXT(t, on_worker);
+		if (t->place == PLACE_STARTING || t->place == PLACE_UNSURE) {
+			t->place = PLACE_UNSURE;
+			t->answered_us = 0;
+		} else {
+			task_detach(p, t);
+		}
+	}
+	w->held = false;
+	w->seen_end = w->acked_end = w->pending_end = 0;
+	w->lease_end_ms = 0;
+	w->drain_end_us = 0;
+	w->fail_streak = 0;
+	w->shunned_until_us = 0;
+	w->hold_due_us = p->now_us;
+}
+
+static struct placed_worker *
+worker_new(struct pool *p, const struct worker_report *r)
+{
+	struct placed_worker *w;
+
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		return NULL; /* its next entry is tried again */
+	w->report = *r;
+	w->clock_us = p->now_us;
+	w->heard_us = p->now_us;
+	w->hold_due_us = p->now_us;
+	TAILQ_INIT(&w->tasks);
+	HASH_ADD(hh, p->workers, report.id, strlen(w->report.id), w);
+	return w;
+}
+
+static void
+worker_drains(struct pool *p, struct placed_worker *w)
+{
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"worker drains: no new tasks\" worker=%s remaining_ms=%d "
+	    "tasks=%zu",
+	    w->report.id, w->report.remaining_ms, w->task_count);
+	w->drain_end_us = p->now_us + w->report.remaining_ms * US_PER_MS;
+}
+
+void
+pool_worker_entry(struct pool *p, const struct worker_report *r)
+{
+	struct placed_worker *w = pool_find_worker(p, r->id);
+	int64_t clock_ms;
+	bool drained;
+
+	if (w == NULL)
+		w = worker_new(p, r);
+	if (w == NULL || (r->born_ms != 0 && r->born_ms < w->report.born_ms))
+		return;
+	drained = w->report.draining;
+	clock_ms = w->report.clock_ms;
+	if (r->born_ms != w->report.born_ms && r->born_ms != 0 &&
+	    w->report.born_ms != 0) {
+		worker_reborn(p, w);
+		clock_ms = r->clock_ms;
+		w->clock_us = p->now_us;
+		drained = false;
+	}
+	if (!w->listed)
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld",
+		    r->id, r->data_centre, (long long)r->cpu);
+	w->report = *r;
+	w->report.clock_ms = clock_ms;
+	w->listed = true;
+	if (r->draining && !drained)
+		worker_drains(p, w);
+	p->place_due = true;
+}
+
+void
+pool_worker_gone(struct pool *p, const char *id)
+{
+	struct placed_worker *w = pool_find_worker(p, id);
+
+	if (w == NULL)
+		return;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"worker's entry is gone\" worker=%s tasks=%zu misses=%d", id,
+	    w->task_count, w->misses);
+	w->listed = false;
+}
+
+/* Tasks of a queue that serve beside tasks that fill: tails are watched. */
+static bool
+worker_has_fillers(const struct placed_worker *w)
+{
+	const struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->step->order->fills)
+			return true;
+	}
+	return false;
+}
+
+static void
+hold_send(struct pool *p, struct placed_worker *w)
+{
+	struct pool_effect *x = fx_add(p, POOL_HOLD);
+	int64_t end_ms;
+
+	snprintf(x->u.hold.worker.id, NAME_BYTES, "%s", w->report.id);
+	snprintf(x->u.hold.worker.addr, ADDR_BYTES, "%s", w->report.addr);
+	x->u.hold.worker.port = w->report.port;
+	x->u.hold.acked_end = w->acked_end;
+	w->hold_out = true;
+	if (!w->held) /* its clock is not known yet */
+		return;
+	end_ms = worker_clock_ms(w, p->now_us) + p->opts.lease_ms;
+	if (end_ms > w->lease_end_ms)
+		w->lease_end_ms = end_ms;
+	x->u.hold.lease_end_ms = w->lease_end_ms;
+	if (w->misses > 0 || w->seen_end > w->acked_end)
+		return;
+	x->u.hold.wait_ms = w->task_count == 0 ? HOLD_WAIT_IDLE_MS
+	    : worker_has_fillers(w)            ? HOLD_WAIT_FILLS_MS
+					       : HOLD_WAIT_BUSY_MS;
+}
+
+/* Ends that are stored may be forgotten; the next hold says so. */
+static void
+worker_advance_acks(struct pool *p, struct placed_worker *w)
+{
+	if (w->pending_end > w->acked_end && p->written >= w->pending_serial) {
+		w->acked_end = w->pending_end;
+		w->hold_due_us = p->now_us;
+	}
+	if (w->pending_end <= w->acked_end && w->seen_end > w->acked_end) {
+		w->pending_end = w->seen_end;
+		w->pending_serial = p->serial;
+		if (p->written >= w->pending_serial) {
+			w->acked_end = w->pending_end;
+			w->hold_due_us = p->now_us;
+		}
+	}
+}
+
+static void
+worker_check_lease(struct pool *p, struct placed_worker *w)
+{
+	if (w->misses == 0 || w->task_count == 0 || !w->held)
+		return;
+	if (worker_lease_over(w, p->now_us)) {
+		pool_worker_lost(p, w, "lease-over");
+		p->place_due = true;
+	}
+}
+
+void
+pool_hold_due(struct pool *p)
+{
+	struct placed_worker *w, *next;
+
+	HASH_ITER(hh, p->workers, w, next)
+	{
+		worker_check_lease(p, w);
+		if (!w->listed && w->task_count == 0 && !w->hold_out) {
+			worker_free(p, w);
+			continue;
+		}
+		worker_advance_acks(p, w);
+		if (!w->hold_out && p->now_us >= w->hold_due_us)
+			hold_send(p, w);
+	}
+}
+
+static void
+hold_failed(struct pool *p, struct placed_worker *w, enum order_end end)
+{
+	int64_t pause = HOLD_RETRY_MS;
+
+	w->misses++;
+	if (w->misses == SILENT_MISSES)
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"worker does not answer: no new tasks\" worker=%s "
+		    "heard_ms_ago=%lld end=%d",
+		    w->report.id,
+		    (long long)((p->now_us - w->heard_us) / US_PER_MS), end);
+	pause *= w->misses;
+	if (pause > HOLD_RETRY_MAX_MS)
+		pause = HOLD_RETRY_MAX_MS;
+	w->hold_due_us = p->now_us + pause * US_PER_MS;
+	if (end == ORDER_END_OTHER_LIFE) {
+		pool_worker_lost(p, w, "other-life");
+		w->hold_due_us = p->now_us + HOLD_RETRY_MAX_MS * US_PER_MS;
+	}
+}
+
+/* A run that the worker lists and that the pool did not know there. */
+static void
+adopt_run(struct pool *p, struct placed_worker *w, const struct run_report *r)
+{
+	struct job *j = pool_find_job(p, r->task.job);
+	struct task *t = j != NULL ? job_task(j, &r->task) : NULL;
+
+	if (t == NULL || job_final(j) || t->done || t->place != PLACE_NONE) {
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"stops a run that is not wanted\" job=%s "
+		    "task=%u.%u.%u run=%lld worker=%s known=%d",
+		    r->task.job, r->task.occurrence, r->task.step,
+		    r->task.index, (long long)r->run, w->report.id, t != NULL);
+		fx_stop(p, w, &r->task, r->run);
+		return;
+	}
+	task_attach(t, w);
+	t->place = PLACE_RUNNING;
+	t->run = r->run > t->run ? r->run : t->run;
+	t->placed_us = t->answered_us = t->progress_us = p->now_us;
+	j->begun = true;
+	if (j->state == JOB_QUEUED)
+		j->state = JOB_RUNNING;
+}
+
+static struct task *
+run_task(struct pool *p, struct placed_worker *w, const struct run_report *r)
+{
+	struct job *j = pool_find_job(p, r->task.job);
+	struct task *t = j != NULL ? job_task(j, &r->task) : NULL;
+
+	if (t == NULL || t->worker != w || t->run != r->run)
+		return NULL;
+	return t;
+}
+
+static void
+take_running(
+    struct pool *p, struct placed_worker *w, const struct hold_report *report)
+{
+	const struct run_report *r;
+	struct task *t;
+	size_t i;
+
+	for (i = 0; i < report->running_count; i++) {
+		r = &report->running[i];
+		t = run_task(p, w, r);
+		if (t == NULL) {
+			adopt_run(p, w, r);
+			t = run_task(p, w, r);
+			if (t == NULL)
+				continue;
+		}
+		if (t->place == PLACE_STARTING)
+			t->place = PLACE_RUNNING;
+		if (t->percent != r->percent || t->progress_us == 0)
+			t->progress_us = p->now_us;
+		t->percent = r->percent;
+		t->usage = r->usage;
+		t->reports = w->reports;
+		task_set_saved(t, r->saved);
+	}
+}
+
+static void
+take_ended(
+    struct pool *p, struct placed_worker *w, const struct hold_report *report)
+{
+	size_t i;
+
+	for (i = 0; i < report->ended_count; i++) {
+		if (report->ended[i].number <= w->seen_end)
+			continue;
+		w->seen_end = report->ended[i].number;
+		pool_run_ended(p, w, &report->ended[i]);
+	}
+}
+
+/*
+ * A task that was on the worker for certain when the hold was sent and that
+ * is in neither list is not there, and cannot come any more.
+ */
+static void
+drop_missing(struct pool *p, struct placed_worker *w, int64_t asked_us)
+{
+	struct task *t, *next;
+
+	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
+		next = TAILQ_NEXT(t, on_worker);
+		if (t->reports == w->reports || t->answered_us == 0 ||
+		    t->answered_us > asked_us || t->place == PLACE_STARTING)
+			continue;
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"run is not at its worker\" job=%s task=%u.%u "
+		    "run=%lld "
+		    "worker=%s",
+		    t->step->occurrence->job->id, t->step->number, t->index,
+		    (long long)t->run, w->report.id);
+		task_detach(p, t);
+	}
+}
+
+static void
+hold_answered(
+    struct pool *p, struct placed_worker *w, const struct pool_event *ev)
+{
+	const struct hold_report *r = ev->u.held.report;
+
+	if (r->born_ms != 0 && w->report.born_ms != 0 &&
+	    r->born_ms != w->report.born_ms) {
+		if (r->born_ms > w->report.born_ms) {
+			worker_reborn(p, w);
+			w->report.born_ms = r->born_ms;
+		}
+		w->hold_due_us = p->now_us;
+		return;
+	}
+	if (!w->held)
+		fx_log(p, LOG_LEVEL_INFO,
+		    "msg=\"worker under this fence\" worker=%s fence=%lld "
+		    "running=%zu ended=%zu",
+		    w->report.id, (long long)p->opts.fence, r->running_count,
+		    r->ended_count);
+	w->held = true;
+	w->misses = 0;
+	w->heard_us = p->now_us;
+	w->report.clock_ms = r->clock_ms;
+	w->clock_us = p->now_us;
+	w->reports++;
+	/* Ends first: what has ended must not be taken for wanted. */
+	take_ended(p, w, r);
+	take_running(p, w, r);
+	if (r->ended_count < ENDS_OF_A_REPORT)
+		drop_missing(p, w, ev->u.held.asked_us);
+	pool_watch_tasks(p, w);
+	pool_pace_fillers(p, w);
+	w->hold_due_us = w->seen_end > w->acked_end
+	    ? p->now_us + HOLD_UNACKED_MS * US_PER_MS
+	    : p->now_us;
+	p->place_due = true;
+}
+
+void
+pool_held(struct pool *p, const struct pool_event *ev)
+{
+	struct placed_worker *w = pool_find_worker(p, ev->u.held.worker);
+
+	if (w == NULL)
+		return;
+	w->hold_out = false;
+	if (ev->u.held.report != NULL)
+		hold_answered(p, w, ev);
+	else
+		hold_failed(p, w, ev->u.held.end);
+}
--- /dev/null
+++ b/src/jobs/queue.h
@@ -0,0 +1,21 @@
+/* What the operators promise for a queue's jobs. */
+#ifndef JOBS_QUEUE_H
+#define JOBS_QUEUE_H
+
+#include <stdbool.h>
+
+#include "bounds.h"
+
+struct queue_terms {
+	char name[NAME_BYTES];
+	int priority; /* 0 comes first */
+	int max_attempts; /* failed runs of a task that fail its job; 0 none */
+	double stretch; /* objective: times the longest chain of work … */
+	int target_latency_ms; /* … and this much more */
+	bool advised; /* a policy says which workers may run a step */
+	int advice_decide_ms; /* answer time of the policy: a constant … */
+	int advice_worker_us; /* … and for each worker named */
+	int advice_valid_ms; /* of its tickets */
+};
+
+#endif
--- /dev/null
+++ b/src/jobs/worker.c
@@ -0,0 +1,53 @@
+#include "worker.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define JOB_ID_DIGITS 16
+
+void
+hold_report_uninit(struct hold_report *r)
+{
+	free(r->running);
+	free(r->ended);
+	memset(r, 0, sizeof(*r));
+}
+
+void
+task_name_format(const struct task_name *n, char *out, size_t size)
+{
+	snprintf(
+	    out, size, "%s.%u.%u.%u", n->job, n->occurrence, n->step, n->index);
+}
+
+/* Reads ".NUMBER" and moves on; false where there is none. */
+static bool
+read_number(const char **text, unsigned *out)
+{
+	const char *s = *text;
+	char *end;
+	unsigned long n;
+
+	if (s[0] != '.' || s[1] < '0' || s[1] > '9')
+		return false;
+	n = strtoul(s + 1, &end, 10);
+	if (n > UINT32_MAX)
+		return false;
+	*out = (unsigned)n;
+	*text = end;
+	return true;
+}
+
+bool
+task_name_parse(struct task_name *n, const char *text)
+{
+	if (strcspn(text, ".") != JOB_ID_DIGITS)
+		return false;
+	memcpy(n->job, text, JOB_ID_DIGITS);
+	n->job[JOB_ID_DIGITS] = '\0';
+	text += JOB_ID_DIGITS;
+	return read_number(&text, &n->occurrence) &&
+	    read_number(&text, &n->step) && read_number(&text, &n->index) &&
+	    *text == '\0';
+}
--- a/src/main.c
+++ b/src/main.c
@@ -15,6 +15,7 @@
 
 static const struct subcommand subcommands[] = {
     {"serve", cli_serve},
+    {"schedule", cli_schedule},
     {"check", cli_check},
     {"publish", cli_publish},
     {"status", cli_status},
@@ -45,7 +46,8 @@
 
 	if (sub == NULL) {
 		argp_error(state,
-		    "\"%s\" is no subcommand; use serve, check, publish, "
+		    "\"%s\" is no subcommand; use serve, schedule, check, "
+		    "publish, "
 		    "status, dump or plan",
 		    name);
 		return CLI_USAGE;
@@ -89,6 +91,7 @@
 	    .doc = "Manages fleet capacity and maintenance."
 		   "\vSubcommands, each with its own --help:\n"
 		   "  serve -c FILE   run the daemon\n"
+		   "  schedule        run the scheduler of jobs\n"
 		   "  check FILE      check an operators' text off line\n"
 		   "  publish FILE    publish a text and wait for the verdict\n"
 		   "  status          services, budgets, pools and versions\n"
--- /dev/null
+++ b/src/platform/advice_wire.c
@@ -0,0 +1,73 @@
+#include "advice_wire.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "json_get.h"
+
+struct buf *
+advice_body(const struct task_name *step, const char (*workers)[NAME_BYTES],
+    size_t count)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	char name[TASK_NAME_BYTES];
+	size_t i;
+
+	snprintf(name, sizeof(name), "%s.%u.%u", step->job, step->occurrence,
+	    step->step);
+	for (i = 0; i < count; i++)
+		json_object_array_add(list, json_object_new_string(workers[i]));
+	json_object_object_add(o, "step", json_object_new_string(name));
+	json_object_object_add(o, "workers", list);
+	return json_body(o);
+}
+
+static bool
+parse_row(struct step_ticket *t, struct json_object *row)
+{
+	struct json_object *id, *ticket;
+
+	if (!json_object_is_type(row, json_type_array))
+		return false;
+	id = json_object_array_get_idx(row, 0);
+	ticket = json_object_array_get_idx(row, 1);
+	if (!json_object_is_type(id, json_type_string) ||
+	    !json_object_is_type(ticket, json_type_string))
+		return false;
+	snprintf(
+	    t->worker, sizeof(t->worker), "%s", json_object_get_string(id));
+	snprintf(
+	    t->ticket, sizeof(t->ticket), "%s", json_object_get_string(ticket));
+	return true;
+}
+
+int
+advice_parse(struct advice *a, const void *data, size_t len)
+{
+	struct json_object *root = json_parse(data, len), *rows;
+	size_t i, n;
+
+	memset(a, 0, sizeof(*a));
+	if (root == NULL)
+		return -1;
+	rows = json_member(root, "good", json_type_array);
+	n = rows != NULL ? json_object_array_length(rows) : 0;
+	a->valid_ms = (int)json_int(root, "validityMs", 0);
+	a->list = calloc(n + 1, sizeof(*a->list));
+	for (i = 0; a->list != NULL && i < n; i++) {
+		if (parse_row(
+			&a->list[a->count], json_object_array_get_idx(rows, i)))
+			a->count++;
+	}
+	json_object_put(root);
+	return a->list == NULL ? -1 : 0;
+}
+
+void
+advice_uninit(struct advice *a)
+{
+	free(a->list);
+	memset(a, 0, sizeof(*a));
+}
--- /dev/null
+++ b/src/platform/config_wire.h
@@ -0,0 +1,81 @@
+/*
+ * The operators' configuration and waves of upkeep, and the workers' entries,
+ * as they lie in the platform's store.
+ */
+#ifndef CONFIG_WIRE_H
+#define CONFIG_WIRE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bounds.h"
+#include "errors.h"
+#include "queue.h"
+#include "worker.h"
+
+#define PATH_PREFIX_BYTES 256
+#define HOST_BYTES 256
+
+/* A queue and the callers' requests that belong to it. */
+struct config_queue {
+	struct queue_terms terms;
+	char pool[NAME_BYTES]; /* whose workers run its tasks */
+	char host[HOST_BYTES];
+	char prefix[PATH_PREFIX_BYTES];
+	int timeout_ms; /* of a request */
+};
+
+struct config_pool {
+	char name[NAME_BYTES];
+	bool guarded; /* workers refuse what does not fit */
+	bool spare; /* its machines are off */
+};
+
+struct config {
+	unsigned refs;
+	int64_t version;
+	struct config_queue *queues;
+	size_t queue_count;
+	struct config_pool *pools;
+	size_t pool_count;
+};
+
+struct config *config_parse(const void *data, size_t len, struct err *e);
+struct config *config_ref(struct config *c);
+void config_unref(struct config *c);
+const struct config_pool *config_pool(const struct config *c, const char *name);
+const struct config_queue *config_queue_named(
+    const struct config *c, const char *name);
+/*
+ * The queue of a request: the longest prefix that its path begins with, among
+ * those of its host ("Host" header, with or without a port).  NULL: none.
+ */
+const struct config_queue *config_queue_of(
+    const struct config *c, const char *host, const char *path);
+
+#define WAVE_MACHINES_MAX 4096
+
+struct wave_order {
+	int64_t wave;
+	char (*machines)[NAME_BYTES];
+	size_t machine_count;
+	int within_ms;
+	int cap; /* machines down at once */
+};
+
+int wave_parse(struct wave_order *w, const void *data, size_t len);
+void wave_uninit(struct wave_order *w);
+
+/* "id" is the key of the entry.  -1: the entry names no worker to use. */
+int worker_entry_parse(
+    struct worker_report *r, const char *id, const void *data, size_t len);
+
+/* Keys in the operators' and the workers' topics. */
+#define TOPIC_OPERATORS "keyed.op"
+#define TOPIC_WORKERS "keyed.servers"
+#define TOPIC_STATUS "keyed.status"
+#define KEY_CONFIG "config"
+#define KEY_WAVE_PREFIX "wave/"
+
+#endif
--- /dev/null
+++ b/src/platform/json_get.c
@@ -0,0 +1,132 @@
+#include "json_get.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bounds.h"
+
+struct json_object *
+json_parse(const void *data, size_t len)
+{
+	struct json_tokener *t;
+	struct json_object *o;
+
+	if (len == 0 || len > INT32_MAX)
+		return NULL;
+	t = json_tokener_new();
+	if (t == NULL)
+		return NULL;
+	o = json_tokener_parse_ex(t, data, (int)len);
+	if (json_tokener_get_error(t) != json_tokener_success ||
+	    !json_object_is_type(o, json_type_object)) {
+		json_object_put(o);
+		o = NULL;
+	}
+	json_tokener_free(t);
+	return o;
+}
+
+struct json_object *
+json_member(struct json_object *o, const char *key, enum json_type type)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v) ||
+	    !json_object_is_type(v, type))
+		return NULL;
+	return v;
+}
+
+int64_t
+json_int(struct json_object *o, const char *key, int64_t missing)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v))
+		return missing;
+	if (!json_object_is_type(v, json_type_int) &&
+	    !json_object_is_type(v, json_type_double))
+		return missing;
+	return json_object_get_int64(v);
+}
+
+double
+json_real(struct json_object *o, const char *key, double missing)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, key, &v))
+		return missing;
+	if (!json_object_is_type(v, json_type_int) &&
+	    !json_object_is_type(v, json_type_double))
+		return missing;
+	return json_object_get_double(v);
+}
+
+bool
+json_flag(struct json_object *o, const char *key)
+{
+	struct json_object *v = json_member(o, key, json_type_boolean);
+
+	return v != NULL && json_object_get_boolean(v);
+}
+
+bool
+json_text(struct json_object *o, const char *key, char *out, size_t size)
+{
+	struct json_object *v;
+	size_t len;
+
+	out[0] = '\0';
+	if (!json_object_object_get_ex(o, key, &v) || v == NULL)
+		return true;
+	if (!json_object_is_type(v, json_type_string))
+		return false;
+	len = (size_t)json_object_get_string_len(v);
+	if (len >= size || strlen(json_object_get_string(v)) != len)
+		return false;
+	memcpy(out, json_object_get_string(v), len + 1);
+	return true;
+}
+
+bool
+split_addr(const char *text, char *addr, size_t size, int *port)
+{
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long n;
+
+	if (colon == NULL || colon == text || (size_t)(colon - text) >= size)
+		return false;
+	n = strtol(colon + 1, &end, 10);
+	if (*end != '\0' || n <= 0 || n > UINT16_MAX)
+		return false;
+	memcpy(addr, text, (size_t)(colon - text));
+	addr[colon - text] = '\0';
+	*port = (int)n;
+	return true;
+}
+
+bool
+json_addr(
+    struct json_object *o, const char *key, char *addr, size_t size, int *port)
+{
+	char text[ADDR_BYTES + 8];
+
+	return json_text(o, key, text, sizeof(text)) &&
+	    split_addr(text, addr, size, port);
+}
+
+struct buf *
+json_body(struct json_object *o)
+{
+	const char *text;
+	struct buf *b;
+
+	text = json_object_to_json_string_ext(
+	    o, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+	b = buf_from(text, strlen(text));
+	json_object_put(o);
+	return b;
+}
--- /dev/null
+++ b/src/platform/order_wire.c
@@ -0,0 +1,205 @@
+#include "order_wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "json_get.h"
+
+#define SPEC_MAX_BYTES 4000
+
+static int
+bad_step(struct err *e, size_t step, const char *what)
+{
+	return err_set(e, ERR_RANGE, 0, "correct the step and hand it in again",
+	    "step %zu: %s", step, what);
+}
+
+static int
+parse_after(
+    struct order_step *s, struct json_object *o, size_t step, struct err *e)
+{
+	struct json_object *list = json_member(o, "after", json_type_array);
+	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
+	int64_t earlier;
+
+	if (n == 0)
+		return 0;
+	s->after = calloc(n, sizeof(*s->after));
+	if (s->after == NULL)
+		return err_set(e, ERR_MEMORY, 0, "try again later",
+		    "no memory for the job");
+	for (i = 0; i < n; i++) {
+		earlier =
+		    json_object_get_int64(json_object_array_get_idx(list, i));
+		if (earlier < 0 || (size_t)earlier >= step)
+			return bad_step(e, step,
+			    "\"after\" names no earlier "
+			    "step");
+		s->after[s->after_count++] = (unsigned)earlier;
+	}
+	return 0;
+}
+
+static bool
+parse_texts(struct order_step *s, struct json_object *o)
+{
+	return json_text(o, "requires", s->label, sizeof(s->label)) &&
+	    json_text(o, "dataLocality", s->rack, sizeof(s->rack)) &&
+	    json_text(o, "image", s->image, sizeof(s->image));
+}
+
+static void
+parse_flags(struct order_step *s, struct json_object *o)
+{
+	s->checkpoints = json_flag(o, "checkpointing");
+	s->gang = json_flag(o, "gang");
+	s->same_rack = json_flag(o, "sameRack");
+	s->speculative = json_flag(o, "speculative");
+	s->lasting = json_flag(o, "longRunning");
+	s->fills = json_flag(o, "fills");
+}
+
+static int
+parse_step(
+    struct order_step *s, struct json_object *o, size_t step, struct err *e)
+{
+	int64_t count, per_worker, may_miss;
+
+	if (!json_object_is_type(o, json_type_object) || !parse_texts(s, o))
+		return bad_step(e, step, "a field has the wrong type");
+	count = json_int(o, "count", 0);
+	per_worker = json_int(o, "antiAffinity", 0);
+	may_miss = json_int(o, "mayMiss", 0);
+	s->cpu = json_int(o, "cpu", 0);
+	s->memory_mb = json_int(o, "memMb", 0);
+	s->accelerators = json_int(o, "gpu", 0);
+	s->estimate_ms = json_int(o, "estimateMs", 0);
+	s->target_ms = json_int(o, "targetMs", 0);
+	if (count < 1 || count > JOB_TASKS_MAX)
+		return bad_step(e, step, "\"count\" is out of range");
+	if (s->cpu < 0 || s->memory_mb < 0 || s->accelerators < 0 ||
+	    s->estimate_ms < 0 || per_worker < 0 || may_miss < 0)
+		return bad_step(e, step, "a number is negative");
+	s->count = (unsigned)count;
+	s->per_worker = (unsigned)per_worker;
+	s->may_miss = (unsigned)may_miss;
+	parse_flags(s, o);
+	return parse_after(s, o, step, e);
+}
+
+static int
+parse_times(struct order *out, struct json_object *root, struct err *e)
+{
+	int64_t times = json_int(root, "repetitions", 0);
+
+	out->first_start_ms = json_int(root, "startAtMs", 0);
+	out->interval_ms = json_int(root, "intervalMs", 0);
+	if (times < 0 || times > INT32_MAX || out->interval_ms < 0)
+		return err_set(e, ERR_RANGE, 0, "correct the times",
+		    "\"repetitions\" or \"intervalMs\" is out of range");
+	out->repetitions = (unsigned)times;
+	return 0;
+}
+
+static int
+parse_spec(struct order *out, struct json_object *root, struct err *e)
+{
+	char spec[SPEC_MAX_BYTES + 1];
+
+	if (!json_text(root, "taskSpec", spec, sizeof(spec)))
+		return err_set(e, ERR_LIMIT, 0,
+		    "give a string of at most 4,000 bytes",
+		    "\"taskSpec\" is no string or too long");
+	out->spec = strdup(spec);
+	return out->spec == NULL ? -1 : 0;
+}
+
+static struct order *
+parse_root(struct json_object *root, struct err *e)
+{
+	struct json_object *steps = json_member(root, "steps", json_type_array);
+	size_t i, n = steps != NULL ? json_object_array_length(steps) : 0;
+	struct order *out;
+
+	if (n == 0 || n > JOB_STEPS_MAX) {
+		err_set(e, ERR_RANGE, 0, "give 1 to 256 steps",
+		    "the job has %zu steps", n);
+		return NULL;
+	}
+	out = order_new(n);
+	if (out == NULL || parse_spec(out, root, e) == -1 ||
+	    parse_times(out, root, e) == -1)
+		goto fail;
+	for (i = 0; i < n; i++) {
+		if (parse_step(&out->steps[i],
+			json_object_array_get_idx(steps, i), i, e) == -1)
+			goto fail;
+	}
+	if (order_tasks(out) <= JOB_TASKS_MAX)
+		return out;
+	err_set(e, ERR_LIMIT, 0, "split the job", "the job has %zu tasks",
+	    order_tasks(out));
+fail:
+	order_unref(out);
+	return NULL;
+}
+
+struct order *
+order_parse(const void *data, size_t len, struct err *e)
+{
+	struct json_object *root = json_parse(data, len);
+	struct order *out;
+
+	if (root == NULL) {
+		err_set(e, ERR_SYNTAX, 0, "send one JSON object",
+		    "the body is no JSON object");
+		return NULL;
+	}
+	out = parse_root(root, e);
+	json_object_put(root);
+	if (out == NULL)
+		return NULL;
+	out->text = buf_from(data, len);
+	if (out->text == NULL) {
+		order_unref(out);
+		return NULL;
+	}
+	return out;
+}
+
+struct buf *
+job_state_body(enum job_state state)
+{
+	static const char *const names[] = {
+	    [JOB_QUEUED] = "queued",
+	    [JOB_RUNNING] = "running",
+	    [JOB_COMPLETED] = "completed",
+	    [JOB_FAILED] = "failed",
+	    [JOB_CANCELLED] = "cancelled",
+	};
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(
+	    o, "state", json_object_new_string(names[state]));
+	return json_body(o);
+}
+
+struct buf *
+queue_waiting_body(size_t waiting)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(
+	    o, "waiting", json_object_new_int64((int64_t)waiting));
+	return json_body(o);
+}
+
+struct buf *
+error_body(const struct err *e)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "error", json_object_new_string(e->message));
+	json_object_object_add(o, "remedy", json_object_new_string(e->remedy));
+	return json_body(o);
+}
--- /dev/null
+++ b/src/platform/store_wire.c
@@ -0,0 +1,395 @@
+#include "store_wire.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <libwebsockets.h>
+
+#include "json_get.h"
+
+#define TOPIC_PREFIX "keyed.jobs."
+#define PRODUCER "owner" /* one name: epochs of all writers compare */
+#define READ_KB 1024 /* most of one read */
+#define OFFSETS_BYTES 16 /* end and first offset in front of a read's records \
+			  */
+
+void
+store_call_uninit(struct store_call *c)
+{
+	buf_unref(c->body);
+	c->body = NULL;
+}
+
+void
+store_jobs_topic(char *out, size_t size, const char *pool)
+{
+	snprintf(out, size, "%s%s", TOPIC_PREFIX, pool);
+}
+
+const char *
+store_topic_pool(const char *topic)
+{
+	size_t n = strlen(TOPIC_PREFIX);
+
+	return strncmp(topic, TOPIC_PREFIX, n) == 0 ? topic + n : NULL;
+}
+
+static void
+put_u32(uint8_t *p, uint32_t n)
+{
+	p[0] = (uint8_t)(n >> 24);
+	p[1] = (uint8_t)(n >> 16);
+	p[2] = (uint8_t)(n >> 8);
+	p[3] = (uint8_t)n;
+}
+
+static uint64_t
+get_be(const uint8_t *p, size_t bytes)
+{
+	uint64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < bytes; i++)
+		n = n << 8 | p[i];
+	return n;
+}
+
+int
+store_record_add(struct buf *b, const char *key, const void *value, size_t len)
+{
+	size_t key_len = strlen(key);
+	uint8_t head[5];
+
+	if (key_len == 0 || key_len > STORE_KEY_MAX)
+		return -1;
+	if (value == NULL)
+		len = 0;
+	put_u32(head, (uint32_t)(1 + key_len + len));
+	head[4] = (uint8_t)key_len;
+	if (buf_append(b, head, sizeof(head)) == -1 ||
+	    buf_append(b, key, key_len) == -1)
+		return -1;
+	return len > 0 ? buf_append(b, value, len) : 0;
+}
+
+void
+store_append_call(struct store_call *c, const struct append_opts *o)
+{
+	int n;
+
+	c->method = "POST";
+	n = snprintf(
+	    c->path, sizeof(c->path), "/log-append?topic=%s&part=0", o->topic);
+	if (o->at >= 0)
+		n += snprintf(c->path + n, sizeof(c->path) - (size_t)n,
+		    "&at=%" PRId64, o->at);
+	if (o->epoch >= 0)
+		snprintf(c->path + n, sizeof(c->path) - (size_t)n,
+		    "&producer=" PRODUCER "&epoch=%" PRId64 "&seq=%" PRId64,
+		    o->epoch, o->seq);
+	c->body = buf_ref(o->records);
+}
+
+void
+store_read_call(
+    struct store_call *c, const char *topic, int64_t from, int wait_ms)
+{
+	c->method = "GET";
+	c->body = NULL;
+	snprintf(c->path, sizeof(c->path),
+	    "/log-read?topic=%s&part=0&from=%" PRId64 "&maxKb=%d&waitMs=%d",
+	    topic, from, READ_KB, wait_ms);
+}
+
+/* Percent-encodes what may not stand in a query. */
+static void
+query_text(char *out, size_t size, const char *text)
+{
+	size_t n = 0;
+
+	for (; *text != '\0' && n + 4 < size; text++) {
+		if ((*text >= '0' && *text <= '9') ||
+		    (*text >= 'a' && *text <= 'z') ||
+		    (*text >= 'A' && *text <= 'Z') || *text == '-' ||
+		    *text == '.' || *text == '_')
+			out[n++] = *text;
+		else
+			n += (size_t)snprintf(
+			    out + n, size - n, "%%%02X", (unsigned char)*text);
+	}
+	out[n] = '\0';
+}
+
+void
+store_newest_call(struct store_call *c, const char *topic, const char *after)
+{
+	char key[STORE_PATH_BYTES / 2];
+
+	c->method = "GET";
+	c->body = NULL;
+	if (after == NULL) {
+		snprintf(c->path, sizeof(c->path),
+		    "/log-newest?topic=%s&part=0", topic);
+		return;
+	}
+	query_text(key, sizeof(key), after);
+	snprintf(c->path, sizeof(c->path),
+	    "/log-newest?topic=%s&part=0&after=%s", topic, key);
+}
+
+void
+store_join_call(struct store_call *c, const struct join_opts *o)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *topics = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < o->topic_count; i++)
+		json_object_array_add(
+		    topics, json_object_new_string(o->topics[i]));
+	json_object_object_add(root, "group", json_object_new_string(o->group));
+	json_object_object_add(
+	    root, "member", json_object_new_string(o->member));
+	json_object_object_add(root, "topics", topics);
+	json_object_object_add(root, "ttlMs", json_object_new_int(o->ttl_ms));
+	json_object_object_add(
+	    root, "generation", json_object_new_int64(o->generation));
+	c->method = "POST";
+	snprintf(c->path, sizeof(c->path), "/log-join");
+	c->body = json_body(root);
+}
+
+void
+store_leave_call(struct store_call *c, const char *group, const char *member)
+{
+	struct json_object *root = json_object_new_object();
+
+	json_object_object_add(root, "group", json_object_new_string(group));
+	json_object_object_add(root, "member", json_object_new_string(member));
+	c->method = "POST";
+	snprintf(c->path, sizeof(c->path), "/log-leave");
+	c->body = json_body(root);
+}
+
+void
+store_owners_call(struct store_call *c, const char *group)
+{
+	c->method = "GET";
+	c->body = NULL;
+	snprintf(c->path, sizeof(c->path), "/log-owners?group=%s", group);
+}
+
+enum store_outcome
+store_append_outcome(int status, const void *body, size_t len)
+{
+	switch (status) {
+	case 200:
+		return STORE_DONE;
+	case 409: /* a later epoch, or a number that does not follow */
+		return STORE_FENCED;
+	case 412:
+		return STORE_MOVED;
+	case 429:
+	case 503:
+		return STORE_NOT_DONE;
+	case 507:
+		return STORE_FULL;
+	default:
+		(void)body;
+		(void)len;
+		return STORE_UNKNOWN;
+	}
+}
+
+int64_t
+store_append_end(const void *body, size_t len)
+{
+	struct json_object *root = json_parse(body, len);
+	int64_t end = json_int(root, "end", -1);
+
+	json_object_put(root);
+	return end;
+}
+
+/* One record: key length, key, value.  False where it is no such record. */
+static bool
+record_decode(struct store_record *r, const uint8_t *p, size_t len)
+{
+	size_t key_len;
+
+	if (len < 1 || p[0] == 0 || (size_t)p[0] + 1 > len)
+		return false;
+	key_len = p[0];
+	memcpy(r->key, p + 1, key_len);
+	r->key[key_len] = '\0';
+	r->len = len - 1 - key_len;
+	r->value = r->len > 0 ? p + 1 + key_len : NULL;
+	return strlen(r->key) == key_len;
+}
+
+int
+store_read_each(const void *body, size_t len, int64_t from, int64_t *next,
+    void (*each)(void *arg, const struct store_record *r), void *arg)
+{
+	const uint8_t *p = body, *end = p + len;
+	struct store_record r;
+	size_t size;
+	int bad = 0;
+
+	if (len < OFFSETS_BYTES)
+		return -1;
+	p += OFFSETS_BYTES;
+	*next = from;
+	while ((size_t)(end - p) >= 4) {
+		size = (size_t)get_be(p, 4);
+		if (size > (size_t)(end - p) - 4)
+			return -1;
+		r.offset = (*next)++;
+		if (record_decode(&r, p + 4, size))
+			each(arg, &r);
+		else
+			bad++;
+		p += 4 + size;
+	}
+	return p == end ? bad : -1;
+}
+
+/* The value of a newest record; the caller frees it. */
+static uint8_t *
+value_decode(const char *text, size_t *len)
+{
+	size_t room = strlen(text) + 1;
+	uint8_t *out = malloc(room);
+	int n;
+
+	if (out == NULL)
+		return NULL;
+	n = lws_b64_decode_string_len(
+	    text, (int)strlen(text), (char *)out, (int)room);
+	if (n < 0) {
+		free(out);
+		return NULL;
+	}
+	*len = (size_t)n;
+	return out;
+}
+
+static bool
+newest_item(struct store_page *page, struct json_object *o,
+    void (*each)(void *arg, const struct store_record *r), void *arg)
+{
+	struct json_object *value = json_member(o, "value", json_type_string);
+	struct store_record r;
+	uint8_t *bytes;
+
+	if (!json_text(o, "key", r.key, sizeof(r.key)) || r.key[0] == '\0')
+		return false;
+	memcpy(page->last_key, r.key, sizeof(r.key));
+	if (value == NULL)
+		return false;
+	bytes = value_decode(json_object_get_string(value), &r.len);
+	if (bytes == NULL)
+		return false;
+	r.value = bytes;
+	r.offset = json_int(o, "offset", -1);
+	each(arg, &r);
+	free(bytes);
+	return true;
+}
+
+int
+store_newest_each(const void *body, size_t len, struct store_page *page,
+    void (*each)(void *arg, const struct store_record *r), void *arg)
+{
+	struct json_object *root = json_parse(body, len), *items;
+	size_t i, n;
+	int bad = 0;
+
+	memset(page, 0, sizeof(*page));
+	if (root == NULL)
+		return -1;
+	items = json_member(root, "items", json_type_array);
+	page->more = json_flag(root, "hasMore");
+	page->end = json_int(root, "end", 0);
+	n = items != NULL ? json_object_array_length(items) : 0;
+	for (i = 0; i < n; i++) {
+		if (!newest_item(
+			page, json_object_array_get_idx(items, i), each, arg))
+			bad++;
+	}
+	json_object_put(root);
+	return bad;
+}
+
+static bool
+share_text(struct json_object *row, size_t i, char *out, size_t size)
+{
+	struct json_object *o = json_object_array_get_idx(row, i);
+
+	out[0] = '\0';
+	if (o == NULL) /* nobody */
+		return true;
+	if (!json_object_is_type(o, json_type_string) ||
+	    (size_t)json_object_get_string_len(o) >= size)
+		return false;
+	snprintf(out, size, "%s", json_object_get_string(o));
+	return true;
+}
+
+static bool
+share_add(struct store_shares *s, struct json_object *row, bool with_member)
+{
+	struct store_share *share = &s->list[s->count];
+
+	if (!json_object_is_type(row, json_type_array) ||
+	    !share_text(row, 0, share->topic, sizeof(share->topic)))
+		return false;
+	share->part = json_object_get_int(json_object_array_get_idx(row, 1));
+	if (with_member &&
+	    !share_text(row, 2, share->member, sizeof(share->member)))
+		return false;
+	s->count++;
+	return true;
+}
+
+/* Rows of topic, partition and, among others, the member. */
+static int
+shares_parse(struct store_shares *s, const void *body, size_t len,
+    const char *key, bool with_member)
+{
+	struct json_object *root = json_parse(body, len), *rows;
+	size_t i, n;
+
+	memset(s, 0, sizeof(*s));
+	if (root == NULL)
+		return -1;
+	s->generation = json_int(root, "generation", 0);
+	rows = json_member(root, key, json_type_array);
+	n = rows != NULL ? json_object_array_length(rows) : 0;
+	s->list = calloc(n + 1, sizeof(*s->list));
+	for (i = 0; s->list != NULL && i < n; i++)
+		share_add(s, json_object_array_get_idx(rows, i), with_member);
+	json_object_put(root);
+	return s->list == NULL ? -1 : 0;
+}
+
+int
+store_join_parse(struct store_shares *s, const void *body, size_t len)
+{
+	return shares_parse(s, body, len, "parts", false);
+}
+
+int
+store_owners_parse(struct store_shares *s, const void *body, size_t len)
+{
+	return shares_parse(s, body, len, "parts", true);
+}
+
+void
+store_shares_uninit(struct store_shares *s)
+{
+	free(s->list);
+	memset(s, 0, sizeof(*s));
+}
--- /dev/null
+++ b/src/scheduler/job_call.c
@@ -0,0 +1,120 @@
+#include "job_call.h"
+
+#include <string.h>
+
+#include "wire.h"
+
+static const char *const op_names[] = {
+    [JOB_SUBMIT] = "submit",
+    [JOB_CANCEL] = "cancel",
+    [JOB_LOOK] = "look",
+    [JOB_COUNT] = "count",
+};
+
+const char *
+job_op_name(enum job_op op)
+{
+	return op_names[op];
+}
+
+struct buf *
+job_request_encode(const struct job_request *r)
+{
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 5);
+	wire_u64(&w, "op", r->op);
+	wire_str(&w, "pool", r->pool);
+	wire_str(&w, "id", r->id);
+	wire_key(&w, "terms");
+	terms_write(&w, &r->terms);
+	wire_bin(&w, "body", r->body != NULL ? r->body->data : NULL,
+	    r->body != NULL ? r->body->len : 0);
+	return wire_writer_take(&w);
+}
+
+int
+job_request_decode(
+    struct job_request *r, const void *data, size_t len, struct err *e)
+{
+	const msgpack_object *terms;
+	struct wire_reader in;
+	const uint8_t *body;
+	size_t body_len;
+	uint64_t op;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = wire_get_u64(in.root, "op", &op) && op <= JOB_COUNT &&
+	    wire_get_str(in.root, "pool", r->pool, sizeof(r->pool)) &&
+	    wire_get_str(in.root, "id", r->id, sizeof(r->id)) &&
+	    wire_get(in.root, "terms", &terms) &&
+	    terms_read(terms, &r->terms) &&
+	    wire_get_bin(in.root, "body", &body, &body_len);
+	if (ok) {
+		r->op = (enum job_op)op;
+		r->body = buf_from(body, body_len);
+		ok = r->body != NULL;
+	}
+	wire_reader_uninit(&in);
+	if (!ok)
+		return err_set(e, ERR_PROTOCOL, 0,
+		    "run one version on all daemons",
+		    "a peer's request lacks a field");
+	return 0;
+}
+
+struct buf *
+job_reply_encode(const struct job_reply *r)
+{
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 7);
+	wire_u64(&w, "kind", r->kind);
+	wire_u64(&w, "answer", r->answer);
+	wire_u64(&w, "state", r->state);
+	wire_u64(&w, "waiting", r->waiting);
+	wire_i64(&w, "retry", r->retry_ms);
+	wire_str(&w, "error", r->kind == REPLY_BAD ? r->error.message : "");
+	wire_str(&w, "remedy", r->kind == REPLY_BAD ? r->error.remedy : "");
+	return wire_writer_take(&w);
+}
+
+int
+job_reply_decode(
+    struct job_reply *r, const void *data, size_t len, struct err *e)
+{
+	uint64_t kind, answer, state, waiting;
+	struct wire_reader in;
+	int64_t retry;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = wire_get_u64(in.root, "kind", &kind) && kind <= REPLY_UNKNOWN &&
+	    wire_get_u64(in.root, "answer", &answer) &&
+	    answer <= POOL_WAITING && wire_get_u64(in.root, "state", &state) &&
+	    state <= JOB_CANCELLED &&
+	    wire_get_u64(in.root, "waiting", &waiting) &&
+	    wire_get_i64(in.root, "retry", &retry) &&
+	    wire_get_str(
+		in.root, "error", r->error.message, sizeof(r->error.message)) &&
+	    wire_get_str(
+		in.root, "remedy", r->error.remedy, sizeof(r->error.remedy));
+	wire_reader_uninit(&in);
+	if (!ok)
+		return err_set(e, ERR_PROTOCOL, 0,
+		    "run one version on all daemons",
+		    "a peer's reply lacks a field");
+	r->kind = (enum job_reply_kind)kind;
+	r->answer = (enum pool_answer)answer;
+	r->state = (enum job_state)state;
+	r->waiting = (size_t)waiting;
+	r->retry_ms = (int)retry;
+	return 0;
+}
--- /dev/null
+++ b/src/scheduler/owners.c
@@ -0,0 +1,279 @@
+#include "owners.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "json_get.h"
+#include "shards.h"
+#include "store_client.h"
+
+#define GROUP "schedulers"
+#define GROUP_TOPIC "pools" /* its partitions stand for pools */
+#define JOIN_EVERY_MS 500
+#define MEMBER_TTL_MS 2000 /* four joins: one or two may be lost */
+#define JOIN_TIMEOUT_MS 900
+#define OWNERS_EVERY_MS 5000 /* at least; at once when the group changes */
+#define OWNERS_PAUSE_MS 200 /* between two that were asked for */
+#define PARTS_MAX 64
+
+struct owners {
+	struct scheduler *scheduler;
+	int64_t generation;
+	int64_t join_boot_us; /* when the join under way was sent */
+	struct store_op *join_op;
+	struct store_op *owners_op;
+	lws_sorted_usec_list_t join_due;
+	lws_sorted_usec_list_t owners_due;
+	char members[PARTS_MAX][MEMBER_BYTES]; /* by partition */
+	char (*held)[NAME_BYTES]; /* pools of this daemon */
+	size_t held_count;
+	int64_t owners_asked_us;
+	bool leaving;
+};
+
+static int
+parts_of(const struct owners *o)
+{
+	int parts = o->scheduler->boot.store_parts;
+
+	return parts < 1 ? 1 : parts > PARTS_MAX ? PARTS_MAX : parts;
+}
+
+int
+owners_part(const struct config *c, const char *pool, int parts)
+{
+	size_t i;
+	int rank = 0;
+
+	for (i = 0; i < c->pool_count; i++)
+		rank += strcmp(c->pools[i].name, pool) < 0;
+	return rank % parts;
+}
+
+static void join_due(lws_sorted_usec_list_t *sul);
+static void owners_due(lws_sorted_usec_list_t *sul);
+
+static void
+schedule_join(struct owners *o, int ms)
+{
+	lws_sul_schedule(o->scheduler->context, 0, &o->join_due, join_due,
+	    ms > 0 ? ms * US_PER_MS : 1);
+}
+
+static void
+schedule_owners(struct owners *o, int ms)
+{
+	lws_sul_schedule(o->scheduler->context, 0, &o->owners_due, owners_due,
+	    ms > 0 ? ms * US_PER_MS : 1);
+}
+
+static bool
+part_held(const struct store_shares *shares, int part)
+{
+	size_t i;
+
+	for (i = 0; i < shares->count; i++) {
+		if (shares->list[i].part == part &&
+		    strcmp(shares->list[i].topic, GROUP_TOPIC) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Pools whose partition the group dealt to this daemon. */
+static void
+assign(struct owners *o, const struct store_shares *shares)
+{
+	const struct config *c = o->scheduler->config;
+	size_t i, before = o->held_count;
+	int part;
+
+	free(o->held);
+	o->held_count = 0;
+	o->held = calloc(c->pool_count + 1, sizeof(*o->held));
+	if (o->held == NULL)
+		return;
+	for (i = 0; i < c->pool_count; i++) {
+		part = owners_part(c, c->pools[i].name, parts_of(o));
+		if (part_held(shares, part))
+			snprintf(o->held[o->held_count++], NAME_BYTES, "%s",
+			    c->pools[i].name);
+	}
+	if (o->held_count != before)
+		daemon_log(LOG_LEVEL_INFO, "owners",
+		    "msg=\"the group deals pools\" generation=%lld pools=%zu "
+		    "before=%zu",
+		    (long long)shares->generation, o->held_count, before);
+	shards_assign(o->scheduler->shards, (const char(*)[NAME_BYTES])o->held,
+	    o->held_count, o->join_boot_us);
+}
+
+static void
+join_ended(void *arg, int status, bool sent, const void *body, size_t len)
+{
+	struct owners *o = arg;
+	struct store_shares shares;
+
+	(void)sent;
+	o->join_op = NULL;
+	if (o->leaving)
+		return;
+	if (status != 200 || store_join_parse(&shares, body, len) == -1) {
+		daemon_log(LOG_LEVEL_WARN, "owners",
+		    "msg=\"the group does not answer\" status=%d", status);
+		schedule_join(o, JOIN_EVERY_MS / 2);
+		return;
+	}
+	if (o->scheduler->config != NULL)
+		assign(o, &shares);
+	if (shares.generation != o->generation) {
+		o->generation = shares.generation;
+		/* what is not ours any more goes on with this join */
+		schedule_join(o, 1);
+		schedule_owners(o, 0);
+	} else {
+		schedule_join(o, JOIN_EVERY_MS);
+	}
+	store_shares_uninit(&shares);
+}
+
+static void
+join_due(lws_sorted_usec_list_t *sul)
+{
+	static const char topics[1][TOPIC_BYTES] = {GROUP_TOPIC};
+	struct owners *o = lws_container_of(sul, struct owners, join_due);
+	int ttl_min_ms = o->scheduler->boot.group_ttl_min_ms;
+	struct join_opts j = {
+	    .group = GROUP,
+	    .member = o->scheduler->member,
+	    .topics = topics,
+	    .topic_count = 1,
+	    .ttl_ms = MEMBER_TTL_MS > ttl_min_ms ? MEMBER_TTL_MS : ttl_min_ms,
+	    .generation = o->generation,
+	};
+	struct store_call c;
+
+	if (o->leaving || o->join_op != NULL)
+		return;
+	o->join_boot_us = sched_boot_us();
+	store_join_call(&c, &j);
+	o->join_op =
+	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, o);
+	if (o->join_op == NULL)
+		schedule_join(o, JOIN_EVERY_MS);
+}
+
+static void
+owners_ended(void *arg, int status, bool sent, const void *body, size_t len)
+{
+	struct owners *o = arg;
+	struct store_shares shares;
+	struct store_share *h;
+	size_t i;
+
+	(void)sent;
+	o->owners_op = NULL;
+	schedule_owners(o, OWNERS_EVERY_MS);
+	if (status != 200 || store_owners_parse(&shares, body, len) == -1)
+		return;
+	for (i = 0; i < shares.count; i++) {
+		h = &shares.list[i];
+		if (strcmp(h->topic, GROUP_TOPIC) == 0 && h->part >= 0 &&
+		    h->part < PARTS_MAX)
+			snprintf(
+			    o->members[h->part], MEMBER_BYTES, "%s", h->member);
+	}
+	store_shares_uninit(&shares);
+}
+
+static void
+owners_due(lws_sorted_usec_list_t *sul)
+{
+	struct owners *o = lws_container_of(sul, struct owners, owners_due);
+	struct store_call c;
+
+	if (o->owners_op != NULL)
+		return;
+	o->owners_asked_us = sched_now_us();
+	store_owners_call(&c, GROUP);
+	o->owners_op =
+	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, owners_ended, o);
+	if (o->owners_op == NULL)
+		schedule_owners(o, OWNERS_EVERY_MS);
+}
+
+bool
+owners_of(
+    const struct owners *o, const char *pool, struct endpoint *to, bool *self)
+{
+	const struct config *c = o->scheduler->config;
+	const char *member;
+
+	*self = false;
+	if (c == NULL)
+		return false;
+	member = o->members[owners_part(c, pool, parts_of(o))];
+	*self = strcmp(member, o->scheduler->member) == 0;
+	return split_addr(member, to->addr, sizeof(to->addr), &to->port);
+}
+
+void
+owners_refresh(struct owners *o)
+{
+	int64_t ago_ms = (sched_now_us() - o->owners_asked_us) / US_PER_MS;
+
+	if (o->owners_op == NULL)
+		schedule_owners(o,
+		    ago_ms >= OWNERS_PAUSE_MS ? 0
+					      : OWNERS_PAUSE_MS - (int)ago_ms);
+}
+
+void
+owners_config_changed(struct owners *o)
+{
+	if (o->join_op == NULL && !o->leaving)
+		schedule_join(o, 0);
+}
+
+void
+owners_leave(struct owners *o)
+{
+	struct store_call c;
+
+	if (o->leaving)
+		return;
+	o->leaving = true;
+	lws_sul_cancel(&o->join_due);
+	store_op_cancel(o->join_op);
+	store_leave_call(&c, GROUP, o->scheduler->member);
+	o->join_op =
+	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, o);
+}
+
+struct owners *
+owners_new(struct scheduler *s)
+{
+	struct owners *o;
+
+	o = calloc(1, sizeof(*o));
+	if (o == NULL)
+		return NULL;
+	o->scheduler = s;
+	schedule_join(o, 0);
+	schedule_owners(o, JOIN_EVERY_MS);
+	return o;
+}
+
+void
+owners_free(struct owners *o)
+{
+	if (o == NULL)
+		return;
+	lws_sul_cancel(&o->join_due);
+	lws_sul_cancel(&o->owners_due);
+	store_op_cancel(o->join_op);
+	store_op_cancel(o->owners_op);
+	free(o->held);
+	free(o);
+}
--- /dev/null
+++ b/src/scheduler/peer_client.c
@@ -0,0 +1,81 @@
+#include "peer_client.h"
+
+#include <stdlib.h>
+
+#define REPLY_MAX_BYTES 65536
+
+struct peer_call {
+	struct scheduler *scheduler;
+	struct http_call *call;
+	job_reply_fn *reply;
+	void *arg;
+	struct endpoint to;
+};
+
+static void
+on_end(void *arg, enum http_end end, struct answer *a)
+{
+	struct peer_call *c = arg;
+	struct job_reply r;
+	struct err e;
+
+	if (end != HTTP_WHOLE || a->status != 200 || a->body == NULL ||
+	    job_reply_decode(&r, a->body->data, a->body->len, &e) == -1) {
+		r.kind = end == HTTP_UNSENT ? REPLY_NOT_TAKEN : REPLY_UNKNOWN;
+		c->scheduler->counts.forward_failed++;
+		daemon_log(LOG_LEVEL_INFO, "peers",
+		    "msg=\"owner did not answer\" peer=%s:%d end=%d status=%d",
+		    c->to.addr, c->to.port, end,
+		    end == HTTP_WHOLE ? a->status : 0);
+	}
+	c->reply(c->arg, &r);
+	free(c);
+}
+
+struct peer_call *
+peer_call_start(struct scheduler *s, const struct endpoint *to,
+    const struct job_request *r, int timeout_ms, job_reply_fn *reply, void *arg)
+{
+	struct http_call_opts o = {
+	    .context = s->context,
+	    .pool = s->conns,
+	    .repeatable = true, /* a job's id makes a repeat harmless */
+	    .addr = to->addr,
+	    .port = to->port,
+	    .method = "POST",
+	    .path = PEER_PATH_JOBS,
+	    .timeout_ms = timeout_ms,
+	    .max_bytes = REPLY_MAX_BYTES,
+	    .on_end = on_end,
+	};
+	struct peer_call *c;
+
+	c = calloc(1, sizeof(*c));
+	o.body = job_request_encode(r);
+	if (c == NULL || o.body == NULL)
+		goto fail;
+	c->scheduler = s;
+	c->reply = reply;
+	c->arg = arg;
+	c->to = *to;
+	o.arg = c;
+	s->counts.forwarded++;
+	c->call = http_call_start(&o, NULL);
+	if (c->call == NULL)
+		goto fail;
+	buf_unref(o.body);
+	return c;
+fail:
+	buf_unref(o.body);
+	free(c);
+	return NULL;
+}
+
+void
+peer_call_cancel(struct peer_call *c)
+{
+	if (c == NULL)
+		return;
+	http_call_cancel(c->call);
+	free(c);
+}
--- /dev/null
+++ b/src/scheduler/peer_server.c
@@ -0,0 +1,134 @@
+#include "peer_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "peer_client.h"
+#include "shards.h"
+
+#define BODY_MAX (512 * 1024) /* a job and its terms */
+
+struct peer_server {
+	struct scheduler *scheduler;
+	struct http_listener *listener;
+};
+
+/* A request that waits for its reply. */
+struct peer_request {
+	struct peer_server *server;
+	uint64_t id;
+};
+
+static void
+answer(struct peer_server *p, uint64_t id, int status, struct buf *body)
+{
+	struct http_reply r = {.status = status, .lines = "", .body = body};
+
+	http_listener_answer(p->listener, id, &r);
+	buf_unref(body);
+}
+
+static void
+on_reply(void *arg, const struct job_reply *reply)
+{
+	struct peer_request *q = arg;
+
+	answer(q->server, q->id, 200, job_reply_encode(reply));
+	free(q);
+}
+
+static void
+take_job(struct peer_server *p, uint64_t id, const struct request *r)
+{
+	struct job_request job;
+	struct peer_request *q;
+	struct err e;
+
+	if (r->body == NULL ||
+	    job_request_decode(&job, r->body->data, r->body->len, &e) == -1) {
+		daemon_log(LOG_LEVEL_WARN, "peers",
+		    "msg=\"a peer's request cannot be read\" bytes=%zu",
+		    r->body != NULL ? r->body->len : 0);
+		answer(p, id, 400, NULL);
+		return;
+	}
+	q = calloc(1, sizeof(*q));
+	if (q == NULL) {
+		answer(p, id, 503, NULL);
+	} else {
+		q->server = p;
+		q->id = id;
+		shards_request(p->scheduler->shards, &job, on_reply, q);
+	}
+	buf_unref(job.body);
+}
+
+static void
+on_request(void *arg, uint64_t id, struct request *r)
+{
+	struct peer_server *p = arg;
+	struct buf *out;
+
+	if (strcmp(r->path, PEER_PATH_JOBS) == 0) {
+		take_job(p, id, r);
+		return;
+	}
+	out = buf_new(4096);
+	if (out != NULL && strcmp(r->path, "/metrics") == 0)
+		scheduler_metrics(p->scheduler, out);
+	else if (out != NULL && strcmp(r->path, "/dump") == 0)
+		shards_dump(p->scheduler->shards, out);
+	else {
+		buf_unref(out);
+		answer(p, id, 404, NULL);
+		return;
+	}
+	answer(p, id, 200, out);
+}
+
+static void
+on_gone(void *arg, uint64_t id)
+{
+	(void)arg; /* the reply finds no connection and is dropped */
+	(void)id;
+}
+
+struct peer_server *
+peer_server_new(struct scheduler *s, struct err *e)
+{
+	struct http_listener_opts o = {
+	    .context = s->context,
+	    .name = "peers",
+	    .addr = s->boot.ip,
+	    .port = s->boot.peer_port,
+	    .body_max = BODY_MAX,
+	    .on_request = on_request,
+	    .on_gone = on_gone,
+	    .refusal_lines = "",
+	};
+	struct peer_server *p;
+
+	p = calloc(1, sizeof(*p));
+	if (p == NULL) {
+		err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
+		    "no memory for peers' requests");
+		return NULL;
+	}
+	p->scheduler = s;
+	o.arg = p;
+	p->listener = http_listener_new(&o, e);
+	if (p->listener == NULL) {
+		free(p);
+		return NULL;
+	}
+	return p;
+}
+
+void
+peer_server_free(struct peer_server *p)
+{
+	if (p == NULL)
+		return;
+	http_listener_free(p->listener);
+	free(p);
+}
--- /dev/null
+++ b/src/scheduler/scheduler.c
@@ -0,0 +1,381 @@
+#include "scheduler.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <time.h>
+
+#include "front.h"
+#include "metric.h"
+#include "owners.h"
+#include "peer_server.h"
+#include "shards.h"
+#include "upkeep.h"
+#include "watch.h"
+
+#define TICK_MS 500 /* settings, idle connections, ownership */
+#define IDLE_MS 4000 /* a kept connection; both sides cut earlier or later */
+#define LOG_LINES_PER_S 200 /* bounds the processor time of logs */
+#define FILES_MAX 4096 /* of the library's table; the limit may be lower */
+#define SERVICE_BYTES 32768 /* the library's buffer for request headers */
+#define HEADER_POOL 256 /* requests whose headers are being read */
+#define IO_TIMEOUT_S 120 /* longer than every timer of our own */
+/* a planned stop: the balancer needs two looks, a second apart, to notice */
+#define STOP_LINGER_MS 2600
+#define STOP_MAX_MS 4500 /* well within the platform's grace */
+
+static volatile sig_atomic_t stop_signal, reload_signal;
+
+static struct {
+	struct scheduler s;
+	lws_sorted_usec_list_t tick;
+	int64_t stop_begun_us;
+	bool listening_ended;
+	struct timespec settings_changed;
+	int64_t last_boot_us;
+} loop;
+
+static int64_t
+clock_us(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / 1000;
+}
+
+int64_t
+sched_now_us(void)
+{
+	return clock_us(CLOCK_MONOTONIC);
+}
+
+int64_t
+sched_boot_us(void)
+{
+	return clock_us(CLOCK_BOOTTIME);
+}
+
+int64_t
+sched_now_ms(void)
+{
+	return clock_us(CLOCK_REALTIME) / US_PER_MS;
+}
+
+static void
+on_signal(int number)
+{
+	if (number == SIGHUP)
+		reload_signal = 1;
+	else
+		stop_signal = 1;
+}
+
+static void
+catch_signals(void)
+{
+	struct sigaction sa;
+
+	memset(&sa, 0, sizeof(sa));
+	sigemptyset(&sa.sa_mask);
+	sa.sa_handler = on_signal;
+	sigaction(SIGTERM, &sa, NULL);
+	sigaction(SIGINT, &sa, NULL);
+	sigaction(SIGHUP, &sa, NULL);
+	sa.sa_handler = SIG_IGN;
+	sigaction(SIGPIPE, &sa, NULL);
+}
+
+void
+scheduler_config_changed(struct scheduler *s)
+{
+	shards_config_changed(s->shards);
+	owners_config_changed(s->owners);
+}
+
+/*
+ * Bounds and addresses of the platform's services may change; where this
+ * daemon listens is fixed for its life.
+ */
+static void
+reload(struct scheduler *s, const char *why)
+{
+	struct boot b;
+	struct err e;
+
+	if (boot_load(&b, s->settings_path, &e) == -1) {
+		daemon_log(LOG_LEVEL_ERROR, "scheduler",
+		    "msg=\"settings are left as they were\" why=%s "
+		    "error=\"%s\" remedy=\"%s\"",
+		    why, e.message, e.remedy);
+		return;
+	}
+	s->boot = b;
+	daemon_log(LOG_LEVEL_INFO, "scheduler",
+	    "msg=\"settings read again\" why=%s store=%s:%d", why, b.store.addr,
+	    b.store.port);
+}
+
+static void
+check_settings(struct scheduler *s)
+{
+	struct stat st;
+	bool changed;
+
+	if (stat(s->settings_path, &st) == -1)
+		return; /* while it is being replaced */
+	changed = st.st_mtim.tv_sec != loop.settings_changed.tv_sec ||
+	    st.st_mtim.tv_nsec != loop.settings_changed.tv_nsec;
+	loop.settings_changed = st.st_mtim;
+	if (reload_signal || changed)
+		reload(s, reload_signal ? "signal" : "file");
+	reload_signal = 0;
+}
+
+static void
+on_tick(lws_sorted_usec_list_t *sul)
+{
+	struct scheduler *s = &loop.s;
+	int64_t now = sched_boot_us();
+
+	lws_sul_schedule(s->context, 0, sul, on_tick, TICK_MS * US_PER_MS);
+	if (now - loop.last_boot_us > 2 * TICK_MS * US_PER_MS)
+		daemon_log(LOG_LEVEL_WARN, "scheduler",
+		    "msg=\"was not run for a while\" ms=%lld",
+		    (long long)((now - loop.last_boot_us) / US_PER_MS));
+	loop.last_boot_us = now;
+	check_settings(s);
+	shards_check(s->shards);
+	http_pool_expire(s->conns);
+}
+
+static struct lws_context *
+context_new(void)
+{
+	struct lws_context_creation_info info;
+
+	memset(&info, 0, sizeof(info));
+	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
+	    LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS |
+	    LWS_SERVER_OPTION_DISABLE_IPV6;
+	info.gid = (gid_t)-1;
+	info.uid = (uid_t)-1;
+	info.max_http_header_data2 = 2 * HEADERS_MAX_BYTES;
+	info.max_http_header_pool2 = HEADER_POOL;
+	info.pt_serv_buf_size = SERVICE_BYTES;
+	info.timeout_secs = IO_TIMEOUT_S;
+	info.connect_timeout_secs = IO_TIMEOUT_S;
+	return lws_create_context(&info);
+}
+
+static int
+client_vhost_new(struct lws_context *context)
+{
+	static struct lws_protocols protocols[2];
+	struct lws_context_creation_info info;
+
+	memset(&info, 0, sizeof(info));
+	protocols[0] = http_client_protocol;
+	info.vhost_name = "client";
+	info.port = CONTEXT_PORT_NO_LISTEN;
+	info.protocols = protocols;
+	info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+	return lws_create_vhost(context, &info) == NULL ? -1 : 0;
+}
+
+/* The library sizes and walks a table by the limit: keep it small. */
+static void
+limit_files(void)
+{
+	struct rlimit rl;
+
+	if (getrlimit(RLIMIT_NOFILE, &rl) == -1)
+		return;
+	if (rl.rlim_cur > FILES_MAX)
+		rl.rlim_cur = FILES_MAX;
+	setrlimit(RLIMIT_NOFILE, &rl);
+}
+
+static int
+open_all(struct scheduler *s, struct err *e)
+{
+	limit_files();
+	s->context = context_new();
+	if (s->context == NULL || client_vhost_new(s->context) == -1)
+		return err_set(e, ERR_IO, 0, "give the daemon more memory",
+		    "no libwebsockets context");
+	s->conns = http_pool_new(IDLE_MS);
+	s->shards = shards_new(s);
+	s->upkeep = upkeep_new(s);
+	s->watch = watch_new(s);
+	s->owners = owners_new(s);
+	if (s->conns == NULL || s->shards == NULL || s->upkeep == NULL ||
+	    s->watch == NULL || s->owners == NULL)
+		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
+		    "no memory for the daemon's state");
+	s->peers = peer_server_new(s, e);
+	if (s->peers == NULL)
+		return -1;
+	s->front = front_new(s, e);
+	return s->front == NULL ? -1 : 0;
+}
+
+static void
+close_all(struct scheduler *s)
+{
+	lws_sul_cancel(&loop.tick);
+	upkeep_free(s->upkeep);
+	shards_free(s->shards);
+	front_close(s->front);
+	owners_free(s->owners);
+	watch_free(s->watch);
+	http_pool_free(s->conns);
+	if (s->context != NULL)
+		lws_context_destroy(s->context);
+	front_free(s->front);
+	peer_server_free(s->peers);
+	config_unref(s->config);
+}
+
+static void
+begin_stop(struct scheduler *s)
+{
+	s->stopping = true;
+	loop.stop_begun_us = sched_now_us();
+	daemon_log(LOG_LEVEL_INFO, "scheduler",
+	    "msg=\"planned stop begins\" requests=%zu", front_busy(s->front));
+	front_leave(s->front);
+}
+
+/*
+ * Pools are handed over first, then the balancer is given time to notice;
+ * requests that still come are handed on to the new owners.
+ */
+static bool
+stop_done(struct scheduler *s)
+{
+	int64_t ms = (sched_now_us() - loop.stop_begun_us) / US_PER_MS;
+
+	shards_give_up_all(s->shards);
+	if (shards_none(s->shards))
+		owners_leave(s->owners);
+	if (ms < STOP_LINGER_MS)
+		return false;
+	if (!loop.listening_ended) {
+		loop.listening_ended = true;
+		front_stop_listening(s->front);
+	}
+	return front_busy(s->front) == 0 || ms > STOP_MAX_MS;
+}
+
+static void
+run(struct scheduler *s)
+{
+	for (;;) {
+		if (stop_signal && !s->stopping)
+			begin_stop(s);
+		if (s->stopping && stop_done(s))
+			return;
+		if (lws_service(s->context, 0) < 0)
+			return;
+	}
+}
+
+int
+scheduler_run(const char *settings_path, struct err *e)
+{
+	struct scheduler *s = &loop.s;
+	int ret = -1;
+
+	memset(&loop, 0, sizeof(loop));
+	lws_set_log_level(0, NULL);
+	snprintf(
+	    s->settings_path, sizeof(s->settings_path), "%s", settings_path);
+	if (boot_load(&s->boot, settings_path, e) == -1)
+		return -1;
+	snprintf(s->member, sizeof(s->member), "%s:%d", s->boot.ip,
+	    s->boot.peer_port);
+	s->store_heard_us = sched_now_us();
+	loop.last_boot_us = sched_boot_us();
+	daemon_log_open("info", s->boot.name);
+	daemon_log_to_stdout(LOG_LINES_PER_S);
+	catch_signals();
+	if (open_all(s, e) == -1) {
+		daemon_log(LOG_LEVEL_ERROR, "scheduler",
+		    "msg=\"cannot start\" error=\"%s\" remedy=\"%s\"",
+		    e->message, e->remedy);
+		goto out;
+	}
+	daemon_log(LOG_LEVEL_INFO, "scheduler",
+	    "msg=started callers=%s:%d peers=%s:%d store=%s:%d "
+	    "data_centre=%s",
+	    s->boot.callers.addr, s->boot.callers.port, s->boot.ip,
+	    s->boot.peer_port, s->boot.store.addr, s->boot.store.port,
+	    s->boot.data_centre);
+	check_settings(s);
+	lws_sul_schedule(s->context, 0, &loop.tick, on_tick, 1);
+	run(s);
+	daemon_log(LOG_LEVEL_INFO, "scheduler", "msg=stopped");
+	ret = 0;
+out:
+	close_all(s);
+	daemon_log_close();
+	return ret;
+}
+
+static void
+write_histogram(const struct scheduler_counts *n, struct buf *out)
+{
+	static const char *const bounds[] = {"0.005", "0.01", "0.015", "0.025",
+	    "0.06", "0.1", "0.25", "0.5", "1", "+Inf"};
+	uint64_t sum = 0;
+	char labels[32];
+	size_t i;
+
+	for (i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+		sum += n->handin_ms_bucket[i];
+		snprintf(labels, sizeof(labels), "le=\"%s\"", bounds[i]);
+		metric_counter(out, "handin_seconds_bucket", NULL, labels, sum);
+	}
+	buf_printf(out, "mimosalead_handin_seconds_sum %.3f\n",
+	    (double)n->handin_ms_sum / 1000);
+	metric_counter(out, "handin_seconds_count", NULL, "", n->handin_count);
+}
+
+void
+scheduler_metrics(const struct scheduler *s, struct buf *out)
+{
+	const struct scheduler_counts *n = &s->counts;
+
+	metric_counter(
+	    out, "requests_total", "callers' requests", "", n->requests);
+	metric_counter(
+	    out, "accepted_total", "jobs stored for callers", "", n->accepted);
+	metric_counter(
+	    out, "refused_total", "answered 429 or 503", "", n->refused);
+	metric_counter(
+	    out, "unknown_total", "answered 504", "", n->unknown_outcome);
+	metric_counter(
+	    out, "store_calls_total", "calls to the store", "", n->store_calls);
+	metric_counter(out, "store_failed_total",
+	    "calls without an answer of use", "", n->store_failed);
+	metric_counter(out, "worker_orders_total", "orders to workers", "",
+	    n->worker_orders);
+	metric_counter(out, "worker_unanswered_total",
+	    "orders without an answer", "", n->worker_unanswered);
+	metric_counter(out, "forwarded_total", "requests handed to owners", "",
+	    n->forwarded);
+	metric_counter(out, "connects_total", "connections made", "",
+	    http_pool_connects(s->conns));
+	metric_counter(
+	    out, "takeovers_total", "pools taken over", "", n->takeovers);
+	metric_gauge(out, "config_version", "version in force", "",
+	    s->config != NULL ? s->config->version : -1);
+	metric_gauge(out, "store_heard_ms_ago", "age of its newest answer", "",
+	    (sched_now_us() - s->store_heard_us) / US_PER_MS);
+	write_histogram(n, out);
+	shards_metrics(s->shards, out);
+}
--- /dev/null
+++ b/src/scheduler/shard.h
@@ -0,0 +1,78 @@
+/* One owned pool; for shards.c, shard_takeover.c and shard_orders.c only. */
+#ifndef SHARD_H
+#define SHARD_H
+
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#include "shards.h"
+#include "store_client.h"
+
+/*
+ * An owner that has not been confirmed for so long gives up: the next one
+ * counts on it before it starts again what a silent worker may run.
+ */
+#define OWNER_GIVE_UP_MS 3000
+/* Granted to tasks; two thirds of what workers allow, for a fast take-over. */
+#define LEASE_MS 4000
+/* Until tasks of an earlier term have ended at workers that are silent. */
+#define SETTLE_MS (OWNER_GIVE_UP_MS + LEASE_MS + LEASE_MS / 20 + 300)
+
+enum shard_state {
+	SHARD_TAKING, /* reads what its predecessors wrote */
+	SHARD_OWNING,
+	SHARD_GIVING_UP /* writes out, answers nothing new */
+};
+
+struct shard_order; /* an order to a worker under way */
+struct takeover;
+
+/* A request that waits for the reducer's answer. */
+struct shard_token {
+	uint64_t token;
+	job_reply_fn *reply;
+	void *arg;
+	UT_hash_handle hh;
+};
+
+struct shard {
+	struct shards *all;
+	struct scheduler *scheduler;
+	char pool_name[NAME_BYTES];
+	char topic[TOPIC_BYTES];
+	enum shard_state state;
+	int64_t confirmed_boot_us; /* the group said so when asked then */
+	int64_t began_us;
+	int64_t fence;
+	struct takeover *takeover; /* while SHARD_TAKING */
+	struct pool *pool;
+	struct store_writer *writer;
+	struct pool_effects effects;
+	bool stepping;
+	bool lost; /* fenced: to be dropped once the step has ended */
+	struct shard_token *tokens;
+	uint64_t next_token;
+	LIST_HEAD(shard_orders, shard_order) orders;
+	lws_sorted_usec_list_t tick;
+	LIST_ENTRY(shard) entries;
+};
+
+/* Stamps the event, lets the reducer take it, carries the effects out. */
+void shard_event(struct shard *sh, struct pool_event *ev);
+/* A later owner was met: the shard is dropped from the loop. */
+void shard_deposed(struct shard *sh, const char *by);
+
+/* shard_takeover.c */
+int takeover_begin(struct shard *sh);
+void takeover_cancel(struct shard *sh);
+/* Workers' entries have become known. */
+void takeover_go_on(struct shard *sh);
+/* shards.c: the take-over has made pool and writer. */
+void shard_taken(struct shard *sh);
+
+/* shard_orders.c */
+void shard_order_send(struct shard *sh, const struct pool_effect *x);
+void shard_orders_cancel(struct shard *sh);
+
+#endif
--- a/src/shell/daemon_log.c
+++ b/src/shell/daemon_log.c
@@ -1,9 +1,12 @@
 #include "daemon_log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
@@ -55,10 +58,59 @@
 	return line;
 }
 
+/* Bounded output to standard output; lines_per_s 0: not in use. */
+static struct {
+	int lines_per_s;
+	time_t second; /* that "lines" counts */
+	int lines;
+	unsigned long long left_out;
+} bounded;
+
+static bool
+take_budget(void)
+{
+	time_t now = time(NULL);
+
+	if (now != bounded.second) {
+		bounded.second = now;
+		bounded.lines = 0;
+	}
+	if (bounded.lines >= bounded.lines_per_s) {
+		bounded.left_out++;
+		return false;
+	}
+	bounded.lines++;
+	return true;
+}
+
+static int
+write_bounded(const char *line)
+{
+	char out[LINE_BYTES + 256];
+	size_t len = strlen(line);
+	int n;
+
+	if (!take_budget())
+		return 0;
+	n = bounded.left_out > 0
+	    ? snprintf(out, sizeof(out), "%.*s left_out=%llu\n",
+		  (int)(len > 0 ? len - 1 : 0), line, bounded.left_out)
+	    : snprintf(out, sizeof(out), "%s", line);
+	if (n >= (int)sizeof(out))
+		n = (int)sizeof(out) - 1;
+	if (write(STDOUT_FILENO, out, (size_t)n) == n)
+		bounded.left_out = 0;
+	else
+		bounded.left_out++;
+	return 0;
+}
+
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *ev)
 {
 	(void)appender;
+	if (bounded.lines_per_s > 0)
+		return write_bounded(ev->evt_rendered_msg);
 	return fputs(ev->evt_rendered_msg, stderr);
 }
 
@@ -102,6 +154,16 @@
 	log4c_category_set_priority(category, level_priority(level));
 }
 
+void
+daemon_log_to_stdout(int lines_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags != -1)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	bounded.lines_per_s = lines_per_s;
+}
+
 void
 daemon_log_close(void)
 {
--- a/src/shell/http_listener.c
+++ b/src/shell/http_listener.c
@@ -168,6 +168,9 @@
 	info.listen_accept_role = "raw-skt";
 	info.listen_accept_protocol = o->name;
 	info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND |
+	    /* a numeric IPv4 address gets an IPv4 socket */
+	    (strchr(o->addr, ':') == NULL ? LWS_SERVER_OPTION_DISABLE_IPV6
+					  : 0) |
 	    LWS_SERVER_OPTION_FALLBACK_TO_APPLY_LISTEN_ACCEPT_CONFIG;
 	l->vhost = lws_create_vhost(o->context, &info);
 	if (l->vhost == NULL)
