pool: nothing starts before its order is stored; the next owner knows the workers

(1) An owner cut from the store started tasks of a job that was never stored; the caller handed it in again at the next owner. (2) Entries of workers behind a cut zone had lapsed, so a new owner counted all listed workers as heard and started again what ran on those behind the cut. Ruled out: lost progress records (the records of the job were never written). Change: a job's tasks wait for its order's write; the list of workers lies in the pool's topic, a worker gets tasks only once it is recorded there, and an owner waits for all recorded workers or for the end of their leases. A job that is known is acknowledged even while the store takes no writes.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -108,7 +108,7 @@
 	unsigned done_occurrences;
 	bool begun; /* a task has started */
 	bool inherited; /* accepted by an owner before this one */
-	bool order_stored; /* written, or being written */
+	uint64_t order_serial; /* write that stores the order */
 	bool dirty; /* progress differs from what was written */
 	int64_t ended_ms; /* Unix time of the final state */
 	double rank; /* scratch of the placing order */
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -14,6 +14,8 @@
 #include "wire.h"
 
 #define JOB_KEY_BYTES 24
+/* Workers that may run tasks of the pool, for the next owner. */
+#define KEY_WORKERS "workers"
 
 void job_order_key(char key[JOB_KEY_BYTES], const char *id);
 void job_progress_key(char key[JOB_KEY_BYTES], const char *id);
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -61,6 +61,7 @@
 
 	if (serial > p->written)
 		p->written = serial;
+	p->place_due = true;
 	while ((a = STAILQ_FIRST(&p->pending)) != NULL &&
 	    a->serial <= p->written) {
 		STAILQ_REMOVE_HEAD(&p->pending, entries);
@@ -148,6 +149,7 @@
 		pool_place(p);
 	}
 	pool_flush_jobs(p);
+	pool_record_workers(p);
 	pool_hold_due(p);
 	if (ev->kind == POOL_TICK)
 		pool_forget_old(p);
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -96,6 +96,7 @@
 			char id[JOB_ID_BYTES];
 			const struct queue_terms *terms;
 			struct order *order;
+			int refuse_ms; /* new jobs cannot be stored now: told */
 		} submit;
 		struct {
 			uint64_t token;
@@ -206,6 +207,9 @@
  */
 int pool_load(struct pool *p, const char *id, const struct order_record *r,
     struct order *order, const struct buf *progress, struct err *e);
+/* Workers that an earlier term may have ordered tasks to (KEY_WORKERS). */
+int pool_load_workers(
+    struct pool *p, const void *data, size_t len, struct err *e);
 void pool_step(
     struct pool *p, const struct pool_event *ev, struct pool_effects *fx);
 /* Monotonic time at which a POOL_TICK is due. */
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -105,10 +105,10 @@
 
 	p->stats.refused++;
 	fx_log(p, LOG_LEVEL_INFO,
-	    "msg=\"job refused: backlog\" job=%s queue=%s active=%zu "
+	    "msg=\"job refused\" why=%s job=%s queue=%s active=%zu "
 	    "retry_ms=%d",
-	    ev->u.submit.id, ev->u.submit.terms->name, p->active_count,
-	    retry_ms);
+	    ev->u.submit.refuse_ms > 0 ? "store" : "backlog", ev->u.submit.id,
+	    ev->u.submit.terms->name, p->active_count, retry_ms);
 	fx_answer(p, ev->u.submit.token, POOL_OVERLOADED);
 	x = &p->fx->list[p->fx->count - 1];
 	x->u.answer.retry_ms = retry_ms;
@@ -132,7 +132,7 @@
 		abort(); /* it is about to be acknowledged */
 	job_order_key(key, j->id);
 	fx_write(p, key, value);
-	j->order_stored = true;
+	j->order_serial = p->serial;
 }
 
 void
@@ -143,10 +143,11 @@
 
 	if (j != NULL) { /* handed in again: it stays one job */
 		answer_when_written(
-		    p, ev->u.submit.token, POOL_ACCEPTED, p->serial);
+		    p, ev->u.submit.token, POOL_ACCEPTED, j->order_serial);
 		return;
 	}
-	retry_ms = refusal_ms(p, ev);
+	retry_ms = ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
+					      : refusal_ms(p, ev);
 	j = retry_ms > 0 ? NULL
 			 : job_new(ev->u.submit.id, ev->u.submit.terms,
 			       ev->u.submit.order, p->now_ms);
@@ -340,7 +341,6 @@
 		return -1;
 	}
 	j->inherited = true;
-	j->order_stored = true;
 	j->begun = j->state != JOB_QUEUED;
 	HASH_ADD_STR(p->jobs, id, j);
 	if (job_final(j)) {
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -117,7 +117,9 @@
 	if (list == NULL)
 		return NULL;
 	TAILQ_FOREACH(j, &p->active, entries) {
-		if (job_final(j) || (j->inherited && !pool_settled(p)))
+		/* nothing runs of a job that could still be lost */
+		if (job_final(j) || j->order_serial > p->written ||
+		    (j->inherited && !pool_settled(p)))
 			continue;
 		LIST_FOREACH(o, &j->occurrences, entries) {
 			if (n < room && occurrence_open(o))
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -13,7 +13,8 @@
 	struct worker_report report;
 	bool listed; /* its entry is in the store */
 	bool held; /* has seen this term's fence */
-	bool reborn_stops; /* a new life has orders of an old one to bar */
+	bool recorded; /* a next owner will know of it … */
+	uint64_t record_serial; /* … once this is written */
 	int64_t clock_us; /* when report.clock_ms was observed */
 	int64_t lease_end_ms; /* latest that was sent, on its clock */
 	int64_t heard_us;
@@ -60,6 +61,7 @@
 	TAILQ_HEAD(job_list, job) active, finished;
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
+	bool workers_changed; /* since they were recorded */
 	struct learned *learned; /* by queue */
 	uint64_t serial; /* newest write */
 	uint64_t written; /* newest that is stored */
@@ -90,6 +92,8 @@
 int64_t worker_clock_ms(const struct placed_worker *w, int64_t now_us);
 bool worker_lease_over(const struct placed_worker *w, int64_t now_us);
 bool worker_usable(const struct pool *p, const struct placed_worker *w);
+/* Writes the list of workers where it has changed. */
+void pool_record_workers(struct pool *p);
 /* All tasks of earlier terms are known or have ended. */
 bool pool_settled(const struct pool *p);
 
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -4,11 +4,13 @@
 #include <string.h>
 
 #include "pool_state.h"
+#include "wire.h"
 
 #define HOLD_WAIT_BUSY_MS 1000 /* a hold waits so long for an end … */
 #define HOLD_WAIT_FILLS_MS 400 /* … where tails are watched … */
-#define HOLD_WAIT_IDLE_MS 2000 /* … and where nothing runs: the most allowed \
-				*/
+#define HOLD_WAIT_IDLE_MS                                    \
+	2000 /* … and where nothing runs: the most allowed \
+	      */
 #define HOLD_RETRY_MS 100 /* after a hold without an answer */
 #define HOLD_RETRY_MAX_MS 1000
 #define HOLD_UNACKED_MS 250 /* between holds that would end at once */
@@ -42,8 +44,9 @@
 bool
 worker_usable(const struct pool *p, const struct placed_worker *w)
 {
-	return w->listed && w->held && !w->report.draining &&
-	    w->misses < SILENT_MISSES && p->now_us >= w->shunned_until_us;
+	return w->listed && w->held && !w->report.draining && w->recorded &&
+	    w->record_serial <= p->written && w->misses < SILENT_MISSES &&
+	    p->now_us >= w->shunned_until_us;
 }
 
 bool
@@ -54,7 +57,7 @@
 	if (p->now_us >= p->settle_until_us)
 		return true;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!w->held && w->listed)
+		if (!w->held)
 			return false;
 	}
 	return p->workers != NULL;
@@ -65,6 +68,7 @@
 {
 	HASH_DEL(p->workers, w);
 	free(w);
+	p->workers_changed = true;
 }
 
 void
@@ -128,6 +132,7 @@
 	w->hold_due_us = p->now_us;
 	TAILQ_INIT(&w->tasks);
 	HASH_ADD(hh, p->workers, report.id, strlen(w->report.id), w);
+	p->workers_changed = true;
 	return w;
 }
 
@@ -260,7 +265,8 @@
 	HASH_ITER(hh, p->workers, w, next)
 	{
 		worker_check_lease(p, w);
-		if (!w->listed && w->task_count == 0 && !w->hold_out) {
+		if (!w->listed && w->task_count == 0 && !w->hold_out &&
+		    (w->held || p->now_us >= p->settle_until_us)) {
 			worker_free(p, w);
 			continue;
 		}
@@ -447,3 +453,61 @@
 	else
 		hold_failed(p, w, ev->u.held.end);
 }
+
+#define WORKER_FIELDS 4 /* id, birth, address, port */
+
+void
+pool_record_workers(struct pool *p)
+{
+	struct placed_worker *w;
+	struct wire_writer out;
+
+	if (!p->workers_changed)
+		return;
+	p->workers_changed = false;
+	wire_writer_init(&out);
+	wire_map(&out, 1);
+	wire_array(&out, "w", HASH_COUNT(p->workers));
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		wire_map(&out, WORKER_FIELDS);
+		wire_str(&out, "id", w->report.id);
+		wire_i64(&out, "born", w->report.born_ms);
+		wire_str(&out, "addr", w->report.addr);
+		wire_u64(&out, "port", (uint64_t)w->report.port);
+	}
+	fx_write(p, KEY_WORKERS, wire_writer_take(&out));
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!w->recorded)
+			w->record_serial = p->serial;
+		w->recorded = true;
+	}
+}
+
+int
+pool_load_workers(struct pool *p, const void *data, size_t len, struct err *e)
+{
+	const msgpack_object_array *list;
+	struct worker_report r;
+	struct wire_reader in;
+	uint64_t port;
+	uint32_t i;
+
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	p->now_us = p->opts.now_us;
+	if (!wire_get_array(in.root, "w", &list))
+		list = NULL;
+	for (i = 0; list != NULL && i < list->size; i++) {
+		memset(&r, 0, sizeof(r));
+		if (!wire_get_str(&list->ptr[i], "id", r.id, sizeof(r.id)) ||
+		    !wire_get_i64(&list->ptr[i], "born", &r.born_ms) ||
+		    !wire_get_str(
+			&list->ptr[i], "addr", r.addr, sizeof(r.addr)) ||
+		    !wire_get_u64(&list->ptr[i], "port", &port))
+			continue;
+		r.port = (int)port;
+		worker_new(p, &r);
+	}
+	wire_reader_uninit(&in);
+	return 0;
+}
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -12,8 +12,9 @@
 #define TOPIC_PREFIX "keyed.jobs."
 #define PRODUCER "owner" /* one name: epochs of all writers compare */
 #define READ_KB 1024 /* most of one read */
-#define OFFSETS_BYTES 16 /* end and first offset in front of a read's records \
-			  */
+#define OFFSETS_BYTES                                           \
+	16 /* end and first offset in front of a read's records \
+	    */
 
 void
 store_call_uninit(struct store_call *c)
--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -11,8 +11,9 @@
 #include "shards.h"
 
 #define BODY_MAX (256 * 1024) /* bytes of a job */
-#define CONNECTIONS_MAX 1500 /* of callers; the rest is for calls of our own \
-			      */
+#define CONNECTIONS_MAX                                      \
+	1500 /* of callers; the rest is for calls of our own \
+	      */
 #define BUDGET_MS 2500 /* for an answer, where a caller does not say */
 #define BUDGET_SPARE_MS 250 /* of a caller's time, for the way back */
 #define RETRY_MS 60 /* after an owner that had not taken it */
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -29,6 +29,8 @@
 struct takeover {
 	struct shard *shard;
 	struct stored_job *jobs;
+	struct buf *workers; /* of earlier terms; NULL none */
+	int64_t workers_offset;
 	int64_t term; /* epoch of the newest term read */
 	int64_t term_offset;
 	int64_t next; /* offset to read from; -1: newest first */
@@ -68,6 +70,7 @@
 		return;
 	lws_sul_cancel(&t->due);
 	store_op_cancel(t->op);
+	buf_unref(t->workers);
 	HASH_ITER(hh, t->jobs, j, next)
 	{
 		HASH_DEL(t->jobs, j);
@@ -133,6 +136,10 @@
 		take_term(t, r);
 		return;
 	}
+	if (strcmp(r->key, KEY_WORKERS) == 0) {
+		keep_newest(&t->workers, &t->workers_offset, r);
+		return;
+	}
 	if (!job_key_id(r->key, id, &progress)) {
 		daemon_log(LOG_LEVEL_WARN, "takeover",
 		    "msg=\"record of no known kind: passed over\" pool=%s "
@@ -353,6 +360,7 @@
 {
 	struct shard *sh = t->shard;
 	struct stored_job *j;
+	struct err e;
 
 	if (!watch_workers_known(sh->scheduler->watch))
 		return; /* takeover_go_on() follows */
@@ -363,6 +371,13 @@
 	}
 	for (j = t->jobs; j != NULL; j = j->hh.next)
 		load_job(t, j, sh->pool);
+	if (t->workers != NULL &&
+	    pool_load_workers(
+		sh->pool, t->workers->data, t->workers->len, &e) == -1)
+		daemon_log(LOG_LEVEL_ERROR, "takeover",
+		    "msg=\"list of workers cannot be read\" pool=%s "
+		    "error=\"%s\"",
+		    sh->pool_name, e.message);
 	daemon_log(LOG_LEVEL_INFO, "takeover",
 	    "msg=\"pool taken over\" pool=%s fence=%lld jobs=%u end=%lld "
 	    "took_ms=%lld",
@@ -414,7 +429,7 @@
 	t->shard = sh;
 	t->next = -1;
 	t->first_page = true;
-	t->term_offset = -1;
+	t->term_offset = t->workers_offset = -1;
 	sh->takeover = t;
 	takeover_schedule(t, 0);
 	return 0;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -398,22 +398,6 @@
 	reply(arg, &r);
 }
 
-/* While the store takes no writes a job could not be kept: told at once. */
-static bool
-refuse_unstorable(struct shard *sh, job_reply_fn *reply, void *arg)
-{
-	struct job_reply r = {
-	    .kind = REPLY_ANSWER,
-	    .answer = POOL_OVERLOADED,
-	    .retry_ms = STORE_RETRY_MS,
-	};
-
-	if (store_writer_stuck_ms(sh->writer) < STORE_STUCK_MS)
-		return false;
-	reply(arg, &r);
-	return true;
-}
-
 static void
 submit(struct shard *sh, const struct job_request *r, uint64_t token)
 {
@@ -436,6 +420,8 @@
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", r->id);
 	ev.u.submit.terms = &r->terms;
 	ev.u.submit.order = order;
+	if (store_writer_stuck_ms(sh->writer) >= STORE_STUCK_MS)
+		ev.u.submit.refuse_ms = STORE_RETRY_MS;
 	shard_event(sh, &ev);
 	order_unref(order);
 }
@@ -477,8 +463,6 @@
 		reply_kind(reply, arg, REPLY_NOT_TAKEN);
 		return;
 	}
-	if (r->op == JOB_SUBMIT && refuse_unstorable(sh, reply, arg))
-		return;
 	t = calloc(1, sizeof(*t));
 	if (t == NULL) {
 		reply_kind(reply, arg, REPLY_NOT_TAKEN);
--- a/src/scheduler/store_client.c
+++ b/src/scheduler/store_client.c
@@ -5,7 +5,7 @@
 
 #define STORE_ANSWER_MAX (4 * 1024 * 1024) /* bytes: a page and its base64 */
 #define APPEND_TIMEOUT_MS 1500 /* the store may be some 50 times slower */
-#define APPEND_GATHER_US (6 * US_PER_MS) /* about one append's own time */
+#define APPEND_GATHER_US (2 * US_PER_MS) /* half of one append's own time */
 #define APPEND_RETRY_MS 100
 #define APPEND_MAX_BYTES (1024 * 1024) /* of records, in one append */
 
