--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	-fno-sanitize-recover=undefined
 endif
 
-INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/platform \
+INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/fleet -Isrc/platform \
 	-Isrc/scheduler
 CPPFLAGS = -D_GNU_SOURCE $(INCLUDES)
 WARN = -Wall -Wextra -Wshadow -Wmissing-prototypes -Wpointer-arith
@@ -23,7 +23,7 @@
 CORE_LIBS = -ljson-c -lmsgpackc -lxxhash
 SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
-core_src := $(wildcard src/core/*.c src/jobs/*.c)
+core_src := $(wildcard src/core/*.c src/jobs/*.c src/fleet/*.c)
 shell_src := $(wildcard src/shell/*.c src/platform/*.c src/scheduler/*.c)
 cli_src := $(wildcard src/cli/*.c)
 standin_src := $(wildcard standin/*.c)
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,425 @@
+#include "fleet.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_state.h"
+
+#define REPORT_FRESH_MS 600 /* a report may be so old to act on it */
+#define LIST_EVERY_MS 4000 /* read the list of machines at least … */
+#define LIST_BUSY_MS 500 /* … and while machines are away */
+#define LIST_TIMEOUT_MS 1500
+#define CORDON_GIVE_UP_MS 2500 /* a worker to be moved that gets not idle */
+#define BUSY_RETRY_MS 400
+#define AWAY_MAX_MS 15000 /* a machine that is not seen again: forgotten */
+
+struct fleet_effect *
+fleet_fx(struct fleet *f, enum fleet_effect_kind kind)
+{
+	struct fleet_effects *fx = f->fx;
+	struct fleet_effect *x;
+
+	if (fx->count == fx->room) {
+		fx->room = fx->room > 0 ? fx->room * 2 : 16;
+		fx->list = realloc(fx->list, fx->room * sizeof(*fx->list));
+		if (fx->list == NULL)
+			abort(); /* an order must not be dropped */
+	}
+	x = &fx->list[fx->count++];
+	memset(x, 0, sizeof(*x));
+	x->kind = kind;
+	return x;
+}
+
+void
+fleet_effects_uninit(struct fleet_effects *fx)
+{
+	free(fx->list);
+	memset(fx, 0, sizeof(*fx));
+}
+
+void
+fleet_log(struct fleet *f, const char *fmt, ...)
+{
+	struct fleet_effect *x = fleet_fx(f, FLEET_LOG);
+	va_list ap;
+
+	x->level = LOG_LEVEL_INFO;
+	va_start(ap, fmt);
+	vsnprintf(x->line, sizeof(x->line), fmt, ap);
+	va_end(ap);
+}
+
+struct fleet *
+fleet_new(const struct fleet_opts *opts)
+{
+	struct fleet *f;
+
+	f = calloc(1, sizeof(*f));
+	if (f == NULL)
+		return NULL;
+	f->opts = *opts;
+	LIST_INIT(&f->waves);
+	return f;
+}
+
+void
+fleet_free(struct fleet *f)
+{
+	struct machine *m, *next;
+
+	if (f == NULL)
+		return;
+	HASH_ITER(hh, f->machines, m, next)
+	{
+		HASH_DEL(f->machines, m);
+		free(m);
+	}
+	fleet_waves_free(f);
+	free(f);
+}
+
+struct fleet_pool *
+fleet_find_pool(struct fleet *f, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < f->pool_count; i++) {
+		if (strcmp(f->pools[i].name, name) == 0)
+			return &f->pools[i];
+	}
+	return NULL;
+}
+
+struct machine *
+fleet_find_machine(struct fleet *f, const char *name)
+{
+	struct machine *m;
+
+	HASH_FIND_STR(f->machines, name, m);
+	return m;
+}
+
+static bool
+report_fresh(const struct fleet *f, const struct machine *m)
+{
+	return m->told_us != 0 &&
+	    f->now_us - m->told_us < REPORT_FRESH_MS * US_PER_MS;
+}
+
+/* A machine of a spare pool is off; elsewhere its worker is to come. */
+static bool
+machine_off(const struct fleet *f, const struct machine *m)
+{
+	size_t i;
+
+	for (i = 0; i < f->pool_count; i++) {
+		if (strcmp(f->pools[i].name, m->report.pool) == 0)
+			return f->pools[i].spare;
+	}
+	return false;
+}
+
+bool
+machine_idle(const struct fleet *f, const struct machine *m)
+{
+	return machine_off(f, m) || (report_fresh(f, m) && m->tasks == 0);
+}
+
+bool
+machine_empty(const struct fleet *f, const struct machine *m)
+{
+	return machine_off(f, m) ||
+	    (report_fresh(f, m) && m->tasks == 0 && m->cordoned);
+}
+
+void
+machine_set_phase(struct fleet *f, struct machine *m, enum order_phase phase)
+{
+	m->phase = phase;
+	m->since_us = f->now_us;
+}
+
+void
+machine_set_order(struct fleet *f, struct machine *m, enum machine_order order)
+{
+	m->order = order;
+	m->cordoned = false; /* what was said before is of no use */
+	machine_set_phase(f, m, PHASE_CORDON);
+}
+
+void
+machine_drop_order(struct machine *m)
+{
+	m->order = ORDER_NONE;
+	m->to_pool[0] = '\0';
+	m->cordoned = false;
+}
+
+/* A machine that is seen up again after its order has been carried out. */
+static void
+check_away(struct fleet *f, struct machine *m)
+{
+	/* at the time that the list was asked for */
+	int64_t away_ms = (f->list_us - m->since_us) / US_PER_MS;
+	int took_ms =
+	    m->order == ORDER_UPKEEP ? f->opts.upkeep_ms : f->opts.move_ms;
+
+	if (m->order == ORDER_NONE || m->phase != PHASE_AWAY)
+		return;
+	if ((m->report.state == MACHINE_UP && away_ms > took_ms) ||
+	    away_ms > AWAY_MAX_MS)
+		machine_drop_order(m);
+}
+
+static void
+take_machine(struct fleet *f, const struct machine_report *r)
+{
+	struct machine *m = fleet_find_machine(f, r->machine);
+
+	if (m == NULL) {
+		m = calloc(1, sizeof(*m));
+		if (m == NULL)
+			return; /* the next list tries again */
+		m->report = *r;
+		HASH_ADD(hh, f->machines, report.machine,
+		    strlen(m->report.machine), m);
+	}
+	if (strcmp(m->report.worker, r->worker) != 0) {
+		m->told_us = 0;
+		m->tasks = 0;
+		m->cordoned = false;
+	}
+	m->report = *r;
+	m->round = f->round;
+	check_away(f, m);
+}
+
+static void
+take_machines(struct fleet *f, const struct fleet_event *ev)
+{
+	struct machine *m, *next;
+	size_t i;
+
+	f->listing = false;
+	if (ev->u.machines.list == NULL)
+		return;
+	f->round++;
+	f->listed = true;
+	for (i = 0; i < ev->u.machines.count; i++)
+		take_machine(f, &ev->u.machines.list[i]);
+	HASH_ITER(hh, f->machines, m, next)
+	{
+		if (m->round == f->round)
+			continue;
+		fleet_log(f, "msg=\"machine is gone\" machine=%s pool=%s",
+		    m->report.machine, m->report.pool);
+		HASH_DEL(f->machines, m);
+		free(m);
+	}
+}
+
+static void
+take_pool(struct fleet *f, const struct fleet_event *ev)
+{
+	struct fleet_pool *p = fleet_find_pool(f, ev->u.pool.name);
+
+	if (p == NULL && f->pool_count < FLEET_POOLS_MAX) {
+		p = &f->pools[f->pool_count++];
+		memset(p, 0, sizeof(*p));
+		snprintf(p->name, sizeof(p->name), "%s", ev->u.pool.name);
+	}
+	if (p != NULL)
+		p->spare = ev->u.pool.spare;
+}
+
+static struct machine *
+machine_of_worker(struct fleet *f, const char *worker)
+{
+	struct machine *m;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if (strcmp(m->report.worker, worker) == 0)
+			return m;
+	}
+	return NULL;
+}
+
+static void
+take_report(struct fleet *f, const struct pool_report *r)
+{
+	struct fleet_pool *p = fleet_find_pool(f, r->pool);
+	struct machine *m;
+	size_t i;
+
+	if (p == NULL)
+		return;
+	p->wanted_cpu = r->wanted_cpu;
+	p->floor = r->floor;
+	p->told_us = f->now_us;
+	for (i = 0; i < r->worker_count; i++) {
+		m = machine_of_worker(f, r->workers[i].worker);
+		if (m == NULL) {
+			f->list_us = 0; /* a worker of late: look at once */
+			continue;
+		}
+		m->tasks = r->workers[i].tasks;
+		m->cordoned = r->workers[i].cordoned;
+		m->told_us = f->now_us;
+	}
+}
+
+static void
+take_call_end(struct fleet *f, const struct fleet_event *ev)
+{
+	struct machine *m = fleet_find_machine(f, ev->u.call.machine);
+
+	if (m == NULL || m->order == ORDER_NONE || m->phase != PHASE_CALL)
+		return;
+	m->retry_us = f->now_us + BUSY_RETRY_MS * US_PER_MS;
+	switch (ev->u.call.end) {
+	case FLEET_DONE:
+		fleet_log(f,
+		    "msg=\"machine %s\" machine=%s pool=%s to=%s wave=%lld",
+		    m->order == ORDER_UPKEEP ? "is in upkeep" : "moves",
+		    m->report.machine, m->report.pool, m->to_pool,
+		    (long long)m->wave);
+		if (m->order == ORDER_UPKEEP)
+			fleet_upkeep_begun(f, m);
+		machine_set_phase(f, m, PHASE_AWAY);
+		break;
+	case FLEET_NEVER:
+		fleet_log(f,
+		    "msg=\"platform refuses for good\" machine=%s "
+		    "wave=%lld",
+		    m->report.machine, (long long)m->wave);
+		if (m->order == ORDER_UPKEEP)
+			fleet_upkeep_begun(f, m);
+		machine_drop_order(m);
+		break;
+	case FLEET_BUSY:
+	case FLEET_FENCED:
+	case FLEET_UNKNOWN: /* the same again: done twice is done once */
+		machine_set_phase(f, m, PHASE_CORDON);
+		break;
+	}
+}
+
+static void
+send_call(struct fleet *f, struct machine *m)
+{
+	struct fleet_effect *x;
+
+	x = fleet_fx(f, m->order == ORDER_MOVE ? FLEET_MOVE : FLEET_UPKEEP);
+	snprintf(x->machine, sizeof(x->machine), "%s", m->report.machine);
+	snprintf(x->pool, sizeof(x->pool), "%s", m->to_pool);
+	x->wave = m->wave;
+	machine_set_phase(f, m, PHASE_CALL);
+}
+
+static void
+run_orders(struct fleet *f)
+{
+	struct machine *m;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if (m->order == ORDER_NONE || m->phase != PHASE_CORDON)
+			continue;
+		if (m->order == ORDER_MOVE &&
+		    f->now_us - m->since_us > CORDON_GIVE_UP_MS * US_PER_MS) {
+			machine_drop_order(m);
+			continue;
+		}
+		if (f->now_us >= m->retry_us && m->report.state == MACHINE_UP &&
+		    machine_empty(f, m))
+			send_call(f, m);
+	}
+}
+
+static void
+list_due(struct fleet *f)
+{
+	const struct machine *m;
+	int64_t every_ms = LIST_EVERY_MS;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if ((m->order != ORDER_NONE && m->phase == PHASE_AWAY) ||
+		    m->report.state != MACHINE_UP)
+			every_ms = LIST_BUSY_MS;
+	}
+	if (f->listing && f->now_us - f->list_us < LIST_TIMEOUT_MS * US_PER_MS)
+		return;
+	if (f->listed && f->list_us != 0 &&
+	    f->now_us - f->list_us < every_ms * US_PER_MS)
+		return;
+	f->listing = true;
+	f->list_us = f->now_us;
+	fleet_fx(f, FLEET_LIST);
+}
+
+void
+fleet_step(
+    struct fleet *f, const struct fleet_event *ev, struct fleet_effects *fx)
+{
+	f->now_us = ev->now_us;
+	f->fx = fx;
+	switch (ev->kind) {
+	case FLEET_TICK:
+		break;
+	case FLEET_MACHINES:
+		take_machines(f, ev);
+		break;
+	case FLEET_POOL:
+		take_pool(f, ev);
+		break;
+	case FLEET_REPORT:
+		take_report(f, ev->u.report);
+		break;
+	case FLEET_WAVE:
+		fleet_take_wave(f, ev);
+		break;
+	case FLEET_WAVE_KNOWN:
+		fleet_take_known(f, ev);
+		break;
+	case FLEET_CALL_END:
+		take_call_end(f, ev);
+		break;
+	}
+	if (ev->kind != FLEET_TICK)
+		return;
+	list_due(f);
+	if (!f->listed ||
+	    f->now_us - f->opts.now_us < f->opts.quiet_ms * US_PER_MS)
+		return;
+	fleet_run_waves(f);
+	fleet_run_moves(f);
+	run_orders(f);
+}
+
+void
+fleet_cordons(const struct fleet *f, const char *pool,
+    void (*each)(void *arg, const char *worker, bool empty), void *arg)
+{
+	const struct machine *m;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if (m->order != ORDER_NONE && m->phase != PHASE_AWAY &&
+		    m->report.worker[0] != '\0' &&
+		    strcmp(m->report.pool, pool) == 0)
+			each(arg, m->report.worker, m->order == ORDER_UPKEEP);
+	}
+}
+
+size_t
+fleet_pool_count(const struct fleet *f)
+{
+	return f->pool_count;
+}
+
+const char *
+fleet_pool_name(const struct fleet *f, size_t i)
+{
+	return f->pools[i].name;
+}
--- /dev/null
+++ b/src/fleet/fleet_moves.c
@@ -0,0 +1,198 @@
+/*
+ * Moves of machines between pools.  Answers demand that comes by turns: a
+ * pool grows at once, from the spare pool and from pools that need less, and
+ * gives machines back to the spare pool when it has needed them no more for
+ * longer than two moves cost.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_state.h"
+
+#define REPORT_FRESH_MS 1500 /* a need older than this moves nothing */
+#define PEAK_MS 3000 /* a need counts so long after it was seen */
+#define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
+#define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
+#define MOVES_AT_ONCE 24
+
+static bool
+pool_fresh(const struct fleet *f, const struct fleet_pool *p)
+{
+	return p->told_us != 0 &&
+	    f->now_us - p->told_us < REPORT_FRESH_MS * US_PER_MS;
+}
+
+/* Thousandths of a core of a typical machine; 0 where none is known. */
+static int64_t
+machine_cpu(const struct fleet *f)
+{
+	const struct machine *m;
+	int64_t sum = 0, n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		sum += m->report.cpu;
+		n++;
+	}
+	return n > 0 ? sum / n : 0;
+}
+
+static void
+update_need(struct fleet *f, struct fleet_pool *p, int64_t cpu)
+{
+	size_t need;
+
+	if (!pool_fresh(f, p) || cpu <= 0)
+		return;
+	need = (size_t)((double)p->wanted_cpu * HEADROOM / (double)cpu + 0.99);
+	if (need < p->floor)
+		need = p->floor;
+	if (need < POOL_MIN)
+		need = POOL_MIN;
+	p->need = need;
+	if (need >= p->peak || f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
+		p->peak = need;
+		p->peak_us = f->now_us;
+	}
+}
+
+/* Machines a pool has or is about to have. */
+static size_t
+pool_have(const struct fleet *f, const struct fleet_pool *p)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if (m->order == ORDER_MOVE)
+			n += strcmp(m->to_pool, p->name) == 0;
+		else
+			n += strcmp(m->report.pool, p->name) == 0 &&
+			    m->report.state != MACHINE_DOWN;
+	}
+	return n;
+}
+
+static size_t
+moves_under_way(const struct fleet *f)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next)
+		n += m->order == ORDER_MOVE;
+	return n;
+}
+
+static bool
+may_move(const struct fleet *f, const struct machine *m)
+{
+	return m->order == ORDER_NONE && m->report.state == MACHINE_UP &&
+	    f->now_us >= m->retry_us && machine_idle(f, m);
+}
+
+static void
+begin_move(struct fleet *f, struct machine *m, const struct fleet_pool *to)
+{
+	machine_set_order(f, m, ORDER_MOVE);
+	snprintf(m->to_pool, sizeof(m->to_pool), "%s", to->name);
+	fleet_log(f,
+	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
+	    "peak=%zu wanted_cpu=%lld report_age_ms=%lld",
+	    m->report.machine, m->report.pool, to->name, to->need, to->peak,
+	    (long long)to->wanted_cpu,
+	    (long long)((f->now_us - to->told_us) / US_PER_MS));
+}
+
+/* A machine of the spare pool, or one that its pool does not need. */
+static struct machine *
+find_source(struct fleet *f, const struct fleet_pool *to)
+{
+	struct machine *m, *best = NULL;
+	struct fleet_pool *from;
+	bool spare, best_spare = false;
+
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		from = fleet_find_pool(f, m->report.pool);
+		if (from == NULL || from == to || !may_move(f, m))
+			continue;
+		spare = from->spare;
+		if (!spare &&
+		    (!pool_fresh(f, from) || pool_have(f, from) <= from->peak))
+			continue;
+		if (best == NULL || (spare && !best_spare)) {
+			best = m;
+			best_spare = spare;
+		}
+	}
+	return best;
+}
+
+static void
+grow(struct fleet *f)
+{
+	struct fleet_pool *p, *worst;
+	size_t i, have, lacks, most;
+	struct machine *m;
+
+	while (moves_under_way(f) < MOVES_AT_ONCE) {
+		worst = NULL;
+		most = 0;
+		for (i = 0; i < f->pool_count; i++) {
+			p = &f->pools[i];
+			if (p->spare || !pool_fresh(f, p))
+				continue;
+			have = pool_have(f, p);
+			lacks = p->need > have ? p->need - have : 0;
+			if (lacks > most) {
+				most = lacks;
+				worst = p;
+			}
+		}
+		m = worst != NULL ? find_source(f, worst) : NULL;
+		if (m == NULL)
+			return;
+		begin_move(f, m, worst);
+	}
+}
+
+static struct fleet_pool *
+spare_pool(struct fleet *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->pool_count; i++) {
+		if (f->pools[i].spare)
+			return &f->pools[i];
+	}
+	return NULL;
+}
+
+static void
+shrink(struct fleet *f)
+{
+	struct fleet_pool *spare = spare_pool(f), *from;
+	struct machine *m;
+
+	if (spare == NULL)
+		return;
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		from = fleet_find_pool(f, m->report.pool);
+		if (from == NULL || from->spare || !pool_fresh(f, from) ||
+		    !may_move(f, m) || pool_have(f, from) <= from->peak ||
+		    moves_under_way(f) >= MOVES_AT_ONCE)
+			continue;
+		begin_move(f, m, spare);
+	}
+}
+
+void
+fleet_run_moves(struct fleet *f)
+{
+	int64_t cpu = machine_cpu(f);
+	size_t i;
+
+	for (i = 0; i < f->pool_count; i++)
+		update_need(f, &f->pools[i], cpu);
+	grow(f);
+	shrink(f);
+}
--- /dev/null
+++ b/src/fleet/fleet_state.h
@@ -0,0 +1,107 @@
+/* What the files of the fleet's reducer share; for fleet*.c only. */
+#ifndef FLEET_STATE_H
+#define FLEET_STATE_H
+
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#include "fleet.h"
+
+#define FLEET_POOLS_MAX 128
+
+enum machine_order {
+	ORDER_NONE,
+	ORDER_MOVE,
+	ORDER_UPKEEP
+};
+
+enum order_phase {
+	PHASE_CORDON, /* waits until its worker runs nothing */
+	PHASE_CALL, /* the platform is being told */
+	PHASE_AWAY /* told: until the list shows it up again */
+};
+
+struct machine {
+	struct machine_report report;
+	uint64_t round; /* of the list it was seen in last */
+	enum machine_order order;
+	enum order_phase phase;
+	char to_pool[NAME_BYTES]; /* ORDER_MOVE */
+	int64_t wave; /* ORDER_UPKEEP */
+	int64_t since_us; /* of the phase */
+	int64_t retry_us; /* no call earlier */
+	size_t tasks; /* of its worker, as its owner said … */
+	bool cordoned;
+	int64_t told_us; /* … then; 0 never */
+	UT_hash_handle hh; /* by machine */
+};
+
+struct wave_machine {
+	char machine[NAME_BYTES];
+	bool begun; /* its upkeep */
+};
+
+struct wave {
+	int64_t number;
+	struct wave_machine *list;
+	size_t count;
+	int cap;
+	int64_t until_us; /* to be completed */
+	bool told_running;
+	bool completed;
+	LIST_ENTRY(wave) entries;
+};
+
+struct fleet_pool {
+	char name[NAME_BYTES];
+	bool spare;
+	int64_t wanted_cpu;
+	size_t floor;
+	int64_t told_us; /* newest report; 0 never */
+	size_t need; /* machines, now */
+	size_t peak; /* highest need of late … */
+	int64_t peak_us; /* … seen then */
+};
+
+struct fleet {
+	struct fleet_opts opts;
+	int64_t now_us;
+	struct fleet_effects *fx;
+	struct machine *machines; /* by name */
+	uint64_t round;
+	bool listed; /* the list has been read */
+	bool listing;
+	int64_t list_us; /* when it was asked for */
+	struct fleet_pool pools[FLEET_POOLS_MAX];
+	size_t pool_count;
+	LIST_HEAD(wave_list, wave) waves;
+};
+
+struct fleet_effect *fleet_fx(struct fleet *f, enum fleet_effect_kind kind);
+void fleet_log(struct fleet *f, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+struct fleet_pool *fleet_find_pool(struct fleet *f, const char *name);
+struct machine *fleet_find_machine(struct fleet *f, const char *name);
+/* Its worker runs nothing and gets nothing, or it has none. */
+bool machine_empty(const struct fleet *f, const struct machine *m);
+/* Its worker ran nothing when its owner spoke last. */
+bool machine_idle(const struct fleet *f, const struct machine *m);
+void machine_set_order(
+    struct fleet *f, struct machine *m, enum machine_order order);
+void machine_set_phase(
+    struct fleet *f, struct machine *m, enum order_phase phase);
+void machine_drop_order(struct machine *m);
+
+/* fleet_waves.c */
+void fleet_take_wave(struct fleet *f, const struct fleet_event *ev);
+void fleet_take_known(struct fleet *f, const struct fleet_event *ev);
+void fleet_run_waves(struct fleet *f);
+void fleet_upkeep_begun(struct fleet *f, struct machine *m);
+bool fleet_in_open_wave(const struct fleet *f, const struct machine *m);
+void fleet_waves_free(struct fleet *f);
+
+/* fleet_moves.c */
+void fleet_run_moves(struct fleet *f);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_waves.c
@@ -0,0 +1,292 @@
+/* Waves of upkeep: in time, never more machines down than a wave allows. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_state.h"
+
+#define ROUND_SPARE_MS 1500 /* a machine's way to its upkeep and back */
+#define PRESSURE 1.6 /* times the rounds that are left, to begin forcing */
+#define POOL_SHARE 4 /* one in so many of a pool's machines at once */
+
+static struct wave *
+find_wave(struct fleet *f, int64_t number)
+{
+	struct wave *w;
+
+	LIST_FOREACH(w, &f->waves, entries) {
+		if (w->number == number)
+			return w;
+	}
+	return NULL;
+}
+
+static struct wave *
+wave_new(struct fleet *f, int64_t number)
+{
+	struct wave *w;
+
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		return NULL;
+	w->number = number;
+	LIST_INSERT_HEAD(&f->waves, w, entries);
+	return w;
+}
+
+static struct wave_machine *
+wave_entry(struct wave *w, const char *machine)
+{
+	size_t i;
+
+	for (i = 0; i < w->count; i++) {
+		if (strcmp(w->list[i].machine, machine) == 0)
+			return &w->list[i];
+	}
+	return NULL;
+}
+
+static struct wave_machine *
+wave_add(struct wave *w, const char *machine)
+{
+	struct wave_machine *list, *e = wave_entry(w, machine);
+
+	if (e != NULL)
+		return e;
+	list = realloc(w->list, (w->count + 1) * sizeof(*list));
+	if (list == NULL)
+		return NULL;
+	w->list = list;
+	e = &list[w->count++];
+	memset(e, 0, sizeof(*e));
+	snprintf(e->machine, sizeof(e->machine), "%s", machine);
+	return e;
+}
+
+void
+fleet_take_wave(struct fleet *f, const struct fleet_event *ev)
+{
+	struct wave *w = find_wave(f, ev->u.wave.wave);
+	size_t i;
+
+	if (w == NULL)
+		w = wave_new(f, ev->u.wave.wave);
+	if (w == NULL || w->cap > 0 || w->completed)
+		return;
+	w->cap = ev->u.wave.cap > 0 ? ev->u.wave.cap : 1;
+	w->until_us = f->now_us + ev->u.wave.within_ms * US_PER_MS;
+	for (i = 0; i < ev->u.wave.count; i++)
+		wave_add(w, ev->u.wave.machines[i]);
+	fleet_log(f,
+	    "msg=\"wave asked for\" wave=%lld machines=%zu within_ms=%d cap=%d",
+	    (long long)w->number, w->count, ev->u.wave.within_ms, w->cap);
+}
+
+/* A predecessor's records come before the operators' order, or after. */
+void
+fleet_take_known(struct fleet *f, const struct fleet_event *ev)
+{
+	struct wave *w = find_wave(f, ev->u.known.wave);
+	struct wave_machine *e;
+
+	if (w == NULL)
+		w = wave_new(f, ev->u.known.wave);
+	if (w == NULL)
+		return;
+	w->completed |= ev->u.known.completed;
+	w->told_running = true;
+	if (ev->u.known.machine == NULL)
+		return;
+	e = wave_add(w, ev->u.known.machine);
+	if (e != NULL)
+		e->begun = true;
+}
+
+void
+fleet_upkeep_begun(struct fleet *f, struct machine *m)
+{
+	struct wave *w = find_wave(f, m->wave);
+	struct wave_machine *e;
+	struct fleet_effect *x;
+
+	e = w != NULL ? wave_entry(w, m->report.machine) : NULL;
+	if (e == NULL || e->begun)
+		return;
+	e->begun = true;
+	x = fleet_fx(f, FLEET_NOTE);
+	x->wave = w->number;
+	snprintf(x->machine, sizeof(x->machine), "%s", e->machine);
+}
+
+bool
+fleet_in_open_wave(const struct fleet *f, const struct machine *m)
+{
+	struct wave_machine *e;
+	struct wave *w;
+
+	LIST_FOREACH(w, &f->waves, entries) {
+		if (w->completed || w->cap == 0)
+			continue;
+		e = wave_entry(w, m->report.machine);
+		if (e != NULL && !e->begun)
+			return true;
+	}
+	return false;
+}
+
+/* Counts what is down, may be down or is about to be. */
+static size_t
+wave_down(struct fleet *f, struct wave *w)
+{
+	struct machine *m;
+	size_t i, n = 0;
+
+	for (i = 0; i < w->count; i++) {
+		m = fleet_find_machine(f, w->list[i].machine);
+		if (m == NULL)
+			continue;
+		if (m->report.state == MACHINE_UPKEEP ||
+		    (m->order == ORDER_UPKEEP && m->wave == w->number))
+			n++;
+	}
+	return n;
+}
+
+static size_t
+pool_ordered(const struct fleet *f, const char *pool, size_t *all)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	*all = 0;
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		if (strcmp(m->report.pool, pool) != 0)
+			continue;
+		(*all)++;
+		n += m->order != ORDER_NONE || m->report.state != MACHINE_UP;
+	}
+	return n;
+}
+
+/* Rounds that are left need most of the time that is left. */
+static bool
+wave_presses(const struct fleet *f, const struct wave *w, size_t left)
+{
+	int64_t round_us = (f->opts.upkeep_ms + ROUND_SPARE_MS) * US_PER_MS;
+	size_t rounds = (left + (size_t)w->cap - 1) / (size_t)w->cap;
+
+	return (double)(w->until_us - f->now_us) <
+	    PRESSURE * (double)rounds * (double)round_us + (double)round_us;
+}
+
+/*
+ * Machines that run nothing go first, wherever they are; one that works is
+ * emptied only in a pool that has few away, sooner when time presses.
+ */
+static bool
+may_begin(struct fleet *f, struct machine *m, bool presses)
+{
+	size_t all, away;
+
+	if (m->order != ORDER_NONE || m->report.state != MACHINE_UP)
+		return false;
+	if (machine_idle(f, m))
+		return true;
+	if (m->told_us == 0) /* its pool's owner is not known to hear us */
+		return false;
+	away = pool_ordered(f, m->report.pool, &all);
+	if (presses)
+		return away < (all + 1) / 2;
+	return away < (all + POOL_SHARE - 1) / POOL_SHARE;
+}
+
+static void
+begin_upkeep(struct fleet *f, struct wave *w, struct machine *m)
+{
+	machine_set_order(f, m, ORDER_UPKEEP);
+	m->wave = w->number;
+	fleet_log(f,
+	    "msg=\"machine is emptied for its upkeep\" machine=%s pool=%s "
+	    "worker=%s tasks=%zu wave=%lld",
+	    m->report.machine, m->report.pool, m->report.worker, m->tasks,
+	    (long long)w->number);
+}
+
+static void
+tell(struct fleet *f, const struct wave *w)
+{
+	struct fleet_effect *x = fleet_fx(f, FLEET_STATUS);
+
+	x->wave = w->number;
+	x->completed = w->completed;
+}
+
+static void
+begin_some(struct fleet *f, struct wave *w, size_t left, bool idle_only)
+{
+	bool presses = wave_presses(f, w, left);
+	size_t down = wave_down(f, w), i;
+	struct machine *m;
+
+	for (i = 0; i < w->count && down < (size_t)w->cap; i++) {
+		if (w->list[i].begun)
+			continue;
+		m = fleet_find_machine(f, w->list[i].machine);
+		if (m == NULL || (idle_only && !machine_idle(f, m)) ||
+		    !may_begin(f, m, presses))
+			continue;
+		begin_upkeep(f, w, m);
+		down++;
+	}
+}
+
+static void
+run_wave(struct fleet *f, struct wave *w)
+{
+	size_t i, left = 0;
+
+	if (!w->told_running) {
+		w->told_running = true;
+		tell(f, w);
+	}
+	for (i = 0; i < w->count; i++) {
+		/* a machine that has left needs none */
+		left += !w->list[i].begun &&
+		    fleet_find_machine(f, w->list[i].machine) != NULL;
+	}
+	if (left == 0) {
+		w->completed = true;
+		fleet_log(f,
+		    "msg=\"wave is completed\" wave=%lld "
+		    "left_ms=%lld",
+		    (long long)w->number,
+		    (long long)((w->until_us - f->now_us) / US_PER_MS));
+		tell(f, w);
+		return;
+	}
+	begin_some(f, w, left, true);
+	begin_some(f, w, left, false);
+}
+
+void
+fleet_run_waves(struct fleet *f)
+{
+	struct wave *w;
+
+	LIST_FOREACH(w, &f->waves, entries) {
+		if (w->cap > 0 && !w->completed)
+			run_wave(f, w);
+	}
+}
+
+void
+fleet_waves_free(struct fleet *f)
+{
+	struct wave *w;
+
+	while ((w = LIST_FIRST(&f->waves)) != NULL) {
+		LIST_REMOVE(w, entries);
+		free(w->list);
+		free(w);
+	}
+}
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -54,6 +54,7 @@
 	POOL_TERMS, /* a queue's terms have changed */
 	POOL_WORKER, /* a worker's entry, new or changed */
 	POOL_WORKER_GONE, /* its entry was dropped */
+	POOL_CORDON, /* a worker gets no new tasks for a while */
 	POOL_HELD, /* answer to a hold, or none */
 	POOL_STARTED, /* answer to a start */
 	POOL_STOPPED, /* answer to a stop */
@@ -79,6 +80,10 @@
 		struct {
 			char id[NAME_BYTES];
 		} gone;
+		struct {
+			char id[NAME_BYTES];
+			bool empty; /* its tasks are to go elsewhere */
+		} cordon;
 		struct {
 			char worker[NAME_BYTES];
 			int64_t asked_us; /* when the hold was sent */
@@ -225,7 +230,17 @@
 void pool_stats(const struct pool *p, struct pool_stats *s);
 /* The same and each unfinished job and worker, as JSON text. */
 void pool_dump(const struct pool *p, struct buf *out);
-bool pool_worker_idle(const struct pool *p, const char *id);
+
+struct pool_demand {
+	int64_t wanted_cpu; /* of what runs and what could run now */
+	size_t floor; /* workers that lasting tasks need */
+};
+
+void pool_demand(const struct pool *p, struct pool_demand *d);
+/* Workers that are listed, for whoever moves machines. */
+void pool_each_worker(const struct pool *p,
+    void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
+    void *arg);
 int64_t pool_fence(const struct pool *p);
 
 #endif
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -84,6 +84,14 @@
 	if (ticket != NULL)
 		snprintf(x->u.start.ticket, SAVED_BYTES, "%s", ticket->ticket);
 	p->stats.starts++;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"starts a run\" job=%s task=%u.%u.%u run=%lld worker=%s "
+	    "free_cpu=%lld heard_ms_ago=%lld saved=%s",
+	    t->step->occurrence->job->id, t->step->occurrence->number,
+	    t->step->number, t->index, (long long)run, w->report.id,
+	    (long long)(w->report.cpu - w->cpu),
+	    (long long)((p->now_us - w->heard_us) / US_PER_MS),
+	    t->saved != NULL ? t->saved : "none");
 }
 
 void
@@ -223,6 +231,13 @@
 	if (t == NULL) /* finished or cancelled, and filed */
 		return;
 	placed = t->worker == w && t->run == r->run;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"run has ended\" job=%s task=%u.%u.%u run=%lld worker=%s "
+	    "end=%lld how=%d ran_ms=%lld estimate_ms=%lld",
+	    j->id, r->task.occurrence, r->task.step, r->task.index,
+	    (long long)r->run, w->report.id, (long long)r->number, r->how,
+	    placed ? (long long)((p->now_us - t->placed_us) / US_PER_MS) : -1,
+	    (long long)t->step->order->estimate_ms);
 	if (r->run > t->run)
 		t->run = r->run;
 	if (r->saved[0] != '\0') {
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -34,6 +34,8 @@
 	int64_t full_until_us; /* refused a task for want of room */
 	int64_t drain_end_us; /* it may be gone then; 0: not draining */
 	int64_t paced_us; /* newest change of pace */
+	int64_t cordon_until_us; /* no new tasks: its machine is to go away */
+	int64_t emptied_since_us; /* its tasks go elsewhere; 0: not asked */
 	UT_hash_handle hh; /* by report.id */
 };
 
@@ -87,6 +89,7 @@
 void pool_worker_gone(struct pool *p, const char *id);
 void pool_held(struct pool *p, const struct pool_event *ev);
 void pool_hold_due(struct pool *p);
+void pool_cordon(struct pool *p, const struct pool_event *ev);
 /* The worker runs nothing any more that it was told to run. */
 void pool_worker_lost(struct pool *p, struct placed_worker *w, const char *why);
 int64_t worker_clock_ms(const struct placed_worker *w, int64_t now_us);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -7,6 +7,8 @@
 #define STOP_AGAIN_MS 400 /* a stop that had no effect */
 #define STALL_MS 2500 /* without progress: the run stands still */
 #define STALL_ESTIMATES 2.0 /* … and so many times its estimate for 1 % */
+#define EMPTY_SOFT_MS 1500 /* before work that loses little is stopped … */
+#define EMPTY_MAX_MS 4000 /* … and before all is */
 #define PACE_HOLD_MS 700 /* between changes: reports cover half a second */
 #define PACE_HIGH 0.85 /* tail ÷ target: slow the fillers down … */
 #define PACE_LOW 0.6 /* … and let them go on */
@@ -43,6 +45,51 @@
 	task_stop(p, t);
 }
 
+/*
+ * Tasks of a lasting step that are not at work.  Our orders may keep no more
+ * than "may_miss" of them away at once.
+ */
+static unsigned
+step_away(const struct job_step *s)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < s->order->count; i++)
+		n += s->tasks[i].place != PLACE_RUNNING ||
+		    s->tasks[i].percent < 100;
+	return n;
+}
+
+static bool
+step_may_miss(const struct job_step *s)
+{
+	unsigned most = s->order->may_miss > 0 ? s->order->may_miss : 1;
+
+	return step_away(s) < most;
+}
+
+/*
+ * A worker whose machine is to go into upkeep: lasting tasks move one after
+ * the other, work that lasts longer than it can wait for is stopped.
+ */
+static bool
+task_makes_room(
+    const struct pool *p, const struct placed_worker *w, const struct task *t)
+{
+	int64_t waited_ms;
+
+	if (p->now_us >= w->cordon_until_us || w->emptied_since_us == 0 ||
+	    t->place != PLACE_RUNNING)
+		return false;
+	if (t->step->order->lasting)
+		return t->percent < 100 || step_may_miss(t->step);
+	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
+	if (waited_ms > EMPTY_MAX_MS)
+		return true;
+	return waited_ms > EMPTY_SOFT_MS &&
+	    (t->step->order->checkpoints || t->percent < 30);
+}
+
 /*
  * Tasks of a worker that leaves move while it still answers: lasting ones at
  * once, others where they would not end in time.
@@ -76,7 +123,7 @@
 			task_stop(p, t);
 		else if (task_stalls(p, t))
 			stop_stalled(p, w, t);
-		else if (task_must_leave(p, w, t))
+		else if (task_must_leave(p, w, t) || task_makes_room(p, w, t))
 			task_stop(p, t);
 	}
 }
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -14,6 +14,7 @@
 #define HOLD_RETRY_MS 100 /* after a hold without an answer */
 #define HOLD_RETRY_MAX_MS 1000
 #define HOLD_UNACKED_MS 250 /* between holds that would end at once */
+#define CORDON_MS 2000 /* a cordon that is not renewed ends */
 #define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
 
@@ -46,7 +47,7 @@
 {
 	return w->listed && w->held && !w->report.draining && w->recorded &&
 	    w->record_serial <= p->written && w->misses < SILENT_MISSES &&
-	    p->now_us >= w->shunned_until_us;
+	    p->now_us >= w->shunned_until_us && p->now_us >= w->cordon_until_us;
 }
 
 bool
@@ -191,6 +192,21 @@
 	w->listed = false;
 }
 
+void
+pool_cordon(struct pool *p, const struct pool_event *ev)
+{
+	struct placed_worker *w = pool_find_worker(p, ev->u.cordon.id);
+
+	if (w == NULL)
+		return;
+	if (p->now_us >= w->cordon_until_us)
+		w->emptied_since_us = 0;
+	w->cordon_until_us = p->now_us + CORDON_MS * US_PER_MS;
+	if (ev->u.cordon.empty && w->emptied_since_us == 0)
+		w->emptied_since_us = p->now_us;
+	pool_watch_tasks(p, w);
+}
+
 /* Tasks of a queue that serve beside tasks that fill: tails are watched. */
 static bool
 worker_has_fillers(const struct placed_worker *w)
@@ -215,13 +231,17 @@
 	x->u.hold.worker.port = w->report.port;
 	x->u.hold.acked_end = w->acked_end;
 	w->hold_out = true;
-	if (!w->held) /* its clock is not known yet */
+	/*
+	 * Its clock is not known yet; or it does not answer, and what it may
+	 * run must end some time: a lease that is never extended.
+	 */
+	if (!w->held || w->misses > 0)
 		return;
 	end_ms = worker_clock_ms(w, p->now_us) + p->opts.lease_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
 	x->u.hold.lease_end_ms = w->lease_end_ms;
-	if (w->misses > 0 || w->seen_end > w->acked_end)
+	if (w->seen_end > w->acked_end)
 		return;
 	x->u.hold.wait_ms = w->task_count == 0 ? HOLD_WAIT_IDLE_MS
 	    : worker_has_fillers(w)            ? HOLD_WAIT_FILLS_MS
--- /dev/null
+++ b/src/platform/machine_wire.c
@@ -0,0 +1,160 @@
+#include "machine_wire.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "json_get.h"
+
+void
+machine_list_path(char out[MACHINE_PATH_BYTES], const char *page)
+{
+	if (page[0] == '\0')
+		snprintf(out, MACHINE_PATH_BYTES, "/machines");
+	else
+		snprintf(
+		    out, MACHINE_PATH_BYTES, "/machines?pageToken=%s", page);
+}
+
+static bool
+parse_state(const char *text, enum machine_state *state)
+{
+	static const char *const names[] = {
+	    [MACHINE_UP] = "up",
+	    [MACHINE_MOVING] = "moving",
+	    [MACHINE_UPKEEP] = "upkeep",
+	    [MACHINE_DOWN] = "down",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		if (strcmp(names[i], text) == 0) {
+			*state = (enum machine_state)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool
+parse_machine(struct machine_report *m, struct json_object *o)
+{
+	struct json_object *room, *labels, *kind;
+	char state[NAME_BYTES];
+
+	memset(m, 0, sizeof(*m));
+	if (!json_text(o, "machine", m->machine, sizeof(m->machine)) ||
+	    !json_text(o, "pool", m->pool, sizeof(m->pool)) ||
+	    !json_text(o, "id", m->worker, sizeof(m->worker)) ||
+	    !json_text(o, "state", state, sizeof(state)) ||
+	    m->machine[0] == '\0' || !parse_state(state, &m->state))
+		return false;
+	room = json_member(o, "capacity", json_type_object);
+	m->cpu = json_int(room, "cpu", 0);
+	labels = json_member(o, "labels", json_type_array);
+	kind = labels != NULL ? json_object_array_get_idx(labels, 0) : NULL;
+	if (json_object_is_type(kind, json_type_string))
+		snprintf(m->label, sizeof(m->label), "%s",
+		    json_object_get_string(kind));
+	return true;
+}
+
+int
+machine_list_add(struct machine_list *l, const void *data, size_t len)
+{
+	struct json_object *root = json_parse(data, len), *rows;
+	struct machine_report *list;
+	size_t i, n;
+
+	rows = json_member(root, "machines", json_type_array);
+	if (rows == NULL) {
+		json_object_put(root);
+		return -1;
+	}
+	n = json_object_array_length(rows);
+	list = realloc(l->list, (l->count + n + 1) * sizeof(*list));
+	if (list == NULL) {
+		json_object_put(root);
+		return -1;
+	}
+	l->list = list;
+	for (i = 0; i < n; i++) {
+		if (parse_machine(
+			&list[l->count], json_object_array_get_idx(rows, i)))
+			l->count++;
+	}
+	if (!json_text(root, "nextToken", l->next, sizeof(l->next)))
+		l->next[0] = '\0';
+	json_object_put(root);
+	return 0;
+}
+
+void
+machine_list_uninit(struct machine_list *l)
+{
+	free(l->list);
+	memset(l, 0, sizeof(*l));
+}
+
+struct buf *
+machine_move_body(const char *machine, const char *pool)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "machine", json_object_new_string(machine));
+	json_object_object_add(o, "pool", json_object_new_string(pool));
+	return json_body(o);
+}
+
+struct buf *
+machine_upkeep_body(const char *machine, int64_t wave)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "machine", json_object_new_string(machine));
+	json_object_object_add(o, "wave", json_object_new_int64(wave));
+	return json_body(o);
+}
+
+enum fleet_call_end
+machine_call_end(int status, const void *body, size_t len)
+{
+	struct json_object *root = json_parse(body, len);
+	char reason[NAME_BYTES];
+
+	if (!json_text(root, "reason", reason, sizeof(reason)))
+		reason[0] = '\0';
+	json_object_put(root);
+	switch (status) {
+	case 200:
+		return FLEET_DONE;
+	case 400: /* no such machine, or a pool of other machines */
+		return FLEET_NEVER;
+	case 409:
+		return strcmp(reason, "fence") == 0 ? FLEET_FENCED
+		    : strcmp(reason, "wave") == 0   ? FLEET_NEVER
+						    : FLEET_BUSY;
+	case 429:
+	case 503:
+		return FLEET_BUSY;
+	default:
+		return FLEET_UNKNOWN;
+	}
+}
+
+void
+wave_status_key(char *out, size_t size, int64_t wave)
+{
+	snprintf(out, size, "wave/%" PRId64, wave);
+}
+
+struct buf *
+wave_status_body(bool completed)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "state",
+	    json_object_new_string(completed ? "completed" : "running"));
+	return json_body(o);
+}
--- /dev/null
+++ b/src/scheduler/cordon_call.c
@@ -0,0 +1,129 @@
+#include "cordon_call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "wire.h"
+
+static const struct codec_field cordon_fields[] = {
+    CODEC_FIELD("w", CODEC_STR, struct cordon, worker),
+    CODEC_FIELD("e", CODEC_BOOL, struct cordon, empty),
+};
+
+static const struct codec_field worker_fields[] = {
+    CODEC_FIELD("w", CODEC_STR, struct pool_worker_report, worker),
+    CODEC_FIELD("n", CODEC_U64, struct pool_worker_report, tasks),
+    CODEC_FIELD("c", CODEC_BOOL, struct pool_worker_report, cordoned),
+};
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+struct buf *
+cordon_request_encode(const struct cordon_request *r)
+{
+	struct wire_writer w;
+	size_t i;
+
+	wire_writer_init(&w);
+	wire_map(&w, 2);
+	wire_str(&w, "pool", r->pool);
+	wire_array(&w, "cordons", (uint32_t)r->count);
+	for (i = 0; i < r->count; i++)
+		codec_write(
+		    &w, cordon_fields, COUNT(cordon_fields), &r->list[i]);
+	return wire_writer_take(&w);
+}
+
+int
+cordon_request_decode(
+    struct cordon_request *r, const void *data, size_t len, struct err *e)
+{
+	const msgpack_object_array *list;
+	struct wire_reader in;
+	uint32_t i;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = wire_get_str(in.root, "pool", r->pool, sizeof(r->pool)) &&
+	    wire_get_array(in.root, "cordons", &list);
+	for (i = 0; ok && i < list->size && r->count < CORDONS_MAX; i++) {
+		if (codec_read(&list->ptr[i], cordon_fields,
+			COUNT(cordon_fields), &r->list[r->count]))
+			r->count++;
+	}
+	wire_reader_uninit(&in);
+	if (!ok)
+		return err_set(e, ERR_PROTOCOL, 0,
+		    "run one version on all daemons",
+		    "a peer's cordons lack a field");
+	return 0;
+}
+
+struct buf *
+pool_report_encode(const struct pool_report *r)
+{
+	struct wire_writer w;
+	size_t i;
+
+	wire_writer_init(&w);
+	wire_map(&w, 4);
+	wire_str(&w, "pool", r->pool);
+	wire_i64(&w, "wanted", r->wanted_cpu);
+	wire_u64(&w, "floor", r->floor);
+	wire_array(&w, "workers", (uint32_t)r->worker_count);
+	for (i = 0; i < r->worker_count; i++)
+		codec_write(
+		    &w, worker_fields, COUNT(worker_fields), &r->workers[i]);
+	return wire_writer_take(&w);
+}
+
+static bool
+read_report(struct pool_report *r, const msgpack_object *root)
+{
+	const msgpack_object_array *list;
+	uint64_t floor;
+	uint32_t i;
+
+	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
+	    !wire_get_i64(root, "wanted", &r->wanted_cpu) ||
+	    !wire_get_u64(root, "floor", &floor) ||
+	    !wire_get_array(root, "workers", &list))
+		return false;
+	r->floor = (size_t)floor;
+	r->workers = calloc(list->size + 1, sizeof(*r->workers));
+	for (i = 0; r->workers != NULL && i < list->size; i++) {
+		if (codec_read(&list->ptr[i], worker_fields,
+			COUNT(worker_fields), &r->workers[r->worker_count]))
+			r->worker_count++;
+	}
+	return r->workers != NULL;
+}
+
+int
+pool_report_decode(
+    struct pool_report *r, const void *data, size_t len, struct err *e)
+{
+	struct wire_reader in;
+	bool ok;
+
+	memset(r, 0, sizeof(*r));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = read_report(r, in.root);
+	wire_reader_uninit(&in);
+	if (!ok)
+		return err_set(e, ERR_PROTOCOL, 0,
+		    "run one version on all daemons",
+		    "a pool's report lacks a field");
+	return 0;
+}
+
+void
+pool_report_uninit(struct pool_report *r)
+{
+	free(r->workers);
+	memset(r, 0, sizeof(*r));
+}
--- /dev/null
+++ b/src/scheduler/cordon_call.h
@@ -0,0 +1,31 @@
+/* What the keeper of machines and a pool's owner say to each other. */
+#ifndef CORDON_CALL_H
+#define CORDON_CALL_H
+
+#include "buf.h"
+#include "errors.h"
+#include "fleet.h"
+
+#define CORDONS_MAX 256 /* workers of one question */
+
+struct cordon {
+	char worker[NAME_BYTES];
+	bool empty; /* its tasks are to go elsewhere */
+};
+
+struct cordon_request {
+	char pool[NAME_BYTES];
+	struct cordon list[CORDONS_MAX];
+	size_t count;
+};
+
+/* msgpack; NULL when memory is short. */
+struct buf *cordon_request_encode(const struct cordon_request *r);
+int cordon_request_decode(
+    struct cordon_request *r, const void *data, size_t len, struct err *e);
+struct buf *pool_report_encode(const struct pool_report *r);
+int pool_report_decode(
+    struct pool_report *r, const void *data, size_t len, struct err *e);
+void pool_report_uninit(struct pool_report *r);
+
+#endif
--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "duty.h"
 #include "json_get.h"
 #include "shards.h"
 #include "store_client.h"
@@ -100,6 +101,10 @@
 			snprintf(o->held[o->held_count++], NAME_BYTES, "%s",
 			    c->pools[i].name);
 	}
+	/* the duty of machines stands behind the pools */
+	duty_assign(o->scheduler->duty,
+	    part_held(shares, (int)(c->pool_count % (size_t)parts_of(o))),
+	    o->join_boot_us);
 	if (o->held_count != before)
 		daemon_log(LOG_LEVEL_INFO, "owners",
 		    "msg=\"the group deals pools\" generation=%lld pools=%zu "
--- a/src/scheduler/peer_client.h
+++ b/src/scheduler/peer_client.h
@@ -6,6 +6,7 @@
 #include "scheduler.h"
 
 #define PEER_PATH_JOBS "/jobs"
+#define PEER_PATH_CORDONS "/cordons"
 
 struct peer_call;
 
--- a/src/scheduler/peer_server.c
+++ b/src/scheduler/peer_server.c
@@ -63,6 +63,28 @@
 	buf_unref(job.body);
 }
 
+static void
+take_cordons(struct peer_server *p, uint64_t id, const struct request *r)
+{
+	struct cordon_request q;
+	struct pool_report report;
+	struct err e;
+
+	if (r->body == NULL ||
+	    cordon_request_decode(&q, r->body->data, r->body->len, &e) == -1) {
+		daemon_log(LOG_LEVEL_WARN, "peers",
+		    "msg=\"a peer's cordons cannot be read\"");
+		answer(p, id, 400, NULL);
+		return;
+	}
+	if (shards_cordon(p->scheduler->shards, &q, &report) == -1) {
+		answer(p, id, 503, NULL); /* not the owner */
+		return;
+	}
+	answer(p, id, 200, pool_report_encode(&report));
+	pool_report_uninit(&report);
+}
+
 static void
 on_request(void *arg, uint64_t id, struct request *r)
 {
@@ -73,6 +95,10 @@
 		take_job(p, id, r);
 		return;
 	}
+	if (strcmp(r->path, PEER_PATH_CORDONS) == 0) {
+		take_cordons(p, id, r);
+		return;
+	}
 	out = buf_new(4096);
 	if (out != NULL && strcmp(r->path, "/metrics") == 0)
 		scheduler_metrics(p->scheduler, out);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -8,17 +8,17 @@
 #include <sys/stat.h>
 #include <time.h>
 
+#include "duty.h"
 #include "front.h"
 #include "metric.h"
 #include "owners.h"
 #include "peer_server.h"
 #include "shards.h"
-#include "upkeep.h"
 #include "watch.h"
 
 #define TICK_MS 500 /* settings, idle connections, ownership */
 #define IDLE_MS 4000 /* a kept connection; both sides cut earlier or later */
-#define LOG_LINES_PER_S 200 /* bounds the processor time of logs */
+#define LOG_LINES_PER_S 400 /* bounds the processor time of logs */
 #define FILES_MAX 4096 /* of the library's table; the limit may be lower */
 #define SERVICE_BYTES 32768 /* the library's buffer for request headers */
 #define HEADER_POOL 256 /* requests whose headers are being read */
@@ -94,6 +94,7 @@
 {
 	shards_config_changed(s->shards);
 	owners_config_changed(s->owners);
+	duty_config_changed(s->duty);
 }
 
 /*
@@ -149,6 +150,7 @@
 	loop.last_boot_us = now;
 	check_settings(s);
 	shards_check(s->shards);
+	duty_check(s->duty);
 	http_pool_expire(s->conns);
 }
 
@@ -209,10 +211,10 @@
 		    "no libwebsockets context");
 	s->conns = http_pool_new(IDLE_MS);
 	s->shards = shards_new(s);
-	s->upkeep = upkeep_new(s);
+	s->duty = duty_new(s);
 	s->watch = watch_new(s);
 	s->owners = owners_new(s);
-	if (s->conns == NULL || s->shards == NULL || s->upkeep == NULL ||
+	if (s->conns == NULL || s->shards == NULL || s->duty == NULL ||
 	    s->watch == NULL || s->owners == NULL)
 		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
 		    "no memory for the daemon's state");
@@ -227,7 +229,7 @@
 close_all(struct scheduler *s)
 {
 	lws_sul_cancel(&loop.tick);
-	upkeep_free(s->upkeep);
+	duty_free(s->duty);
 	shards_free(s->shards);
 	front_close(s->front);
 	owners_free(s->owners);
@@ -260,6 +262,7 @@
 	int64_t ms = (sched_now_us() - loop.stop_begun_us) / US_PER_MS;
 
 	shards_give_up_all(s->shards);
+	duty_assign(s->duty, false, 0);
 	if (shards_none(s->shards))
 		owners_leave(s->owners);
 	if (ms < STOP_LINGER_MS)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -17,11 +17,11 @@
 #include "http_listener.h"
 #include "store_wire.h"
 
+struct duty;
 struct front;
 struct owners;
 struct peer_server;
 struct shards;
-struct upkeep;
 struct watch;
 
 /* Counted since the start; served as metrics. */
@@ -42,7 +42,7 @@
 	struct watch *watch;
 	struct owners *owners;
 	struct shards *shards;
-	struct upkeep *upkeep;
+	struct duty *duty;
 	struct front *front;
 	struct peer_server *peers;
 	char member[MEMBER_BYTES]; /* own name in the group: "IP:PORT" */
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -7,6 +7,7 @@
 #include "metric.h"
 #include "order_wire.h"
 #include "shard.h"
+#include "topic_claim.h"
 #include "watch.h"
 
 #define STORE_STUCK_MS \
@@ -231,7 +232,7 @@
 	struct store_writer_opts o = {
 	    .scheduler = sh->scheduler,
 	    .epoch = sh->fence,
-	    .seq = 1, /* 0 was the claim */
+	    .seq = TOPIC_CLAIM_SEQ + 1,
 	    .on_written = on_written,
 	    .on_fenced = on_fenced,
 	    .arg = sh,
@@ -475,6 +476,49 @@
 	dispatch(sh, r, t->token);
 }
 
+static void
+report_worker(void *arg, const char *id, size_t tasks, bool cordoned)
+{
+	struct pool_report *r = arg;
+	struct pool_worker_report *w;
+
+	w = realloc(r->workers, (r->worker_count + 1) * sizeof(*w));
+	if (w == NULL)
+		return; /* a worker that is not named is not moved */
+	r->workers = w;
+	w = &r->workers[r->worker_count++];
+	memset(w, 0, sizeof(*w));
+	snprintf(w->worker, sizeof(w->worker), "%s", id);
+	w->tasks = tasks;
+	w->cordoned = cordoned;
+}
+
+int
+shards_cordon(struct shards *all, const struct cordon_request *r,
+    struct pool_report *report)
+{
+	struct shard *sh = find_shard(all, r->pool);
+	struct pool_event ev = {.kind = POOL_CORDON};
+	struct pool_demand demand;
+	size_t i;
+
+	if (sh == NULL || sh->state != SHARD_OWNING || sh->lost ||
+	    shard_outlived(sh))
+		return -1;
+	for (i = 0; i < r->count; i++) {
+		snprintf(ev.u.cordon.id, NAME_BYTES, "%s", r->list[i].worker);
+		ev.u.cordon.empty = r->list[i].empty;
+		shard_event(sh, &ev);
+	}
+	memset(report, 0, sizeof(*report));
+	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
+	pool_demand(sh->pool, &demand);
+	report->wanted_cpu = demand.wanted_cpu;
+	report->floor = demand.floor;
+	pool_each_worker(sh->pool, report_worker, report);
+	return 0;
+}
+
 bool
 shards_owns(const struct shards *all, const char *pool)
 {
--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -5,6 +5,7 @@
 #ifndef SHARDS_H
 #define SHARDS_H
 
+#include "cordon_call.h"
 #include "job_call.h"
 #include "scheduler.h"
 
@@ -38,6 +39,12 @@
  */
 void shards_request(struct shards *all, const struct job_request *r,
     job_reply_fn *reply, void *arg);
+/*
+ * Cordons workers of a pool and reports on it; -1 where this daemon does not
+ * own it.  Free the report with pool_report_uninit().
+ */
+int shards_cordon(struct shards *all, const struct cordon_request *r,
+    struct pool_report *report);
 /* True where this daemon owns the pool and has taken it over. */
 bool shards_owns(const struct shards *all, const char *pool);
 void shards_metrics(const struct shards *all, struct buf *out);
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -6,9 +6,9 @@
 
 #include <uthash.h>
 
+#include "duty.h"
 #include "shards.h"
 #include "store_client.h"
-#include "upkeep.h"
 
 #define CONFIG_WAIT_MS 700 /* a read waits so long for a change */
 #define WORKERS_PAUSE_MS 400 /* between two looks at workers' entries */
@@ -204,7 +204,7 @@
 	if (strcmp(r->key, KEY_CONFIG) == 0)
 		take_config(w, r);
 	else if (strncmp(r->key, KEY_WAVE_PREFIX, strlen(KEY_WAVE_PREFIX)) == 0)
-		upkeep_take_wave(w->scheduler->upkeep, r);
+		duty_take_wave(w->scheduler->duty, r);
 }
 
 static void
