fleet: demand in machines, projected over a move; begun work first, packed

Cause: one queue's turn left the others' machines busy with single lasting tasks and late work; on the second site memory, not cores, fills workers; orders counted as under way for seconds because a report of an unknown worker set the time of the list back. Change: pools report demand in thousandths of a worker over cpu, memory and accelerators, late work counts a fifth; growth is projected over a move's time; begun jobs go first; finite and lasting tasks are packed.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -256,13 +256,13 @@
 
 	if (p == NULL)
 		return;
-	p->wanted_cpu = r->wanted_cpu;
+	p->wanted_milli = r->wanted_milli;
 	p->floor = r->floor;
 	p->told_us = f->now_us;
 	for (i = 0; i < r->worker_count; i++) {
 		m = machine_of_worker(f, r->workers[i].worker);
 		if (m == NULL) {
-			f->list_us = 0; /* a worker of late: look at once */
+			f->list_wanted = true; /* a worker of late */
 			continue;
 		}
 		m->tasks = r->workers[i].tasks;
@@ -342,7 +342,7 @@
 list_due(struct fleet *f)
 {
 	const struct machine *m;
-	int64_t every_ms = LIST_EVERY_MS;
+	int64_t every_ms = f->list_wanted ? LIST_BUSY_MS : LIST_EVERY_MS;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		if ((m->order != ORDER_NONE && m->phase == PHASE_AWAY) ||
@@ -351,10 +351,10 @@
 	}
 	if (f->listing && f->now_us - f->list_us < LIST_TIMEOUT_MS * US_PER_MS)
 		return;
-	if (f->listed && f->list_us != 0 &&
-	    f->now_us - f->list_us < every_ms * US_PER_MS)
+	if (f->listed && f->now_us - f->list_us < every_ms * US_PER_MS)
 		return;
 	f->listing = true;
+	f->list_wanted = false;
 	f->list_us = f->now_us;
 	fleet_fx(f, FLEET_LIST);
 }
--- a/src/fleet/fleet_moves.c
+++ b/src/fleet/fleet_moves.c
@@ -12,6 +12,8 @@
 #define REPORT_FRESH_MS 1500 /* a need older than this moves nothing */
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
 #define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
+#define TREND_MS 600 /* over which growth is measured */
+#define LEAD_SPARE_MS 500 /* a moved machine's way into its new pool */
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
 #define MOVES_AT_ONCE 24
 
@@ -22,28 +24,35 @@
 	    f->now_us - p->told_us < REPORT_FRESH_MS * US_PER_MS;
 }
 
-/* Thousandths of a core of a typical machine; 0 where none is known. */
-static int64_t
-machine_cpu(const struct fleet *f)
+/*
+ * What the pool will want by the time that a machine moved now can work, if
+ * its demand goes on to grow as it does.
+ */
+static double
+projected_milli(struct fleet *f, struct fleet_pool *p)
 {
-	const struct machine *m;
-	int64_t sum = 0, n = 0;
-
-	for (m = f->machines; m != NULL; m = m->hh.next) {
-		sum += m->report.cpu;
-		n++;
+	int64_t age_ms = (f->now_us - p->earlier_us) / US_PER_MS;
+	double grown = (double)(p->wanted_milli - p->earlier_milli);
+	double lead_ms = f->opts.move_ms + LEAD_SPARE_MS;
+
+	if (p->earlier_us == 0 || age_ms >= TREND_MS) {
+		p->trend_milli = p->earlier_us == 0 || grown < 0
+		    ? 0
+		    : grown * lead_ms / (double)age_ms;
+		p->earlier_milli = p->wanted_milli;
+		p->earlier_us = f->now_us;
 	}
-	return n > 0 ? sum / n : 0;
+	return (double)p->wanted_milli * HEADROOM + p->trend_milli;
 }
 
 static void
-update_need(struct fleet *f, struct fleet_pool *p, int64_t cpu)
+update_need(struct fleet *f, struct fleet_pool *p)
 {
 	size_t need;
 
-	if (!pool_fresh(f, p) || cpu <= 0)
+	if (!pool_fresh(f, p))
 		return;
-	need = (size_t)((double)p->wanted_cpu * HEADROOM / (double)cpu + 0.99);
+	need = (size_t)(projected_milli(f, p) / 1000 + 0.99);
 	if (need < p->floor)
 		need = p->floor;
 	if (need < POOL_MIN)
@@ -97,9 +106,9 @@
 	snprintf(m->to_pool, sizeof(m->to_pool), "%s", to->name);
 	fleet_log(f,
 	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
-	    "peak=%zu wanted_cpu=%lld report_age_ms=%lld",
+	    "peak=%zu wanted_milli=%lld report_age_ms=%lld",
 	    m->report.machine, m->report.pool, to->name, to->need, to->peak,
-	    (long long)to->wanted_cpu,
+	    (long long)to->wanted_milli,
 	    (long long)((f->now_us - to->told_us) / US_PER_MS));
 }
 
@@ -185,14 +194,35 @@
 	}
 }
 
+/* One line a second: what moves are decided by. */
+static void
+log_pools(struct fleet *f)
+{
+	char text[FLEET_LOG_BYTES] = "";
+	const struct fleet_pool *p;
+	size_t i, n = 0;
+
+	if (f->now_us - f->pools_logged_us < US_PER_S)
+		return;
+	f->pools_logged_us = f->now_us;
+	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
+		p = &f->pools[i];
+		n += (size_t)snprintf(text + n, sizeof(text) - n,
+		    " %s=%zu/%zu/%zu/%lld", p->name, pool_have(f, p), p->need,
+		    p->peak, (long long)p->wanted_milli);
+	}
+	fleet_log(f, "msg=\"pools: have/need/peak/wanted milli\"%s", text);
+}
+
 void
 fleet_run_moves(struct fleet *f)
 {
-	int64_t cpu = machine_cpu(f);
 	size_t i;
 
+	log_pools(f);
+
 	for (i = 0; i < f->pool_count; i++)
-		update_need(f, &f->pools[i], cpu);
+		update_need(f, &f->pools[i]);
 	grow(f);
 	shrink(f);
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -56,9 +56,12 @@
 struct fleet_pool {
 	char name[NAME_BYTES];
 	bool spare;
-	int64_t wanted_cpu;
+	int64_t wanted_milli;
 	size_t floor;
 	int64_t told_us; /* newest report; 0 never */
+	int64_t earlier_milli; /* wanted … */
+	int64_t earlier_us; /* … then; 0: never told */
+	double trend_milli; /* that it will grow by in the time of a move */
 	size_t need; /* machines, now */
 	size_t peak; /* highest need of late … */
 	int64_t peak_us; /* … seen then */
@@ -72,6 +75,8 @@
 	uint64_t round;
 	bool listed; /* the list has been read */
 	bool listing;
+	bool list_wanted; /* sooner than it would be due */
+	int64_t pools_logged_us;
 	int64_t list_us; /* when it was asked for */
 	struct fleet_pool pools[FLEET_POOLS_MAX];
 	size_t pool_count;
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -197,47 +197,6 @@
 	}
 }
 
-static int64_t
-step_wanted_cpu(const struct job_step *s)
-{
-	const struct order_step *o = s->order;
-	unsigned n = s->placed_count;
-
-	if (o->fills)
-		return 0;
-	if (s->ready_after == 0)
-		n = o->count - s->done_count;
-	return (int64_t)n * o->cpu;
-}
-
-void
-pool_demand(const struct pool *p, struct pool_demand *d)
-{
-	const struct order_step *o;
-	const struct occurrence *oc;
-	const struct job *j;
-	size_t i, needs;
-
-	memset(d, 0, sizeof(*d));
-	TAILQ_FOREACH(j, &p->active, entries) {
-		if (job_final(j))
-			continue;
-		LIST_FOREACH(oc, &j->occurrences, entries)
-			for (i = 0; i < j->order->step_count; i++) {
-				d->wanted_cpu += step_wanted_cpu(&oc->steps[i]);
-				o = oc->steps[i].order;
-				if (!o->lasting)
-					continue;
-				needs = o->per_worker > 0
-				    ? (o->count + o->per_worker - 1) /
-					o->per_worker
-				    : 1;
-				if (needs > d->floor)
-					d->floor = needs;
-			}
-	}
-}
-
 void
 pool_each_worker(const struct pool *p,
     void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -232,11 +232,11 @@
 void pool_dump(const struct pool *p, struct buf *out);
 
 struct pool_demand {
-	int64_t wanted_cpu; /* of what runs and what could run now */
+	int64_t wanted_milli; /* thousandths of a worker that jobs could use */
 	size_t floor; /* workers that lasting tasks need */
 };
 
-void pool_demand(const struct pool *p, struct pool_demand *d);
+void pool_demand(struct pool *p, struct pool_demand *d);
 /* Workers that are listed, for whoever moves machines. */
 void pool_each_worker(const struct pool *p,
     void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -10,6 +10,7 @@
 #include "pool_state.h"
 
 #define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
+#define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 #define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
 #define ADVISE_WORKERS 30 /* workers of one question to the policy */
 #define ADVISE_AGAIN_MS 1500 /* a question that got no answer */
@@ -18,7 +19,8 @@
 /* Classes of work, the first goes first. */
 enum rank_class {
 	RANK_LASTING,
-	RANK_IN_TIME, /* can still meet its objective */
+	RANK_BEGUN, /* under way, and can still meet its objective */
+	RANK_IN_TIME, /* can still meet it, not begun yet */
 	RANK_LATE, /* cannot, but is still worth something */
 	RANK_HOPELESS
 };
@@ -44,6 +46,22 @@
 	return 0;
 }
 
+/*
+ * What has begun goes on: under overload, work in many jobs that all end
+ * late would serve nobody.
+ */
+static bool
+occurrence_begun(const struct occurrence *o)
+{
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		if (o->steps[i].done_count + o->steps[i].placed_count > 0)
+			return true;
+	}
+	return false;
+}
+
 static void
 rank(const struct pool *p, struct candidate *c, struct occurrence *o)
 {
@@ -60,7 +78,7 @@
 	if (order_lasts(j->order))
 		c->class = RANK_LASTING;
 	else if (c->slack_ms >= 0)
-		c->class = RANK_IN_TIME;
+		c->class = occurrence_begun(o) ? RANK_BEGUN : RANK_IN_TIME;
 	else
 		c->class = c->slack_ms >= -limit_ms ? RANK_LATE : RANK_HOPELESS;
 }
@@ -99,6 +117,113 @@
 		p->next_due_ms = due_ms;
 }
 
+/* Room that tasks take up, or could. */
+struct room {
+	double cpu, memory_mb, accelerators;
+};
+
+static void
+room_add(struct room *r, const struct order_step *s, double count)
+{
+	r->cpu += s->fills ? 0 : count * (double)s->cpu;
+	r->memory_mb += count * (double)s->memory_mb;
+	r->accelerators += count * (double)s->accelerators;
+}
+
+/*
+ * What jobs could use now.  What is late by now asks for a share only: it is
+ * served by what others leave.
+ */
+static void
+add_wanted(const struct pool *p, struct occurrence *o, struct room *r)
+{
+	const struct job_step *s;
+	struct candidate c;
+	double waiting;
+	size_t i;
+
+	rank(p, &c, o);
+	for (i = 0; i < o->job->order->step_count; i++) {
+		s = &o->steps[i];
+		room_add(r, s->order, s->placed_count);
+		if (s->ready_after > 0)
+			continue;
+		waiting = (double)s->order->count - (double)s->done_count -
+		    (double)s->placed_count;
+		if (waiting > 0)
+			room_add(r, s->order,
+			    c.class > RANK_IN_TIME ? waiting * LATE_SHARE
+						   : waiting);
+	}
+}
+
+/* Room of a typical worker; what it was when there is none now. */
+static void
+typical_room(struct pool *p)
+{
+	const struct placed_worker *w;
+	double n = 0, cpu = 0, memory_mb = 0, accelerators = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!w->listed)
+			continue;
+		n++;
+		cpu += (double)w->report.cpu;
+		memory_mb += (double)w->report.memory_mb;
+		accelerators += (double)w->report.accelerators;
+	}
+	if (n == 0)
+		return;
+	p->typical_cpu = cpu / n;
+	p->typical_memory_mb = memory_mb / n;
+	p->typical_accelerators = accelerators / n;
+}
+
+static double
+part(double wanted, double room)
+{
+	return room > 0 ? wanted / room : 0;
+}
+
+static size_t
+step_floor(const struct order_step *s)
+{
+	if (!s->lasting)
+		return 0;
+	return s->per_worker > 0
+	    ? (s->count + s->per_worker - 1) / s->per_worker
+	    : 1;
+}
+
+void
+pool_demand(struct pool *p, struct pool_demand *d)
+{
+	struct room r = {0};
+	double machines, other;
+	struct occurrence *o;
+	const struct job *j;
+	size_t i, floor;
+
+	memset(d, 0, sizeof(*d));
+	typical_room(p);
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (job_final(j))
+			continue;
+		LIST_FOREACH(o, &j->occurrences, entries)
+			add_wanted(p, o, &r);
+		for (i = 0; i < j->order->step_count; i++) {
+			floor = step_floor(&j->order->steps[i]);
+			d->floor = floor > d->floor ? floor : d->floor;
+		}
+	}
+	machines = part(r.cpu, p->typical_cpu);
+	other = part(r.memory_mb, p->typical_memory_mb);
+	machines = other > machines ? other : machines;
+	other = part(r.accelerators, p->typical_accelerators);
+	machines = other > machines ? other : machines;
+	d->wanted_milli = (int64_t)(machines * 1000);
+}
+
 static struct candidate *
 gather(struct pool *p, size_t *count)
 {
@@ -175,12 +300,12 @@
 }
 
 static bool
-serves_beside(const struct placed_worker *w)
+lasting_beside(const struct placed_worker *w)
 {
 	const struct task *t;
 
 	TAILQ_FOREACH(t, &w->tasks, on_worker) {
-		if (t->step->order->target_ms > 0)
+		if (t->step->order->lasting)
 			return true;
 	}
 	return false;
@@ -240,17 +365,19 @@
 	const struct order_step *s = t->step->order;
 	double points;
 
-	points = 1 -
+	/* packed, so that machines become free for other pools */
+	points =
 	    (double)w->cpu / (double)(w->report.cpu > 0 ? w->report.cpu : 1);
 	if (t->avoid[0] != '\0' && strcmp(t->avoid, w->report.id) == 0)
 		points -= 8;
 	if (w->fail_streak > 0)
 		points -= 1;
+	/* beside others that last: they hold their machine anyway */
+	if (s->lasting && lasting_beside(w))
+		points += 1;
 	if (s->lasting)
-		points -= placed_of_step(w, t->step) +
-		    0.5 * placed_on_rack(p, worker_rack(w), t->step);
-	if (s->fills && serves_beside(w))
-		points -= 2;
+		points -= 0.1 * placed_of_step(w, t->step) +
+		    0.05 * placed_on_rack(p, worker_rack(w), t->step);
 	if (s->rack[0] != '\0' && strcmp(worker_rack(w), s->rack) != 0)
 		points -= 16;
 	if (s->same_rack && t->step->rack[0] != '\0' &&
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -71,7 +71,7 @@
 	wire_writer_init(&w);
 	wire_map(&w, 4);
 	wire_str(&w, "pool", r->pool);
-	wire_i64(&w, "wanted", r->wanted_cpu);
+	wire_i64(&w, "wanted", r->wanted_milli);
 	wire_u64(&w, "floor", r->floor);
 	wire_array(&w, "workers", (uint32_t)r->worker_count);
 	for (i = 0; i < r->worker_count; i++)
@@ -88,7 +88,7 @@
 	uint32_t i;
 
 	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
-	    !wire_get_i64(root, "wanted", &r->wanted_cpu) ||
+	    !wire_get_i64(root, "wanted", &r->wanted_milli) ||
 	    !wire_get_u64(root, "floor", &floor) ||
 	    !wire_get_array(root, "workers", &list))
 		return false;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -513,7 +513,7 @@
 	memset(report, 0, sizeof(*report));
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
 	pool_demand(sh->pool, &demand);
-	report->wanted_cpu = demand.wanted_cpu;
+	report->wanted_milli = demand.wanted_milli;
 	report->floor = demand.floor;
 	pool_each_worker(sh->pool, report_worker, report);
 	return 0;
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -11,7 +11,7 @@
 #include "store_client.h"
 
 #define CONFIG_WAIT_MS 700 /* a read waits so long for a change */
-#define WORKERS_PAUSE_MS 400 /* between two looks at workers' entries */
+#define WORKERS_PAUSE_MS 200 /* between two looks at workers' entries */
 #define READ_TIMEOUT_MS 900 /* beyond the wait */
 #define RETRY_MS 250
 
