pool: tasks at silent workers count as away; starved work gets a machine

Lasting tasks at a dark worker still counted as at work when others of their step were stopped for a wave; a lasting task of 50 GB found no worker with room, though the sum of the room would have done. Ruled out: the cordon's renewal (it held). Change: a task is at work only where its worker answers; work that finds no room for 250 ms asks for one machine more than there are.

--- a/src/fleet/fleet_moves.c
+++ b/src/fleet/fleet_moves.c
@@ -13,7 +13,7 @@
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
 #define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
 #define TREND_MS 600 /* over which growth is measured */
-#define LEAD_SPARE_MS 500 /* a moved machine's way into its new pool */
+#define LEAD_SPARE_MS 1500 /* a moved machine's way into its new pool */
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
 #define MOVES_AT_ONCE 24
 
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -10,6 +10,7 @@
 #include "pool_state.h"
 
 #define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
+#define STARVED_MS 250 /* tasks that wait so long for room get a machine */
 #define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 #define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
 #define ADVISE_WORKERS 30 /* workers of one question to the policy */
@@ -172,6 +173,7 @@
 		memory_mb += (double)w->report.memory_mb;
 		accelerators += (double)w->report.accelerators;
 	}
+	p->typical_count = n;
 	if (n == 0)
 		return;
 	p->typical_cpu = cpu / n;
@@ -221,6 +223,11 @@
 	machines = other > machines ? other : machines;
 	other = part(r.accelerators, p->typical_accelerators);
 	machines = other > machines ? other : machines;
+	/* tasks that fit nowhere though the sum of the room would do */
+	if (p->starved_since_us != 0 &&
+	    p->now_us - p->starved_since_us > STARVED_MS * US_PER_MS &&
+	    machines < p->typical_count + 1)
+		machines = p->typical_count + 1;
 	d->wanted_milli = (int64_t)(machines * 1000);
 }
 
@@ -554,13 +561,22 @@
 {
 	struct candidate *list;
 	size_t i, n;
+	bool starved;
 
 	list = gather(p, &n);
 	if (list == NULL)
 		return; /* short of memory: the next event tries again */
-	for (i = 0; i < n; i++)
+	starved = false;
+	for (i = 0; i < n; i++) {
 		place_occurrence(p, list[i].occurrence);
+		if (list[i].class <= RANK_IN_TIME)
+			starved |= occurrence_open(list[i].occurrence);
+	}
 	free(list);
+	if (!starved)
+		p->starved_since_us = 0;
+	else if (p->starved_since_us == 0)
+		p->starved_since_us = p->now_us;
 }
 
 void
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -63,7 +63,9 @@
 	TAILQ_HEAD(job_list, job) active, finished;
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
-	double typical_cpu, typical_memory_mb, typical_accelerators;
+	int64_t starved_since_us; /* work in time finds no room; 0: it does */
+	double typical_count, typical_cpu, typical_memory_mb,
+	    typical_accelerators;
 	bool workers_changed; /* since they were recorded */
 	struct learned *learned; /* by queue */
 	uint64_t serial; /* newest write */
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -45,6 +45,14 @@
 	task_stop(p, t);
 }
 
+/* At work as far as its worker has said, and that answers. */
+static bool
+task_at_work(const struct task *t)
+{
+	return t->place == PLACE_RUNNING && t->percent >= 100 &&
+	    t->worker->misses == 0;
+}
+
 /*
  * Tasks of a lasting step that are not at work.  Our orders may keep no more
  * than "may_miss" of them away at once.
@@ -55,8 +63,7 @@
 	unsigned i, n = 0;
 
 	for (i = 0; i < s->order->count; i++)
-		n += s->tasks[i].place != PLACE_RUNNING ||
-		    s->tasks[i].percent < 100;
+		n += !task_at_work(&s->tasks[i]);
 	return n;
 }
 
