--- /dev/null
+++ b/bench/jobs_world.c
@@ -0,0 +1,1268 @@
+#include "jobs_world.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#define START_MS 1000000 /* Unix time at the beginning */
+#define LEASE_MS 4000
+#define GIVE_UP_MS 3000 /* of an owner that the store does not confirm */
+#define SETTLE_MS 7500 /* both and a margin, as the scheduler counts */
+#define ORDER_TIMEOUT_MS 400
+#define HOLD_TIMEOUT_MS 600
+#define STOP_MS 100 /* a stop takes so long */
+#define RESTORE_MS 200
+#define CANCEL_MS 3000 /* starts so long after a cancel are not asked for */
+#define LATE_MIN_MS 2000 /* orders that are carried out late */
+#define LATE_MAX_MS 12000
+#define STATUS_KEEP_MS 120000
+#define OWNERS_MAX 32
+#define LOOK_MS 20 /* between two looks at what has been completed */
+
+struct sim_run {
+	struct task_name task;
+	int64_t run;
+	int64_t cpu, memory_mb;
+	int64_t begun_ms, ends_ms;
+	bool fails;
+	int64_t stop_ms; /* ends stopped then; 0: not told to */
+	LIST_ENTRY(sim_run) entries;
+};
+
+struct sim_bar { /* highest run that ended or was stopped */
+	char name[TASK_NAME_BYTES];
+	int64_t run;
+	UT_hash_handle hh;
+};
+
+struct sim_worker {
+	char id[NAME_BYTES];
+	int64_t born_ms;
+	bool up, cut, listed, draining;
+	int64_t fence, lease_end_ms;
+	LIST_HEAD(sim_runs, sim_run) runs;
+	struct end_report *ended;
+	size_t ended_count;
+	int64_t ends;
+	int64_t acked;
+	struct sim_bar *bars;
+};
+
+struct owner {
+	struct pool *pool;
+	int64_t fence;
+	bool alive;
+	int64_t cut_ms; /* from the store since; 0: it is not */
+	struct pool_effects fx;
+};
+
+enum message_kind {
+	MESSAGE_START,
+	MESSAGE_STOP,
+	MESSAGE_HOLD,
+	MESSAGE_ORDER_END,
+	MESSAGE_HELD,
+	MESSAGE_WRITE
+};
+
+struct message {
+	enum message_kind kind;
+	int64_t at_ms;
+	int owner;
+	int worker;
+	int64_t born_ms; /* life of the worker it is meant for */
+	struct task_name task;
+	int64_t run;
+	struct order *order;
+	int64_t lease_end_ms, acked_end, asked_us, until_ms;
+	enum order_end end;
+	bool answer_lost;
+	bool has_report;
+	struct hold_report report;
+	char key[JOB_KEY_BYTES];
+	struct buf *value;
+	uint64_t serial;
+	LIST_ENTRY(message) entries;
+};
+
+struct stored {
+	char key[JOB_KEY_BYTES];
+	struct buf *value;
+	UT_hash_handle hh;
+};
+
+struct known_task { /* what workers have seen of a task */
+	char name[TASK_NAME_BYTES];
+	bool done; /* a run has ended so */
+	bool done_noted; /* … and the owner has taken note */
+	int failed;
+	UT_hash_handle hh;
+};
+
+struct known_job {
+	char id[JOB_ID_BYTES];
+	struct order *order;
+	bool accepted;
+	int64_t first_ms, done_ms, cancel_ms;
+	UT_hash_handle hh;
+};
+
+struct jobs_world {
+	struct jobs_world_opts opts;
+	uint64_t random;
+	int64_t ms;
+	struct sim_worker workers[JOBS_WORLD_WORKERS];
+	struct owner owners[OWNERS_MAX];
+	int owner; /* the present one */
+	bool store_down;
+	struct stored *records;
+	LIST_HEAD(message_list, message) messages;
+	struct known_task *tasks;
+	struct known_job *jobs;
+	struct known_job **tokens;
+	size_t token_count;
+	int accepted, refused, looked_state;
+	uint64_t next_id;
+	struct jobs_verdict verdict;
+	uint64_t starts;
+};
+
+static struct queue_terms terms = {.name = "queue",
+    .max_attempts = 3,
+    .stretch = 1.6,
+    .target_latency_ms = 600};
+
+static double
+chance(struct jobs_world *w)
+{
+	w->random ^= w->random << 13;
+	w->random ^= w->random >> 7;
+	w->random ^= w->random << 17;
+	return (double)(w->random >> 11) / (double)(1ULL << 53);
+}
+
+static void __attribute__((format(printf, 3, 4)))
+blame(struct jobs_world *w, int *count, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	(*count)++;
+	if (w->verdict.first[0] != '\0')
+		return;
+	n = snprintf(w->verdict.first, sizeof(w->verdict.first),
+	    "%lld ms: ", (long long)w->ms);
+	va_start(ap, fmt);
+	vsnprintf(w->verdict.first + n, sizeof(w->verdict.first) - (size_t)n,
+	    fmt, ap);
+	va_end(ap);
+}
+
+static struct known_task *
+known_task(struct jobs_world *w, const struct task_name *n)
+{
+	char name[TASK_NAME_BYTES];
+	struct known_task *t;
+
+	task_name_format(n, name, sizeof(name));
+	HASH_FIND_STR(w->tasks, name, t);
+	if (t != NULL)
+		return t;
+	t = calloc(1, sizeof(*t));
+	snprintf(t->name, sizeof(t->name), "%s", name);
+	HASH_ADD_STR(w->tasks, name, t);
+	return t;
+}
+
+static struct known_job *
+known_job(struct jobs_world *w, const char *id)
+{
+	struct known_job *j;
+
+	HASH_FIND_STR(w->jobs, id, j);
+	return j;
+}
+
+static int64_t
+clock_ms(const struct jobs_world *w, const struct sim_worker *s)
+{
+	return w->ms - s->born_ms;
+}
+
+static void
+message_free(struct message *m)
+{
+	order_unref(m->order);
+	buf_unref(m->value);
+	if (m->has_report)
+		hold_report_uninit(&m->report);
+	free(m);
+}
+
+static struct message *
+message_new(struct jobs_world *w, enum message_kind kind, int64_t at_ms)
+{
+	struct message *m = calloc(1, sizeof(*m));
+
+	m->kind = kind;
+	m->at_ms = at_ms;
+	LIST_INSERT_HEAD(&w->messages, m, entries);
+	return m;
+}
+
+/* --- workers --- */
+
+static struct sim_bar *
+bar_of(struct sim_worker *s, const struct task_name *n)
+{
+	char name[TASK_NAME_BYTES];
+	struct sim_bar *b;
+
+	task_name_format(n, name, sizeof(name));
+	HASH_FIND_STR(s->bars, name, b);
+	if (b != NULL)
+		return b;
+	b = calloc(1, sizeof(*b));
+	snprintf(b->name, sizeof(b->name), "%s", name);
+	HASH_ADD_STR(s->bars, name, b);
+	return b;
+}
+
+static struct sim_run *
+find_run(struct sim_worker *s, const struct task_name *n)
+{
+	struct sim_run *r;
+
+	LIST_FOREACH(r, &s->runs, entries) {
+		if (strcmp(r->task.job, n->job) == 0 &&
+		    r->task.step == n->step && r->task.index == n->index &&
+		    r->task.occurrence == n->occurrence)
+			return r;
+	}
+	return NULL;
+}
+
+static void
+end_run(struct jobs_world *w, struct sim_worker *s, struct sim_run *r,
+    enum run_end how)
+{
+	struct sim_bar *b = bar_of(s, &r->task);
+	struct end_report *e;
+
+	if (r->run > b->run)
+		b->run = r->run;
+	s->ended = realloc(s->ended, (s->ended_count + 1) * sizeof(*s->ended));
+	e = &s->ended[s->ended_count++];
+	memset(e, 0, sizeof(*e));
+	e->number = ++s->ends;
+	e->task = r->task;
+	e->run = r->run;
+	e->how = how;
+	if (how == RUN_DONE)
+		known_task(w, &r->task)->done = true;
+	LIST_REMOVE(r, entries);
+	free(r);
+}
+
+static void
+drop_runs(struct sim_worker *s)
+{
+	struct sim_run *r;
+
+	while ((r = LIST_FIRST(&s->runs)) != NULL) {
+		LIST_REMOVE(r, entries);
+		free(r);
+	}
+}
+
+static void
+worker_forget(struct sim_worker *s)
+{
+	struct sim_bar *b, *next;
+
+	drop_runs(s);
+	free(s->ended);
+	s->ended = NULL;
+	s->ended_count = 0;
+	s->ends = s->acked = s->fence = s->lease_end_ms = 0;
+	HASH_ITER(hh, s->bars, b, next)
+	{
+		HASH_DEL(s->bars, b);
+		free(b);
+	}
+}
+
+/* What the rules say of a start, from what all workers have seen. */
+static void
+judge_start(struct jobs_world *w, const struct message *m)
+{
+	const struct order_step *step = &m->order->steps[m->task.step];
+	struct known_job *j = known_job(w, m->task.job);
+	struct known_task *t = known_task(w, &m->task);
+	struct task_name before = m->task;
+	size_t i, k;
+
+	for (i = 0; i < (size_t)w->opts.workers; i++) {
+		if (w->workers[i].up && find_run(&w->workers[i], &m->task))
+			blame(w, &w->verdict.ran_twice,
+			    "two runs of %s at once, one on %s", t->name,
+			    w->workers[i].id);
+	}
+	if (t->done_noted)
+		blame(w, &w->verdict.ran_twice, "%s run %lld after its end",
+		    t->name, (long long)m->run);
+	if (t->failed >= terms.max_attempts)
+		blame(w, &w->verdict.over_budget, "%s run %lld", t->name,
+		    (long long)m->run);
+	if (j->cancel_ms != 0 && w->ms > j->cancel_ms + CANCEL_MS)
+		blame(w, &w->verdict.unasked, "%s run %lld", t->name,
+		    (long long)m->run);
+	for (k = 0; k < step->after_count; k++) {
+		before.step = step->after[k];
+		for (i = 0; i < m->order->steps[before.step].count; i++) {
+			before.index = (unsigned)i;
+			if (!known_task(w, &before)->done)
+				blame(
+				    w, &w->verdict.out_of_order, "%s", t->name);
+		}
+	}
+}
+
+static bool
+has_room(struct jobs_world *w, const struct sim_worker *s,
+    const struct order_step *step)
+{
+	int64_t cpu = step->cpu, memory_mb = step->memory_mb;
+	struct sim_run *r;
+
+	LIST_FOREACH(r, &s->runs, entries) {
+		cpu += r->cpu;
+		memory_mb += r->memory_mb;
+	}
+	return cpu <= w->opts.cpu && memory_mb <= w->opts.memory_mb;
+}
+
+static enum order_end
+worker_start(struct jobs_world *w, struct sim_worker *s, struct message *m)
+{
+	const struct order_step *step = &m->order->steps[m->task.step];
+	struct sim_run *r = find_run(s, &m->task);
+	double spread;
+
+	if (r != NULL && r->run == m->run)
+		return ORDER_END_TAKEN;
+	if (bar_of(s, &m->task)->run >= m->run ||
+	    (r != NULL && r->run > m->run))
+		return ORDER_END_OLD;
+	if (m->lease_end_ms <= clock_ms(w, s))
+		return ORDER_END_REFUSED;
+	if (m->lease_end_ms > s->lease_end_ms)
+		s->lease_end_ms = m->lease_end_ms;
+	if (!has_room(w, s, step)) {
+		if (w->opts.guarded)
+			return ORDER_END_NO_ROOM;
+		blame(w, &w->verdict.over_room, "%s", s->id);
+	}
+	judge_start(w, m);
+	w->starts++;
+	r = calloc(1, sizeof(*r));
+	r->task = m->task;
+	r->run = m->run;
+	r->cpu = step->cpu;
+	r->memory_mb = step->memory_mb;
+	r->begun_ms = w->ms;
+	spread = 1 + w->opts.estimate_spread * (2 * chance(w) - 1);
+	r->ends_ms = step->lasting
+	    ? INT64_MAX
+	    : w->ms + 1 + (int64_t)((double)step->estimate_ms * spread);
+	r->fails = chance(w) < w->opts.fail;
+	LIST_INSERT_HEAD(&s->runs, r, entries);
+	return ORDER_END_TAKEN;
+}
+
+static enum order_end
+worker_stop(struct jobs_world *w, struct sim_worker *s, struct message *m)
+{
+	struct sim_run *r = find_run(s, &m->task);
+	struct sim_bar *b = bar_of(s, &m->task);
+
+	if (r != NULL && r->run == m->run) {
+		if (r->stop_ms == 0)
+			r->stop_ms = w->ms + STOP_MS;
+	} else if (m->run > b->run) {
+		b->run = m->run;
+	}
+	return ORDER_END_TAKEN;
+}
+
+static void
+note_ends(struct jobs_world *w, struct sim_worker *s)
+{
+	struct known_task *t;
+	size_t i, kept = 0;
+
+	for (i = 0; i < s->ended_count; i++) {
+		if (s->ended[i].number > s->acked) {
+			s->ended[kept++] = s->ended[i];
+			continue;
+		}
+		t = known_task(w, &s->ended[i].task);
+		if (s->ended[i].how == RUN_DONE)
+			t->done_noted = true;
+		else if (s->ended[i].how == RUN_FAILED)
+			t->failed++;
+	}
+	s->ended_count = kept;
+}
+
+static void
+fill_report(struct jobs_world *w, struct sim_worker *s, struct hold_report *r)
+{
+	struct sim_run *run;
+	int64_t took;
+	size_t n = 0;
+
+	memset(r, 0, sizeof(*r));
+	r->clock_ms = clock_ms(w, s);
+	r->born_ms = s->born_ms;
+	LIST_FOREACH(run, &s->runs, entries)
+		n++;
+	r->running = calloc(n + 1, sizeof(*r->running));
+	LIST_FOREACH(run, &s->runs, entries) {
+		struct run_report *out = &r->running[r->running_count++];
+
+		out->task = run->task;
+		out->run = run->run;
+		took = run->ends_ms - run->begun_ms;
+		out->percent = run->ends_ms == INT64_MAX
+		    ? 100
+		    : (int)(100 * (w->ms - run->begun_ms) / (took + 1));
+	}
+	r->ended = calloc(s->ended_count + 1, sizeof(*r->ended));
+	memcpy(r->ended, s->ended, s->ended_count * sizeof(*r->ended));
+	r->ended_count = s->ended_count;
+}
+
+static void
+answer_order(struct jobs_world *w, const struct message *m, enum order_end end)
+{
+	struct message *a;
+
+	if (m->answer_lost || w->workers[m->worker].cut)
+		return;
+	a = message_new(w, MESSAGE_ORDER_END, w->ms + w->opts.link_ms);
+	a->owner = m->owner;
+	a->worker = m->worker;
+	a->task = m->task;
+	a->run = m->run;
+	a->end = end;
+	a->asked_us = m->asked_us;
+	a->has_report = false;
+	a->serial = m->kind == MESSAGE_START;
+}
+
+/* True once a hold has been answered; it waits for an end until then. */
+static bool
+worker_hold(struct jobs_world *w, struct sim_worker *s, struct message *m)
+{
+	struct message *a;
+
+	if (m->lease_end_ms > s->lease_end_ms)
+		s->lease_end_ms = m->lease_end_ms;
+	if (m->acked_end > s->acked)
+		s->acked = m->acked_end;
+	note_ends(w, s);
+	if (s->ended_count == 0 && w->ms < m->until_ms)
+		return false;
+	if (m->answer_lost || s->cut)
+		return true;
+	a = message_new(w, MESSAGE_HELD, w->ms + w->opts.link_ms);
+	a->owner = m->owner;
+	a->worker = m->worker;
+	a->asked_us = m->asked_us;
+	a->end = ORDER_END_TAKEN;
+	a->has_report = true;
+	fill_report(w, s, &a->report);
+	return true;
+}
+
+static bool
+deliver_order(struct jobs_world *w, struct message *m)
+{
+	struct sim_worker *s = &w->workers[m->worker];
+	int64_t fence = w->owners[m->owner].fence;
+	enum order_end end;
+
+	if (!s->up || s->cut || s->born_ms != m->born_ms)
+		return true; /* nobody there: no answer */
+	if (fence < s->fence) {
+		if (m->kind == MESSAGE_HOLD) {
+			struct message *a = message_new(
+			    w, MESSAGE_HELD, w->ms + w->opts.link_ms);
+
+			a->owner = m->owner;
+			a->worker = m->worker;
+			a->end = ORDER_END_FENCED;
+			return true;
+		}
+		answer_order(w, m, ORDER_END_FENCED);
+		return true;
+	}
+	s->fence = fence;
+	switch (m->kind) {
+	case MESSAGE_START:
+		end = worker_start(w, s, m);
+		answer_order(w, m, end);
+		return true;
+	case MESSAGE_STOP:
+		end = worker_stop(w, s, m);
+		answer_order(w, m, end);
+		return true;
+	case MESSAGE_HOLD:
+		return worker_hold(w, s, m);
+	case MESSAGE_ORDER_END:
+	case MESSAGE_HELD:
+	case MESSAGE_WRITE:
+		break;
+	}
+	return true;
+}
+
+static void
+run_workers(struct jobs_world *w)
+{
+	struct sim_run *r, *next;
+	struct sim_worker *s;
+	int i;
+
+	for (i = 0; i < w->opts.workers; i++) {
+		s = &w->workers[i];
+		if (!s->up)
+			continue;
+		for (r = LIST_FIRST(&s->runs); r != NULL; r = next) {
+			next = LIST_NEXT(r, entries);
+			if (clock_ms(w, s) > s->lease_end_ms)
+				end_run(w, s, r, RUN_LAPSED);
+			else if (r->stop_ms != 0 && w->ms >= r->stop_ms)
+				end_run(w, s, r, RUN_STOPPED);
+			else if (w->ms >= r->ends_ms)
+				end_run(
+				    w, s, r, r->fails ? RUN_FAILED : RUN_DONE);
+		}
+	}
+}
+
+/* --- owners --- */
+
+static void step(struct jobs_world *w, int owner, struct pool_event *ev);
+
+static int
+worker_index(const struct jobs_world *w, const char *id)
+{
+	int i;
+
+	for (i = 0; i < w->opts.workers; i++) {
+		if (strcmp(w->workers[i].id, id) == 0)
+			return i;
+	}
+	return -1;
+}
+
+static struct message *
+send_order(
+    struct jobs_world *w, int owner, enum message_kind kind, const char *worker)
+{
+	int i = worker_index(w, worker);
+	int64_t at = w->ms + w->opts.link_ms;
+	struct message *m;
+
+	if (i < 0)
+		return NULL;
+	m = message_new(w, kind, at);
+	m->owner = owner;
+	m->worker = i;
+	m->born_ms = w->workers[i].born_ms;
+	m->asked_us = w->ms * US_PER_MS;
+	if (chance(w) < w->opts.late) {
+		m->at_ms += LATE_MIN_MS +
+		    (int64_t)(chance(w) * (LATE_MAX_MS - LATE_MIN_MS));
+		m->answer_lost = true;
+	} else if (chance(w) < w->opts.lose) {
+		m->answer_lost = true;
+	}
+	return m;
+}
+
+/* The owner's own time-out, if no answer has come by then. */
+static void
+time_out(struct jobs_world *w, const struct message *m, int ms)
+{
+	struct message *a;
+
+	a = message_new(w,
+	    m->kind == MESSAGE_HOLD ? MESSAGE_HELD : MESSAGE_ORDER_END,
+	    w->ms + ms);
+	a->owner = m->owner;
+	a->worker = m->worker;
+	a->task = m->task;
+	a->run = m->run;
+	a->end = ORDER_END_LOST;
+	a->asked_us = m->asked_us;
+	a->serial = m->kind == MESSAGE_START;
+}
+
+static void
+write_record(struct jobs_world *w, int owner, const struct pool_effect *x)
+{
+	struct message *m;
+
+	m = message_new(w, MESSAGE_WRITE, w->ms + w->opts.store_ms);
+	m->owner = owner;
+	memcpy(m->key, x->u.write.key, sizeof(m->key));
+	m->value = x->u.write.value != NULL ? buf_ref(x->u.write.value) : NULL;
+	m->serial = x->u.write.serial;
+}
+
+static void
+take_answer(struct jobs_world *w, const struct pool_effect *x)
+{
+	struct known_job *j = w->tokens[x->u.answer.token];
+
+	switch (x->u.answer.answer) {
+	case POOL_ACCEPTED:
+		if (!j->accepted)
+			w->accepted++;
+		j->accepted = true;
+		break;
+	case POOL_OVERLOADED:
+		w->refused++;
+		break;
+	case POOL_CANCELLING:
+		j->cancel_ms = w->ms;
+		break;
+	case POOL_STATE:
+		w->looked_state = x->u.answer.state;
+		break;
+	case POOL_NO_JOB:
+		w->looked_state = -1;
+		break;
+	case POOL_WAITING:
+		break;
+	}
+}
+
+static void
+run_effect(struct jobs_world *w, int owner, const struct pool_effect *x)
+{
+	struct message *m;
+
+	switch (x->kind) {
+	case POOL_START:
+		m = send_order(w, owner, MESSAGE_START, x->u.start.worker.id);
+		if (m == NULL)
+			return;
+		m->task = x->u.start.task;
+		m->run = x->u.start.run;
+		m->order = order_ref(x->u.start.order);
+		m->lease_end_ms = x->u.start.lease_end_ms;
+		time_out(w, m, ORDER_TIMEOUT_MS);
+		break;
+	case POOL_STOP:
+		m = send_order(w, owner, MESSAGE_STOP, x->u.order.worker.id);
+		if (m == NULL)
+			return;
+		m->task = x->u.order.task;
+		m->run = x->u.order.run;
+		time_out(w, m, ORDER_TIMEOUT_MS);
+		break;
+	case POOL_HOLD:
+		m = send_order(w, owner, MESSAGE_HOLD, x->u.hold.worker.id);
+		if (m == NULL)
+			return;
+		m->acked_end = x->u.hold.acked_end;
+		m->lease_end_ms = x->u.hold.lease_end_ms;
+		m->until_ms = w->ms + x->u.hold.wait_ms;
+		time_out(w, m, x->u.hold.wait_ms + HOLD_TIMEOUT_MS);
+		break;
+	case POOL_WRITE:
+		write_record(w, owner, x);
+		break;
+	case POOL_ANSWER:
+		take_answer(w, x);
+		break;
+	case POOL_LOG:
+		if (getenv("JOBS_WORLD_LOG") != NULL)
+			fprintf(stderr, "%6lld owner=%d %s\n", (long long)w->ms,
+			    owner, x->u.log.line);
+		break;
+	case POOL_PACE:
+	case POOL_ADVISE:
+		break;
+	}
+}
+
+static void
+step(struct jobs_world *w, int owner, struct pool_event *ev)
+{
+	struct owner *o = &w->owners[owner];
+	struct pool_effects fx;
+	size_t i;
+
+	if (!o->alive)
+		return;
+	if (o->cut_ms != 0 && w->ms - o->cut_ms > GIVE_UP_MS) {
+		o->alive = false;
+		return;
+	}
+	ev->now_us = w->ms * US_PER_MS;
+	ev->now_ms = START_MS + w->ms;
+	memset(&fx, 0, sizeof(fx));
+	pool_step(o->pool, ev, &fx);
+	for (i = 0; i < fx.count; i++)
+		run_effect(w, owner, &fx.list[i]);
+	pool_effects_uninit(&fx);
+}
+
+static void
+feed_worker(struct jobs_world *w, int owner, int i)
+{
+	struct pool_event ev = {.kind = POOL_WORKER};
+	struct sim_worker *s = &w->workers[i];
+	struct worker_report r;
+
+	memset(&r, 0, sizeof(r));
+	snprintf(r.id, sizeof(r.id), "%s", s->id);
+	snprintf(r.pool, sizeof(r.pool), "pool");
+	snprintf(r.addr, sizeof(r.addr), "10.0.0.%d", i + 1);
+	r.port = 80;
+	r.born_ms = s->born_ms;
+	r.cpu = w->opts.cpu;
+	r.memory_mb = w->opts.memory_mb;
+	r.draining = s->draining;
+	r.label_count = 2;
+	snprintf(r.labels[0], NAME_BYTES, "kind");
+	snprintf(r.labels[1], NAME_BYTES, "rack-%d", i / 4);
+	r.clock_ms = clock_ms(w, s);
+	ev.u.worker.report = &r;
+	step(w, owner, &ev);
+}
+
+static void
+found_order(void *arg, const struct order_record *r)
+{
+	struct jobs_world *w = arg;
+	struct known_job *j = NULL, *each;
+	struct owner *o = &w->owners[w->owner];
+	struct stored *progress;
+	char key[JOB_KEY_BYTES];
+	struct err e;
+
+	for (each = w->jobs; each != NULL; each = each->hh.next) {
+		if (strlen(each->id) == r->text_len &&
+		    memcmp(each->id, r->text, r->text_len) == 0)
+			j = each;
+	}
+	if (j == NULL)
+		return;
+	job_progress_key(key, j->id);
+	HASH_FIND_STR(w->records, key, progress);
+	pool_load(o->pool, j->id, r, j->order,
+	    progress != NULL ? progress->value : NULL, &e);
+}
+
+static void
+owner_begin(struct jobs_world *w)
+{
+	struct owner *o = &w->owners[w->owner];
+	struct pool_event ev = {.kind = POOL_LOADED};
+	struct pool_opts opts = {
+	    .name = "pool",
+	    .fence = w->owner + 1,
+	    .guarded = w->opts.guarded,
+	    .now_us = w->ms * US_PER_MS,
+	    .now_ms = START_MS + w->ms,
+	    .lease_ms = LEASE_MS,
+	    .settle_ms = w->owner > 0 ? SETTLE_MS : 0,
+	    .status_keep_ms = STATUS_KEEP_MS,
+	    .restore_ms = RESTORE_MS,
+	    .remote_factor = 2,
+	};
+	struct stored *r;
+	struct err e;
+	int i;
+
+	o->pool = pool_new(&opts);
+	o->fence = opts.fence;
+	o->alive = true;
+	for (r = w->records; r != NULL; r = r->hh.next) {
+		if (strncmp(r->key, "j/", 2) == 0)
+			job_order_decode(
+			    r->value->data, r->value->len, &e, found_order, w);
+		else if (strcmp(r->key, KEY_WORKERS) == 0)
+			pool_load_workers(
+			    o->pool, r->value->data, r->value->len, &e);
+	}
+	for (i = 0; i < w->opts.workers; i++) {
+		if (w->workers[i].listed)
+			feed_worker(w, w->owner, i);
+	}
+	step(w, w->owner, &ev);
+}
+
+static void
+store_record(struct jobs_world *w, struct message *m)
+{
+	struct stored *r;
+
+	HASH_FIND_STR(w->records, m->key, r);
+	if (r == NULL) {
+		r = calloc(1, sizeof(*r));
+		memcpy(r->key, m->key, sizeof(r->key));
+		HASH_ADD_STR(w->records, key, r);
+	}
+	buf_unref(r->value);
+	r->value = m->value;
+	m->value = NULL;
+	if (r->value == NULL) {
+		HASH_DEL(w->records, r);
+		free(r);
+	}
+}
+
+/* True once it has been taken or refused for good. */
+static bool
+deliver_write(struct jobs_world *w, struct message *m)
+{
+	struct pool_event ev = {.kind = POOL_WRITTEN};
+	struct owner *o = &w->owners[m->owner];
+
+	if (m->owner != w->owner || !o->alive)
+		return true; /* fenced, or died with its owner */
+	if (w->store_down)
+		return false;
+	store_record(w, m);
+	ev.u.written.serial = m->serial;
+	step(w, m->owner, &ev);
+	return true;
+}
+
+/* An answer, or the owner's time-out; the second of the two is void. */
+static void
+deliver_answer(struct jobs_world *w, struct message *m)
+{
+	struct message *other, *next;
+	struct pool_event ev;
+
+	for (other = LIST_FIRST(&w->messages); other != NULL; other = next) {
+		next = LIST_NEXT(other, entries);
+		if (other == m || other->kind != m->kind ||
+		    other->owner != m->owner || other->worker != m->worker ||
+		    other->asked_us != m->asked_us ||
+		    other->serial != m->serial ||
+		    memcmp(&other->task, &m->task, sizeof(m->task)) != 0)
+			continue;
+		LIST_REMOVE(other, entries);
+		message_free(other);
+	}
+	memset(&ev, 0, sizeof(ev));
+	if (m->end == ORDER_END_FENCED)
+		w->owners[m->owner].alive = false;
+	if (m->kind == MESSAGE_HELD) {
+		ev.kind = POOL_HELD;
+		snprintf(ev.u.held.worker, NAME_BYTES, "%s",
+		    w->workers[m->worker].id);
+		ev.u.held.asked_us = m->asked_us;
+		ev.u.held.report = m->has_report ? &m->report : NULL;
+		ev.u.held.end = m->end;
+	} else {
+		ev.kind = m->serial ? POOL_STARTED : POOL_STOPPED;
+		snprintf(ev.u.order.worker, NAME_BYTES, "%s",
+		    w->workers[m->worker].id);
+		ev.u.order.task = m->task;
+		ev.u.order.run = m->run;
+		ev.u.order.end = m->end;
+	}
+	step(w, m->owner, &ev);
+}
+
+/* Delivers what is due, in the order of time. */
+static void
+deliver(struct jobs_world *w)
+{
+	struct message *m, *due;
+	bool done;
+
+	for (;;) {
+		due = NULL;
+		LIST_FOREACH(m, &w->messages, entries) {
+			if (m->at_ms <= w->ms &&
+			    (due == NULL || m->at_ms <= due->at_ms))
+				due = m;
+		}
+		if (due == NULL)
+			return;
+		done = true;
+		switch (due->kind) {
+		case MESSAGE_START:
+		case MESSAGE_STOP:
+		case MESSAGE_HOLD:
+			done = deliver_order(w, due);
+			break;
+		case MESSAGE_ORDER_END:
+		case MESSAGE_HELD:
+			LIST_REMOVE(due, entries);
+			deliver_answer(w, due);
+			message_free(due);
+			continue;
+		case MESSAGE_WRITE:
+			done = deliver_write(w, due);
+			break;
+		}
+		if (done) {
+			LIST_REMOVE(due, entries);
+			message_free(due);
+		} else {
+			due->at_ms = w->ms + 1;
+		}
+	}
+}
+
+/* Notes when jobs are shown as completed. */
+static void
+look_at_jobs(struct jobs_world *w)
+{
+	struct known_job *j;
+
+	for (j = w->jobs; j != NULL; j = j->hh.next) {
+		if (j->accepted && j->done_ms == 0 &&
+		    jobs_world_state(w, j->id) == JOB_COMPLETED)
+			j->done_ms = w->ms;
+	}
+}
+
+void
+jobs_world_run(struct jobs_world *w, int ms)
+{
+	struct pool_event ev = {.kind = POOL_TICK};
+	int i;
+
+	while (ms-- > 0) {
+		w->ms++;
+		if (w->ms % LOOK_MS == 0)
+			look_at_jobs(w);
+		run_workers(w);
+		deliver(w);
+		for (i = 0; i <= w->owner; i++) {
+			if (w->owners[i].alive &&
+			    pool_next_us(w->owners[i].pool) <=
+				w->ms * US_PER_MS)
+				step(w, i, &ev);
+		}
+	}
+}
+
+struct jobs_world *
+jobs_world_new(const struct jobs_world_opts *opts)
+{
+	struct jobs_world *w = calloc(1, sizeof(*w));
+	int i;
+
+	w->opts = *opts;
+	w->random = opts->seed * 2654435761u + 88172645463325252u;
+	w->ms = 1;
+	LIST_INIT(&w->messages);
+	for (i = 0; i < opts->workers; i++) {
+		snprintf(w->workers[i].id, NAME_BYTES, "w-%d", i);
+		w->workers[i].born_ms = 1;
+		w->workers[i].up = w->workers[i].listed = true;
+		LIST_INIT(&w->workers[i].runs);
+	}
+	owner_begin(w);
+	jobs_world_run(w, 100);
+	return w;
+}
+
+void
+jobs_world_free(struct jobs_world *w)
+{
+	struct known_job *j, *next_job;
+	struct known_task *t, *next_task;
+	struct stored *r, *next;
+	struct message *m;
+	int i;
+
+	while ((m = LIST_FIRST(&w->messages)) != NULL) {
+		LIST_REMOVE(m, entries);
+		message_free(m);
+	}
+	for (i = 0; i < w->opts.workers; i++)
+		worker_forget(&w->workers[i]);
+	for (i = 0; i <= w->owner; i++)
+		pool_free(w->owners[i].pool);
+	HASH_ITER(hh, w->jobs, j, next_job)
+	{
+		HASH_DEL(w->jobs, j);
+		order_unref(j->order);
+		free(j);
+	}
+	HASH_ITER(hh, w->tasks, t, next_task)
+	{
+		HASH_DEL(w->tasks, t);
+		free(t);
+	}
+	HASH_ITER(hh, w->records, r, next)
+	{
+		HASH_DEL(w->records, r);
+		buf_unref(r->value);
+		free(r);
+	}
+	free(w->tokens);
+	free(w);
+}
+
+int64_t
+jobs_world_ms(const struct jobs_world *w)
+{
+	return w->ms;
+}
+
+struct order *
+jobs_order(int steps, unsigned count, int64_t cpu, int64_t estimate_ms)
+{
+	struct order *o = order_new((size_t)steps);
+	int i;
+
+	o->spec = strdup("spec");
+	for (i = 0; i < steps; i++) {
+		o->steps[i].count = count;
+		o->steps[i].cpu = cpu;
+		o->steps[i].memory_mb = 100;
+		o->steps[i].estimate_ms = estimate_ms;
+		if (i == 0)
+			continue;
+		o->steps[i].after = calloc(1, sizeof(unsigned));
+		o->steps[i].after[0] = (unsigned)i - 1;
+		o->steps[i].after_count = 1;
+	}
+	return o;
+}
+
+static uint64_t
+token_new(struct jobs_world *w, struct known_job *j)
+{
+	w->tokens =
+	    realloc(w->tokens, (w->token_count + 1) * sizeof(*w->tokens));
+	w->tokens[w->token_count] = j;
+	return w->token_count++;
+}
+
+void
+jobs_world_submit_again(
+    struct jobs_world *w, struct order *order, const char *id)
+{
+	struct pool_event ev = {.kind = POOL_SUBMIT};
+
+	ev.u.submit.token = token_new(w, known_job(w, id));
+	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
+	ev.u.submit.terms = &terms;
+	ev.u.submit.order = order;
+	step(w, w->owner, &ev);
+}
+
+void
+jobs_world_submit(
+    struct jobs_world *w, struct order *order, char id[JOB_ID_BYTES])
+{
+	struct known_job *j = calloc(1, sizeof(*j));
+
+	snprintf(
+	    j->id, sizeof(j->id), "%016llx", (unsigned long long)++w->next_id);
+	j->order = order_ref(order);
+	j->first_ms = w->ms;
+	HASH_ADD_STR(w->jobs, id, j);
+	/* the text names the order, for the records of a take-over */
+	buf_unref(order->text);
+	order->text = buf_from(j->id, strlen(j->id));
+	if (id != NULL)
+		memcpy(id, j->id, JOB_ID_BYTES);
+	jobs_world_submit_again(w, order, j->id);
+}
+
+static void
+ask(struct jobs_world *w, enum pool_event_kind kind, const char *id)
+{
+	struct pool_event ev = {.kind = kind};
+
+	ev.u.job.token = token_new(w, known_job(w, id));
+	snprintf(ev.u.job.id, JOB_ID_BYTES, "%s", id);
+	step(w, w->owner, &ev);
+}
+
+void
+jobs_world_cancel(struct jobs_world *w, const char *id)
+{
+	ask(w, POOL_CANCEL, id);
+}
+
+int
+jobs_world_state(struct jobs_world *w, const char *id)
+{
+	w->looked_state = -2;
+	ask(w, POOL_LOOK, id);
+	return w->looked_state;
+}
+
+int
+jobs_world_accepted(const struct jobs_world *w)
+{
+	return w->accepted;
+}
+
+int
+jobs_world_refused(const struct jobs_world *w)
+{
+	return w->refused;
+}
+
+void
+jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut)
+{
+	w->workers[worker].cut = cut;
+}
+
+void
+jobs_world_crash_worker(struct jobs_world *w, int worker)
+{
+	worker_forget(&w->workers[worker]);
+	w->workers[worker].up = false;
+}
+
+void
+jobs_world_restart_worker(struct jobs_world *w, int worker)
+{
+	struct sim_worker *s = &w->workers[worker];
+
+	worker_forget(s);
+	s->up = true;
+	s->born_ms = w->ms;
+	if (s->listed)
+		feed_worker(w, w->owner, worker);
+}
+
+void
+jobs_world_drain_worker(struct jobs_world *w, int worker, int ms)
+{
+	(void)ms;
+	w->workers[worker].draining = true;
+	feed_worker(w, w->owner, worker);
+}
+
+void
+jobs_world_list_worker(struct jobs_world *w, int worker, bool listed)
+{
+	struct pool_event ev = {.kind = POOL_WORKER_GONE};
+
+	w->workers[worker].listed = listed;
+	if (listed) {
+		feed_worker(w, w->owner, worker);
+		return;
+	}
+	snprintf(ev.u.gone.id, NAME_BYTES, "%s", w->workers[worker].id);
+	step(w, w->owner, &ev);
+}
+
+void
+jobs_world_cordon_worker(struct jobs_world *w, int worker)
+{
+	struct pool_event ev = {.kind = POOL_CORDON};
+
+	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
+	ev.u.cordon.empty = true;
+	step(w, w->owner, &ev);
+}
+
+void
+jobs_world_store(struct jobs_world *w, bool down)
+{
+	w->store_down = down;
+}
+
+void
+jobs_world_take_over(struct jobs_world *w, int zombie_ms)
+{
+	struct owner *before = &w->owners[w->owner];
+
+	if (w->owner + 1 == OWNERS_MAX)
+		return;
+	if (zombie_ms > 0)
+		before->cut_ms = w->ms;
+	else
+		before->alive = false;
+	w->owner++;
+	owner_begin(w);
+}
+
+size_t
+jobs_world_tasks_on(const struct jobs_world *w, int worker)
+{
+	const struct sim_run *r;
+	size_t n = 0;
+
+	LIST_FOREACH(r, &w->workers[worker].runs, entries)
+		n++;
+	return n;
+}
+
+struct pool *
+jobs_world_pool(struct jobs_world *w)
+{
+	return w->owners[w->owner].pool;
+}
+
+size_t
+jobs_world_completed(const struct jobs_world *w, int64_t *ms, size_t room)
+{
+	const struct known_job *j;
+	size_t n = 0;
+
+	for (j = w->jobs; j != NULL; j = j->hh.next) {
+		if (j->done_ms != 0 && n < room)
+			ms[n++] = j->done_ms - j->first_ms;
+	}
+	return n;
+}
+
+uint64_t
+jobs_world_starts(const struct jobs_world *w)
+{
+	return w->starts;
+}
+
+void
+jobs_world_judge(struct jobs_world *w, struct jobs_verdict *v)
+{
+	struct known_job *j;
+	int state;
+
+	for (j = w->jobs; j != NULL; j = j->hh.next) {
+		if (!j->accepted)
+			continue;
+		state = jobs_world_state(w, j->id);
+		if (state == -1)
+			blame(w, &w->verdict.lost, "job %s is unknown", j->id);
+		else if (state == JOB_CANCELLED && j->cancel_ms == 0)
+			blame(w, &w->verdict.lost, "job %s cancelled by nobody",
+			    j->id);
+		else if (state == JOB_FAILED && w->opts.fail == 0)
+			blame(w, &w->verdict.lost,
+			    "job %s failed without cause", j->id);
+		else if (state < JOB_COMPLETED && !order_lasts(j->order))
+			blame(w, &w->verdict.unfinished,
+			    "job %s is in state %d", j->id, state);
+	}
+	*v = w->verdict;
+}
--- /dev/null
+++ b/bench/jobs_world.h
@@ -0,0 +1,93 @@
+/*
+ * A pool's reducer in virtual time: workers that run tasks under leases, a
+ * store that takes writes late or not, links that delay, lose or hold up
+ * orders, owners that are replaced while they go on.  It judges what callers
+ * were promised from what workers and the store have seen.
+ */
+#ifndef JOBS_WORLD_H
+#define JOBS_WORLD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "pool.h"
+
+#define JOBS_WORLD_WORKERS 16
+
+struct jobs_world;
+
+struct jobs_world_opts {
+	uint64_t seed;
+	int workers;
+	int64_t cpu; /* thousandths of a core of a worker */
+	int64_t memory_mb;
+	int link_ms; /* one way, owner to worker */
+	int store_ms; /* a write */
+	double lose; /* share of orders whose answer is lost */
+	double late; /* share of orders carried out 2 to 12 s later */
+	double fail; /* share of runs that fail */
+	double estimate_spread; /* true time: estimate times 1 ± this */
+	bool guarded; /* workers refuse what does not fit */
+};
+
+/* What went wrong, 0 each on a world that kept its promises. */
+struct jobs_verdict {
+	int ran_twice; /* two runs of a task at once, or after its end */
+	int out_of_order; /* a start before the steps before it were done */
+	int over_room; /* a worker over its room */
+	int over_budget; /* a start after the last attempt had failed */
+	int unasked; /* a start of a job that was cancelled long before */
+	int lost; /* accepted, and unknown or without cause not completed */
+	int unfinished; /* accepted, and not ended when asked */
+	char first[160]; /* the first of all */
+};
+
+struct jobs_world *jobs_world_new(const struct jobs_world_opts *opts);
+void jobs_world_free(struct jobs_world *w);
+int64_t jobs_world_ms(const struct jobs_world *w);
+/* Lets so many ms pass. */
+void jobs_world_run(struct jobs_world *w, int ms);
+
+/* A job of "steps" steps of "count" tasks, each step after the one before. */
+struct order *jobs_order(
+    int steps, unsigned count, int64_t cpu, int64_t estimate_ms);
+/* Hands a job in under a new id, which is copied to "id" unless NULL. */
+void jobs_world_submit(
+    struct jobs_world *w, struct order *order, char id[JOB_ID_BYTES]);
+/* The same job again, as a caller without an answer does. */
+void jobs_world_submit_again(
+    struct jobs_world *w, struct order *order, const char *id);
+void jobs_world_cancel(struct jobs_world *w, const char *id);
+/* State as the present owner shows it; -1: no such job. */
+int jobs_world_state(struct jobs_world *w, const char *id);
+/* Jobs whose submission was acknowledged. */
+int jobs_world_accepted(const struct jobs_world *w);
+int jobs_world_refused(const struct jobs_world *w);
+/* ms from first handing in to the end, of jobs that are completed. */
+size_t jobs_world_completed(
+    const struct jobs_world *w, int64_t *ms, size_t room);
+
+/* Faults. */
+void jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut);
+void jobs_world_crash_worker(struct jobs_world *w, int worker);
+void jobs_world_restart_worker(struct jobs_world *w, int worker);
+void jobs_world_drain_worker(struct jobs_world *w, int worker, int ms);
+/* The entry in the store comes and goes. */
+void jobs_world_list_worker(struct jobs_world *w, int worker, bool listed);
+void jobs_world_cordon_worker(struct jobs_world *w, int worker);
+/* Writes of the present owner are not taken while the store is down. */
+void jobs_world_store(struct jobs_world *w, bool down);
+/*
+ * Another owner takes over.  "zombie_ms": the one before goes on so long,
+ * cut from the store; 0: it has died.
+ */
+void jobs_world_take_over(struct jobs_world *w, int zombie_ms);
+
+size_t jobs_world_tasks_on(const struct jobs_world *w, int worker);
+struct pool *jobs_world_pool(struct jobs_world *w);
+/* Asks the owner for every job and closes the account. */
+void jobs_world_judge(struct jobs_world *w, struct jobs_verdict *v);
+uint64_t jobs_world_starts(const struct jobs_world *w);
+
+#endif
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -213,6 +213,19 @@
 	}
 }
 
+bool
+task_count_failure(struct task *t, int64_t run)
+{
+	size_t i;
+
+	for (i = 0; i < FAILED_RUNS_KEPT; i++) {
+		if (t->failed_runs[i] == run)
+			return false;
+	}
+	t->failed_runs[t->attempts++ % FAILED_RUNS_KEPT] = run;
+	return true;
+}
+
 void
 task_set_saved(struct task *t, const char *saved)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -33,6 +33,9 @@
 	PLACE_STOPPING
 };
 
+/* More than any queue's attempts: each is counted once, in any order. */
+#define FAILED_RUNS_KEPT 8
+
 struct placed_worker; /* pool_worker.h */
 struct job_step;
 
@@ -44,8 +47,8 @@
 	struct placed_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
 	int64_t run; /* highest number given to a start */
-	int64_t failed_run; /* newest run that ended failed */
-	int attempts; /* runs that ended failed */
+	int attempts; /* runs that ended failed … */
+	int64_t failed_runs[FAILED_RUNS_KEPT]; /* … the newest of them */
 	char *saved; /* newest checkpoint; NULL none */
 	char avoid[NAME_BYTES]; /* worker of the last failed run; "" none */
 	int percent; /* of its work, at the worker's last report */
@@ -143,6 +146,8 @@
  * a gang may still be listed after one of them ended for all.
  */
 void job_drop_finished(struct job *j);
+/* Counts a failed run; false where it was counted before. */
+bool task_count_failure(struct task *t, int64_t run);
 void task_set_saved(struct task *t, const char *saved);
 /* ms of the longest chain of steps that is left, by estimates. */
 double occurrence_chain_left_ms(const struct occurrence *o);
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -138,7 +138,21 @@
 	return !t->done && (t->attempts > 0 || t->saved != NULL);
 }
 
-/* [index, attempts, newest failed run, checkpoint] of tasks not done. */
+static void
+write_failures(struct wire_writer *w, const struct task *t)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < FAILED_RUNS_KEPT; i++)
+		n += t->failed_runs[i] != 0;
+	msgpack_pack_array(&w->pk, n);
+	for (i = 0; i < FAILED_RUNS_KEPT; i++) {
+		if (t->failed_runs[i] != 0)
+			msgpack_pack_int64(&w->pk, t->failed_runs[i]);
+	}
+}
+
+/* [index, attempts, failed runs, checkpoint] of tasks not done. */
 static void
 write_notes(struct wire_writer *w, const struct job_step *s)
 {
@@ -156,7 +170,7 @@
 		msgpack_pack_array(&w->pk, 4);
 		msgpack_pack_unsigned_int(&w->pk, i);
 		msgpack_pack_int(&w->pk, s->tasks[i].attempts);
-		msgpack_pack_int64(&w->pk, s->tasks[i].failed_run);
+		write_failures(w, &s->tasks[i]);
 		msgpack_pack_str(&w->pk, strlen(saved));
 		msgpack_pack_str_body(&w->pk, saved, strlen(saved));
 	}
@@ -225,18 +239,23 @@
 	char saved[SAVED_BYTES];
 	const msgpack_object *f;
 	struct task *t;
+	uint32_t i;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 4)
 		return;
 	f = o->via.array.ptr;
 	if (f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    f[0].via.u64 >= s->order->count ||
+	    f[2].type != MSGPACK_OBJECT_ARRAY ||
 	    f[3].type != MSGPACK_OBJECT_STR || f[3].via.str.size >= SAVED_BYTES)
 		return;
 	t = &s->tasks[f[0].via.u64];
+	for (i = 0; i < f[2].via.array.size && i < FAILED_RUNS_KEPT; i++) {
+		t->failed_runs[i] = f[2].via.array.ptr[i].via.i64;
+		if (t->failed_runs[i] > t->run)
+			t->run = t->failed_runs[i];
+	}
 	t->attempts = (int)f[1].via.i64;
-	t->failed_run = f[2].via.i64;
-	t->run = t->failed_run;
 	memcpy(saved, f[3].via.str.ptr, f[3].via.str.size);
 	saved[f[3].via.str.size] = '\0';
 	task_set_saved(t, saved);
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -179,10 +179,8 @@
 	struct task *counted = t->step->order->gang ? t->step->tasks : t;
 
 	p->stats.ends_failed++;
-	if (r->run <= counted->failed_run)
+	if (!task_count_failure(counted, r->run))
 		return;
-	counted->failed_run = r->run;
-	counted->attempts++;
 	j->dirty = true;
 	snprintf(t->avoid, sizeof(t->avoid), "%s", w->report.id);
 	if (counted->attempts == 1)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -23,6 +23,9 @@
 	int64_t hold_due_us;
 	int64_t seen_end; /* highest end number that was taken in */
 	int64_t acked_end; /* may be forgotten by the worker */
+	int64_t told_end; /* … and it was told so, and has answered */
+	int64_t telling_end; /* by the hold under way; 0: tells nothing */
+	int64_t late_until_us; /* a hold that told it may arrive until then */
 	int64_t pending_end; /* … once "pending_serial" is written */
 	uint64_t pending_serial;
 	uint64_t reports; /* holds answered */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -14,6 +14,9 @@
 #define HOLD_RETRY_MS 100 /* after a hold without an answer */
 #define HOLD_RETRY_MAX_MS 1000
 #define HOLD_UNACKED_MS 250 /* between holds that would end at once */
+#define LATE_ORDER_MS                                          \
+	12000 /* an order without an answer may arrive so late \
+	       */
 #define CORDON_MS 2000 /* a cordon that is not renewed ends */
 #define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
@@ -111,11 +114,12 @@
 		}
 	}
 	w->held = false;
-	w->seen_end = w->acked_end = w->pending_end = 0;
+	w->seen_end = w->acked_end = w->pending_end = w->told_end = 0;
+	/* nothing runs there while an old hold could acknowledge its ends */
+	w->shunned_until_us = w->late_until_us;
 	w->lease_end_ms = 0;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
-	w->shunned_until_us = 0;
 	w->hold_due_us = p->now_us;
 }
 
@@ -229,7 +233,12 @@
 	snprintf(x->u.hold.worker.id, NAME_BYTES, "%s", w->report.id);
 	snprintf(x->u.hold.worker.addr, ADDR_BYTES, "%s", w->report.addr);
 	x->u.hold.worker.port = w->report.port;
-	x->u.hold.acked_end = w->acked_end;
+	/*
+	 * Told once: a new life of the worker under the same id counts its
+	 * ends from 1 again, and would forget them unseen.
+	 */
+	w->telling_end = w->acked_end > w->told_end ? w->acked_end : 0;
+	x->u.hold.acked_end = w->telling_end;
 	w->hold_out = true;
 	/*
 	 * Its clock is not known yet; or it does not answer, and what it may
@@ -302,6 +311,8 @@
 	int64_t pause = HOLD_RETRY_MS;
 
 	w->misses++;
+	if (w->telling_end > 0 && end != ORDER_END_UNSENT)
+		w->late_until_us = p->now_us + LATE_ORDER_MS * US_PER_MS;
 	if (w->misses == SILENT_MISSES)
 		fx_log(p, LOG_LEVEL_WARN,
 		    "msg=\"worker does not answer: no new tasks\" worker=%s "
@@ -443,6 +454,8 @@
 		    r->ended_count);
 	w->held = true;
 	w->misses = 0;
+	if (w->telling_end > 0)
+		w->told_end = w->telling_end;
 	w->heard_us = p->now_us;
 	w->report.clock_ms = r->clock_ms;
 	w->clock_us = p->now_us;
--- /dev/null
+++ b/tests/properties/prop_jobs.cc
@@ -0,0 +1,159 @@
+// A pool's reducer under faults: links that lose and hold up orders, workers
+// that crash and are cut off, owners that are replaced, a store that is down.
+#include "prop.h"
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "jobs_world.h"
+}
+
+static struct jobs_world *
+make_world(double lose, double late, double fail)
+{
+	struct jobs_world_opts o = {};
+
+	o.seed = *rc::gen::inRange<uint64_t>(1, 1u << 30);
+	o.workers = *rc::gen::inRange(2, 7);
+	o.cpu = 4000;
+	o.memory_mb = 100000;
+	o.link_ms = *rc::gen::inRange(1, 4);
+	o.store_ms = *rc::gen::inRange(2, 8);
+	o.lose = lose;
+	o.late = late;
+	o.fail = fail;
+	o.estimate_spread = 0.5;
+	o.guarded = *rc::gen::arbitrary<bool>();
+	return jobs_world_new(&o);
+}
+
+static void
+submit_some(struct jobs_world *w, std::vector<std::string> &ids)
+{
+	int n = *rc::gen::inRange(1, 4);
+
+	while (n-- > 0) {
+		int steps = *rc::gen::inRange(1, 4);
+		int count = *rc::gen::inRange(1, 6);
+		struct order *order = jobs_order(steps, (unsigned)count,
+		    *rc::gen::inRange(300, 2500), *rc::gen::inRange(20, 900));
+		char id[JOB_ID_BYTES];
+
+		if (count > 1 && *rc::gen::inRange(0, 5) == 0)
+			order->steps[0].per_worker = 1 + (unsigned)count / 2;
+		jobs_world_submit(w, order, id);
+		RC_LOG() << jobs_world_ms(w) << " submit " << steps << " x "
+			 << count << " cpu " << order->steps[0].cpu << " ms "
+			 << order->steps[0].estimate_ms << " apart "
+			 << order->steps[0].per_worker << "\n";
+		ids.push_back(id);
+		order_unref(order);
+	}
+}
+
+// Any of the faults, in any order, then quiet until all should have ended.
+static void
+play(struct jobs_world *w, std::vector<std::string> &ids, int workers)
+{
+	int turns = *rc::gen::inRange(3, 9);
+
+	while (turns-- > 0) {
+		int worker = *rc::gen::inRange(0, workers);
+
+		int fault = *rc::gen::inRange(0, 8);
+
+		submit_some(w, ids);
+		RC_LOG() << jobs_world_ms(w) << " fault " << fault
+			 << " worker " << worker << "\n";
+		switch (fault) {
+		case 0:
+			jobs_world_cut_worker(w, worker, true);
+			break;
+		case 1:
+			jobs_world_cut_worker(w, worker, false);
+			break;
+		case 2:
+			jobs_world_crash_worker(w, worker);
+			break;
+		case 3:
+			jobs_world_restart_worker(w, worker);
+			break;
+		case 4:
+			jobs_world_store(w, true);
+			break;
+		case 5:
+			jobs_world_store(w, false);
+			break;
+		case 6:
+			jobs_world_take_over(w, *rc::gen::inRange(0, 3000));
+			break;
+		case 7:
+			jobs_world_cancel(w,
+			    ids[*rc::gen::inRange<size_t>(0, ids.size())]
+				.c_str());
+			break;
+		}
+		jobs_world_run(w, *rc::gen::inRange(10, 2500));
+	}
+	jobs_world_store(w, false);
+	for (int i = 0; i < workers; i++) {
+		jobs_world_cut_worker(w, i, false);
+		jobs_world_restart_worker(w, i);
+	}
+	jobs_world_take_over(w, 0);
+	jobs_world_run(w, 30000);
+}
+
+static void
+check(struct jobs_world *w, bool ends)
+{
+	struct jobs_verdict v;
+
+	jobs_world_judge(w, &v);
+	RC_LOG(std::string(v.first));
+	RC_ASSERT(v.ran_twice == 0);
+	RC_ASSERT(v.out_of_order == 0);
+	RC_ASSERT(v.over_room == 0);
+	RC_ASSERT(v.over_budget == 0);
+	RC_ASSERT(v.unasked == 0);
+	RC_ASSERT(v.lost == 0);
+	if (ends)
+		RC_ASSERT(v.unfinished == 0);
+	jobs_world_free(w);
+}
+
+int
+main()
+{
+	prop_check("jobs: promises hold on sound links", [] {
+		struct jobs_world *w = make_world(0, 0, 0);
+		std::vector<std::string> ids;
+
+		play(w, ids, 2);
+		check(w, true);
+	});
+	prop_check("jobs: promises hold where answers are lost", [] {
+		struct jobs_world *w = make_world(0.1, 0, 0);
+		std::vector<std::string> ids;
+
+		play(w, ids, 2);
+		check(w, true);
+	});
+	prop_check("jobs: promises hold where orders are held up", [] {
+		struct jobs_world *w = make_world(0.05, 0.1, 0);
+		std::vector<std::string> ids;
+
+		play(w, ids, 2);
+		check(w, false);
+	});
+	prop_check("jobs: promises hold where runs fail", [] {
+		struct jobs_world *w = make_world(0.02, 0.02, 0.3);
+		std::vector<std::string> ids;
+
+		play(w, ids, 2);
+		check(w, false);
+	});
+	return prop_failures != 0;
+}
