fleet: what is needed now goes first; strangers take up room

Change: a worker that lists runs nobody wants gets no tasks until they are gone; needs are met first, foreseen growth only from machines that are off; machines on their way to the spare pool may be sent elsewhere.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -152,6 +152,13 @@
 	int n;
 
 	(*count)++;
+	if (getenv("JOBS_WORLD_LOG") != NULL) {
+		va_start(ap, fmt);
+		fprintf(stderr, "%6lld BROKEN ", (long long)w->ms);
+		vfprintf(stderr, fmt, ap);
+		fputc('\n', stderr);
+		va_end(ap);
+	}
 	if (w->verdict.first[0] != '\0')
 		return;
 	n = snprintf(w->verdict.first, sizeof(w->verdict.first),
--- a/src/fleet/fleet_moves.c
+++ b/src/fleet/fleet_moves.c
@@ -15,7 +15,7 @@
 #define TREND_MS 600 /* over which growth is measured */
 #define LEAD_SPARE_MS 1500 /* a moved machine's way into its new pool */
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
-#define MOVES_AT_ONCE 24
+#define SHRINKS_AT_ONCE 12 /* machines on their way to be off */
 
 static bool
 pool_fresh(const struct fleet *f, const struct fleet_pool *p)
@@ -45,21 +45,26 @@
 	return (double)p->wanted_milli * HEADROOM + p->trend_milli;
 }
 
+static size_t
+machines_for(const struct fleet_pool *p, double milli)
+{
+	size_t n = (size_t)(milli / 1000 + 0.99);
+
+	if (n < p->floor)
+		n = p->floor;
+	return n < POOL_MIN ? POOL_MIN : n;
+}
+
 static void
 update_need(struct fleet *f, struct fleet_pool *p)
 {
-	size_t need;
-
 	if (!pool_fresh(f, p))
 		return;
-	need = (size_t)(projected_milli(f, p) / 1000 + 0.99);
-	if (need < p->floor)
-		need = p->floor;
-	if (need < POOL_MIN)
-		need = POOL_MIN;
-	p->need = need;
-	if (need >= p->peak || f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
-		p->peak = need;
+	p->need = machines_for(p, (double)p->wanted_milli * HEADROOM);
+	p->foreseen = machines_for(p, projected_milli(f, p));
+	if (p->foreseen >= p->peak ||
+	    f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
+		p->peak = p->foreseen;
 		p->peak_us = f->now_us;
 	}
 }
@@ -81,15 +86,19 @@
 	return n;
 }
 
-static size_t
-moves_under_way(const struct fleet *f)
+static struct fleet_pool *
+pool_of(struct fleet *f, const struct machine *m)
 {
-	const struct machine *m;
-	size_t n = 0;
+	return fleet_find_pool(f, m->report.pool);
+}
 
-	for (m = f->machines; m != NULL; m = m->hh.next)
-		n += m->order == ORDER_MOVE;
-	return n;
+static bool
+goes_to_spare(struct fleet *f, const struct machine *m)
+{
+	const struct fleet_pool *to = fleet_find_pool(f, m->to_pool);
+
+	return m->order == ORDER_MOVE && m->phase == PHASE_CORDON &&
+	    to != NULL && to->spare;
 }
 
 static bool
@@ -102,66 +111,71 @@
 static void
 begin_move(struct fleet *f, struct machine *m, const struct fleet_pool *to)
 {
-	machine_set_order(f, m, ORDER_MOVE);
+	if (m->order == ORDER_NONE)
+		machine_set_order(f, m, ORDER_MOVE);
 	snprintf(m->to_pool, sizeof(m->to_pool), "%s", to->name);
 	fleet_log(f,
 	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
-	    "peak=%zu wanted_milli=%lld report_age_ms=%lld",
-	    m->report.machine, m->report.pool, to->name, to->need, to->peak,
+	    "foreseen=%zu wanted_milli=%lld report_age_ms=%lld",
+	    m->report.machine, m->report.pool, to->name, to->need, to->foreseen,
 	    (long long)to->wanted_milli,
 	    (long long)((f->now_us - to->told_us) / US_PER_MS));
 }
 
-/* A machine of the spare pool, or one that its pool does not need. */
+/*
+ * A machine that is off, or on its way to be; with "take", also one that its
+ * pool does not need.
+ */
 static struct machine *
-find_source(struct fleet *f, const struct fleet_pool *to)
+find_source(struct fleet *f, const struct fleet_pool *to, bool take)
 {
 	struct machine *m, *best = NULL;
 	struct fleet_pool *from;
-	bool spare, best_spare = false;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		from = fleet_find_pool(f, m->report.pool);
-		if (from == NULL || from == to || !may_move(f, m))
+		from = pool_of(f, m);
+		if (from == NULL || from == to)
 			continue;
-		spare = from->spare;
-		if (!spare &&
-		    (!pool_fresh(f, from) || pool_have(f, from) <= from->peak))
-			continue;
-		if (best == NULL || (spare && !best_spare)) {
+		if (goes_to_spare(f, m) || (from->spare && may_move(f, m)))
+			return m;
+		if (take && best == NULL && !from->spare && may_move(f, m) &&
+		    pool_fresh(f, from) && pool_have(f, from) > from->need)
 			best = m;
-			best_spare = spare;
-		}
 	}
 	return best;
 }
 
-static void
-grow(struct fleet *f)
+/* The pool that lacks most of what it needs, or will by what is foreseen. */
+static struct fleet_pool *
+find_lacking(struct fleet *f, bool foreseen)
 {
-	struct fleet_pool *p, *worst;
-	size_t i, have, lacks, most;
-	struct machine *m;
+	struct fleet_pool *p, *worst = NULL;
+	size_t i, have, want, most = 0;
 
-	while (moves_under_way(f) < MOVES_AT_ONCE) {
-		worst = NULL;
-		most = 0;
-		for (i = 0; i < f->pool_count; i++) {
-			p = &f->pools[i];
-			if (p->spare || !pool_fresh(f, p))
-				continue;
-			have = pool_have(f, p);
-			lacks = p->need > have ? p->need - have : 0;
-			if (lacks > most) {
-				most = lacks;
-				worst = p;
-			}
+	for (i = 0; i < f->pool_count; i++) {
+		p = &f->pools[i];
+		if (p->spare || !pool_fresh(f, p))
+			continue;
+		have = pool_have(f, p);
+		want = foreseen ? p->foreseen : p->need;
+		if (want > have && want - have > most) {
+			most = want - have;
+			worst = p;
 		}
-		m = worst != NULL ? find_source(f, worst) : NULL;
-		if (m == NULL)
-			return;
-		begin_move(f, m, worst);
 	}
+	return worst;
+}
+
+/* What is needed now goes first; growth takes only machines that are off. */
+static void
+grow(struct fleet *f, bool foreseen)
+{
+	struct fleet_pool *p;
+	struct machine *m;
+
+	while ((p = find_lacking(f, foreseen)) != NULL &&
+	    (m = find_source(f, p, !foreseen)) != NULL)
+		begin_move(f, m, p);
 }
 
 static struct fleet_pool *
@@ -176,6 +190,17 @@
 	return NULL;
 }
 
+static size_t
+shrinks_under_way(struct fleet *f)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next)
+		n += goes_to_spare(f, m);
+	return n;
+}
+
 static void
 shrink(struct fleet *f)
 {
@@ -188,7 +213,7 @@
 		from = fleet_find_pool(f, m->report.pool);
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || pool_have(f, from) <= from->peak ||
-		    moves_under_way(f) >= MOVES_AT_ONCE)
+		    shrinks_under_way(f) >= SHRINKS_AT_ONCE)
 			continue;
 		begin_move(f, m, spare);
 	}
@@ -208,10 +233,11 @@
 	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
 		p = &f->pools[i];
 		n += (size_t)snprintf(text + n, sizeof(text) - n,
-		    " %s=%zu/%zu/%zu/%lld", p->name, pool_have(f, p), p->need,
-		    p->peak, (long long)p->wanted_milli);
+		    " %s=%zu/%zu/%zu/%zu/%lld", p->name, pool_have(f, p),
+		    p->need, p->foreseen, p->peak, (long long)p->wanted_milli);
 	}
-	fleet_log(f, "msg=\"pools: have/need/peak/wanted milli\"%s", text);
+	fleet_log(
+	    f, "msg=\"pools: have/need/foreseen/peak/wanted milli\"%s", text);
 }
 
 void
@@ -223,6 +249,7 @@
 
 	for (i = 0; i < f->pool_count; i++)
 		update_need(f, &f->pools[i]);
-	grow(f);
+	grow(f, false);
+	grow(f, true);
 	shrink(f);
 }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -62,7 +62,8 @@
 	int64_t earlier_milli; /* wanted … */
 	int64_t earlier_us; /* … then; 0: never told */
 	double trend_milli; /* that it will grow by in the time of a move */
-	size_t need; /* machines, now */
+	size_t need; /* machines, now … */
+	size_t foreseen; /* … and by the time a moved one can work */
 	size_t peak; /* highest need of late … */
 	int64_t peak_us; /* … seen then */
 };
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -28,6 +28,7 @@
 	int64_t late_until_us; /* a hold that told it may arrive until then */
 	int64_t pending_end; /* … once "pending_serial" is written */
 	uint64_t pending_serial;
+	size_t strangers; /* runs there that are not wanted, being stopped */
 	uint64_t reports; /* holds answered */
 	int64_t cpu, memory_mb, accelerators; /* of what is placed */
 	TAILQ_HEAD(placed_list, task) tasks;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -48,9 +48,13 @@
 bool
 worker_usable(const struct pool *p, const struct placed_worker *w)
 {
-	return w->listed && w->held && !w->report.draining && w->recorded &&
-	    w->record_serial <= p->written && w->misses < SILENT_MISSES &&
-	    p->now_us >= w->shunned_until_us && p->now_us >= w->cordon_until_us;
+	if (!w->listed || !w->held || w->report.draining || !w->recorded ||
+	    w->record_serial > p->written || w->misses >= SILENT_MISSES)
+		return false;
+	if (w->strangers > 0) /* they take up room that is not known */
+		return false;
+	return p->now_us >= w->shunned_until_us &&
+	    p->now_us >= w->cordon_until_us;
 }
 
 bool
@@ -343,6 +347,7 @@
 		    r->task.job, r->task.occurrence, r->task.step,
 		    r->task.index, (long long)r->run, w->report.id, t != NULL);
 		fx_stop(p, w, &r->task, r->run);
+		w->strangers++;
 		return;
 	}
 	task_attach(t, w);
@@ -373,6 +378,7 @@
 	struct task *t;
 	size_t i;
 
+	w->strangers = 0;
 	for (i = 0; i < report->running_count; i++) {
 		r = &report->running[i];
 		t = run_task(p, w, r);
