fleet: a successor orders at once where nobody has ordered of late

Ruled out: the cordon (it was held). Change: owners report only workers that have answered under their fence; an order about a machine is noted in the store before it is given, and a successor waits only for machines ordered within the lease; starved work raises the floor, not the demand; entries may be away for 2.5 s.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -62,6 +62,7 @@
 		return NULL;
 	f->opts = *opts;
 	LIST_INIT(&f->waves);
+	LIST_INIT(&f->quiet);
 	return f;
 }
 
@@ -69,6 +70,7 @@
 fleet_free(struct fleet *f)
 {
 	struct machine *m, *next;
+	struct quiet_machine *q;
 
 	if (f == NULL)
 		return;
@@ -77,6 +79,10 @@
 		HASH_DEL(f->machines, m);
 		free(m);
 	}
+	while ((q = LIST_FIRST(&f->quiet)) != NULL) {
+		LIST_REMOVE(q, entries);
+		free(q);
+	}
 	fleet_waves_free(f);
 	free(f);
 }
@@ -174,6 +180,34 @@
 		machine_drop_order(m);
 }
 
+static void
+take_ordered(struct fleet *f, const struct fleet_event *ev)
+{
+	int64_t left_ms = f->opts.quiet_ms - ev->u.ordered.ago_ms;
+	struct quiet_machine *q;
+
+	if (left_ms <= 0)
+		return;
+	q = calloc(1, sizeof(*q));
+	if (q == NULL)
+		abort(); /* two holders would take turns at the machine */
+	snprintf(q->machine, sizeof(q->machine), "%s", ev->u.ordered.machine);
+	q->until_us = f->now_us + left_ms * US_PER_MS;
+	LIST_INSERT_HEAD(&f->quiet, q, entries);
+}
+
+static int64_t
+quiet_until_us(const struct fleet *f, const char *machine)
+{
+	const struct quiet_machine *q;
+
+	LIST_FOREACH(q, &f->quiet, entries) {
+		if (strcmp(q->machine, machine) == 0)
+			return q->until_us;
+	}
+	return 0;
+}
+
 static void
 take_machine(struct fleet *f, const struct machine_report *r)
 {
@@ -184,6 +218,7 @@
 		if (m == NULL)
 			return; /* the next list tries again */
 		m->report = *r;
+		m->retry_us = quiet_until_us(f, r->machine);
 		HASH_ADD(hh, f->machines, report.machine,
 		    strlen(m->report.machine), m);
 	}
@@ -383,6 +418,9 @@
 	case FLEET_WAVE_KNOWN:
 		fleet_take_known(f, ev);
 		break;
+	case FLEET_ORDERED:
+		take_ordered(f, ev);
+		break;
 	case FLEET_CALL_END:
 		take_call_end(f, ev);
 		break;
@@ -390,8 +428,7 @@
 	if (ev->kind != FLEET_TICK)
 		return;
 	list_due(f);
-	if (!f->listed ||
-	    f->now_us - f->opts.now_us < f->opts.quiet_ms * US_PER_MS)
+	if (!f->listed)
 		return;
 	fleet_run_waves(f);
 	fleet_run_moves(f);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,7 +17,7 @@
 
 struct fleet_opts {
 	int64_t now_us;
-	int quiet_ms; /* no order earlier: a predecessor may have ordered */
+	int quiet_ms; /* between orders of two holders for one machine */
 	int upkeep_ms; /* a machine's upkeep takes so long */
 	int move_ms;
 };
@@ -68,6 +68,7 @@
 	FLEET_REPORT, /* of a pool's owner */
 	FLEET_WAVE, /* operators ask for a wave */
 	FLEET_WAVE_KNOWN, /* what a predecessor has recorded of one */
+	FLEET_ORDERED, /* a predecessor has ordered something of a machine */
 	FLEET_CALL_END
 };
 
@@ -96,6 +97,10 @@
 			bool completed;
 			const char *machine; /* done; NULL none */
 		} known;
+		struct {
+			char machine[NAME_BYTES];
+			int64_t ago_ms;
+		} ordered;
 		struct {
 			char machine[NAME_BYTES];
 			enum fleet_call_end end;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -68,6 +68,13 @@
 	int64_t peak_us; /* … seen then */
 };
 
+/* A machine that a predecessor has ordered about. */
+struct quiet_machine {
+	char machine[NAME_BYTES];
+	int64_t until_us; /* no order of ours earlier */
+	LIST_ENTRY(quiet_machine) entries;
+};
+
 struct fleet {
 	struct fleet_opts opts;
 	int64_t now_us;
@@ -82,6 +89,7 @@
 	struct fleet_pool pools[FLEET_POOLS_MAX];
 	size_t pool_count;
 	LIST_HEAD(wave_list, wave) waves;
+	LIST_HEAD(quiet_list, quiet_machine) quiet;
 };
 
 struct fleet_effect *fleet_fx(struct fleet *f, enum fleet_effect_kind kind);
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -205,7 +205,8 @@
 	const struct placed_worker *w;
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (w->listed)
+		/* what runs there is known only once it has answered */
+		if (w->listed && w->held && w->misses == 0)
 			each(arg, w->report.id, w->task_count,
 			    p->now_us < w->cordon_until_us);
 	}
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -226,8 +226,8 @@
 	/* tasks that fit nowhere though the sum of the room would do */
 	if (p->starved_since_us != 0 &&
 	    p->now_us - p->starved_since_us > STARVED_MS * US_PER_MS &&
-	    machines < p->typical_count + 1)
-		machines = p->typical_count + 1;
+	    (double)d->floor < p->typical_count + 1)
+		d->floor = (size_t)p->typical_count + 1;
 	d->wanted_milli = (int64_t)(machines * 1000);
 }
 
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -12,6 +12,7 @@
 struct placed_worker {
 	struct worker_report report;
 	bool listed; /* its entry is in the store */
+	int64_t gone_us; /* its entry was dropped then; 0: it was not */
 	bool held; /* has seen this term's fence */
 	bool recorded; /* a next owner will know of it … */
 	uint64_t record_serial; /* … once this is written */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -17,6 +17,7 @@
 #define LATE_ORDER_MS                                          \
 	12000 /* an order without an answer may arrive so late \
 	       */
+#define ENTRY_BACK_MS 2500 /* an entry still missing then is gone for good */
 #define CORDON_MS 2000 /* a cordon that is not renewed ends */
 #define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
@@ -45,11 +46,24 @@
 	    (double)(w->lease_end_ms + LEASE_SLACK_MS);
 }
 
+/*
+ * Entries lapse while the store is away and are back soon after it: a worker
+ * that answers meanwhile goes on.
+ */
+static bool
+worker_known(const struct pool *p, const struct placed_worker *w)
+{
+	return w->listed ||
+	    (w->gone_us != 0 && w->misses == 0 &&
+		p->now_us - w->gone_us < ENTRY_BACK_MS * US_PER_MS);
+}
+
 bool
 worker_usable(const struct pool *p, const struct placed_worker *w)
 {
-	if (!w->listed || !w->held || w->report.draining || !w->recorded ||
-	    w->record_serial > p->written || w->misses >= SILENT_MISSES)
+	if (!worker_known(p, w) || !w->held || w->report.draining ||
+	    !w->recorded || w->record_serial > p->written ||
+	    w->misses >= SILENT_MISSES)
 		return false;
 	if (w->strangers > 0) /* they take up room that is not known */
 		return false;
@@ -198,6 +212,7 @@
 	    "msg=\"worker's entry is gone\" worker=%s tasks=%zu misses=%d", id,
 	    w->task_count, w->misses);
 	w->listed = false;
+	w->gone_us = p->now_us;
 }
 
 void
@@ -298,7 +313,7 @@
 	HASH_ITER(hh, p->workers, w, next)
 	{
 		worker_check_lease(p, w);
-		if (!w->listed && w->task_count == 0 && !w->hold_out &&
+		if (!worker_known(p, w) && w->task_count == 0 && !w->hold_out &&
 		    (w->held || p->now_us >= p->settle_until_us)) {
 			worker_free(p, w);
 			continue;
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -18,7 +18,7 @@
 #define TOPIC_DUTIES "keyed.duties"
 #define TICK_MS 200 /* between two looks at all pools */
 #define GIVE_UP_MS 3000 /* without the group's word */
-#define QUIET_SPARE_MS 300 /* beyond the lease between two holders */
+#define QUIET_SPARE_MS 1300 /* beyond the lease between two holders: clocks */
 #define CALL_TIMEOUT_MS 1000
 #define REPORT_TIMEOUT_MS 400
 #define ANSWER_MAX (2 * 1024 * 1024) /* bytes of a page of machines */
@@ -40,6 +40,8 @@
 	struct fleet *fleet; /* NULL until the term is claimed */
 	struct fleet_effects effects;
 	struct store_writer *notes; /* what a successor must know */
+	uint64_t serial; /* newest note */
+	STAILQ_HEAD(noted_orders, noted_order) noted;
 	struct store_writer *status; /* what operators read */
 	struct machine_list machines; /* pages read so far */
 	LIST_HEAD(duty_calls, duty_call) calls;
@@ -54,9 +56,22 @@
 	struct wave_order order;
 };
 
-/* "wave/N" → completed; "wave/N/MACHINE" → its upkeep has begun. */
+/*
+ * "wave/N" → completed; "wave/N/MACHINE" → its upkeep has begun;
+ * "order/MACHINE" → Unix time of the newest order about it.
+ */
 struct kept_note {
 	char key[STORE_KEY_MAX + 1];
+	int64_t value;
+};
+
+#define KEY_ORDER_PREFIX "order/"
+
+/* An order that waits until a successor would know of it. */
+struct noted_order {
+	struct fleet_effect effect;
+	uint64_t serial;
+	STAILQ_ENTRY(noted_order) entries;
 };
 
 static void duty_drop(struct duty *d, const char *why);
@@ -220,8 +235,29 @@
 	else
 		snprintf(key, sizeof(key), "wave/%" PRId64, wave);
 	if (value != NULL)
-		store_writer_put(d->notes, key, value, 0);
+		store_writer_put(d->notes, key, value, ++d->serial);
+	buf_unref(value);
+}
+
+/* Noted first, then ordered. */
+static void
+note_order(struct duty *d, const struct fleet_effect *x)
+{
+	struct noted_order *o;
+	char key[STORE_KEY_MAX], text[24];
+	struct buf *value;
+
+	o = calloc(1, sizeof(*o));
+	snprintf(key, sizeof(key), KEY_ORDER_PREFIX "%s", x->machine);
+	snprintf(text, sizeof(text), "%" PRId64, sched_now_ms());
+	value = buf_from(text, strlen(text));
+	if (o == NULL || value == NULL)
+		abort(); /* memory has run out: the reducer waits for it */
+	store_writer_put(d->notes, key, value, ++d->serial);
 	buf_unref(value);
+	o->effect = *x;
+	o->serial = d->serial;
+	STAILQ_INSERT_TAIL(&d->noted, o, entries);
 }
 
 static void
@@ -250,7 +286,7 @@
 		break;
 	case FLEET_MOVE:
 	case FLEET_UPKEEP:
-		send_order(d, x);
+		note_order(d, x);
 		break;
 	case FLEET_STATUS:
 		write_status(d, x);
@@ -424,8 +460,6 @@
 	struct fleet_event ev = {.kind = FLEET_WAVE_KNOWN};
 	const char *slash;
 
-	if (strncmp(key, KEY_WAVE_PREFIX, strlen(KEY_WAVE_PREFIX)) != 0)
-		return;
 	ev.u.known.wave = strtoll(key + strlen(KEY_WAVE_PREFIX), NULL, 10);
 	slash = strchr(key + strlen(KEY_WAVE_PREFIX), '/');
 	ev.u.known.completed = slash == NULL;
@@ -434,9 +468,39 @@
 }
 
 static void
-on_written(void *arg, uint64_t serial)
+feed_note(struct duty *d, const struct kept_note *n)
 {
-	(void)arg;
+	struct fleet_event ev = {.kind = FLEET_ORDERED};
+	size_t order_len = strlen(KEY_ORDER_PREFIX);
+
+	if (strncmp(n->key, KEY_WAVE_PREFIX, strlen(KEY_WAVE_PREFIX)) == 0) {
+		feed_known(d, n->key);
+	} else if (strncmp(n->key, KEY_ORDER_PREFIX, order_len) == 0) {
+		snprintf(
+		    ev.u.ordered.machine, NAME_BYTES, "%s", n->key + order_len);
+		ev.u.ordered.ago_ms = sched_now_ms() - n->value;
+		duty_event(d, &ev);
+	}
+}
+
+static void
+on_noted(void *arg, uint64_t serial)
+{
+	struct duty *d = arg;
+	struct noted_order *o;
+
+	while ((o = STAILQ_FIRST(&d->noted)) != NULL && o->serial <= serial) {
+		STAILQ_REMOVE_HEAD(&d->noted, entries);
+		if (!duty_outlived(d))
+			send_order(d, &o->effect);
+		free(o);
+	}
+}
+
+static void
+on_told(void *arg, uint64_t serial)
+{
+	(void)arg; /* nothing waits for what operators read */
 	(void)serial;
 }
 
@@ -450,7 +514,8 @@
 }
 
 static struct store_writer *
-writer_new(struct duty *d, const char *topic, int64_t seq)
+writer_new(struct duty *d, const char *topic, int64_t seq,
+    void (*on_written)(void *arg, uint64_t serial))
 {
 	struct store_writer_opts o = {
 	    .scheduler = d->scheduler,
@@ -472,7 +537,7 @@
 	const struct boot *b = &d->scheduler->boot;
 	struct fleet_opts o = {
 	    .now_us = sched_now_us(),
-	    .quiet_ms = epoch > 1 ? b->holder_lease_ms + QUIET_SPARE_MS : 0,
+	    .quiet_ms = b->holder_lease_ms + QUIET_SPARE_MS,
 	    .upkeep_ms = b->upkeep_ms,
 	    .move_ms = b->move_ms,
 	};
@@ -483,8 +548,8 @@
 	d->claim = NULL;
 	d->fence = epoch;
 	d->fleet = fleet_new(&o);
-	d->notes = writer_new(d, TOPIC_DUTIES, TOPIC_CLAIM_SEQ + 1);
-	d->status = writer_new(d, TOPIC_STATUS, 0);
+	d->notes = writer_new(d, TOPIC_DUTIES, TOPIC_CLAIM_SEQ + 1, on_noted);
+	d->status = writer_new(d, TOPIC_STATUS, 0, on_told);
 	if (d->fleet == NULL || d->notes == NULL || d->status == NULL)
 		abort(); /* the term is taken: nobody else would serve it */
 	daemon_log(LOG_LEVEL_INFO, "duty",
@@ -492,7 +557,7 @@
 	    (long long)epoch, d->known_count);
 	feed_pools(d);
 	for (i = 0; i < d->known_count; i++)
-		feed_known(d, d->known[i].key);
+		feed_note(d, &d->known[i]);
 	for (i = 0; i < d->kept_count; i++)
 		feed_wave(d, &d->kept[i].order);
 	lws_sul_schedule(d->scheduler->context, 0, &d->tick, on_tick, 1);
@@ -503,6 +568,7 @@
 {
 	struct duty *d = arg;
 	struct kept_note *list;
+	char text[24];
 
 	if (r->value == NULL)
 		return;
@@ -510,7 +576,11 @@
 	if (list == NULL)
 		abort(); /* a wave would be called open that is not */
 	d->known = list;
-	snprintf(list[d->known_count++].key, sizeof(list[0].key), "%s", r->key);
+	list += d->known_count++;
+	snprintf(list->key, sizeof(list->key), "%s", r->key);
+	snprintf(
+	    text, sizeof(text), "%.*s", (int)r->len, (const char *)r->value);
+	list->value = strtoll(text, NULL, 10);
 }
 
 static void
@@ -531,6 +601,7 @@
 static void
 duty_drop(struct duty *d, const char *why)
 {
+	struct noted_order *o;
 	struct duty_call *c;
 
 	if (!d->mine)
@@ -546,6 +617,10 @@
 		http_call_cancel(c->call);
 		call_free(c);
 	}
+	while ((o = STAILQ_FIRST(&d->noted)) != NULL) {
+		STAILQ_REMOVE_HEAD(&d->noted, entries);
+		free(o);
+	}
 	store_writer_free(d->notes);
 	store_writer_free(d->status);
 	d->notes = d->status = NULL;
@@ -625,6 +700,7 @@
 		return NULL;
 	d->scheduler = s;
 	LIST_INIT(&d->calls);
+	STAILQ_INIT(&d->noted);
 	return d;
 }
 
