--- a/src/platform/advice_wire.c
+++ b/src/platform/advice_wire.c
@@ -52,9 +52,9 @@
 	memset(a, 0, sizeof(*a));
 	if (root == NULL)
 		return -1;
-	rows = json_member(root, "good", json_type_array);
+	rows = field_member(root, "good", json_type_array);
 	n = rows != NULL ? json_object_array_length(rows) : 0;
-	a->valid_ms = (int)json_int(root, "validityMs", 0);
+	a->valid_ms = (int)field_int(root, "validityMs", 0);
 	a->list = calloc(n + 1, sizeof(*a->list));
 	for (i = 0; a->list != NULL && i < n; i++) {
 		if (parse_row(
--- a/src/platform/boot.c
+++ b/src/platform/boot.c
@@ -11,7 +11,7 @@
 parse_endpoint(
     struct json_object *o, const char *key, struct endpoint *p, struct err *e)
 {
-	if (json_addr(o, key, p->addr, sizeof(p->addr), &p->port))
+	if (field_addr(o, key, p->addr, sizeof(p->addr), &p->port))
 		return 0;
 	p->addr[0] = '\0';
 	return err_set(e, ERR_TYPE, 0, "give it as \"IP:PORT\"",
@@ -23,8 +23,8 @@
 {
 	struct json_object *listen, *range;
 
-	listen = json_member(root, "listen", json_type_object);
-	range = json_member(root, "portRange", json_type_array);
+	listen = field_member(root, "listen", json_type_object);
+	range = field_member(root, "portRange", json_type_array);
 	if (listen == NULL || range == NULL ||
 	    json_object_array_length(range) == 0)
 		return err_set(e, ERR_REFERENCE, 0,
@@ -39,17 +39,18 @@
 static int
 parse_store(struct boot *b, struct json_object *root, struct err *e)
 {
-	struct json_object *o = json_member(root, "platform", json_type_object);
+	struct json_object *o =
+	    field_member(root, "platform", json_type_object);
 
 	if (o == NULL)
 		return err_set(e, ERR_REFERENCE, 0, "give \"platform\"",
 		    "settings do not name the store");
-	b->store_writes_per_s = (int)json_int(o, "writesPerS", 100);
-	b->store_reads_per_s = (int)json_int(o, "readsPerS", 100);
-	b->store_record_bytes = json_int(o, "recordBytes", 65536);
-	b->store_request_bytes = json_int(o, "requestBytes", 1 << 20);
-	b->store_parts = (int)json_int(o, "parts", 1);
-	b->group_ttl_min_ms = (int)json_int(o, "ttlMinMs", 1000);
+	b->store_writes_per_s = (int)field_int(o, "writesPerS", 100);
+	b->store_reads_per_s = (int)field_int(o, "readsPerS", 100);
+	b->store_record_bytes = field_int(o, "recordBytes", 65536);
+	b->store_request_bytes = field_int(o, "requestBytes", 1 << 20);
+	b->store_parts = (int)field_int(o, "parts", 1);
+	b->group_ttl_min_ms = (int)field_int(o, "ttlMinMs", 1000);
 	return parse_endpoint(o, "addr", &b->store, e);
 }
 
@@ -57,27 +58,27 @@
 static int
 seconds_ms(struct json_object *o, const char *key, double missing)
 {
-	return (int)(json_real(o, key, missing) * (double)MS_PER_S);
+	return (int)(field_real(o, key, missing) * (double)MS_PER_S);
 }
 
 static void
 parse_bounds(struct boot *b, struct json_object *root)
 {
-	struct json_object *o = json_member(root, "bounds", json_type_object);
+	struct json_object *o = field_member(root, "bounds", json_type_object);
 
-	b->lease_max_ms = (int)json_int(o, "holdMaxMs", 6000);
-	b->stop_timeout_ms = (int)json_int(o, "stopTimeoutMs", 1000);
-	b->gang_timeout_ms = (int)json_int(o, "gangTimeoutMs", 3000);
+	b->lease_max_ms = (int)field_int(o, "holdMaxMs", 6000);
+	b->stop_timeout_ms = (int)field_int(o, "stopTimeoutMs", 1000);
+	b->gang_timeout_ms = (int)field_int(o, "gangTimeoutMs", 3000);
 	b->grace_ms = seconds_ms(o, "graceS", 6);
 	b->status_keep_ms = seconds_ms(o, "status_s", 120);
-	b->early_ms = (int)json_int(o, "early_ms", 0);
-	b->restore_ms = (int)json_int(o, "restoreMs", 500);
-	b->notice_ms = (int)json_int(o, "noticeMs", 4000);
+	b->early_ms = (int)field_int(o, "early_ms", 0);
+	b->restore_ms = (int)field_int(o, "restoreMs", 500);
+	b->notice_ms = (int)field_int(o, "noticeMs", 4000);
 	b->move_ms = seconds_ms(o, "migrateS", 2);
 	b->upkeep_ms = seconds_ms(o, "maintenanceS", 2);
-	b->harm_ms = (int)json_int(o, "harmMs", 4000);
-	b->holder_lease_ms = (int)json_int(o, "leaseMs", 3000);
-	b->remote_factor = json_real(o, "remoteFactor", 1);
+	b->harm_ms = (int)field_int(o, "harmMs", 4000);
+	b->holder_lease_ms = (int)field_int(o, "leaseMs", 3000);
+	b->remote_factor = field_real(o, "remoteFactor", 1);
 }
 
 static int
@@ -85,23 +86,23 @@
 {
 	struct json_object *o;
 
-	if (!json_text(root, "node", b->name, sizeof(b->name)) ||
-	    !json_text(root, "zone", b->data_centre, sizeof(b->data_centre)) ||
-	    !json_text(root, "ip", b->ip, sizeof(b->ip)) || b->ip[0] == '\0')
+	if (!field_text(root, "node", b->name, sizeof(b->name)) ||
+	    !field_text(root, "zone", b->data_centre, sizeof(b->data_centre)) ||
+	    !field_text(root, "ip", b->ip, sizeof(b->ip)) || b->ip[0] == '\0')
 		return err_set(e, ERR_TYPE, 0,
 		    "give \"node\", \"zone\" and \"ip\" as short strings",
 		    "settings do not say which machine this is");
 	if (parse_listen(b, root, e) == -1 || parse_store(b, root, e) == -1)
 		return -1;
 	parse_bounds(b, root);
-	b->heartbeat_ms = (int)json_int(root, "heartbeatMs", 1500);
+	b->heartbeat_ms = (int)field_int(root, "heartbeatMs", 1500);
 	/* both services are missing on deployments that lack them */
-	if (!json_addr(root, "advice", b->advice.addr, sizeof(b->advice.addr),
+	if (!field_addr(root, "advice", b->advice.addr, sizeof(b->advice.addr),
 		&b->advice.port))
 		b->advice.addr[0] = '\0';
-	o = json_member(root, "cloudApi", json_type_object);
-	b->duties_per_s = (int)json_int(o, "dutyPerS", 1);
-	if (!json_addr(o, "addr", b->machines.addr, sizeof(b->machines.addr),
+	o = field_member(root, "cloudApi", json_type_object);
+	b->duties_per_s = (int)field_int(o, "dutyPerS", 1);
+	if (!field_addr(o, "addr", b->machines.addr, sizeof(b->machines.addr),
 		&b->machines.port))
 		b->machines.addr[0] = '\0';
 	return 0;
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -35,33 +35,33 @@
 {
 	struct json_object *advice;
 
-	if (!json_text(o, "name", q->terms.name, sizeof(q->terms.name)) ||
-	    !json_text(o, "host", q->host, sizeof(q->host)) ||
-	    !json_text(o, "pathPrefix", q->prefix, sizeof(q->prefix)) ||
-	    !json_text(o, "service", q->pool, sizeof(q->pool)) ||
+	if (!field_text(o, "name", q->terms.name, sizeof(q->terms.name)) ||
+	    !field_text(o, "host", q->host, sizeof(q->host)) ||
+	    !field_text(o, "pathPrefix", q->prefix, sizeof(q->prefix)) ||
+	    !field_text(o, "service", q->pool, sizeof(q->pool)) ||
 	    q->prefix[0] == '\0')
 		return false;
-	q->timeout_ms = (int)json_int(o, "timeoutMs", 0);
-	q->terms.target_latency_ms = (int)json_int(o, "targetLatencyMs", 0);
-	q->terms.priority = (int)json_int(o, "priority", 0);
-	q->terms.max_attempts = (int)json_int(o, "maxAttempts", 0);
-	q->terms.stretch = json_real(o, "stretch", 1);
-	advice = json_member(o, "advice", json_type_object);
+	q->timeout_ms = (int)field_int(o, "timeoutMs", 0);
+	q->terms.target_latency_ms = (int)field_int(o, "targetLatencyMs", 0);
+	q->terms.priority = (int)field_int(o, "priority", 0);
+	q->terms.max_attempts = (int)field_int(o, "maxAttempts", 0);
+	q->terms.stretch = field_real(o, "stretch", 1);
+	advice = field_member(o, "advice", json_type_object);
 	q->terms.advised = advice != NULL;
-	q->terms.advice_decide_ms = (int)json_int(advice, "decideMs", 0);
+	q->terms.advice_decide_ms = (int)field_int(advice, "decideMs", 0);
 	q->terms.advice_worker_us =
-	    (int)(json_real(advice, "perWorkerMs", 0) * (double)US_PER_MS);
-	q->terms.advice_valid_ms = (int)json_int(advice, "validityMs", 1000);
+	    (int)(field_real(advice, "perWorkerMs", 0) * (double)US_PER_MS);
+	q->terms.advice_valid_ms = (int)field_int(advice, "validityMs", 1000);
 	return true;
 }
 
 static bool
 parse_pool(struct config_pool *p, struct json_object *o)
 {
-	if (!json_text(o, "name", p->name, sizeof(p->name)))
+	if (!field_text(o, "name", p->name, sizeof(p->name)))
 		return false;
-	p->guarded = json_flag(o, "admissionControl");
-	p->spare = json_flag(o, "spare");
+	p->guarded = field_flag(o, "admissionControl");
+	p->spare = field_flag(o, "spare");
 	return true;
 }
 
@@ -71,8 +71,8 @@
 	struct json_object *routes, *services;
 	size_t i, n;
 
-	routes = json_member(root, "routes", json_type_array);
-	services = json_member(root, "services", json_type_array);
+	routes = field_member(root, "routes", json_type_array);
+	services = field_member(root, "services", json_type_array);
 	n = routes != NULL ? json_object_array_length(routes) : 0;
 	c->queues = calloc(n + 1, sizeof(*c->queues));
 	if (c->queues == NULL)
@@ -108,7 +108,7 @@
 		return NULL;
 	}
 	c->refs = 1;
-	c->version = json_int(root, "configVersion", 0);
+	c->version = field_int(root, "configVersion", 0);
 	if (parse_lists(c, root) == -1) {
 		config_free(c);
 		c = NULL;
@@ -169,15 +169,15 @@
 	size_t i, n;
 
 	memset(w, 0, sizeof(*w));
-	list = json_member(root, "machines", json_type_array);
-	w->wave = json_int(root, "wave", -1);
+	list = field_member(root, "machines", json_type_array);
+	w->wave = field_int(root, "wave", -1);
 	n = list != NULL ? json_object_array_length(list) : 0;
 	if (w->wave < 0 || n > WAVE_MACHINES_MAX) {
 		json_object_put(root);
 		return -1;
 	}
-	w->within_ms = (int)(json_real(root, "withinS", 0) * (double)MS_PER_S);
-	w->cap = (int)json_int(root, "cap", 1);
+	w->within_ms = (int)(field_real(root, "withinS", 0) * (double)MS_PER_S);
+	w->cap = (int)field_int(root, "cap", 1);
 	w->machines = calloc(n + 1, sizeof(*w->machines));
 	for (i = 0; w->machines != NULL && i < n; i++) {
 		o = json_object_array_get_idx(list, i);
@@ -200,7 +200,8 @@
 static void
 parse_labels(struct worker_report *r, struct json_object *root)
 {
-	struct json_object *list = json_member(root, "labels", json_type_array);
+	struct json_object *list =
+	    field_member(root, "labels", json_type_array);
 	struct json_object *o;
 	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
 
@@ -219,25 +220,25 @@
 	struct json_object *room;
 	char state[NAME_BYTES];
 
-	if (!json_text(root, "service", r->pool, sizeof(r->pool)) ||
+	if (!field_text(root, "service", r->pool, sizeof(r->pool)) ||
 	    r->pool[0] == '\0' ||
-	    !json_addr(root, "addr", r->addr, sizeof(r->addr), &r->port) ||
-	    !json_text(root, "zone", r->data_centre, sizeof(r->data_centre)) ||
-	    !json_text(root, "state", state, sizeof(state)))
+	    !field_addr(root, "addr", r->addr, sizeof(r->addr), &r->port) ||
+	    !field_text(root, "zone", r->data_centre, sizeof(r->data_centre)) ||
+	    !field_text(root, "state", state, sizeof(state)))
 		return -1;
 	if (strcmp(state, "ready") != 0 && strcmp(state, "draining") != 0)
 		return -1;
 	r->draining = strcmp(state, "draining") == 0;
-	room = json_member(root, "capacity", json_type_object);
+	room = field_member(root, "capacity", json_type_object);
 	if (room == NULL)
 		return -1;
-	r->cpu = json_int(room, "cpu", 0);
-	r->memory_mb = json_int(room, "memMb", 0);
-	r->accelerators = json_int(room, "gpu", 0);
-	r->born_ms = json_int(root, "born", 0);
-	r->clock_ms = json_int(root, "clockMs", 0);
+	r->cpu = field_int(room, "cpu", 0);
+	r->memory_mb = field_int(room, "memMb", 0);
+	r->accelerators = field_int(room, "gpu", 0);
+	r->born_ms = field_int(root, "born", 0);
+	r->clock_ms = field_int(root, "clockMs", 0);
 	/* how much longer a draining worker serves, at least */
-	r->remaining_ms = (int)json_int(root, "remainingMs", 0);
+	r->remaining_ms = (int)field_int(root, "remainingMs", 0);
 	parse_labels(r, root);
 	return 0;
 }
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -28,7 +28,7 @@
 }
 
 struct json_object *
-json_member(struct json_object *o, const char *key, enum json_type type)
+field_member(struct json_object *o, const char *key, enum json_type type)
 {
 	struct json_object *v;
 
@@ -39,7 +39,7 @@
 }
 
 int64_t
-json_int(struct json_object *o, const char *key, int64_t missing)
+field_int(struct json_object *o, const char *key, int64_t missing)
 {
 	struct json_object *v;
 
@@ -52,7 +52,7 @@
 }
 
 double
-json_real(struct json_object *o, const char *key, double missing)
+field_real(struct json_object *o, const char *key, double missing)
 {
 	struct json_object *v;
 
@@ -65,15 +65,15 @@
 }
 
 bool
-json_flag(struct json_object *o, const char *key)
+field_flag(struct json_object *o, const char *key)
 {
-	struct json_object *v = json_member(o, key, json_type_boolean);
+	struct json_object *v = field_member(o, key, json_type_boolean);
 
 	return v != NULL && json_object_get_boolean(v);
 }
 
 bool
-json_text(struct json_object *o, const char *key, char *out, size_t size)
+field_text(struct json_object *o, const char *key, char *out, size_t size)
 {
 	struct json_object *v;
 	size_t len;
@@ -109,12 +109,12 @@
 }
 
 bool
-json_addr(
+field_addr(
     struct json_object *o, const char *key, char *addr, size_t size, int *port)
 {
 	char text[ADDR_BYTES + 8];
 
-	return json_text(o, key, text, sizeof(text)) &&
+	return field_text(o, key, text, sizeof(text)) &&
 	    split_addr(text, addr, size, port);
 }
 
--- a/src/platform/json_get.h
+++ b/src/platform/json_get.h
@@ -16,19 +16,19 @@
 /* NULL where the bytes are no JSON object.  Release with json_object_put(). */
 struct json_object *json_parse(const void *data, size_t len);
 /* NULL where the field is missing or of another type. */
-struct json_object *json_member(
+struct json_object *field_member(
     struct json_object *o, const char *key, enum json_type type);
 /* Whole numbers, also where they are written with a fraction. */
-int64_t json_int(struct json_object *o, const char *key, int64_t missing);
-double json_real(struct json_object *o, const char *key, double missing);
-bool json_flag(struct json_object *o, const char *key);
+int64_t field_int(struct json_object *o, const char *key, int64_t missing);
+double field_real(struct json_object *o, const char *key, double missing);
+bool field_flag(struct json_object *o, const char *key);
 /*
  * Copies a string; "" where it is missing.  False where it is of another
  * type or does not fit into "size" with its NUL.
  */
-bool json_text(struct json_object *o, const char *key, char *out, size_t size);
+bool field_text(struct json_object *o, const char *key, char *out, size_t size);
 /* "IP:PORT" into its parts; false where it is anything else. */
-bool json_addr(
+bool field_addr(
     struct json_object *o, const char *key, char *addr, size_t size, int *port);
 bool split_addr(const char *text, char *addr, size_t size, int *port);
 
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -44,15 +44,15 @@
 	char state[NAME_BYTES];
 
 	memset(m, 0, sizeof(*m));
-	if (!json_text(o, "machine", m->machine, sizeof(m->machine)) ||
-	    !json_text(o, "pool", m->pool, sizeof(m->pool)) ||
-	    !json_text(o, "id", m->worker, sizeof(m->worker)) ||
-	    !json_text(o, "state", state, sizeof(state)) ||
+	if (!field_text(o, "machine", m->machine, sizeof(m->machine)) ||
+	    !field_text(o, "pool", m->pool, sizeof(m->pool)) ||
+	    !field_text(o, "id", m->worker, sizeof(m->worker)) ||
+	    !field_text(o, "state", state, sizeof(state)) ||
 	    m->machine[0] == '\0' || !parse_state(state, &m->state))
 		return false;
-	room = json_member(o, "capacity", json_type_object);
-	m->cpu = json_int(room, "cpu", 0);
-	labels = json_member(o, "labels", json_type_array);
+	room = field_member(o, "capacity", json_type_object);
+	m->cpu = field_int(room, "cpu", 0);
+	labels = field_member(o, "labels", json_type_array);
 	kind = labels != NULL ? json_object_array_get_idx(labels, 0) : NULL;
 	if (json_object_is_type(kind, json_type_string))
 		snprintf(m->label, sizeof(m->label), "%s",
@@ -67,7 +67,7 @@
 	struct machine_report *list;
 	size_t i, n;
 
-	rows = json_member(root, "machines", json_type_array);
+	rows = field_member(root, "machines", json_type_array);
 	if (rows == NULL) {
 		json_object_put(root);
 		return -1;
@@ -84,7 +84,7 @@
 			&list[l->count], json_object_array_get_idx(rows, i)))
 			l->count++;
 	}
-	if (!json_text(root, "nextToken", l->next, sizeof(l->next)))
+	if (!field_text(root, "nextToken", l->next, sizeof(l->next)))
 		l->next[0] = '\0';
 	json_object_put(root);
 	return 0;
@@ -123,7 +123,7 @@
 	struct json_object *root = json_parse(body, len);
 	char reason[NAME_BYTES];
 
-	if (!json_text(root, "reason", reason, sizeof(reason)))
+	if (!field_text(root, "reason", reason, sizeof(reason)))
 		reason[0] = '\0';
 	json_object_put(root);
 	switch (status) {
--- a/src/platform/order_wire.c
+++ b/src/platform/order_wire.c
@@ -18,7 +18,7 @@
 parse_after(
     struct order_step *s, struct json_object *o, size_t step, struct err *e)
 {
-	struct json_object *list = json_member(o, "after", json_type_array);
+	struct json_object *list = field_member(o, "after", json_type_array);
 	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
 	int64_t earlier;
 
@@ -43,20 +43,20 @@
 static bool
 parse_texts(struct order_step *s, struct json_object *o)
 {
-	return json_text(o, "requires", s->label, sizeof(s->label)) &&
-	    json_text(o, "dataLocality", s->rack, sizeof(s->rack)) &&
-	    json_text(o, "image", s->image, sizeof(s->image));
+	return field_text(o, "requires", s->label, sizeof(s->label)) &&
+	    field_text(o, "dataLocality", s->rack, sizeof(s->rack)) &&
+	    field_text(o, "image", s->image, sizeof(s->image));
 }
 
 static void
 parse_flags(struct order_step *s, struct json_object *o)
 {
-	s->checkpoints = json_flag(o, "checkpointing");
-	s->gang = json_flag(o, "gang");
-	s->same_rack = json_flag(o, "sameRack");
-	s->speculative = json_flag(o, "speculative");
-	s->lasting = json_flag(o, "longRunning");
-	s->fills = json_flag(o, "fills");
+	s->checkpoints = field_flag(o, "checkpointing");
+	s->gang = field_flag(o, "gang");
+	s->same_rack = field_flag(o, "sameRack");
+	s->speculative = field_flag(o, "speculative");
+	s->lasting = field_flag(o, "longRunning");
+	s->fills = field_flag(o, "fills");
 }
 
 static int
@@ -67,14 +67,14 @@
 
 	if (!json_object_is_type(o, json_type_object) || !parse_texts(s, o))
 		return bad_step(e, step, "a field has the wrong type");
-	count = json_int(o, "count", 0);
-	per_worker = json_int(o, "antiAffinity", 0);
-	may_miss = json_int(o, "mayMiss", 0);
-	s->cpu = json_int(o, "cpu", 0);
-	s->memory_mb = json_int(o, "memMb", 0);
-	s->accelerators = json_int(o, "gpu", 0);
-	s->estimate_ms = json_int(o, "estimateMs", 0);
-	s->target_ms = json_int(o, "targetMs", 0);
+	count = field_int(o, "count", 0);
+	per_worker = field_int(o, "antiAffinity", 0);
+	may_miss = field_int(o, "mayMiss", 0);
+	s->cpu = field_int(o, "cpu", 0);
+	s->memory_mb = field_int(o, "memMb", 0);
+	s->accelerators = field_int(o, "gpu", 0);
+	s->estimate_ms = field_int(o, "estimateMs", 0);
+	s->target_ms = field_int(o, "targetMs", 0);
 	if (count < 1 || count > JOB_TASKS_MAX)
 		return bad_step(e, step, "\"count\" is out of range");
 	if (s->cpu < 0 || s->memory_mb < 0 || s->accelerators < 0 ||
@@ -90,10 +90,10 @@
 static int
 parse_times(struct order *out, struct json_object *root, struct err *e)
 {
-	int64_t times = json_int(root, "repetitions", 0);
+	int64_t times = field_int(root, "repetitions", 0);
 
-	out->first_start_ms = json_int(root, "startAtMs", 0);
-	out->interval_ms = json_int(root, "intervalMs", 0);
+	out->first_start_ms = field_int(root, "startAtMs", 0);
+	out->interval_ms = field_int(root, "intervalMs", 0);
 	if (times < 0 || times > INT32_MAX || out->interval_ms < 0)
 		return err_set(e, ERR_RANGE, 0, "correct the times",
 		    "\"repetitions\" or \"intervalMs\" is out of range");
@@ -106,7 +106,7 @@
 {
 	char spec[SPEC_MAX_BYTES + 1];
 
-	if (!json_text(root, "taskSpec", spec, sizeof(spec)))
+	if (!field_text(root, "taskSpec", spec, sizeof(spec)))
 		return err_set(e, ERR_LIMIT, 0,
 		    "give a string of at most 4,000 bytes",
 		    "\"taskSpec\" is no string or too long");
@@ -117,7 +117,8 @@
 static struct order *
 parse_root(struct json_object *root, struct err *e)
 {
-	struct json_object *steps = json_member(root, "steps", json_type_array);
+	struct json_object *steps =
+	    field_member(root, "steps", json_type_array);
 	size_t i, n = steps != NULL ? json_object_array_length(steps) : 0;
 	struct order *out;
 
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -208,7 +208,7 @@
 store_append_end(const void *body, size_t len)
 {
 	struct json_object *root = json_parse(body, len);
-	int64_t end = json_int(root, "end", -1);
+	int64_t end = field_int(root, "end", -1);
 
 	json_object_put(root);
 	return end;
@@ -281,11 +281,11 @@
 newest_item(struct store_page *page, struct json_object *o,
     void (*each)(void *arg, const struct store_record *r), void *arg)
 {
-	struct json_object *value = json_member(o, "value", json_type_string);
+	struct json_object *value = field_member(o, "value", json_type_string);
 	struct store_record r;
 	uint8_t *bytes;
 
-	if (!json_text(o, "key", r.key, sizeof(r.key)) || r.key[0] == '\0')
+	if (!field_text(o, "key", r.key, sizeof(r.key)) || r.key[0] == '\0')
 		return false;
 	memcpy(page->last_key, r.key, sizeof(r.key));
 	if (value == NULL)
@@ -294,7 +294,7 @@
 	if (bytes == NULL)
 		return false;
 	r.value = bytes;
-	r.offset = json_int(o, "offset", -1);
+	r.offset = field_int(o, "offset", -1);
 	each(arg, &r);
 	free(bytes);
 	return true;
@@ -311,9 +311,9 @@
 	memset(page, 0, sizeof(*page));
 	if (root == NULL)
 		return -1;
-	items = json_member(root, "items", json_type_array);
-	page->more = json_flag(root, "hasMore");
-	page->end = json_int(root, "end", 0);
+	items = field_member(root, "items", json_type_array);
+	page->more = field_flag(root, "hasMore");
+	page->end = field_int(root, "end", 0);
 	n = items != NULL ? json_object_array_length(items) : 0;
 	for (i = 0; i < n; i++) {
 		if (!newest_item(
@@ -366,8 +366,8 @@
 	memset(s, 0, sizeof(*s));
 	if (root == NULL)
 		return -1;
-	s->generation = json_int(root, "generation", 0);
-	rows = json_member(root, key, json_type_array);
+	s->generation = field_int(root, "generation", 0);
+	rows = field_member(root, key, json_type_array);
 	n = rows != NULL ? json_object_array_length(rows) : 0;
 	s->list = calloc(n + 1, sizeof(*s->list));
 	for (i = 0; s->list != NULL && i < n; i++)
--- a/src/platform/worker_wire.c
+++ b/src/platform/worker_wire.c
@@ -105,8 +105,8 @@
 	char reason[NAME_BYTES];
 	bool named;
 
-	*clock_ms = json_int(root, "clockMs", -1);
-	named = json_text(root, "reason", reason, sizeof(reason));
+	*clock_ms = field_int(root, "clockMs", -1);
+	named = field_text(root, "reason", reason, sizeof(reason));
 	json_object_put(root);
 	switch (status) {
 	case 200:
@@ -209,7 +209,7 @@
 	struct json_object *list;
 	size_t i, n;
 
-	list = json_member(root, "running", json_type_array);
+	list = field_member(root, "running", json_type_array);
 	n = list != NULL ? json_object_array_length(list) : 0;
 	r->running = calloc(n + 1, sizeof(*r->running));
 	if (r->running == NULL)
@@ -219,7 +219,7 @@
 			json_object_array_get_idx(list, i)))
 			r->running_count++;
 	}
-	list = json_member(root, "ended", json_type_array);
+	list = field_member(root, "ended", json_type_array);
 	n = list != NULL ? json_object_array_length(list) : 0;
 	r->ended = calloc(n + 1, sizeof(*r->ended));
 	if (r->ended == NULL)
@@ -241,8 +241,8 @@
 	memset(r, 0, sizeof(*r));
 	if (root == NULL)
 		return -1;
-	r->clock_ms = json_int(root, "clockMs", -1);
-	r->born_ms = json_int(root, "born", 0);
+	r->clock_ms = field_int(root, "clockMs", -1);
+	r->born_ms = field_int(root, "born", 0);
 	ret = r->clock_ms < 0 ? -1 : parse_lists(r, root);
 	json_object_put(root);
 	if (ret == -1)
--- /dev/null
+++ b/standin/job_store.c
@@ -0,0 +1,503 @@
+#include "job_store.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <time.h>
+
+#include "bounds.h"
+
+#define TOPICS_MAX 64
+#define PARTS 8
+#define MEMBERS_MAX 64
+#define NAME_MAX_BYTES 128
+#define RECORD_HEAD 4 /* bytes of a record's length */
+
+struct record_bytes {
+	uint8_t *data;
+	size_t len;
+};
+
+struct topic {
+	char name[NAME_MAX_BYTES];
+	struct record_bytes *list;
+	size_t count;
+	int64_t epoch, seq; /* of the newest producer */
+	int64_t seq_end; /* offset behind its newest append */
+};
+
+struct member {
+	char group[NAME_MAX_BYTES];
+	char name[NAME_MAX_BYTES];
+	char topic[NAME_MAX_BYTES];
+	int64_t until_ms;
+};
+
+/* A read that waits for records. */
+struct waiting_read {
+	struct exchange *exchange;
+	struct topic *topic;
+	int64_t from, until_ms;
+	LIST_ENTRY(waiting_read) entries;
+};
+
+struct job_store {
+	struct topic topics[TOPICS_MAX];
+	size_t topic_count;
+	struct member members[MEMBERS_MAX];
+	size_t member_count;
+	int64_t generation;
+	LIST_HEAD(waiting_reads, waiting_read) reads;
+	bool down;
+};
+
+static int64_t
+now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static struct topic *
+topic_of(struct job_store *s, const char *name)
+{
+	struct topic *t;
+	size_t i;
+
+	for (i = 0; i < s->topic_count; i++) {
+		if (strcmp(s->topics[i].name, name) == 0)
+			return &s->topics[i];
+	}
+	if (s->topic_count == TOPICS_MAX)
+		return NULL;
+	t = &s->topics[s->topic_count++];
+	snprintf(t->name, sizeof(t->name), "%s", name);
+	t->epoch = t->seq = -1;
+	return t;
+}
+
+static uint32_t
+get_u32(const uint8_t *p)
+{
+	return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 |
+	    (uint32_t)p[2] << 8 | p[3];
+}
+
+static void
+put_u64(uint8_t *p, uint64_t n)
+{
+	int i;
+
+	for (i = 7; i >= 0; i--) {
+		p[i] = (uint8_t)n;
+		n >>= 8;
+	}
+}
+
+static void
+topic_add(struct topic *t, const uint8_t *data, size_t len)
+{
+	struct record_bytes *r;
+
+	t->list = realloc(t->list, (t->count + 1) * sizeof(*t->list));
+	r = &t->list[t->count++];
+	r->data = malloc(len + 1);
+	memcpy(r->data, data, len);
+	r->len = len;
+}
+
+static void
+answer_records(struct exchange *x, const struct topic *t, int64_t from)
+{
+	struct buf *b = buf_new(4096);
+	uint8_t head[16], len[RECORD_HEAD];
+	size_t i;
+
+	put_u64(head, t->count);
+	put_u64(head + 8, 0);
+	buf_append(b, head, sizeof(head));
+	for (i = (size_t)from; i < t->count; i++) {
+		len[0] = (uint8_t)(t->list[i].len >> 24);
+		len[1] = (uint8_t)(t->list[i].len >> 16);
+		len[2] = (uint8_t)(t->list[i].len >> 8);
+		len[3] = (uint8_t)t->list[i].len;
+		buf_append(b, len, sizeof(len));
+		buf_append(b, t->list[i].data, t->list[i].len);
+	}
+	exchange_answer(x, 200, b);
+}
+
+void
+job_store_tick(struct job_store *s)
+{
+	struct waiting_read *r, *next;
+	int64_t now = now_ms();
+
+	for (r = LIST_FIRST(&s->reads); r != NULL; r = next) {
+		next = LIST_NEXT(r, entries);
+		if ((size_t)r->from >= r->topic->count && now < r->until_ms)
+			continue;
+		LIST_REMOVE(r, entries);
+		answer_records(r->exchange, r->topic, r->from);
+		free(r);
+	}
+}
+
+void
+job_store_ended(struct job_store *s, struct exchange *x)
+{
+	struct waiting_read *r, *next;
+
+	for (r = LIST_FIRST(&s->reads); r != NULL; r = next) {
+		next = LIST_NEXT(r, entries);
+		if (r->exchange != x)
+			continue;
+		LIST_REMOVE(r, entries);
+		free(r);
+	}
+}
+
+static void
+answer_append(struct exchange *x, int64_t offset, int64_t end)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "offset", json_object_new_int64(offset));
+	json_object_object_add(o, "end", json_object_new_int64(end));
+	exchange_json(x, 200, o, 2);
+}
+
+static void
+refuse_append(struct exchange *x, int status, const char *reason, int64_t end)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "reason", json_object_new_string(reason));
+	json_object_object_add(o, "end", json_object_new_int64(end));
+	exchange_json(x, status, o, 2);
+}
+
+/* True where the producer's epoch and number let the append pass. */
+static bool
+check_producer(struct exchange *x, struct topic *t)
+{
+	int64_t epoch = exchange_int(x, "epoch", -1);
+	int64_t seq = exchange_int(x, "seq", -1);
+
+	if (epoch < 0)
+		return true;
+	if (epoch < t->epoch) {
+		refuse_append(x, 409, "fenced", (int64_t)t->count);
+		return false;
+	}
+	if (epoch == t->epoch && seq == t->seq) {
+		answer_append(x, t->seq_end, t->seq_end);
+		return false;
+	}
+	if (epoch == t->epoch && seq != t->seq + 1) {
+		refuse_append(x, 409, "seq", (int64_t)t->count);
+		return false;
+	}
+	return true;
+}
+
+static void
+append(struct job_store *s, struct exchange *x, struct topic *t)
+{
+	int64_t at = exchange_int(x, "at", -1);
+	size_t offset = t->count, pos = 0;
+	uint32_t len;
+
+	if (!check_producer(x, t))
+		return;
+	if (at >= 0 && (size_t)at != t->count) {
+		refuse_append(x, 412, "at", (int64_t)t->count);
+		return;
+	}
+	while (pos + RECORD_HEAD <= x->body->len) {
+		len = get_u32(x->body->data + pos);
+		if (pos + RECORD_HEAD + len > x->body->len)
+			break;
+		topic_add(t, x->body->data + pos + RECORD_HEAD, len);
+		pos += RECORD_HEAD + len;
+	}
+	if (exchange_int(x, "epoch", -1) >= 0) {
+		t->epoch = exchange_int(x, "epoch", -1);
+		t->seq = exchange_int(x, "seq", -1);
+		t->seq_end = (int64_t)t->count;
+	}
+	answer_append(x, (int64_t)offset, (int64_t)t->count);
+	job_store_tick(s);
+}
+
+static void
+read_records(struct job_store *s, struct exchange *x, struct topic *t)
+{
+	int64_t from = exchange_int(x, "from", 0);
+	int64_t wait = exchange_int(x, "waitMs", 0);
+	struct waiting_read *r;
+
+	if ((size_t)from < t->count || wait == 0) {
+		answer_records(x, t, from);
+		return;
+	}
+	r = calloc(1, sizeof(*r));
+	r->exchange = x;
+	r->topic = t;
+	r->from = from;
+	r->until_ms = now_ms() + wait;
+	LIST_INSERT_HEAD(&s->reads, r, entries);
+}
+
+/* A later record of the same key stands in the topic. */
+static bool
+is_superseded(const struct topic *t, size_t i)
+{
+	const struct record_bytes *a = &t->list[i], *b;
+	size_t k;
+
+	for (k = i + 1; k < t->count; k++) {
+		b = &t->list[k];
+		if (b->len > b->data[0] && a->data[0] == b->data[0] &&
+		    memcmp(a->data + 1, b->data + 1, a->data[0]) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+newest(struct exchange *x, const struct topic *t)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *items = json_object_new_array(), *o;
+	const struct record_bytes *r;
+	char key[256], *text;
+	size_t i, value;
+
+	for (i = 0; i < t->count; i++) {
+		r = &t->list[i];
+		value = (size_t)r->data[0] + 1;
+		if (r->len <= value || is_superseded(t, i))
+			continue;
+		memcpy(key, r->data + 1, r->data[0]);
+		key[r->data[0]] = '\0';
+		text = malloc((r->len - value) * 4 / 3 + 8);
+		lws_b64_encode_string((const char *)r->data + value,
+		    (int)(r->len - value), text,
+		    (int)((r->len - value) * 4 / 3 + 8));
+		o = json_object_new_object();
+		json_object_object_add(o, "key", json_object_new_string(key));
+		json_object_object_add(
+		    o, "value", json_object_new_string(text));
+		json_object_object_add(
+		    o, "offset", json_object_new_int64((int64_t)i));
+		json_object_array_add(items, o);
+		free(text);
+	}
+	json_object_object_add(root, "items", items);
+	json_object_object_add(root, "hasMore", json_object_new_boolean(0));
+	json_object_object_add(
+	    root, "end", json_object_new_int64((int64_t)t->count));
+	exchange_json(x, 200, root, 1);
+}
+
+static void
+expire_members(struct job_store *s)
+{
+	int64_t now = now_ms();
+	size_t i;
+
+	for (i = 0; i < s->member_count; i++) {
+		if (s->members[i].until_ms >= now)
+			continue;
+		s->members[i--] = s->members[--s->member_count];
+		s->generation++;
+	}
+}
+
+static struct member *
+find_member(struct job_store *s, const char *group, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < s->member_count; i++) {
+		if (strcmp(s->members[i].group, group) == 0 &&
+		    strcmp(s->members[i].name, name) == 0)
+			return &s->members[i];
+	}
+	return NULL;
+}
+
+static const char *
+text_of(struct json_object *o, const char *key)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, key, &v) ? json_object_get_string(v)
+						     : "";
+}
+
+/* Partition i belongs to the i-th member, round and round. */
+static void
+add_parts(struct job_store *s, struct json_object *rows, const char *only)
+{
+	struct json_object *row;
+	const struct member *m;
+	int part;
+
+	for (part = 0; part < PARTS && s->member_count > 0; part++) {
+		m = &s->members[(size_t)part % s->member_count];
+		if (only != NULL && strcmp(m->name, only) != 0)
+			continue;
+		row = json_object_new_array();
+		json_object_array_add(row, json_object_new_string(m->topic));
+		json_object_array_add(row, json_object_new_int(part));
+		if (only == NULL)
+			json_object_array_add(
+			    row, json_object_new_string(m->name));
+		json_object_array_add(row, json_object_new_int(0));
+		json_object_array_add(rows, row);
+	}
+}
+
+static void
+join(struct job_store *s, struct exchange *x)
+{
+	struct json_object *in = exchange_body_json(x), *topics, *root, *rows;
+	struct json_object *ttl;
+	struct member *m;
+
+	if (in == NULL || !json_object_object_get_ex(in, "topics", &topics) ||
+	    !json_object_object_get_ex(in, "ttlMs", &ttl)) {
+		exchange_answer(x, 400, NULL);
+		json_object_put(in);
+		return;
+	}
+	expire_members(s);
+	m = find_member(s, text_of(in, "group"), text_of(in, "member"));
+	if (m == NULL && s->member_count < MEMBERS_MAX) {
+		m = &s->members[s->member_count++];
+		snprintf(
+		    m->group, sizeof(m->group), "%s", text_of(in, "group"));
+		snprintf(m->name, sizeof(m->name), "%s", text_of(in, "member"));
+		snprintf(m->topic, sizeof(m->topic), "%s",
+		    json_object_get_string(
+			json_object_array_get_idx(topics, 0)));
+		s->generation++;
+	}
+	m->until_ms = now_ms() + json_object_get_int64(ttl);
+	root = json_object_new_object();
+	rows = json_object_new_array();
+	add_parts(s, rows, m->name);
+	json_object_object_add(
+	    root, "generation", json_object_new_int64(s->generation));
+	json_object_object_add(root, "parts", rows);
+	exchange_json(x, 200, root, 1);
+	json_object_put(in);
+}
+
+static void
+leave(struct job_store *s, struct exchange *x)
+{
+	struct json_object *in = exchange_body_json(x);
+	struct member *m =
+	    find_member(s, text_of(in, "group"), text_of(in, "member"));
+
+	if (m != NULL) {
+		*m = s->members[--s->member_count];
+		s->generation++;
+	}
+	json_object_put(in);
+	exchange_answer(x, 200, NULL);
+}
+
+static void
+owners(struct job_store *s, struct exchange *x)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *rows = json_object_new_array();
+
+	expire_members(s);
+	add_parts(s, rows, NULL);
+	json_object_object_add(root, "parts", rows);
+	exchange_json(x, 200, root, 1);
+}
+
+bool
+job_store_request(struct job_store *s, struct exchange *x)
+{
+	char name[NAME_MAX_BYTES];
+	struct topic *t = NULL;
+
+	if (strncmp(x->path, "/log-", 5) != 0)
+		return false;
+	if (s->down) {
+		exchange_answer(x, 503, NULL);
+		return true;
+	}
+	if (exchange_str(x, "topic", name, sizeof(name)))
+		t = topic_of(s, name);
+	if (strcmp(x->path, "/log-join") == 0)
+		join(s, x);
+	else if (strcmp(x->path, "/log-leave") == 0)
+		leave(s, x);
+	else if (strcmp(x->path, "/log-owners") == 0)
+		owners(s, x);
+	else if (t == NULL)
+		exchange_answer(x, 400, NULL);
+	else if (strcmp(x->path, "/log-append") == 0)
+		append(s, x, t);
+	else if (strcmp(x->path, "/log-read") == 0)
+		read_records(s, x, t);
+	else if (strcmp(x->path, "/log-newest") == 0)
+		newest(x, t);
+	else
+		exchange_answer(x, 404, NULL);
+	return true;
+}
+
+void
+job_store_put(
+    struct job_store *s, const char *topic, const char *key, const char *value)
+{
+	size_t key_len = strlen(key), len = strlen(value);
+	uint8_t *data = malloc(1 + key_len + len);
+
+	data[0] = (uint8_t)key_len;
+	memcpy(data + 1, key, key_len);
+	memcpy(data + 1 + key_len, value, len);
+	topic_add(topic_of(s, topic), data, 1 + key_len + len);
+	free(data);
+}
+
+void
+job_store_down(struct job_store *s, bool down)
+{
+	s->down = down;
+}
+
+struct job_store *
+job_store_new(void)
+{
+	struct job_store *s = calloc(1, sizeof(*s));
+
+	if (s != NULL)
+		LIST_INIT(&s->reads);
+	return s;
+}
+
+void
+job_store_free(struct job_store *s)
+{
+	size_t i, k;
+
+	for (i = 0; i < s->topic_count; i++) {
+		for (k = 0; k < s->topics[i].count; k++)
+			free(s->topics[i].list[k].data);
+		free(s->topics[i].list);
+	}
+	free(s);
+}
--- /dev/null
+++ b/standin/job_store.h
@@ -0,0 +1,29 @@
+/*
+ * Stand-in of the users' store: topics of records with offsets, the newest
+ * record of each key, groups that deal a topic's partitions.  As far as
+ * mimosalead uses it.
+ */
+#ifndef STANDIN_JOB_STORE_H
+#define STANDIN_JOB_STORE_H
+
+#include <stdbool.h>
+
+#include "http_server.h"
+
+struct job_store;
+
+struct job_store *job_store_new(void);
+void job_store_free(struct job_store *s);
+/* True where the path is the store's; the exchange is answered then. */
+bool job_store_request(struct job_store *s, struct exchange *x);
+/* The exchange has ended: a read that waits for records is forgotten. */
+void job_store_ended(struct job_store *s, struct exchange *x);
+/* Answers reads whose time is over.  Call every few ms. */
+void job_store_tick(struct job_store *s);
+/* Appends a record of a worker's entry. */
+void job_store_put(
+    struct job_store *s, const char *topic, const char *key, const char *value);
+/* The store takes no calls while it is down. */
+void job_store_down(struct job_store *s, bool down);
+
+#endif
--- /dev/null
+++ b/tests/process/test_jobs.c
@@ -0,0 +1,351 @@
+/* The scheduler of jobs as processes: two daemons, a stand-in platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "http_json.h"
+#include "proc.h"
+
+#define LIMIT_MS 30000 /* generous: every wait ends on its condition */
+#define DAEMONS 2
+#define JOBS_MAX 32
+
+static struct procs *procs;
+static struct proc *daemons[DAEMONS];
+static int platform_port, callers_port[DAEMONS], ready_port[DAEMONS];
+static int peer_port[DAEMONS];
+static char paths[JOBS_MAX][64];
+static size_t job_count;
+
+static const char settings_format[] =
+    "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
+    "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
+    "\"portRange\":[%d,%d],\"heartbeatMs\":1000,"
+    "\"bounds\":{\"holdMaxMs\":6000,\"stopTimeoutMs\":200,\"status_s\":60,"
+    "\"maintenanceS\":0.2,\"migrateS\":0.2,\"leaseMs\":300},"
+    "\"advice\":\"127.0.0.1:%d\","
+    "\"platform\":{\"addr\":\"127.0.0.1:%d\",\"parts\":8,"
+    "\"ttlMinMs\":500},"
+    "\"cloudApi\":{\"addr\":\"127.0.0.1:%d\",\"dutyPerS\":64}}";
+
+static const char config_text[] =
+    "{\"configVersion\":%d,\"routes\":["
+    "{\"name\":\"r-blue\",\"host\":\"jobs.example\",\"pathPrefix\":\"/blue/\","
+    "\"service\":\"blue\",\"maxAttempts\":3,\"stretch\":1.6,"
+    "\"targetLatencyMs\":600},"
+    "{\"name\":\"r-green\",\"host\":\"jobs.example\","
+    "\"pathPrefix\":\"/blue/green/\",\"service\":\"green\","
+    "\"maxAttempts\":2,\"stretch\":2,\"targetLatencyMs\":600,"
+    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.1,\"validityMs\":3000}}],"
+    "\"services\":[{\"name\":\"blue\",\"admissionControl\":true},"
+    "{\"name\":\"green\",\"admissionControl\":true}]}";
+
+static void
+put(const char *topic, const char *key, const char *value)
+{
+	char path[128];
+
+	snprintf(path, sizeof(path), "/put?topic=%s&key=%s", topic, key);
+	cr_assert_eq(http_json(platform_port, "POST", path, value, NULL), 200);
+}
+
+static void
+publish(int version)
+{
+	char text[sizeof(config_text) + 16];
+
+	snprintf(text, sizeof(text), config_text, version);
+	put("keyed.op", "config", text);
+}
+
+static void
+start_daemon(int i)
+{
+	char name[32], path[160], text[2048];
+	const char *argv[] = {"schedule", "-c", path, NULL};
+
+	snprintf(text, sizeof(text), settings_format, i, callers_port[i],
+	    ready_port[i], peer_port[i], peer_port[i], platform_port,
+	    platform_port, platform_port);
+	snprintf(name, sizeof(name), "boot-%d.json", i);
+	procs_write(procs, name, text, path, sizeof(path));
+	snprintf(name, sizeof(name), "daemon-%d", i);
+	daemons[i] = proc_start(procs, name, "mimosalead", argv);
+	cr_assert_not_null(daemons[i]);
+}
+
+/* One request of a caller; the status, or -1 where there was no answer. */
+static int
+call(int daemon, const char *method, const char *path, const char *body,
+    char *out, size_t size)
+{
+	struct headers h = {.count = 0};
+	struct answer *a = NULL;
+	int status;
+
+	headers_add(&h, "host", "jobs.example");
+	status = http_raw(callers_port[daemon], method, path, &h, body, &a);
+	if (out != NULL)
+		snprintf(out, size, "%.*s",
+		    a != NULL && a->body != NULL ? (int)a->body->len : 0,
+		    a != NULL && a->body != NULL ? (char *)a->body->data : "");
+	answer_unref(a);
+	headers_uninit(&h);
+	return status;
+}
+
+static bool
+daemon_ready(void *arg)
+{
+	int i = *(int *)arg;
+
+	return http_json(ready_port[i], "GET", "/readiness", NULL, NULL) == 200;
+}
+
+/* Both pools have an owner that answers. */
+static bool
+pools_owned(void *arg)
+{
+	(void)arg;
+	return call(0, "GET", "/blue/", NULL, NULL, 0) == 200 &&
+	    call(0, "GET", "/blue/green/", NULL, NULL, 0) == 200 &&
+	    call(1, "GET", "/blue/", NULL, NULL, 0) == 200;
+}
+
+static void
+setup(void)
+{
+	char listen[32];
+	const char *argv[] = {
+	    "--listen", listen, "--workers", "4", "--task-ms", "60", NULL};
+	int i;
+
+	procs = procs_new();
+	job_count = 0;
+	platform_port = free_port();
+	snprintf(listen, sizeof(listen), "127.0.0.1:%d", platform_port);
+	cr_assert_not_null(proc_start(procs, "platform", "standin-jobs", argv));
+	sleep_ms(100);
+	publish(3);
+	for (i = 0; i < DAEMONS; i++) {
+		callers_port[i] = free_port();
+		ready_port[i] = free_port();
+		peer_port[i] = free_port();
+		start_daemon(i);
+	}
+	for (i = 0; i < DAEMONS; i++)
+		cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
+	cr_assert(wait_until(pools_owned, NULL, LIMIT_MS));
+}
+
+static void
+teardown(void)
+{
+	procs_free(procs);
+}
+
+/* Hands a job in until it is acknowledged; at any daemon that runs. */
+static void
+submit(const char *prefix, const char *steps)
+{
+	char body[2048], *path = paths[job_count];
+	int status = -1, tries = 0;
+
+	snprintf(path, sizeof(paths[0]), "%s%016zx", prefix, job_count + 1);
+	job_count++;
+	snprintf(
+	    body, sizeof(body), "{\"taskSpec\":\"work\",\"steps\":%s}", steps);
+	while (status != 200 && tries++ < 300) {
+		status = call(tries % DAEMONS, "POST", path, body, NULL, 0);
+		if (status != 200)
+			sleep_ms(50);
+	}
+	cr_assert_eq(status, 200, "job %s: %d", path, status);
+}
+
+static bool
+has_state(const char *path, const char *state)
+{
+	char text[128], wanted[64];
+	int i;
+
+	snprintf(wanted, sizeof(wanted), "\"%s\"", state);
+	for (i = 0; i < DAEMONS; i++) {
+		if (proc_running(daemons[i]) &&
+		    call(i, "GET", path, NULL, text, sizeof(text)) == 200 &&
+		    strstr(text, wanted) != NULL)
+			return true;
+	}
+	return false;
+}
+
+static bool
+all_completed(void *arg)
+{
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < job_count; i++) {
+		if (!has_state(paths[i], "completed"))
+			return false;
+	}
+	return true;
+}
+
+static int64_t
+judged(const char *what)
+{
+	struct json_object *o = NULL;
+	int64_t n;
+
+	cr_assert_eq(http_json(platform_port, "GET", "/judge", NULL, &o), 200);
+	n = json_int(o, what, -1);
+	json_object_put(o);
+	return n;
+}
+
+/* One job of each kind of step that the users' pages know. */
+static void
+submit_every_kind(void)
+{
+	submit("/blue/", "[{\"count\":3,\"cpu\":500,\"estimateMs\":60}]");
+	submit("/blue/",
+	    "[{\"count\":2,\"cpu\":500},{\"count\":2,\"cpu\":500,"
+	    "\"after\":[0]},{\"count\":1,\"after\":[0,1]}]");
+	submit("/blue/", "[{\"count\":4,\"cpu\":900,\"gang\":true}]");
+	submit("/blue/",
+	    "[{\"count\":3,\"cpu\":100,\"sameRack\":true,"
+	    "\"dataLocality\":\"r-1\"}]");
+	submit("/blue/",
+	    "[{\"count\":2,\"cpu\":100,\"requires\":\"a\","
+	    "\"antiAffinity\":1,\"checkpointing\":true}]");
+	submit("/blue/", "[{\"count\":1,\"gpu\":1,\"speculative\":true}]");
+	submit("/blue/green/", "[{\"count\":5,\"cpu\":300,\"memMb\":10}]");
+	submit("/blue/green/",
+	    "[{\"count\":2,\"cpu\":300,\"fills\":true,\"image\":\"x\"}]");
+}
+
+TestSuite(jobs, .init = setup, .fini = teardown, .timeout = 120);
+
+Test(jobs, every_kind_of_step_is_completed_and_runs_once)
+{
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("twice"), 0);
+	cr_expect_eq(judged("starts"), 3 + 5 + 4 + 3 + 2 + 1 + 5 + 2);
+	cr_expect_gt(judged("advised"), 0);
+}
+
+Test(jobs, a_killed_daemon_loses_and_repeats_nothing)
+{
+	int i;
+
+	submit_every_kind();
+	proc_signal(daemons[1], SIGKILL);
+	cr_assert_neq(proc_wait(daemons[1], LIMIT_MS), -1);
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	start_daemon(1);
+	i = 1;
+	cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
+	proc_signal(daemons[0], SIGKILL);
+	cr_assert_neq(proc_wait(daemons[0], LIMIT_MS), -1);
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("twice"), 0);
+}
+
+Test(jobs, a_planned_stop_hands_pools_over)
+{
+	submit_every_kind();
+	proc_signal(daemons[0], SIGTERM);
+	submit_every_kind();
+	cr_expect_eq(proc_wait(daemons[0], LIMIT_MS), 0);
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("twice"), 0);
+}
+
+Test(jobs, a_store_that_is_away_refuses_new_jobs_and_loses_none)
+{
+	int status;
+
+	submit_every_kind();
+	cr_assert_eq(
+	    http_json(platform_port, "POST", "/store-down", "", NULL), 200);
+	sleep_ms(1500);
+	status = call(0, "POST", "/blue/00000000000000ff",
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
+	cr_expect(
+	    status == 503 || status == 429 || status == 504, "%d", status);
+	cr_assert_eq(
+	    http_json(platform_port, "POST", "/store-up", "", NULL), 200);
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("twice"), 0);
+}
+
+Test(jobs, a_lasting_job_runs_until_it_is_cancelled)
+{
+	char text[128];
+	int tries = 0;
+
+	cr_assert_eq(call(0, "POST", "/blue/00000000000000aa",
+			 "{\"taskSpec\":\"lasts\",\"steps\":[{\"count\":2,"
+			 "\"cpu\":100,\"longRunning\":true,\"mayMiss\":1}]}",
+			 NULL, 0),
+	    200);
+	while (!has_state("/blue/00000000000000aa", "running") && tries++ < 100)
+		sleep_ms(50);
+	cr_expect(has_state("/blue/00000000000000aa", "running"));
+	cr_expect_eq(
+	    call(1, "DELETE", "/blue/00000000000000aa", NULL, NULL, 0), 200);
+	cr_expect(has_state("/blue/00000000000000aa", "cancelled"));
+	cr_expect_eq(
+	    call(0, "GET", "/blue/00000000000000ab", NULL, text, sizeof(text)),
+	    410);
+	cr_expect_eq(
+	    call(0, "DELETE", "/blue/00000000000000ab", NULL, NULL, 0), 410);
+}
+
+Test(jobs, a_wave_of_upkeep_is_carried_out)
+{
+	struct json_object *o = NULL;
+	int tries = 0;
+
+	put("keyed.op", "wave/7",
+	    "{\"wave\":7,\"machines\":[\"m-blue-0\",\"m-green-1\","
+	    "\"m-blue-2\"],\"withinS\":20,\"cap\":1}");
+	while (judged("upkeeps") < 3 && tries++ < 400)
+		sleep_ms(50);
+	cr_expect_geq(judged("upkeeps"), 3);
+	json_object_put(o);
+}
+
+Test(jobs, bad_input_is_refused_at_once_and_stores_nothing)
+{
+	static const char *const bodies[] = {"", "[]", "{", "{\"steps\":[]}",
+	    "{\"steps\":[{\"count\":0}]}", "{\"steps\":[{\"count\":-1}]}",
+	    "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+	    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
+	    "{\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+	    "{\"taskSpec\":7,\"steps\":[{\"count\":1}]}",
+	    "{\"steps\":[{\"count\":99999999}]}"};
+	char path[64], text[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		snprintf(path, sizeof(path), "/blue/%016zx", 500 + i);
+		cr_expect_eq(call((int)(i % 2), "POST", path, bodies[i], text,
+				 sizeof(text)),
+		    400, "body %zu: %s", i, text);
+		cr_expect(strstr(text, "error") != NULL, "%s", text);
+		cr_expect_eq(call(0, "GET", path, NULL, NULL, 0), 410);
+	}
+	cr_expect_eq(call(0, "POST", "/blue/xyz", "{}", NULL, 0), 404);
+	cr_expect_eq(call(0, "GET", "/nowhere/", NULL, NULL, 0), 404);
+	put("keyed.servers", "broken", "{\"service\":7}");
+	put("keyed.servers", "worse", "\x01\x02");
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+}
