--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	-fno-sanitize-recover=undefined
 endif
 
-INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/fleet -Isrc/platform \
+INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/roster -Isrc/platform \
 	-Isrc/scheduler
 CPPFLAGS = -D_GNU_SOURCE $(INCLUDES)
 WARN = -Wall -Wextra -Wshadow -Wmissing-prototypes -Wpointer-arith
@@ -23,7 +23,7 @@
 CORE_LIBS = -ljson-c -lmsgpackc -lxxhash
 SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
-core_src := $(wildcard src/core/*.c src/jobs/*.c src/fleet/*.c)
+core_src := $(wildcard src/core/*.c src/jobs/*.c src/roster/*.c)
 shell_src := $(wildcard src/shell/*.c src/platform/*.c src/scheduler/*.c)
 cli_src := $(wildcard src/cli/*.c)
 standin_src := $(wildcard standin/*.c)
@@ -88,7 +88,7 @@
 $(BUILD)/prop_%: $(BUILD)/tests/properties/prop_%.o $(bench_lib) $(libs)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lrapidcheck $(SHELL_LIBS) -lm
 
-$(BUILD)/unit: $(call obj,$(unit_src)) $(cli_obj) $(libs)
+$(BUILD)/unit: $(call obj,$(unit_src)) $(cli_obj) $(bench_lib) $(libs)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcriterion $(SHELL_LIBS)
 
 $(BUILD)/process: $(call obj,$(process_src)) $(bench_lib) $(libs)
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -241,8 +241,35 @@
 	t->saved = copy;
 }
 
+/*
+ * ms that a step still takes: what runs has a part of it behind it, as far as
+ * its youngest task has come.
+ */
+static double
+step_left_ms(const struct job_step *s, double ratio, int64_t now_us)
+{
+	double left_ms = (double)s->order->estimate_ms * ratio, ran_ms;
+	double youngest_ms = left_ms;
+	unsigned i;
+
+	if (s->done_count == s->order->count)
+		return 0;
+	if (s->done_count + s->placed_count < s->order->count)
+		return left_ms;
+	for (i = 0; i < s->order->count; i++) {
+		if (s->tasks[i].done)
+			continue;
+		ran_ms = (double)(now_us - s->tasks[i].placed_us) /
+		    (double)US_PER_MS;
+		if (ran_ms < youngest_ms)
+			youngest_ms = ran_ms;
+	}
+	return left_ms - youngest_ms;
+}
+
 double
-occurrence_chain_left_ms(const struct occurrence *o)
+occurrence_chain_left_ms(
+    const struct occurrence *o, double ratio, int64_t now_us)
 {
 	const struct order *order = o->job->order;
 	double ends[JOB_STEPS_MAX], longest = 0, begin;
@@ -254,9 +281,7 @@
 			if (ends[order->steps[i].after[k]] > begin)
 				begin = ends[order->steps[i].after[k]];
 		}
-		ends[i] = begin;
-		if (o->steps[i].done_count < order->steps[i].count)
-			ends[i] += (double)order->steps[i].estimate_ms;
+		ends[i] = begin + step_left_ms(&o->steps[i], ratio, now_us);
 		if (ends[i] > longest)
 			longest = ends[i];
 	}
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -149,8 +149,11 @@
 /* Counts a failed run; false where it was counted before. */
 bool task_count_failure(struct task *t, int64_t run);
 void task_set_saved(struct task *t, const char *saved);
-/* ms of the longest chain of steps that is left, by estimates. */
-double occurrence_chain_left_ms(const struct occurrence *o);
+/*
+ * ms of the longest chain of steps that is left, by estimates times "ratio".
+ */
+double occurrence_chain_left_ms(
+    const struct occurrence *o, double ratio, int64_t now_us);
 /* Thousandths of a core times ms that are left, by estimates. */
 double occurrence_work_left(const struct occurrence *o);
 /* Unix time by which an occurrence should be finished. */
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -11,6 +11,10 @@
 
 #define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
 #define STARVED_MS 250 /* tasks that wait so long for room get a machine */
+#define SPARE_SHARE                                                \
+	0.1 /* of its time left, that a job must have to begin … \
+	     */
+#define SPARE_MS 80 /* … and this: orders, holds, a look at what waits */
 #define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 #define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
 #define ADVISE_WORKERS 30 /* workers of one question to the policy */
@@ -71,15 +75,17 @@
 
 	c->occurrence = o;
 	c->priority = j->terms.priority;
-	left_ms = occurrence_chain_left_ms(o) *
-	    learned_ratio(p->learned, j->terms.name);
+	left_ms = occurrence_chain_left_ms(
+	    o, learned_ratio(p->learned, j->terms.name), p->now_us);
 	c->slack_ms =
 	    (double)(occurrence_objective_ms(o) - p->now_ms) - left_ms;
 	limit_ms = (LATE_LIMIT - 1) * (double)occurrence_length_ms(o);
 	if (order_lasts(j->order))
 		c->class = RANK_LASTING;
-	else if (c->slack_ms >= 0)
-		c->class = occurrence_begun(o) ? RANK_BEGUN : RANK_IN_TIME;
+	else if (occurrence_begun(o) && c->slack_ms >= 0)
+		c->class = RANK_BEGUN;
+	else if (c->slack_ms >= left_ms * SPARE_SHARE + SPARE_MS)
+		c->class = RANK_IN_TIME;
 	else
 		c->class = c->slack_ms >= -limit_ms ? RANK_LATE : RANK_HOPELESS;
 }
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -117,7 +117,7 @@
 	return json_body(o);
 }
 
-enum fleet_call_end
+enum roster_call_end
 machine_call_end(int status, const void *body, size_t len)
 {
 	struct json_object *root = json_parse(body, len);
@@ -128,18 +128,18 @@
 	json_object_put(root);
 	switch (status) {
 	case 200:
-		return FLEET_DONE;
+		return ROSTER_DONE;
 	case 400: /* no such machine, or a pool of other machines */
-		return FLEET_NEVER;
+		return ROSTER_NEVER;
 	case 409:
-		return strcmp(reason, "fence") == 0 ? FLEET_FENCED
-		    : strcmp(reason, "wave") == 0   ? FLEET_NEVER
-						    : FLEET_BUSY;
+		return strcmp(reason, "fence") == 0 ? ROSTER_FENCED
+		    : strcmp(reason, "wave") == 0   ? ROSTER_NEVER
+						    : ROSTER_BUSY;
 	case 429:
 	case 503:
-		return FLEET_BUSY;
+		return ROSTER_BUSY;
 	default:
-		return FLEET_UNKNOWN;
+		return ROSTER_UNKNOWN;
 	}
 }
 
--- a/src/platform/machine_wire.h
+++ b/src/platform/machine_wire.h
@@ -5,7 +5,7 @@
 #include <stddef.h>
 
 #include "buf.h"
-#include "fleet.h"
+#include "roster.h"
 
 #define MACHINE_PATH_BYTES 256
 #define MACHINE_PATH_MOVE "/machine-move"
@@ -30,7 +30,7 @@
 /* JSON bodies; NULL when memory is short. */
 struct buf *machine_move_body(const char *machine, const char *pool);
 struct buf *machine_upkeep_body(const char *machine, int64_t wave);
-enum fleet_call_end machine_call_end(int status, const void *body, size_t len);
+enum roster_call_end machine_call_end(int status, const void *body, size_t len);
 
 /* Record that tells operators how far a wave is. */
 void wave_status_key(char *out, size_t size, int64_t wave);
--- a/src/fleet/fleet.c
+++ b/src/roster/roster.c
@@ -1,11 +1,11 @@
-#include "fleet.h"
+#include "roster.h"
 
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet_state.h"
+#include "roster_state.h"
 
 #define REPORT_FRESH_MS 600 /* a report may be so old to act on it */
 #define LIST_EVERY_MS 4000 /* read the list of machines at least … */
@@ -15,11 +15,11 @@
 #define BUSY_RETRY_MS 400
 #define AWAY_MAX_MS 15000 /* a machine that is not seen again: forgotten */
 
-struct fleet_effect *
-fleet_fx(struct fleet *f, enum fleet_effect_kind kind)
+struct roster_effect *
+roster_fx(struct roster *f, enum roster_effect_kind kind)
 {
-	struct fleet_effects *fx = f->fx;
-	struct fleet_effect *x;
+	struct roster_effects *fx = f->fx;
+	struct roster_effect *x;
 
 	if (fx->count == fx->room) {
 		fx->room = fx->room > 0 ? fx->room * 2 : 16;
@@ -34,16 +34,16 @@
 }
 
 void
-fleet_effects_uninit(struct fleet_effects *fx)
+roster_effects_uninit(struct roster_effects *fx)
 {
 	free(fx->list);
 	memset(fx, 0, sizeof(*fx));
 }
 
 void
-fleet_log(struct fleet *f, const char *fmt, ...)
+roster_log(struct roster *f, const char *fmt, ...)
 {
-	struct fleet_effect *x = fleet_fx(f, FLEET_LOG);
+	struct roster_effect *x = roster_fx(f, ROSTER_LOG);
 	va_list ap;
 
 	x->level = LOG_LEVEL_INFO;
@@ -52,10 +52,10 @@
 	va_end(ap);
 }
 
-struct fleet *
-fleet_new(const struct fleet_opts *opts)
+struct roster *
+roster_new(const struct roster_opts *opts)
 {
-	struct fleet *f;
+	struct roster *f;
 
 	f = calloc(1, sizeof(*f));
 	if (f == NULL)
@@ -67,7 +67,7 @@
 }
 
 void
-fleet_free(struct fleet *f)
+roster_free(struct roster *f)
 {
 	struct machine *m, *next;
 	struct quiet_machine *q;
@@ -83,12 +83,12 @@
 		LIST_REMOVE(q, entries);
 		free(q);
 	}
-	fleet_waves_free(f);
+	roster_waves_free(f);
 	free(f);
 }
 
-struct fleet_pool *
-fleet_find_pool(struct fleet *f, const char *name)
+struct roster_pool *
+roster_find_pool(struct roster *f, const char *name)
 {
 	size_t i;
 
@@ -100,7 +100,7 @@
 }
 
 struct machine *
-fleet_find_machine(struct fleet *f, const char *name)
+roster_find_machine(struct roster *f, const char *name)
 {
 	struct machine *m;
 
@@ -109,7 +109,7 @@
 }
 
 static bool
-report_fresh(const struct fleet *f, const struct machine *m)
+report_fresh(const struct roster *f, const struct machine *m)
 {
 	return m->told_us != 0 &&
 	    f->now_us - m->told_us < REPORT_FRESH_MS * US_PER_MS;
@@ -117,7 +117,7 @@
 
 /* A machine of a spare pool is off; elsewhere its worker is to come. */
 static bool
-machine_off(const struct fleet *f, const struct machine *m)
+machine_off(const struct roster *f, const struct machine *m)
 {
 	size_t i;
 
@@ -129,27 +129,27 @@
 }
 
 bool
-machine_idle(const struct fleet *f, const struct machine *m)
+machine_idle(const struct roster *f, const struct machine *m)
 {
 	return machine_off(f, m) || (report_fresh(f, m) && m->tasks == 0);
 }
 
 bool
-machine_empty(const struct fleet *f, const struct machine *m)
+machine_empty(const struct roster *f, const struct machine *m)
 {
 	return machine_off(f, m) ||
 	    (report_fresh(f, m) && m->tasks == 0 && m->cordoned);
 }
 
 void
-machine_set_phase(struct fleet *f, struct machine *m, enum order_phase phase)
+machine_set_phase(struct roster *f, struct machine *m, enum order_phase phase)
 {
 	m->phase = phase;
 	m->since_us = f->now_us;
 }
 
 void
-machine_set_order(struct fleet *f, struct machine *m, enum machine_order order)
+machine_set_order(struct roster *f, struct machine *m, enum machine_order order)
 {
 	m->order = order;
 	m->cordoned = false; /* what was said before is of no use */
@@ -166,7 +166,7 @@
 
 /* A machine that is seen up again after its order has been carried out. */
 static void
-check_away(struct fleet *f, struct machine *m)
+check_away(struct roster *f, struct machine *m)
 {
 	/* at the time that the list was asked for */
 	int64_t away_ms = (f->list_us - m->since_us) / US_PER_MS;
@@ -181,7 +181,7 @@
 }
 
 static void
-take_ordered(struct fleet *f, const struct fleet_event *ev)
+take_ordered(struct roster *f, const struct roster_event *ev)
 {
 	int64_t left_ms = f->opts.quiet_ms - ev->u.ordered.ago_ms;
 	struct quiet_machine *q;
@@ -197,7 +197,7 @@
 }
 
 static int64_t
-quiet_until_us(const struct fleet *f, const char *machine)
+quiet_until_us(const struct roster *f, const char *machine)
 {
 	const struct quiet_machine *q;
 
@@ -209,9 +209,9 @@
 }
 
 static void
-take_machine(struct fleet *f, const struct machine_report *r)
+take_machine(struct roster *f, const struct machine_report *r)
 {
-	struct machine *m = fleet_find_machine(f, r->machine);
+	struct machine *m = roster_find_machine(f, r->machine);
 
 	if (m == NULL) {
 		m = calloc(1, sizeof(*m));
@@ -233,7 +233,7 @@
 }
 
 static void
-take_machines(struct fleet *f, const struct fleet_event *ev)
+take_machines(struct roster *f, const struct roster_event *ev)
 {
 	struct machine *m, *next;
 	size_t i;
@@ -249,7 +249,7 @@
 	{
 		if (m->round == f->round)
 			continue;
-		fleet_log(f, "msg=\"machine is gone\" machine=%s pool=%s",
+		roster_log(f, "msg=\"machine is gone\" machine=%s pool=%s",
 		    m->report.machine, m->report.pool);
 		HASH_DEL(f->machines, m);
 		free(m);
@@ -257,11 +257,11 @@
 }
 
 static void
-take_pool(struct fleet *f, const struct fleet_event *ev)
+take_pool(struct roster *f, const struct roster_event *ev)
 {
-	struct fleet_pool *p = fleet_find_pool(f, ev->u.pool.name);
+	struct roster_pool *p = roster_find_pool(f, ev->u.pool.name);
 
-	if (p == NULL && f->pool_count < FLEET_POOLS_MAX) {
+	if (p == NULL && f->pool_count < ROSTER_POOLS_MAX) {
 		p = &f->pools[f->pool_count++];
 		memset(p, 0, sizeof(*p));
 		snprintf(p->name, sizeof(p->name), "%s", ev->u.pool.name);
@@ -271,7 +271,7 @@
 }
 
 static struct machine *
-machine_of_worker(struct fleet *f, const char *worker)
+machine_of_worker(struct roster *f, const char *worker)
 {
 	struct machine *m;
 
@@ -283,9 +283,9 @@
 }
 
 static void
-take_report(struct fleet *f, const struct pool_report *r)
+take_report(struct roster *f, const struct pool_report *r)
 {
-	struct fleet_pool *p = fleet_find_pool(f, r->pool);
+	struct roster_pool *p = roster_find_pool(f, r->pool);
 	struct machine *m;
 	size_t i;
 
@@ -307,47 +307,47 @@
 }
 
 static void
-take_call_end(struct fleet *f, const struct fleet_event *ev)
+take_call_end(struct roster *f, const struct roster_event *ev)
 {
-	struct machine *m = fleet_find_machine(f, ev->u.call.machine);
+	struct machine *m = roster_find_machine(f, ev->u.call.machine);
 
 	if (m == NULL || m->order == ORDER_NONE || m->phase != PHASE_CALL)
 		return;
 	m->retry_us = f->now_us + BUSY_RETRY_MS * US_PER_MS;
 	switch (ev->u.call.end) {
-	case FLEET_DONE:
-		fleet_log(f,
+	case ROSTER_DONE:
+		roster_log(f,
 		    "msg=\"machine %s\" machine=%s pool=%s to=%s wave=%lld",
 		    m->order == ORDER_UPKEEP ? "is in upkeep" : "moves",
 		    m->report.machine, m->report.pool, m->to_pool,
 		    (long long)m->wave);
 		if (m->order == ORDER_UPKEEP)
-			fleet_upkeep_begun(f, m);
+			roster_upkeep_begun(f, m);
 		machine_set_phase(f, m, PHASE_AWAY);
 		break;
-	case FLEET_NEVER:
-		fleet_log(f,
+	case ROSTER_NEVER:
+		roster_log(f,
 		    "msg=\"platform refuses for good\" machine=%s "
 		    "wave=%lld",
 		    m->report.machine, (long long)m->wave);
 		if (m->order == ORDER_UPKEEP)
-			fleet_upkeep_begun(f, m);
+			roster_upkeep_begun(f, m);
 		machine_drop_order(m);
 		break;
-	case FLEET_BUSY:
-	case FLEET_FENCED:
-	case FLEET_UNKNOWN: /* the same again: done twice is done once */
+	case ROSTER_BUSY:
+	case ROSTER_FENCED:
+	case ROSTER_UNKNOWN: /* the same again: done twice is done once */
 		machine_set_phase(f, m, PHASE_CORDON);
 		break;
 	}
 }
 
 static void
-send_call(struct fleet *f, struct machine *m)
+send_call(struct roster *f, struct machine *m)
 {
-	struct fleet_effect *x;
+	struct roster_effect *x;
 
-	x = fleet_fx(f, m->order == ORDER_MOVE ? FLEET_MOVE : FLEET_UPKEEP);
+	x = roster_fx(f, m->order == ORDER_MOVE ? ROSTER_MOVE : ROSTER_UPKEEP);
 	snprintf(x->machine, sizeof(x->machine), "%s", m->report.machine);
 	snprintf(x->pool, sizeof(x->pool), "%s", m->to_pool);
 	x->wave = m->wave;
@@ -355,7 +355,7 @@
 }
 
 static void
-run_orders(struct fleet *f)
+run_orders(struct roster *f)
 {
 	struct machine *m;
 
@@ -374,7 +374,7 @@
 }
 
 static void
-list_due(struct fleet *f)
+list_due(struct roster *f)
 {
 	const struct machine *m;
 	int64_t every_ms = f->list_wanted ? LIST_BUSY_MS : LIST_EVERY_MS;
@@ -391,52 +391,52 @@
 	f->listing = true;
 	f->list_wanted = false;
 	f->list_us = f->now_us;
-	fleet_fx(f, FLEET_LIST);
+	roster_fx(f, ROSTER_LIST);
 }
 
 void
-fleet_step(
-    struct fleet *f, const struct fleet_event *ev, struct fleet_effects *fx)
+roster_step(
+    struct roster *f, const struct roster_event *ev, struct roster_effects *fx)
 {
 	f->now_us = ev->now_us;
 	f->fx = fx;
 	switch (ev->kind) {
-	case FLEET_TICK:
+	case ROSTER_TICK:
 		break;
-	case FLEET_MACHINES:
+	case ROSTER_MACHINES:
 		take_machines(f, ev);
 		break;
-	case FLEET_POOL:
+	case ROSTER_POOL:
 		take_pool(f, ev);
 		break;
-	case FLEET_REPORT:
+	case ROSTER_REPORT:
 		take_report(f, ev->u.report);
 		break;
-	case FLEET_WAVE:
-		fleet_take_wave(f, ev);
+	case ROSTER_WAVE:
+		roster_take_wave(f, ev);
 		break;
-	case FLEET_WAVE_KNOWN:
-		fleet_take_known(f, ev);
+	case ROSTER_WAVE_KNOWN:
+		roster_take_known(f, ev);
 		break;
-	case FLEET_ORDERED:
+	case ROSTER_ORDERED:
 		take_ordered(f, ev);
 		break;
-	case FLEET_CALL_END:
+	case ROSTER_CALL_END:
 		take_call_end(f, ev);
 		break;
 	}
-	if (ev->kind != FLEET_TICK)
+	if (ev->kind != ROSTER_TICK)
 		return;
 	list_due(f);
 	if (!f->listed)
 		return;
-	fleet_run_waves(f);
-	fleet_run_moves(f);
+	roster_run_waves(f);
+	roster_run_moves(f);
 	run_orders(f);
 }
 
 void
-fleet_cordons(const struct fleet *f, const char *pool,
+roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, bool empty), void *arg)
 {
 	const struct machine *m;
@@ -450,13 +450,13 @@
 }
 
 size_t
-fleet_pool_count(const struct fleet *f)
+roster_pool_count(const struct roster *f)
 {
 	return f->pool_count;
 }
 
 const char *
-fleet_pool_name(const struct fleet *f, size_t i)
+roster_pool_name(const struct roster *f, size_t i)
 {
 	return f->pools[i].name;
 }
--- a/src/fleet/fleet.h
+++ b/src/roster/roster.h
@@ -3,8 +3,8 @@
  * their demand.  A reducer like the pools': events in, effects out, no I/O,
  * no clock.  One daemon runs it for all, under a fence of its own.
  */
-#ifndef FLEET_H
-#define FLEET_H
+#ifndef ROSTER_H
+#define ROSTER_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -13,9 +13,9 @@
 #include "bounds.h"
 #include "effect.h"
 
-struct fleet;
+struct roster;
 
-struct fleet_opts {
+struct roster_opts {
 	int64_t now_us;
 	int quiet_ms; /* between orders of two holders for one machine */
 	int upkeep_ms; /* a machine's upkeep takes so long */
@@ -53,27 +53,27 @@
 	size_t worker_count;
 };
 
-enum fleet_call_end {
-	FLEET_DONE,
-	FLEET_BUSY, /* not now: try again */
-	FLEET_NEVER, /* the platform does not take it at all */
-	FLEET_FENCED, /* a later holder has ordered */
-	FLEET_UNKNOWN
+enum roster_call_end {
+	ROSTER_DONE,
+	ROSTER_BUSY, /* not now: try again */
+	ROSTER_NEVER, /* the platform does not take it at all */
+	ROSTER_FENCED, /* a later holder has ordered */
+	ROSTER_UNKNOWN
 };
 
-enum fleet_event_kind {
-	FLEET_TICK,
-	FLEET_MACHINES, /* the whole list */
-	FLEET_POOL, /* a pool of the configuration */
-	FLEET_REPORT, /* of a pool's owner */
-	FLEET_WAVE, /* operators ask for a wave */
-	FLEET_WAVE_KNOWN, /* what a predecessor has recorded of one */
-	FLEET_ORDERED, /* a predecessor has ordered something of a machine */
-	FLEET_CALL_END
+enum roster_event_kind {
+	ROSTER_TICK,
+	ROSTER_MACHINES, /* the whole list */
+	ROSTER_POOL, /* a pool of the configuration */
+	ROSTER_REPORT, /* of a pool's owner */
+	ROSTER_WAVE, /* operators ask for a wave */
+	ROSTER_WAVE_KNOWN, /* what a predecessor has recorded of one */
+	ROSTER_ORDERED, /* a predecessor has ordered something of a machine */
+	ROSTER_CALL_END
 };
 
-struct fleet_event {
-	enum fleet_event_kind kind;
+struct roster_event {
+	enum roster_event_kind kind;
 	int64_t now_us;
 	union {
 		struct {
@@ -103,52 +103,52 @@
 		} ordered;
 		struct {
 			char machine[NAME_BYTES];
-			enum fleet_call_end end;
+			enum roster_call_end end;
 		} call;
 	} u;
 };
 
-enum fleet_effect_kind {
-	FLEET_LIST, /* read the list of machines */
-	FLEET_MOVE,
-	FLEET_UPKEEP,
-	FLEET_STATUS, /* tell operators of a wave */
-	FLEET_NOTE, /* record that a machine's upkeep has begun */
-	FLEET_LOG
+enum roster_effect_kind {
+	ROSTER_LIST, /* read the list of machines */
+	ROSTER_MOVE,
+	ROSTER_UPKEEP,
+	ROSTER_STATUS, /* tell operators of a wave */
+	ROSTER_NOTE, /* record that a machine's upkeep has begun */
+	ROSTER_LOG
 };
 
-#define FLEET_LOG_BYTES 256
+#define ROSTER_LOG_BYTES 256
 
-struct fleet_effect {
-	enum fleet_effect_kind kind;
+struct roster_effect {
+	enum roster_effect_kind kind;
 	char machine[NAME_BYTES];
-	char pool[NAME_BYTES]; /* FLEET_MOVE: where to */
+	char pool[NAME_BYTES]; /* ROSTER_MOVE: where to */
 	int64_t wave;
-	bool completed; /* FLEET_STATUS */
+	bool completed; /* ROSTER_STATUS */
 	enum log_level level;
-	char line[FLEET_LOG_BYTES];
+	char line[ROSTER_LOG_BYTES];
 };
 
-struct fleet_effects {
-	struct fleet_effect *list;
+struct roster_effects {
+	struct roster_effect *list;
 	size_t count;
 	size_t room;
 };
 
-void fleet_effects_uninit(struct fleet_effects *fx);
+void roster_effects_uninit(struct roster_effects *fx);
 
-struct fleet *fleet_new(const struct fleet_opts *opts);
-void fleet_free(struct fleet *f);
-void fleet_step(
-    struct fleet *f, const struct fleet_event *ev, struct fleet_effects *fx);
+struct roster *roster_new(const struct roster_opts *opts);
+void roster_free(struct roster *f);
+void roster_step(
+    struct roster *f, const struct roster_event *ev, struct roster_effects *fx);
 /*
  * Workers of a pool that must get no new tasks; "empty" tells that they must
  * also be emptied.  Calls back for each.
  */
-void fleet_cordons(const struct fleet *f, const char *pool,
+void roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, bool empty), void *arg);
 /* Pools whose reports are wanted. */
-size_t fleet_pool_count(const struct fleet *f);
-const char *fleet_pool_name(const struct fleet *f, size_t i);
+size_t roster_pool_count(const struct roster *f);
+const char *roster_pool_name(const struct roster *f, size_t i);
 
 #endif
--- a/src/fleet/fleet_moves.c
+++ b/src/roster/roster_moves.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "fleet_state.h"
+#include "roster_state.h"
 
 #define REPORT_FRESH_MS 1500 /* a need older than this moves nothing */
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
@@ -18,7 +18,7 @@
 #define SHRINKS_AT_ONCE 12 /* machines on their way to be off */
 
 static bool
-pool_fresh(const struct fleet *f, const struct fleet_pool *p)
+pool_fresh(const struct roster *f, const struct roster_pool *p)
 {
 	return p->told_us != 0 &&
 	    f->now_us - p->told_us < REPORT_FRESH_MS * US_PER_MS;
@@ -29,7 +29,7 @@
  * its demand goes on to grow as it does.
  */
 static double
-projected_milli(struct fleet *f, struct fleet_pool *p)
+projected_milli(struct roster *f, struct roster_pool *p)
 {
 	int64_t age_ms = (f->now_us - p->earlier_us) / US_PER_MS;
 	double grown = (double)(p->wanted_milli - p->earlier_milli);
@@ -46,7 +46,7 @@
 }
 
 static size_t
-machines_for(const struct fleet_pool *p, double milli)
+machines_for(const struct roster_pool *p, double milli)
 {
 	size_t n = (size_t)(milli / 1000 + 0.99);
 
@@ -56,7 +56,7 @@
 }
 
 static void
-update_need(struct fleet *f, struct fleet_pool *p)
+update_need(struct roster *f, struct roster_pool *p)
 {
 	if (!pool_fresh(f, p))
 		return;
@@ -71,7 +71,7 @@
 
 /* Machines a pool has or is about to have. */
 static size_t
-pool_have(const struct fleet *f, const struct fleet_pool *p)
+pool_have(const struct roster *f, const struct roster_pool *p)
 {
 	const struct machine *m;
 	size_t n = 0;
@@ -86,35 +86,35 @@
 	return n;
 }
 
-static struct fleet_pool *
-pool_of(struct fleet *f, const struct machine *m)
+static struct roster_pool *
+pool_of(struct roster *f, const struct machine *m)
 {
-	return fleet_find_pool(f, m->report.pool);
+	return roster_find_pool(f, m->report.pool);
 }
 
 static bool
-goes_to_spare(struct fleet *f, const struct machine *m)
+goes_to_spare(struct roster *f, const struct machine *m)
 {
-	const struct fleet_pool *to = fleet_find_pool(f, m->to_pool);
+	const struct roster_pool *to = roster_find_pool(f, m->to_pool);
 
 	return m->order == ORDER_MOVE && m->phase == PHASE_CORDON &&
 	    to != NULL && to->spare;
 }
 
 static bool
-may_move(const struct fleet *f, const struct machine *m)
+may_move(const struct roster *f, const struct machine *m)
 {
 	return m->order == ORDER_NONE && m->report.state == MACHINE_UP &&
 	    f->now_us >= m->retry_us && machine_idle(f, m);
 }
 
 static void
-begin_move(struct fleet *f, struct machine *m, const struct fleet_pool *to)
+begin_move(struct roster *f, struct machine *m, const struct roster_pool *to)
 {
 	if (m->order == ORDER_NONE)
 		machine_set_order(f, m, ORDER_MOVE);
 	snprintf(m->to_pool, sizeof(m->to_pool), "%s", to->name);
-	fleet_log(f,
+	roster_log(f,
 	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
 	    "foreseen=%zu wanted_milli=%lld report_age_ms=%lld",
 	    m->report.machine, m->report.pool, to->name, to->need, to->foreseen,
@@ -127,10 +127,10 @@
  * pool does not need.
  */
 static struct machine *
-find_source(struct fleet *f, const struct fleet_pool *to, bool take)
+find_source(struct roster *f, const struct roster_pool *to, bool take)
 {
 	struct machine *m, *best = NULL;
-	struct fleet_pool *from;
+	struct roster_pool *from;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		from = pool_of(f, m);
@@ -146,10 +146,10 @@
 }
 
 /* The pool that lacks most of what it needs, or will by what is foreseen. */
-static struct fleet_pool *
-find_lacking(struct fleet *f, bool foreseen)
+static struct roster_pool *
+find_lacking(struct roster *f, bool foreseen)
 {
-	struct fleet_pool *p, *worst = NULL;
+	struct roster_pool *p, *worst = NULL;
 	size_t i, have, want, most = 0;
 
 	for (i = 0; i < f->pool_count; i++) {
@@ -168,9 +168,9 @@
 
 /* What is needed now goes first; growth takes only machines that are off. */
 static void
-grow(struct fleet *f, bool foreseen)
+grow(struct roster *f, bool foreseen)
 {
-	struct fleet_pool *p;
+	struct roster_pool *p;
 	struct machine *m;
 
 	while ((p = find_lacking(f, foreseen)) != NULL &&
@@ -178,8 +178,8 @@
 		begin_move(f, m, p);
 }
 
-static struct fleet_pool *
-spare_pool(struct fleet *f)
+static struct roster_pool *
+spare_pool(struct roster *f)
 {
 	size_t i;
 
@@ -191,7 +191,7 @@
 }
 
 static size_t
-shrinks_under_way(struct fleet *f)
+shrinks_under_way(struct roster *f)
 {
 	const struct machine *m;
 	size_t n = 0;
@@ -202,15 +202,15 @@
 }
 
 static void
-shrink(struct fleet *f)
+shrink(struct roster *f)
 {
-	struct fleet_pool *spare = spare_pool(f), *from;
+	struct roster_pool *spare = spare_pool(f), *from;
 	struct machine *m;
 
 	if (spare == NULL)
 		return;
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		from = fleet_find_pool(f, m->report.pool);
+		from = roster_find_pool(f, m->report.pool);
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || pool_have(f, from) <= from->peak ||
 		    shrinks_under_way(f) >= SHRINKS_AT_ONCE)
@@ -221,10 +221,10 @@
 
 /* One line a second: what moves are decided by. */
 static void
-log_pools(struct fleet *f)
+log_pools(struct roster *f)
 {
-	char text[FLEET_LOG_BYTES] = "";
-	const struct fleet_pool *p;
+	char text[ROSTER_LOG_BYTES] = "";
+	const struct roster_pool *p;
 	size_t i, n = 0;
 
 	if (f->now_us - f->pools_logged_us < US_PER_S)
@@ -236,12 +236,12 @@
 		    " %s=%zu/%zu/%zu/%zu/%lld", p->name, pool_have(f, p),
 		    p->need, p->foreseen, p->peak, (long long)p->wanted_milli);
 	}
-	fleet_log(
+	roster_log(
 	    f, "msg=\"pools: have/need/foreseen/peak/wanted milli\"%s", text);
 }
 
 void
-fleet_run_moves(struct fleet *f)
+roster_run_moves(struct roster *f)
 {
 	size_t i;
 
--- a/src/fleet/fleet_state.h
+++ b/src/roster/roster_state.h
@@ -1,14 +1,14 @@
-/* What the files of the fleet's reducer share; for fleet*.c only. */
-#ifndef FLEET_STATE_H
-#define FLEET_STATE_H
+/* What the files of the roster's reducer share; for roster*.c only. */
+#ifndef ROSTER_STATE_H
+#define ROSTER_STATE_H
 
 #include <sys/queue.h>
 
 #include <uthash.h>
 
-#include "fleet.h"
+#include "roster.h"
 
-#define FLEET_POOLS_MAX 128
+#define ROSTER_POOLS_MAX 128
 
 enum machine_order {
 	ORDER_NONE,
@@ -53,7 +53,7 @@
 	LIST_ENTRY(wave) entries;
 };
 
-struct fleet_pool {
+struct roster_pool {
 	char name[NAME_BYTES];
 	bool spare;
 	int64_t wanted_milli;
@@ -75,10 +75,10 @@
 	LIST_ENTRY(quiet_machine) entries;
 };
 
-struct fleet {
-	struct fleet_opts opts;
+struct roster {
+	struct roster_opts opts;
 	int64_t now_us;
-	struct fleet_effects *fx;
+	struct roster_effects *fx;
 	struct machine *machines; /* by name */
 	uint64_t round;
 	bool listed; /* the list has been read */
@@ -86,36 +86,36 @@
 	bool list_wanted; /* sooner than it would be due */
 	int64_t pools_logged_us;
 	int64_t list_us; /* when it was asked for */
-	struct fleet_pool pools[FLEET_POOLS_MAX];
+	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
 	LIST_HEAD(wave_list, wave) waves;
 	LIST_HEAD(quiet_list, quiet_machine) quiet;
 };
 
-struct fleet_effect *fleet_fx(struct fleet *f, enum fleet_effect_kind kind);
-void fleet_log(struct fleet *f, const char *fmt, ...)
+struct roster_effect *roster_fx(struct roster *f, enum roster_effect_kind kind);
+void roster_log(struct roster *f, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
-struct fleet_pool *fleet_find_pool(struct fleet *f, const char *name);
-struct machine *fleet_find_machine(struct fleet *f, const char *name);
+struct roster_pool *roster_find_pool(struct roster *f, const char *name);
+struct machine *roster_find_machine(struct roster *f, const char *name);
 /* Its worker runs nothing and gets nothing, or it has none. */
-bool machine_empty(const struct fleet *f, const struct machine *m);
+bool machine_empty(const struct roster *f, const struct machine *m);
 /* Its worker ran nothing when its owner spoke last. */
-bool machine_idle(const struct fleet *f, const struct machine *m);
+bool machine_idle(const struct roster *f, const struct machine *m);
 void machine_set_order(
-    struct fleet *f, struct machine *m, enum machine_order order);
+    struct roster *f, struct machine *m, enum machine_order order);
 void machine_set_phase(
-    struct fleet *f, struct machine *m, enum order_phase phase);
+    struct roster *f, struct machine *m, enum order_phase phase);
 void machine_drop_order(struct machine *m);
 
-/* fleet_waves.c */
-void fleet_take_wave(struct fleet *f, const struct fleet_event *ev);
-void fleet_take_known(struct fleet *f, const struct fleet_event *ev);
-void fleet_run_waves(struct fleet *f);
-void fleet_upkeep_begun(struct fleet *f, struct machine *m);
-bool fleet_in_open_wave(const struct fleet *f, const struct machine *m);
-void fleet_waves_free(struct fleet *f);
+/* roster_waves.c */
+void roster_take_wave(struct roster *f, const struct roster_event *ev);
+void roster_take_known(struct roster *f, const struct roster_event *ev);
+void roster_run_waves(struct roster *f);
+void roster_upkeep_begun(struct roster *f, struct machine *m);
+bool roster_in_open_wave(const struct roster *f, const struct machine *m);
+void roster_waves_free(struct roster *f);
 
-/* fleet_moves.c */
-void fleet_run_moves(struct fleet *f);
+/* roster_moves.c */
+void roster_run_moves(struct roster *f);
 
 #endif
--- a/src/fleet/fleet_waves.c
+++ b/src/roster/roster_waves.c
@@ -3,14 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet_state.h"
+#include "roster_state.h"
 
 #define ROUND_SPARE_MS 1500 /* a machine's way to its upkeep and back */
 #define PRESSURE 1.6 /* times the rounds that are left, to begin forcing */
 #define POOL_SHARE 4 /* one in so many of a pool's machines at once */
 
 static struct wave *
-find_wave(struct fleet *f, int64_t number)
+find_wave(struct roster *f, int64_t number)
 {
 	struct wave *w;
 
@@ -22,7 +22,7 @@
 }
 
 static struct wave *
-wave_new(struct fleet *f, int64_t number)
+wave_new(struct roster *f, int64_t number)
 {
 	struct wave *w;
 
@@ -64,7 +64,7 @@
 }
 
 void
-fleet_take_wave(struct fleet *f, const struct fleet_event *ev)
+roster_take_wave(struct roster *f, const struct roster_event *ev)
 {
 	struct wave *w = find_wave(f, ev->u.wave.wave);
 	size_t i;
@@ -77,14 +77,14 @@
 	w->until_us = f->now_us + ev->u.wave.within_ms * US_PER_MS;
 	for (i = 0; i < ev->u.wave.count; i++)
 		wave_add(w, ev->u.wave.machines[i]);
-	fleet_log(f,
+	roster_log(f,
 	    "msg=\"wave asked for\" wave=%lld machines=%zu within_ms=%d cap=%d",
 	    (long long)w->number, w->count, ev->u.wave.within_ms, w->cap);
 }
 
 /* A predecessor's records come before the operators' order, or after. */
 void
-fleet_take_known(struct fleet *f, const struct fleet_event *ev)
+roster_take_known(struct roster *f, const struct roster_event *ev)
 {
 	struct wave *w = find_wave(f, ev->u.known.wave);
 	struct wave_machine *e;
@@ -103,23 +103,23 @@
 }
 
 void
-fleet_upkeep_begun(struct fleet *f, struct machine *m)
+roster_upkeep_begun(struct roster *f, struct machine *m)
 {
 	struct wave *w = find_wave(f, m->wave);
 	struct wave_machine *e;
-	struct fleet_effect *x;
+	struct roster_effect *x;
 
 	e = w != NULL ? wave_entry(w, m->report.machine) : NULL;
 	if (e == NULL || e->begun)
 		return;
 	e->begun = true;
-	x = fleet_fx(f, FLEET_NOTE);
+	x = roster_fx(f, ROSTER_NOTE);
 	x->wave = w->number;
 	snprintf(x->machine, sizeof(x->machine), "%s", e->machine);
 }
 
 bool
-fleet_in_open_wave(const struct fleet *f, const struct machine *m)
+roster_in_open_wave(const struct roster *f, const struct machine *m)
 {
 	struct wave_machine *e;
 	struct wave *w;
@@ -136,13 +136,13 @@
 
 /* Counts what is down, may be down or is about to be. */
 static size_t
-wave_down(struct fleet *f, struct wave *w)
+wave_down(struct roster *f, struct wave *w)
 {
 	struct machine *m;
 	size_t i, n = 0;
 
 	for (i = 0; i < w->count; i++) {
-		m = fleet_find_machine(f, w->list[i].machine);
+		m = roster_find_machine(f, w->list[i].machine);
 		if (m == NULL)
 			continue;
 		if (m->report.state == MACHINE_UPKEEP ||
@@ -153,7 +153,7 @@
 }
 
 static size_t
-pool_ordered(const struct fleet *f, const char *pool, size_t *all)
+pool_ordered(const struct roster *f, const char *pool, size_t *all)
 {
 	const struct machine *m;
 	size_t n = 0;
@@ -170,7 +170,7 @@
 
 /* Rounds that are left need most of the time that is left. */
 static bool
-wave_presses(const struct fleet *f, const struct wave *w, size_t left)
+wave_presses(const struct roster *f, const struct wave *w, size_t left)
 {
 	int64_t round_us = (f->opts.upkeep_ms + ROUND_SPARE_MS) * US_PER_MS;
 	size_t rounds = (left + (size_t)w->cap - 1) / (size_t)w->cap;
@@ -184,7 +184,7 @@
  * emptied only in a pool that has few away, sooner when time presses.
  */
 static bool
-may_begin(struct fleet *f, struct machine *m, bool presses)
+may_begin(struct roster *f, struct machine *m, bool presses)
 {
 	size_t all, away;
 
@@ -201,11 +201,11 @@
 }
 
 static void
-begin_upkeep(struct fleet *f, struct wave *w, struct machine *m)
+begin_upkeep(struct roster *f, struct wave *w, struct machine *m)
 {
 	machine_set_order(f, m, ORDER_UPKEEP);
 	m->wave = w->number;
-	fleet_log(f,
+	roster_log(f,
 	    "msg=\"machine is emptied for its upkeep\" machine=%s pool=%s "
 	    "worker=%s tasks=%zu wave=%lld",
 	    m->report.machine, m->report.pool, m->report.worker, m->tasks,
@@ -213,16 +213,16 @@
 }
 
 static void
-tell(struct fleet *f, const struct wave *w)
+tell(struct roster *f, const struct wave *w)
 {
-	struct fleet_effect *x = fleet_fx(f, FLEET_STATUS);
+	struct roster_effect *x = roster_fx(f, ROSTER_STATUS);
 
 	x->wave = w->number;
 	x->completed = w->completed;
 }
 
 static void
-begin_some(struct fleet *f, struct wave *w, size_t left, bool idle_only)
+begin_some(struct roster *f, struct wave *w, size_t left, bool idle_only)
 {
 	bool presses = wave_presses(f, w, left);
 	size_t down = wave_down(f, w), i;
@@ -231,7 +231,7 @@
 	for (i = 0; i < w->count && down < (size_t)w->cap; i++) {
 		if (w->list[i].begun)
 			continue;
-		m = fleet_find_machine(f, w->list[i].machine);
+		m = roster_find_machine(f, w->list[i].machine);
 		if (m == NULL || (idle_only && !machine_idle(f, m)) ||
 		    !may_begin(f, m, presses))
 			continue;
@@ -241,7 +241,7 @@
 }
 
 static void
-run_wave(struct fleet *f, struct wave *w)
+run_wave(struct roster *f, struct wave *w)
 {
 	size_t i, left = 0;
 
@@ -252,11 +252,11 @@
 	for (i = 0; i < w->count; i++) {
 		/* a machine that has left needs none */
 		left += !w->list[i].begun &&
-		    fleet_find_machine(f, w->list[i].machine) != NULL;
+		    roster_find_machine(f, w->list[i].machine) != NULL;
 	}
 	if (left == 0) {
 		w->completed = true;
-		fleet_log(f,
+		roster_log(f,
 		    "msg=\"wave is completed\" wave=%lld "
 		    "left_ms=%lld",
 		    (long long)w->number,
@@ -269,7 +269,7 @@
 }
 
 void
-fleet_run_waves(struct fleet *f)
+roster_run_waves(struct roster *f)
 {
 	struct wave *w;
 
@@ -280,7 +280,7 @@
 }
 
 void
-fleet_waves_free(struct fleet *f)
+roster_waves_free(struct roster *f)
 {
 	struct wave *w;
 
--- a/src/scheduler/cordon_call.h
+++ b/src/scheduler/cordon_call.h
@@ -4,7 +4,7 @@
 
 #include "buf.h"
 #include "errors.h"
-#include "fleet.h"
+#include "roster.h"
 
 #define CORDONS_MAX 256 /* workers of one question */
 
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -37,8 +37,8 @@
 	int64_t confirmed_boot_us;
 	struct topic_claim *claim;
 	int64_t fence;
-	struct fleet *fleet; /* NULL until the term is claimed */
-	struct fleet_effects effects;
+	struct roster *roster; /* NULL until the term is claimed */
+	struct roster_effects effects;
 	struct store_writer *notes; /* what a successor must know */
 	uint64_t serial; /* newest note */
 	STAILQ_HEAD(noted_orders, noted_order) noted;
@@ -69,13 +69,13 @@
 
 /* An order that waits until a successor would know of it. */
 struct noted_order {
-	struct fleet_effect effect;
+	struct roster_effect effect;
 	uint64_t serial;
 	STAILQ_ENTRY(noted_order) entries;
 };
 
 static void duty_drop(struct duty *d, const char *why);
-static void duty_event(struct duty *d, struct fleet_event *ev);
+static void duty_event(struct duty *d, struct roster_event *ev);
 
 static struct duty_call *
 call_new(struct duty *d, const char *subject)
@@ -118,7 +118,7 @@
 static void
 list_ended(void *arg, enum http_end end, struct answer *a)
 {
-	struct fleet_event ev = {.kind = FLEET_MACHINES};
+	struct roster_event ev = {.kind = ROSTER_MACHINES};
 	struct duty_call *c = arg;
 	struct duty *d = c->duty;
 	bool ok = end == HTTP_WHOLE && a->status == 200 && a->body != NULL &&
@@ -165,32 +165,32 @@
 static void
 order_ended(void *arg, enum http_end end, struct answer *a)
 {
-	struct fleet_event ev = {.kind = FLEET_CALL_END};
+	struct roster_event ev = {.kind = ROSTER_CALL_END};
 	struct duty_call *c = arg;
 	struct duty *d = c->duty;
 	const struct buf *body = end == HTTP_WHOLE ? a->body : NULL;
 
 	snprintf(ev.u.call.machine, NAME_BYTES, "%s", c->subject);
-	ev.u.call.end = end == HTTP_UNSENT ? FLEET_BUSY : FLEET_UNKNOWN;
+	ev.u.call.end = end == HTTP_UNSENT ? ROSTER_BUSY : ROSTER_UNKNOWN;
 	if (end == HTTP_WHOLE)
 		ev.u.call.end = machine_call_end(a->status,
 		    body != NULL ? body->data : NULL,
 		    body != NULL ? body->len : 0);
 	call_free(c);
-	if (ev.u.call.end != FLEET_DONE)
+	if (ev.u.call.end != ROSTER_DONE)
 		daemon_log(LOG_LEVEL_INFO, "duty",
 		    "msg=\"order for a machine not done\" machine=%s end=%d "
 		    "status=%d fence=%lld",
 		    ev.u.call.machine, ev.u.call.end,
 		    end == HTTP_WHOLE ? a->status : 0, (long long)d->fence);
-	if (ev.u.call.end == FLEET_FENCED)
+	if (ev.u.call.end == ROSTER_FENCED)
 		duty_drop(d, "fenced");
 	else
 		duty_event(d, &ev);
 }
 
 static void
-send_order(struct duty *d, const struct fleet_effect *x)
+send_order(struct duty *d, const struct roster_effect *x)
 {
 	const struct boot *b = &d->scheduler->boot;
 	struct headers headers = {.count = 0};
@@ -209,7 +209,7 @@
 	headers_add(&headers, "content-type", "application/json");
 	headers_add(&headers, MACHINE_HEADER_HOLDER, b->name);
 	headers_add(&headers, MACHINE_HEADER_FENCE, fence);
-	if (x->kind == FLEET_MOVE) {
+	if (x->kind == ROSTER_MOVE) {
 		o.path = MACHINE_PATH_MOVE;
 		o.body = machine_move_body(x->machine, x->pool);
 	} else {
@@ -241,7 +241,7 @@
 
 /* Noted first, then ordered. */
 static void
-note_order(struct duty *d, const struct fleet_effect *x)
+note_order(struct duty *d, const struct roster_effect *x)
 {
 	struct noted_order *o;
 	char key[STORE_KEY_MAX], text[24];
@@ -261,7 +261,7 @@
 }
 
 static void
-write_status(struct duty *d, const struct fleet_effect *x)
+write_status(struct duty *d, const struct roster_effect *x)
 {
 	struct buf *value = wave_status_body(x->completed);
 	char key[STORE_KEY_MAX];
@@ -277,25 +277,25 @@
 }
 
 static void
-run_effect(struct duty *d, const struct fleet_effect *x)
+run_effect(struct duty *d, const struct roster_effect *x)
 {
 	switch (x->kind) {
-	case FLEET_LIST:
+	case ROSTER_LIST:
 		machine_list_uninit(&d->machines);
 		list_page(d);
 		break;
-	case FLEET_MOVE:
-	case FLEET_UPKEEP:
+	case ROSTER_MOVE:
+	case ROSTER_UPKEEP:
 		note_order(d, x);
 		break;
-	case FLEET_STATUS:
+	case ROSTER_STATUS:
 		write_status(d, x);
 		break;
-	case FLEET_NOTE:
+	case ROSTER_NOTE:
 		write_note(d, x->wave, x->machine);
 		break;
-	case FLEET_LOG:
-		daemon_log(x->level, "fleet", "%s", x->line);
+	case ROSTER_LOG:
+		daemon_log(x->level, "roster", "%s", x->line);
 		break;
 	}
 }
@@ -307,28 +307,28 @@
 }
 
 static void
-duty_event(struct duty *d, struct fleet_event *ev)
+duty_event(struct duty *d, struct roster_event *ev)
 {
-	struct fleet_effects fx;
+	struct roster_effects fx;
 	size_t i;
 
-	if (d->fleet == NULL || duty_outlived(d))
+	if (d->roster == NULL || duty_outlived(d))
 		return;
 	ev->now_us = sched_now_us();
 	fx = d->effects;
 	memset(&d->effects, 0, sizeof(d->effects));
-	fleet_step(d->fleet, ev, &fx);
+	roster_step(d->roster, ev, &fx);
 	for (i = 0; i < fx.count; i++)
 		run_effect(d, &fx.list[i]);
 	fx.count = 0;
-	fleet_effects_uninit(&d->effects);
+	roster_effects_uninit(&d->effects);
 	d->effects = fx;
 }
 
 static void
 take_report(struct duty *d, const struct pool_report *r)
 {
-	struct fleet_event ev = {.kind = FLEET_REPORT};
+	struct roster_event ev = {.kind = ROSTER_REPORT};
 
 	ev.u.report = r;
 	duty_event(d, &ev);
@@ -400,7 +400,7 @@
 
 	memset(&r, 0, sizeof(r));
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
-	fleet_cordons(d->fleet, pool, add_cordon, &r);
+	roster_cordons(d->roster, pool, add_cordon, &r);
 	if (shards_cordon(s->shards, &r, &report) == 0) {
 		take_report(d, &report);
 		pool_report_uninit(&report);
@@ -412,7 +412,7 @@
 static void
 on_tick(lws_sorted_usec_list_t *sul)
 {
-	struct fleet_event ev = {.kind = FLEET_TICK};
+	struct roster_event ev = {.kind = ROSTER_TICK};
 	struct duty *d = lws_container_of(sul, struct duty, tick);
 	const struct config *c = d->scheduler->config;
 	size_t i;
@@ -430,7 +430,7 @@
 feed_pools(struct duty *d)
 {
 	const struct config *c = d->scheduler->config;
-	struct fleet_event ev = {.kind = FLEET_POOL};
+	struct roster_event ev = {.kind = ROSTER_POOL};
 	size_t i;
 
 	for (i = 0; i < c->pool_count; i++) {
@@ -443,7 +443,7 @@
 static void
 feed_wave(struct duty *d, const struct wave_order *w)
 {
-	struct fleet_event ev = {.kind = FLEET_WAVE};
+	struct roster_event ev = {.kind = ROSTER_WAVE};
 
 	ev.u.wave.wave = w->wave;
 	ev.u.wave.machines = (const char(*)[NAME_BYTES])w->machines;
@@ -457,7 +457,7 @@
 static void
 feed_known(struct duty *d, const char *key)
 {
-	struct fleet_event ev = {.kind = FLEET_WAVE_KNOWN};
+	struct roster_event ev = {.kind = ROSTER_WAVE_KNOWN};
 	const char *slash;
 
 	ev.u.known.wave = strtoll(key + strlen(KEY_WAVE_PREFIX), NULL, 10);
@@ -470,7 +470,7 @@
 static void
 feed_note(struct duty *d, const struct kept_note *n)
 {
-	struct fleet_event ev = {.kind = FLEET_ORDERED};
+	struct roster_event ev = {.kind = ROSTER_ORDERED};
 	size_t order_len = strlen(KEY_ORDER_PREFIX);
 
 	if (strncmp(n->key, KEY_WAVE_PREFIX, strlen(KEY_WAVE_PREFIX)) == 0) {
@@ -535,7 +535,7 @@
 {
 	struct duty *d = arg;
 	const struct boot *b = &d->scheduler->boot;
-	struct fleet_opts o = {
+	struct roster_opts o = {
 	    .now_us = sched_now_us(),
 	    .quiet_ms = b->holder_lease_ms + QUIET_SPARE_MS,
 	    .upkeep_ms = b->upkeep_ms,
@@ -547,10 +547,10 @@
 	topic_claim_free(d->claim);
 	d->claim = NULL;
 	d->fence = epoch;
-	d->fleet = fleet_new(&o);
+	d->roster = roster_new(&o);
 	d->notes = writer_new(d, TOPIC_DUTIES, TOPIC_CLAIM_SEQ + 1, on_noted);
 	d->status = writer_new(d, TOPIC_STATUS, 0, on_told);
-	if (d->fleet == NULL || d->notes == NULL || d->status == NULL)
+	if (d->roster == NULL || d->notes == NULL || d->status == NULL)
 		abort(); /* the term is taken: nobody else would serve it */
 	daemon_log(LOG_LEVEL_INFO, "duty",
 	    "msg=\"duty of machines taken over\" fence=%lld notes=%zu",
@@ -624,8 +624,8 @@
 	store_writer_free(d->notes);
 	store_writer_free(d->status);
 	d->notes = d->status = NULL;
-	fleet_free(d->fleet);
-	d->fleet = NULL;
+	roster_free(d->roster);
+	d->roster = NULL;
 	machine_list_uninit(&d->machines);
 	free(d->known);
 	d->known = NULL;
@@ -658,7 +658,7 @@
 void
 duty_config_changed(struct duty *d)
 {
-	if (d->fleet != NULL)
+	if (d->roster != NULL)
 		feed_pools(d);
 }
 
@@ -715,6 +715,6 @@
 	for (i = 0; i < d->kept_count; i++)
 		wave_uninit(&d->kept[i].order);
 	free(d->kept);
-	fleet_effects_uninit(&d->effects);
+	roster_effects_uninit(&d->effects);
 	free(d);
 }
--- /dev/null
+++ b/tests/unit/test_machines.c
@@ -0,0 +1,333 @@
+/* Waves of upkeep and moves of machines, from events alone. */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "roster.h"
+
+#define MACHINES 12
+#define TICK_US (200 * US_PER_MS)
+#define UPKEEP_MS 2000
+#define MOVE_MS 1500
+
+static struct roster *roster;
+static int64_t now_us;
+static struct machine_report machines[MACHINES];
+static struct roster_effects fx;
+static int64_t wanted[2]; /* thousandths of a machine: blue, green */
+static size_t tasks[MACHINES]; /* of its worker */
+static int64_t away_until_us[MACHINES];
+static char back_in[MACHINES][NAME_BYTES];
+static int upkeeps, moves, most_down, statuses_completed;
+static bool upkept[MACHINES];
+
+static void event(struct roster_event *ev);
+
+static int
+machine_index(const char *name)
+{
+	return atoi(name + 2);
+}
+
+static void
+call_end(const char *machine, enum roster_call_end end)
+{
+	struct roster_event ev = {.kind = ROSTER_CALL_END};
+
+	snprintf(ev.u.call.machine, NAME_BYTES, "%s", machine);
+	ev.u.call.end = end;
+	event(&ev);
+}
+
+static int
+count_down(void)
+{
+	int i, n = 0;
+
+	for (i = 0; i < MACHINES; i++)
+		n += machines[i].state == MACHINE_UPKEEP;
+	return n;
+}
+
+static void
+take_away(int i, enum machine_state state, int ms, const char *pool)
+{
+	cr_expect_eq(tasks[i], 0, "m-%d runs tasks", i);
+	cr_expect_eq(machines[i].state, MACHINE_UP);
+	machines[i].state = state;
+	machines[i].worker[0] = '\0';
+	away_until_us[i] = now_us + ms * US_PER_MS;
+	snprintf(back_in[i], sizeof(back_in[i]), "%s", pool);
+}
+
+static void
+run_effect(const struct roster_effect *x)
+{
+	struct roster_event ev = {.kind = ROSTER_MACHINES};
+	int i = machine_index(x->machine);
+
+	switch (x->kind) {
+	case ROSTER_LIST:
+		ev.u.machines.list = machines;
+		ev.u.machines.count = MACHINES;
+		event(&ev);
+		break;
+	case ROSTER_MOVE:
+		moves++;
+		take_away(i, MACHINE_MOVING, MOVE_MS, x->pool);
+		call_end(x->machine, ROSTER_DONE);
+		break;
+	case ROSTER_UPKEEP:
+		upkeeps++;
+		upkept[i] = true;
+		take_away(i, MACHINE_UPKEEP, UPKEEP_MS, machines[i].pool);
+		if (count_down() > most_down)
+			most_down = count_down();
+		call_end(x->machine, ROSTER_DONE);
+		break;
+	case ROSTER_STATUS:
+		statuses_completed += x->completed;
+		break;
+	case ROSTER_NOTE:
+	case ROSTER_LOG:
+		break;
+	}
+}
+
+static void
+event(struct roster_event *ev)
+{
+	struct roster_effects mine;
+	size_t i;
+
+	memset(&mine, 0, sizeof(mine));
+	ev->now_us = now_us;
+	roster_step(roster, ev, &mine);
+	for (i = 0; i < mine.count; i++)
+		run_effect(&mine.list[i]);
+	roster_effects_uninit(&mine);
+}
+
+static bool cordoned[MACHINES];
+
+static void
+cordon(void *arg, const char *worker, bool empty)
+{
+	int i = atoi(worker + 2);
+
+	(void)arg;
+	cordoned[i] = true;
+	if (empty)
+		tasks[i] = 0; /* its owner sends them elsewhere */
+}
+
+static void
+report(const char *pool, int64_t milli)
+{
+	struct pool_worker_report list[MACHINES];
+	struct roster_event ev = {.kind = ROSTER_REPORT};
+	struct pool_report r = {.wanted_milli = milli, .workers = list};
+	int i;
+
+	memset(list, 0, sizeof(list));
+	memset(cordoned, 0, sizeof(cordoned));
+	roster_cordons(roster, pool, cordon, NULL);
+	snprintf(r.pool, sizeof(r.pool), "%s", pool);
+	for (i = 0; i < MACHINES; i++) {
+		if (machines[i].worker[0] == '\0' ||
+		    strcmp(machines[i].pool, pool) != 0)
+			continue;
+		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
+		    machines[i].worker);
+		list[r.worker_count].tasks = tasks[i];
+		list[r.worker_count++].cordoned = cordoned[i];
+	}
+	ev.u.report = &r;
+	event(&ev);
+}
+
+static void
+bring_back(void)
+{
+	int i;
+
+	for (i = 0; i < MACHINES; i++) {
+		if (machines[i].state == MACHINE_UP ||
+		    now_us < away_until_us[i])
+			continue;
+		machines[i].state = MACHINE_UP;
+		memcpy(machines[i].pool, back_in[i], NAME_BYTES);
+		if (strcmp(machines[i].pool, "spare") != 0)
+			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
+	}
+}
+
+static void
+run(int ms)
+{
+	struct roster_event ev = {.kind = ROSTER_TICK};
+	int64_t until = now_us + ms * US_PER_MS;
+
+	while (now_us < until) {
+		now_us += TICK_US;
+		bring_back();
+		report("blue", wanted[0]);
+		report("green", wanted[1]);
+		event(&ev);
+	}
+}
+
+static void
+pool(const char *name, bool spare)
+{
+	struct roster_event ev = {.kind = ROSTER_POOL};
+
+	snprintf(ev.u.pool.name, NAME_BYTES, "%s", name);
+	ev.u.pool.spare = spare;
+	event(&ev);
+}
+
+static size_t
+in_pool(const char *name)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < MACHINES; i++)
+		n += strcmp(machines[i].pool, name) == 0;
+	return n;
+}
+
+static void
+setup(void)
+{
+	struct roster_opts o = {.now_us = 1,
+	    .quiet_ms = 3000,
+	    .upkeep_ms = UPKEEP_MS,
+	    .move_ms = MOVE_MS};
+	int i;
+
+	now_us = 1;
+	roster = roster_new(&o);
+	pool("blue", false);
+	pool("green", false);
+	pool("spare", true);
+	for (i = 0; i < MACHINES; i++) {
+		snprintf(machines[i].machine, NAME_BYTES, "m-%d", i);
+		snprintf(machines[i].pool, NAME_BYTES, "%s",
+		    i < 5       ? "blue"
+			: i < 9 ? "green"
+				: "spare");
+		if (i < 9)
+			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
+		machines[i].cpu = 8000;
+	}
+	wanted[0] = 4400;
+	wanted[1] = 3400;
+}
+
+static void
+teardown(void)
+{
+	roster_free(roster);
+	roster_effects_uninit(&fx);
+}
+
+TestSuite(machines, .init = setup, .fini = teardown);
+
+static void
+ask_wave(int cap, int within_ms)
+{
+	static char names[MACHINES][NAME_BYTES];
+	struct roster_event ev = {.kind = ROSTER_WAVE};
+	int i;
+
+	for (i = 0; i < MACHINES; i++)
+		snprintf(names[i], NAME_BYTES, "m-%d", i);
+	ev.u.wave.wave = 7;
+	ev.u.wave.machines = (const char(*)[NAME_BYTES])names;
+	ev.u.wave.count = MACHINES;
+	ev.u.wave.within_ms = within_ms;
+	ev.u.wave.cap = cap;
+	event(&ev);
+}
+
+Test(machines, a_wave_is_done_in_time_and_never_above_its_cap)
+{
+	int i;
+
+	for (i = 0; i < MACHINES; i++)
+		tasks[i] = i < 9 ? 2 : 0;
+	run(600);
+	ask_wave(3, 27000);
+	run(27000);
+	for (i = 0; i < MACHINES; i++)
+		cr_expect(upkept[i], "m-%d", i);
+	cr_expect_leq(most_down, 3);
+	cr_expect_eq(statuses_completed, 1);
+}
+
+Test(machines, a_successor_goes_on_where_a_wave_was_left)
+{
+	struct roster_event ev = {.kind = ROSTER_WAVE_KNOWN};
+	int i;
+
+	for (i = 0; i < 6; i++) {
+		char name[NAME_BYTES];
+
+		snprintf(name, sizeof(name), "m-%d", i);
+		ev.u.known.wave = 7;
+		ev.u.known.machine = name;
+		event(&ev);
+	}
+	ask_wave(4, 20000);
+	run(20000);
+	cr_expect_eq(upkeeps, MACHINES - 6);
+	cr_expect_eq(statuses_completed, 1);
+}
+
+Test(machines, a_machine_ordered_of_late_by_another_holder_is_left_alone)
+{
+	struct roster_event ev = {.kind = ROSTER_ORDERED};
+	int i;
+
+	for (i = 0; i < MACHINES; i++) {
+		snprintf(ev.u.ordered.machine, NAME_BYTES, "m-%d", i);
+		ev.u.ordered.ago_ms = 500;
+		event(&ev);
+	}
+	ask_wave(4, 20000);
+	run(2200);
+	cr_expect_eq(upkeeps + moves, 0);
+	run(2000);
+	cr_expect_gt(upkeeps, 0);
+}
+
+Test(machines, a_turn_of_demand_is_met_from_the_spare_pool_and_from_others)
+{
+	run(1000);
+	cr_expect_eq(in_pool("spare"), 3);
+	wanted[0] = 8000;
+	wanted[1] = 800;
+	run(4000);
+	cr_expect_geq(in_pool("blue"), 9);
+	cr_expect_geq(in_pool("green"), 2);
+	wanted[0] = 500;
+	run(8000);
+	cr_expect_eq(in_pool("blue"), 2);
+	cr_expect_eq(in_pool("spare"), 8);
+}
+
+Test(machines, machines_that_work_are_not_moved)
+{
+	int i;
+
+	for (i = 0; i < MACHINES; i++)
+		tasks[i] = i < 9 ? 1 : 0;
+	wanted[0] = 400;
+	wanted[1] = 9000;
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 5);
+	cr_expect_eq(in_pool("spare"), 0);
+}
--- /dev/null
+++ b/tests/unit/test_pool.c
@@ -0,0 +1,292 @@
+/* A pool's reducer: one test for each failure that was met on played days. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "jobs_world.h"
+
+static struct jobs_world *world;
+
+static struct jobs_world *
+world_of(int workers)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = workers,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	};
+
+	return jobs_world_new(&o);
+}
+
+static void
+submit(int steps, unsigned count, int64_t cpu, int64_t ms, char *id)
+{
+	struct order *o = jobs_order(steps, count, cpu, ms);
+
+	jobs_world_submit(world, o, id);
+	order_unref(o);
+}
+
+static void
+submit_lasting(unsigned count, int64_t memory_mb, unsigned may_miss, char *id)
+{
+	struct order *o = jobs_order(1, count, 500, 0);
+
+	o->steps[0].lasting = true;
+	o->steps[0].may_miss = may_miss;
+	o->steps[0].memory_mb = memory_mb;
+	jobs_world_submit(world, o, id);
+	order_unref(o);
+}
+
+static void
+expect_kept(void)
+{
+	struct jobs_verdict v;
+
+	jobs_world_judge(world, &v);
+	cr_expect_str_eq(v.first, "");
+	jobs_world_free(world);
+}
+
+static size_t
+tasks_everywhere(int workers)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < workers; i++)
+		n += jobs_world_tasks_on(world, i);
+	return n;
+}
+
+/* An owner cut from the store started what nobody would know of. */
+Test(pool, nothing_starts_before_its_order_is_stored)
+{
+	world = world_of(2);
+	jobs_world_store(world, true);
+	submit(1, 2, 500, 100, NULL);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_starts(world), 0);
+	cr_expect_eq(jobs_world_accepted(world), 0);
+	jobs_world_store(world, false);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_starts(world), 2);
+	cr_expect_eq(jobs_world_accepted(world), 1);
+	expect_kept();
+}
+
+/* Entries of workers behind a cut lapse; what they run goes on there. */
+Test(pool, a_new_owner_waits_for_workers_whose_entries_have_lapsed)
+{
+	world = world_of(2);
+	submit(1, 4, 2000, 5000, NULL);
+	jobs_world_run(world, 300);
+	cr_assert_eq(jobs_world_starts(world), 4);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 3000);
+	cr_expect_eq(jobs_world_starts(world), 4);
+	jobs_world_run(world, 12000);
+	expect_kept();
+}
+
+/* Holds that a dead worker never answered kept its leases going. */
+Test(pool, tasks_of_a_dead_worker_start_elsewhere_once_its_lease_is_over)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(2);
+	submit(1, 8, 1000, 400, id);
+	jobs_world_run(world, 50);
+	jobs_world_crash_worker(world, 0);
+	jobs_world_run(world, 8000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
+
+/* A cordon that was not looked at let tasks start and stop over and over. */
+Test(pool, a_cordoned_worker_gets_no_tasks)
+{
+	world = world_of(2);
+	jobs_world_cordon_worker(world, 0);
+	submit(1, 4, 1000, 300, NULL);
+	jobs_world_run(world, 200);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 0);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 4);
+	jobs_world_run(world, 3000);
+	expect_kept();
+}
+
+/* A lasting task at a dark worker counted as at work. */
+Test(pool, a_lasting_task_is_not_stopped_while_another_is_away)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(3);
+	submit_lasting(3, 9000, 1, id);
+	jobs_world_run(world, 500);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 1);
+	cr_assert_eq(jobs_world_tasks_on(world, 1), 1);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_run(world, 2500);
+	jobs_world_cordon_worker(world, 1);
+	jobs_world_run(world, 500);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_kept();
+}
+
+/* Room that suffices in sum only: the pool must ask for a machine. */
+Test(pool, work_that_fits_nowhere_asks_for_a_machine)
+{
+	struct pool_demand d;
+
+	world = world_of(2);
+	submit_lasting(2, 9000, 1, NULL);
+	submit_lasting(1, 12000, 1, NULL);
+	jobs_world_run(world, 1500);
+	cr_expect_eq(tasks_everywhere(2), 2);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_geq(d.floor, 3);
+	expect_kept();
+}
+
+/* Memory fills a worker long before its cores do. */
+Test(pool, demand_counts_the_scarcest_kind_of_room)
+{
+	struct pool_demand d;
+	struct order *o = jobs_order(1, 10, 100, 1000);
+
+	world = world_of(2);
+	o->steps[0].memory_mb = 8000;
+	jobs_world_submit(world, o, NULL);
+	order_unref(o);
+	jobs_world_run(world, 50);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.wanted_milli, 5000);
+	jobs_world_run(world, 12000);
+	expect_kept();
+}
+
+/* Reports before the first hold said that nothing ran there. */
+static void
+count_worker(void *arg, const char *id, size_t tasks, bool cordoned)
+{
+	(void)id;
+	(void)tasks;
+	(void)cordoned;
+	(*(size_t *)arg)++;
+}
+
+Test(pool, workers_are_reported_only_once_they_have_answered)
+{
+	size_t n = 0;
+
+	world = world_of(2);
+	submit(1, 2, 1000, 3000, NULL);
+	jobs_world_run(world, 100);
+	jobs_world_take_over(world, 0);
+	pool_each_worker(jobs_world_pool(world), count_worker, &n);
+	cr_expect_eq(n, 0);
+	jobs_world_run(world, 50);
+	pool_each_worker(jobs_world_pool(world), count_worker, &n);
+	cr_expect_eq(n, 2);
+	jobs_world_run(world, 5000);
+	expect_kept();
+}
+
+/* Entries lapse with the store; workers that answer go on. */
+Test(pool, a_worker_that_answers_goes_on_while_its_entry_is_away)
+{
+	world = world_of(1);
+	jobs_world_run(world, 500);
+	jobs_world_list_worker(world, 0, false);
+	submit(1, 2, 1000, 100, NULL);
+	jobs_world_run(world, 300);
+	cr_expect_eq(jobs_world_starts(world), 2);
+	jobs_world_run(world, 3000);
+	submit(1, 2, 1000, 100, NULL);
+	jobs_world_run(world, 300);
+	cr_expect_eq(jobs_world_starts(world), 2);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 2000);
+	cr_expect_eq(jobs_world_starts(world), 4);
+	expect_kept();
+}
+
+Test(pool, a_job_handed_in_again_stays_one_job)
+{
+	struct order *o;
+	char id[JOB_ID_BYTES];
+
+	world = world_of(2);
+	o = jobs_order(1, 2, 1000, 200);
+	jobs_world_submit(world, o, id);
+	jobs_world_run(world, 20);
+	jobs_world_submit_again(world, o, id);
+	jobs_world_run(world, 600);
+	jobs_world_submit_again(world, o, id);
+	jobs_world_run(world, 600);
+	cr_expect_eq(jobs_world_starts(world), 2);
+	cr_expect_eq(jobs_world_accepted(world), 1);
+	order_unref(o);
+	expect_kept();
+}
+
+Test(pool, a_cancelled_job_stops_and_is_not_revived)
+{
+	struct order *o;
+	char id[JOB_ID_BYTES];
+
+	world = world_of(2);
+	o = jobs_order(2, 3, 1000, 5000);
+	jobs_world_submit(world, o, id);
+	jobs_world_run(world, 200);
+	jobs_world_cancel(world, id);
+	jobs_world_run(world, 500);
+	cr_expect_eq(tasks_everywhere(2), 0);
+	jobs_world_submit_again(world, o, id);
+	jobs_world_take_over(world, 0);
+	jobs_world_submit_again(world, o, id);
+	jobs_world_run(world, 10000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_CANCELLED);
+	cr_expect_eq(jobs_world_starts(world), 3);
+	order_unref(o);
+	expect_kept();
+}
+
+/*
+ * The load: one queue asks for several times its pool for two seconds.  What
+ * has begun goes on; work that can still be in time goes before work that
+ * cannot.
+ */
+Test(pool, a_surge_serves_in_time_what_its_room_allows)
+{
+	int64_t ms[200];
+	size_t n, in_time = 0, i;
+	int k;
+
+	world = world_of(4); /* 32 cores */
+	for (k = 0; k < 60; k++) {
+		submit(2, 4, 1000, 500, NULL);
+		jobs_world_run(world, 33);
+	}
+	jobs_world_run(world, 12000);
+	n = jobs_world_completed(world, ms, 200);
+	for (i = 0; i < n; i++)
+		in_time += ms[i] <= 1600 + 600;
+	/*
+	 * The room does 8 jobs at a time, each in 1 s: of the rounds that
+	 * begin at 0.1, 1.1, 2.1 and 3.1 s three can end in time, since the
+	 * last job must begin before 3.08 s.  In order of arrival the third
+	 * round would be late: 16.
+	 */
+	cr_expect_geq(in_time, 24, "%zu of %zu", in_time, n);
+	expect_kept();
+}
