pool: a worker that stays silent is waited for once, not by each new owner

A worker went dark with lasting tasks, its owner was killed, and each of the owners that followed in a roll of restarts waited its own 7.5 s for the dark worker before it started the tasks elsewhere. Ruled out: room (there was), a stop without effect (the worker was gone). Change: the list of workers in the pool's topic says until when a silent one may run anything; a next owner goes by it.

--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -14,6 +14,12 @@
 	bool listed; /* its entry is in the store */
 	int64_t gone_us; /* its entry was dropped then; 0: it was not */
 	bool held; /* has seen this term's fence */
+	bool inherited; /* an earlier owner may have ordered tasks to it */
+	/*
+	 * Unix time at which nothing runs there any more that was ordered; 0:
+	 * it answers, or did of late.  A next owner is told.
+	 */
+	int64_t silent_until_ms;
 	bool recorded; /* a next owner will know of it … */
 	uint64_t record_serial; /* … once this is written */
 	int64_t clock_us; /* when report.clock_ms was observed */
@@ -63,6 +69,7 @@
 	int64_t now_us, now_ms; /* of the event */
 	struct pool_effects *fx;
 	bool loaded;
+	bool settled; /* seen to be, so that waiting tasks are looked at */
 	int64_t settle_until_us; /* silent workers may run tasks until then */
 	struct job *jobs; /* all, by id */
 	TAILQ_HEAD(job_list, job) active, finished;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -18,6 +18,7 @@
 	12000 /* an order without an answer may arrive so late \
 	       */
 #define ENTRY_BACK_MS 2500 /* an entry still missing then is gone for good */
+#define CLOCKS_APART_MS 500 /* of daemons; "close to true time" */
 #define CORDON_MS 2000 /* a cordon that is not renewed ends */
 #define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
@@ -71,6 +72,14 @@
 	    p->now_us >= w->cordon_until_us;
 }
 
+/* What an earlier owner may have ordered there is known, or has ended. */
+static bool
+worker_settled(const struct pool *p, const struct placed_worker *w)
+{
+	return w->held || !w->inherited ||
+	    p->now_ms > w->silent_until_ms + CLOCKS_APART_MS;
+}
+
 bool
 pool_settled(const struct pool *p)
 {
@@ -79,12 +88,20 @@
 	if (p->now_us >= p->settle_until_us)
 		return true;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!w->held)
+		if (!worker_settled(p, w))
 			return false;
 	}
 	return p->workers != NULL;
 }
 
+/* The next owner's list says what this one believes of the worker. */
+static void
+worker_record_again(struct pool *p, struct placed_worker *w)
+{
+	w->recorded = false;
+	p->workers_changed = true;
+}
+
 static void
 worker_free(struct pool *p, struct placed_worker *w)
 {
@@ -263,7 +280,8 @@
 	 * Its clock is not known yet; or it does not answer, and what it may
 	 * run must end some time: a lease that is never extended.
 	 */
-	if (!w->held || w->misses > 0)
+	if (!w->held || w->misses > 0 || !w->recorded ||
+	    w->record_serial > p->written)
 		return;
 	end_ms = worker_clock_ms(w, p->now_us) + p->opts.lease_ms;
 	if (end_ms > w->lease_end_ms)
@@ -300,6 +318,8 @@
 	if (w->misses == 0 || w->task_count == 0 || !w->held)
 		return;
 	if (worker_lease_over(w, p->now_us)) {
+		w->silent_until_ms = p->now_ms;
+		worker_record_again(p, w);
 		pool_worker_lost(p, w, "lease-over");
 		p->place_due = true;
 	}
@@ -473,8 +493,15 @@
 		    "running=%zu ended=%zu",
 		    w->report.id, (long long)p->opts.fence, r->running_count,
 		    r->ended_count);
+	/* an owner before this one may have granted as much until now */
+	if (!w->held && r->clock_ms + p->opts.lease_ms > w->lease_end_ms)
+		w->lease_end_ms = r->clock_ms + p->opts.lease_ms;
 	w->held = true;
 	w->misses = 0;
+	if (w->silent_until_ms != 0) { /* before it gets leases again */
+		w->silent_until_ms = 0;
+		worker_record_again(p, w);
+	}
 	if (w->telling_end > 0)
 		w->told_end = w->telling_end;
 	w->heard_us = p->now_us;
@@ -508,7 +535,7 @@
 		hold_failed(p, w, ev->u.held.end);
 }
 
-#define WORKER_FIELDS 4 /* id, birth, address, port */
+#define WORKER_FIELDS 5 /* id, birth, address, port, silent until */
 
 void
 pool_record_workers(struct pool *p)
@@ -528,6 +555,7 @@
 		wire_i64(&out, "born", w->report.born_ms);
 		wire_str(&out, "addr", w->report.addr);
 		wire_u64(&out, "port", (uint64_t)w->report.port);
+		wire_i64(&out, "silent", w->silent_until_ms);
 	}
 	fx_write(p, KEY_WORKERS, wire_writer_take(&out));
 	for (w = p->workers; w != NULL; w = w->hh.next) {
@@ -541,8 +569,10 @@
 pool_load_workers(struct pool *p, const void *data, size_t len, struct err *e)
 {
 	const msgpack_object_array *list;
+	struct placed_worker *w;
 	struct worker_report r;
 	struct wire_reader in;
+	int64_t silent_ms;
 	uint64_t port;
 	uint32_t i;
 
@@ -560,7 +590,14 @@
 		    !wire_get_u64(&list->ptr[i], "port", &port))
 			continue;
 		r.port = (int)port;
-		worker_new(p, &r);
+		w = worker_new(p, &r);
+		if (w == NULL)
+			continue;
+		w->inherited = true;
+		w->silent_until_ms = p->opts.now_ms + p->opts.settle_ms;
+		if (wire_get_i64(&list->ptr[i], "silent", &silent_ms) &&
+		    silent_ms != 0 && silent_ms < w->silent_until_ms)
+			w->silent_until_ms = silent_ms;
 	}
 	wire_reader_uninit(&in);
 	return 0;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -290,3 +290,25 @@
 	cr_expect_geq(in_time, 24, "%zu of %zu", in_time, n);
 	expect_kept();
 }
+
+/* Each new owner waited anew for a worker that had been dark all the time. */
+Test(pool, a_silent_worker_is_waited_for_once_not_by_each_owner)
+{
+	char id[JOB_ID_BYTES];
+	int i;
+
+	world = world_of(2);
+	submit(1, 8, 1500, 6000, id);
+	jobs_world_run(world, 100);
+	jobs_world_crash_worker(world, 0);
+	for (i = 0; i < 4; i++) {
+		jobs_world_run(world, 2500);
+		jobs_world_take_over(world, 0);
+	}
+	/* the lease and the give-up ended before the last owner began */
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 5);
+	jobs_world_run(world, 20000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
