roster: owners are told which workers have ended with their machines

Ruled out: real silence of those workers (all were machines we had moved). Change: the cordons that the keeper sends also name workers whose machine was taken away; the pool ends their tasks, holds them no more and records that nothing runs there.

--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -83,6 +83,7 @@
 		struct {
 			char id[NAME_BYTES];
 			bool empty; /* its tasks are to go elsewhere */
+			bool gone; /* its machine was taken away */
 		} cordon;
 		struct {
 			char worker[NAME_BYTES];
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -12,6 +12,7 @@
 struct placed_worker {
 	struct worker_report report;
 	bool listed; /* its entry is in the store */
+	bool left; /* its machine was taken away: it has ended */
 	int64_t gone_us; /* its entry was dropped then; 0: it was not */
 	bool held; /* has seen this term's fence */
 	bool inherited; /* an earlier owner may have ordered tasks to it */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -197,6 +197,9 @@
 		w = worker_new(p, r);
 	if (w == NULL || (r->born_ms != 0 && r->born_ms < w->report.born_ms))
 		return;
+	if (w->left && r->born_ms == w->report.born_ms)
+		return; /* an entry that has not lapsed yet */
+	w->left = false;
 	drained = w->report.draining;
 	clock_ms = w->report.clock_ms;
 	if (r->born_ms != w->report.born_ms && r->born_ms != 0 &&
@@ -229,7 +232,21 @@
 	    "msg=\"worker's entry is gone\" worker=%s tasks=%zu misses=%d", id,
 	    w->task_count, w->misses);
 	w->listed = false;
-	w->gone_us = p->now_us;
+	w->gone_us = w->left ? 0 : p->now_us;
+	if (w->left && !w->hold_out)
+		worker_free(p, w);
+}
+
+/* Everything there has ended; its entry lapses later. */
+static void
+worker_left(struct pool *p, struct placed_worker *w)
+{
+	pool_worker_lost(p, w, "machine-taken-away");
+	w->left = true;
+	w->listed = false;
+	w->silent_until_ms = p->now_ms;
+	worker_record_again(p, w);
+	p->place_due = true;
 }
 
 void
@@ -237,8 +254,12 @@
 {
 	struct placed_worker *w = pool_find_worker(p, ev->u.cordon.id);
 
-	if (w == NULL)
+	if (w == NULL || w->left)
 		return;
+	if (ev->u.cordon.gone) {
+		worker_left(p, w);
+		return;
+	}
 	if (p->now_us >= w->cordon_until_us)
 		w->emptied_since_us = 0;
 	w->cordon_until_us = p->now_us + CORDON_MS * US_PER_MS;
@@ -333,13 +354,14 @@
 	HASH_ITER(hh, p->workers, w, next)
 	{
 		worker_check_lease(p, w);
-		if (!worker_known(p, w) && w->task_count == 0 && !w->hold_out &&
+		if (!worker_known(p, w) && !w->left && w->task_count == 0 &&
+		    !w->hold_out &&
 		    (w->held || p->now_us >= p->settle_until_us)) {
 			worker_free(p, w);
 			continue;
 		}
 		worker_advance_acks(p, w);
-		if (!w->hold_out && p->now_us >= w->hold_due_us)
+		if (!w->hold_out && !w->left && p->now_us >= w->hold_due_us)
 			hold_send(p, w);
 	}
 }
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -13,6 +13,7 @@
 #define LIST_TIMEOUT_MS 1500
 #define CORDON_GIVE_UP_MS 2500 /* a worker to be moved that gets not idle */
 #define BUSY_RETRY_MS 400
+#define TELL_GONE_MS 6000 /* until the worker's entry has lapsed */
 #define AWAY_MAX_MS 15000 /* a machine that is not seen again: forgotten */
 
 struct roster_effect *
@@ -323,6 +324,9 @@
 		    (long long)m->wave);
 		if (m->order == ORDER_UPKEEP)
 			roster_upkeep_begun(f, m);
+		memcpy(m->from_pool, m->report.pool, NAME_BYTES);
+		memcpy(m->left_worker, m->report.worker, NAME_BYTES);
+		m->left_us = f->now_us;
 		machine_set_phase(f, m, PHASE_AWAY);
 		break;
 	case ROSTER_NEVER:
@@ -437,15 +441,22 @@
 
 void
 roster_cordons(const struct roster *f, const char *pool,
-    void (*each)(void *arg, const char *worker, bool empty), void *arg)
+    void (*each)(void *arg, const char *worker, enum cordon_kind kind),
+    void *arg)
 {
 	const struct machine *m;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		if (m->order != ORDER_NONE && m->phase != PHASE_AWAY &&
-		    m->report.worker[0] != '\0' &&
-		    strcmp(m->report.pool, pool) == 0)
-			each(arg, m->report.worker, m->order == ORDER_UPKEEP);
+		if (m->left_worker[0] != '\0' &&
+		    f->now_us - m->left_us < TELL_GONE_MS * US_PER_MS &&
+		    strcmp(m->from_pool, pool) == 0)
+			each(arg, m->left_worker, CORDON_GONE);
+		if (m->order == ORDER_NONE || m->phase == PHASE_AWAY ||
+		    m->report.worker[0] == '\0' ||
+		    strcmp(m->report.pool, pool) != 0)
+			continue;
+		each(arg, m->report.worker,
+		    m->order == ORDER_UPKEEP ? CORDON_EMPTY : CORDON_HOLD);
 	}
 }
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -141,12 +141,16 @@
 void roster_free(struct roster *f);
 void roster_step(
     struct roster *f, const struct roster_event *ev, struct roster_effects *fx);
-/*
- * Workers of a pool that must get no new tasks; "empty" tells that they must
- * also be emptied.  Calls back for each.
- */
+enum cordon_kind {
+	CORDON_HOLD, /* no new tasks */
+	CORDON_EMPTY, /* and those it has are to go elsewhere */
+	CORDON_GONE /* its machine was taken away: it has ended */
+};
+
+/* Calls back with each worker of a pool that is cordoned. */
 void roster_cordons(const struct roster *f, const char *pool,
-    void (*each)(void *arg, const char *worker, bool empty), void *arg);
+    void (*each)(void *arg, const char *worker, enum cordon_kind kind),
+    void *arg);
 /* Pools whose reports are wanted. */
 size_t roster_pool_count(const struct roster *f);
 const char *roster_pool_name(const struct roster *f, size_t i);
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -28,6 +28,9 @@
 	enum machine_order order;
 	enum order_phase phase;
 	char to_pool[NAME_BYTES]; /* ORDER_MOVE */
+	char from_pool[NAME_BYTES]; /* PHASE_AWAY: where it was … */
+	char left_worker[NAME_BYTES]; /* … and its worker, which has ended */
+	int64_t left_us; /* when it ended */
 	int64_t wave; /* ORDER_UPKEEP */
 	int64_t since_us; /* of the phase */
 	int64_t retry_us; /* no call earlier */
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -8,7 +8,7 @@
 
 static const struct codec_field cordon_fields[] = {
     CODEC_FIELD("w", CODEC_STR, struct cordon, worker),
-    CODEC_FIELD("e", CODEC_BOOL, struct cordon, empty),
+    CODEC_FIELD("k", CODEC_INT, struct cordon, kind),
 };
 
 static const struct codec_field worker_fields[] = {
--- a/src/scheduler/cordon_call.h
+++ b/src/scheduler/cordon_call.h
@@ -10,7 +10,7 @@
 
 struct cordon {
 	char worker[NAME_BYTES];
-	bool empty; /* its tasks are to go elsewhere */
+	enum cordon_kind kind;
 };
 
 struct cordon_request {
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -357,14 +357,14 @@
 }
 
 static void
-add_cordon(void *arg, const char *worker, bool empty)
+add_cordon(void *arg, const char *worker, enum cordon_kind kind)
 {
 	struct cordon_request *r = arg;
 
 	if (r->count == CORDONS_MAX)
 		return;
 	snprintf(r->list[r->count].worker, NAME_BYTES, "%s", worker);
-	r->list[r->count++].empty = empty;
+	r->list[r->count++].kind = kind;
 }
 
 static void
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -507,7 +507,8 @@
 		return -1;
 	for (i = 0; i < r->count; i++) {
 		snprintf(ev.u.cordon.id, NAME_BYTES, "%s", r->list[i].worker);
-		ev.u.cordon.empty = r->list[i].empty;
+		ev.u.cordon.empty = r->list[i].kind == CORDON_EMPTY;
+		ev.u.cordon.gone = r->list[i].kind == CORDON_GONE;
 		shard_event(sh, &ev);
 	}
 	memset(report, 0, sizeof(*report));
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -112,13 +112,14 @@
 static bool cordoned[MACHINES];
 
 static void
-cordon(void *arg, const char *worker, bool empty)
+cordon(void *arg, const char *worker, enum cordon_kind kind)
 {
 	int i = atoi(worker + 2);
 
 	(void)arg;
-	cordoned[i] = true;
-	if (empty)
+	if (kind != CORDON_GONE)
+		cordoned[i] = true;
+	if (kind == CORDON_EMPTY)
 		tasks[i] = 0; /* its owner sends them elsewhere */
 }
 
