--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -789,7 +789,6 @@
 	struct pool_opts opts = {
 	    .name = "pool",
 	    .fence = w->owner + 1,
-	    .guarded = w->opts.guarded,
 	    .now_us = w->ms * US_PER_MS,
 	    .now_ms = START_MS + w->ms,
 	    .lease_ms = LEASE_MS,
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -114,8 +114,6 @@
 	uint64_t order_serial; /* write that stores the order */
 	bool dirty; /* progress differs from what was written */
 	int64_t ended_ms; /* Unix time of the final state */
-	double rank; /* scratch of the placing order */
-	int rank_class;
 	UT_hash_handle hh; /* by id */
 	TAILQ_ENTRY(job) entries; /* unfinished or finished, in the pool */
 };
--- a/src/jobs/order.c
+++ b/src/jobs/order.c
@@ -58,21 +58,6 @@
 	return n;
 }
 
-double
-order_work(const struct order *o)
-{
-	const struct order_step *s;
-	double work = 0;
-	size_t i;
-
-	for (i = 0; i < o->step_count; i++) {
-		s = &o->steps[i];
-		work +=
-		    (double)s->count * (double)s->cpu * (double)s->estimate_ms;
-	}
-	return work;
-}
-
 double
 order_chain_ms(const struct order *o)
 {
--- a/src/jobs/order.h
+++ b/src/jobs/order.h
@@ -58,8 +58,6 @@
 unsigned order_occurrences(const struct order *o);
 /* Tasks of one occurrence. */
 size_t order_tasks(const struct order *o);
-/* Thousandths of a core times ms by the caller's estimates, one occurrence. */
-double order_work(const struct order *o);
 /* ms of the longest chain of steps by the caller's estimates. */
 double order_chain_ms(const struct order *o);
 /* Has tasks that run until it is cancelled. */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -7,7 +7,6 @@
 
 #define TICK_US (50 * US_PER_MS) /* longest time between two ticks */
 #define PLACE_PAUSE_US 1500 /* between two looks at all that waits */
-#define FORGET_CHECK_JOBS 1
 
 struct pool *
 pool_new(const struct pool_opts *opts)
@@ -177,12 +176,6 @@
 	return next > p->now_us ? next : p->now_us + 1;
 }
 
-int64_t
-pool_fence(const struct pool *p)
-{
-	return p->opts.fence;
-}
-
 void
 pool_stats(const struct pool *p, struct pool_stats *s)
 {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -20,7 +20,6 @@
 struct pool_opts {
 	char name[NAME_BYTES];
 	int64_t fence; /* of this term; from 1, rises with each term */
-	bool guarded; /* workers refuse what does not fit */
 	int64_t now_us; /* monotonic clock */
 	int64_t now_ms; /* Unix time */
 	int lease_ms; /* granted to tasks at each hold */
@@ -242,6 +241,5 @@
 void pool_each_worker(const struct pool *p,
     void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
     void *arg);
-int64_t pool_fence(const struct pool *p);
 
 #endif
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -6,7 +6,6 @@
 
 #define RETRY_AFTER_REFUSAL_MS 50 /* of a start that a worker refused */
 #define FULL_MS 300 /* a worker that refused for want of room */
-#define STOP_AGAIN_MS 400 /* a stop that got no answer */
 #define SHUN_STREAK 2 /* first failures in a row that count as the worker's */
 #define SHUN_MS 1000 /* no tasks there; doubles with each further failure */
 #define SHUN_DOUBLINGS 4
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -15,14 +15,6 @@
 	free(c);
 }
 
-struct config *
-config_ref(struct config *c)
-{
-	if (c != NULL)
-		c->refs++;
-	return c;
-}
-
 void
 config_unref(struct config *c)
 {
@@ -119,30 +111,6 @@
 	return c;
 }
 
-const struct config_pool *
-config_pool(const struct config *c, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < c->pool_count; i++) {
-		if (strcmp(c->pools[i].name, name) == 0)
-			return &c->pools[i];
-	}
-	return NULL;
-}
-
-const struct config_queue *
-config_queue_named(const struct config *c, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < c->queue_count; i++) {
-		if (strcmp(c->queues[i].terms.name, name) == 0)
-			return &c->queues[i];
-	}
-	return NULL;
-}
-
 const struct config_queue *
 config_queue_of(const struct config *c, const char *host, const char *path)
 {
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -42,11 +42,7 @@
 };
 
 struct config *config_parse(const void *data, size_t len, struct err *e);
-struct config *config_ref(struct config *c);
 void config_unref(struct config *c);
-const struct config_pool *config_pool(const struct config *c, const char *name);
-const struct config_queue *config_queue_named(
-    const struct config *c, const char *name);
 /*
  * The queue of a request: the longest prefix that its path begins with, among
  * those of its host ("Host" header, with or without a port).  NULL: none.
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -29,14 +29,6 @@
 	snprintf(out, size, "%s%s", TOPIC_PREFIX, pool);
 }
 
-const char *
-store_topic_pool(const char *topic)
-{
-	size_t n = strlen(TOPIC_PREFIX);
-
-	return strncmp(topic, TOPIC_PREFIX, n) == 0 ? topic + n : NULL;
-}
-
 static void
 put_u32(uint8_t *p, uint32_t n)
 {
@@ -204,16 +196,6 @@
 	}
 }
 
-int64_t
-store_append_end(const void *body, size_t len)
-{
-	struct json_object *root = json_parse(body, len);
-	int64_t end = field_int(root, "end", -1);
-
-	json_object_put(root);
-	return end;
-}
-
 /* One record: key length, key, value.  False where it is no such record. */
 static bool
 record_decode(struct store_record *r, const uint8_t *p, size_t len)
--- a/src/platform/store_wire.h
+++ b/src/platform/store_wire.h
@@ -29,8 +29,6 @@
 
 /* Topic that keeps the jobs of a pool. */
 void store_jobs_topic(char *out, size_t size, const char *pool);
-/* Pool whose jobs a topic keeps; NULL where it is none of ours. */
-const char *store_topic_pool(const char *topic);
 
 struct append_opts {
 	const char *topic;
@@ -76,8 +74,6 @@
 
 enum store_outcome store_append_outcome(
     int status, const void *body, size_t len);
-/* Offset behind the topic's last record, from an append's answer; or -1. */
-int64_t store_append_end(const void *body, size_t len);
 
 struct store_record {
 	char key[STORE_KEY_MAX + 1];
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -459,15 +459,3 @@
 		    m->order == ORDER_UPKEEP ? CORDON_EMPTY : CORDON_HOLD);
 	}
 }
-
-size_t
-roster_pool_count(const struct roster *f)
-{
-	return f->pool_count;
-}
-
-const char *
-roster_pool_name(const struct roster *f, size_t i)
-{
-	return f->pools[i].name;
-}
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -151,8 +151,5 @@
 void roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, enum cordon_kind kind),
     void *arg);
-/* Pools whose reports are wanted. */
-size_t roster_pool_count(const struct roster *f);
-const char *roster_pool_name(const struct roster *f, size_t i);
 
 #endif
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -115,7 +115,6 @@
 void roster_take_known(struct roster *f, const struct roster_event *ev);
 void roster_run_waves(struct roster *f);
 void roster_upkeep_begun(struct roster *f, struct machine *m);
-bool roster_in_open_wave(const struct roster *f, const struct machine *m);
 void roster_waves_free(struct roster *f);
 
 /* roster_moves.c */
--- a/src/roster/roster_waves.c
+++ b/src/roster/roster_waves.c
@@ -118,22 +118,6 @@
 	snprintf(x->machine, sizeof(x->machine), "%s", e->machine);
 }
 
-bool
-roster_in_open_wave(const struct roster *f, const struct machine *m)
-{
-	struct wave_machine *e;
-	struct wave *w;
-
-	LIST_FOREACH(w, &f->waves, entries) {
-		if (w->completed || w->cap == 0)
-			continue;
-		e = wave_entry(w, m->report.machine);
-		if (e != NULL && !e->begun)
-			return true;
-	}
-	return false;
-}
-
 /* Counts what is down, may be down or is about to be. */
 static size_t
 wave_down(struct roster *f, struct wave *w)
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -160,11 +160,8 @@
 	    .restore_ms = b->restore_ms,
 	    .remote_factor = b->remote_factor,
 	};
-	const struct config_pool *c;
 
 	snprintf(o.name, sizeof(o.name), "%s", sh->pool_name);
-	c = config_pool(sh->scheduler->config, sh->pool_name);
-	o.guarded = c != NULL && c->guarded;
 	return pool_new(&o);
 }
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -338,18 +338,6 @@
 	return LIST_EMPTY(&all->list);
 }
 
-bool
-shards_writing(const struct shards *all)
-{
-	const struct shard *sh;
-
-	LIST_FOREACH(sh, &all->list, entries) {
-		if (sh->writer != NULL && !store_writer_idle(sh->writer))
-			return true;
-	}
-	return false;
-}
-
 void
 shards_worker(struct shards *all, const struct worker_report *r)
 {
--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -23,8 +23,6 @@
 /* Gives all up once their writes are stored (planned stop). */
 void shards_give_up_all(struct shards *all);
 bool shards_none(const struct shards *all);
-/* Writes still wait for the store. */
-bool shards_writing(const struct shards *all);
 
 void shards_worker(struct shards *all, const struct worker_report *r);
 void shards_worker_gone(struct shards *all, const char *pool, const char *id);
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -365,12 +365,3 @@
 			each(arg, &n->report);
 	}
 }
-
-const struct worker_report *
-watch_worker(const struct watch *w, const char *id)
-{
-	const struct entry *n;
-
-	HASH_FIND_STR(w->entries, id, n);
-	return n != NULL ? &n->report : NULL;
-}
--- a/src/scheduler/watch.h
+++ b/src/scheduler/watch.h
@@ -18,7 +18,5 @@
 /* Calls back with each entry of a pool's workers. */
 void watch_each_worker(const struct watch *w, const char *pool,
     void (*each)(void *arg, const struct worker_report *r), void *arg);
-/* Entry of a worker; NULL where there is none. */
-const struct worker_report *watch_worker(const struct watch *w, const char *id);
 
 #endif
--- a/src/shell/http_header.c
+++ b/src/shell/http_header.c
@@ -3,8 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define LISTS_MAX 8
-
 int
 header_name_init(struct header_name *n, const char *name)
 {
@@ -39,33 +37,3 @@
 		return -1;
 	return lws_hdr_copy(wsi, value, (int)size, n->token);
 }
-
-static void
-list_fill(struct header_list *l, const char *const *names)
-{
-	size_t i;
-
-	l->names = names;
-	for (i = 0; i < HEADER_LIST_MAX && names[i] != NULL; i++) {
-		if (header_name_init(&l->list[i], names[i]) == -1)
-			break;
-		l->count++;
-	}
-}
-
-const struct header_list *
-header_list_get(const char *const *names)
-{
-	static struct header_list lists[LISTS_MAX];
-	size_t i;
-
-	for (i = 0; i < LISTS_MAX; i++) {
-		if (lists[i].names == names)
-			return &lists[i];
-		if (lists[i].names == NULL) {
-			list_fill(&lists[i], names);
-			return &lists[i];
-		}
-	}
-	return NULL;
-}
--- a/src/shell/http_header.h
+++ b/src/shell/http_header.h
@@ -24,19 +24,4 @@
 int header_name_copy(
     const struct header_name *n, struct lws *wsi, char *value, size_t size);
 
-#define HEADER_LIST_MAX 24 /* names of one list */
-
-struct header_list {
-	const char *const *names;
-	struct header_name list[HEADER_LIST_MAX];
-	size_t count;
-};
-
-/*
- * Resolved form of a NULL-terminated list of names, worked out once for each
- * list and found again by its address: only for lists that never change.
- * NULL where there are too many lists.
- */
-const struct header_list *header_list_get(const char *const *names);
-
 #endif
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -14,7 +14,6 @@
 static struct roster *roster;
 static int64_t now_us;
 static struct machine_report machines[MACHINES];
-static struct roster_effects fx;
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static size_t tasks[MACHINES]; /* of its worker */
 static int64_t away_until_us[MACHINES];
@@ -232,7 +231,6 @@
 teardown(void)
 {
 	roster_free(roster);
-	roster_effects_uninit(&fx);
 }
 
 TestSuite(machines, .init = setup, .fini = teardown);
