front: a stop's last requests get their answers before the end

A request on a kept connection came 3.1 s after SIGTERM, found no owner that answered, and was still being tried when the process ended 4.5 s after SIGTERM. Ruled out: requests that wait for a pool of this daemon (handed over by then). Change: 0.4 s before its last moment a stopping daemon gives all that wait their final answer (503, or 504 where a try may have been taken), and refuses what still comes.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -296,9 +296,10 @@
 	s->ended = NULL;
 	s->ended_count = 0;
 	s->ends = s->acked = s->fence = s->lease_end_ms = 0;
-	HASH_ITER(hh, s->bars, b, next)
-	{
-		HASH_DEL(s->bars, b);
+	b = s->bars;
+	HASH_CLEAR(hh, s->bars); /* leaves the chain of the elements */
+	for (; b != NULL; b = next) {
+		next = b->hh.next;
 		free(b);
 	}
 }
@@ -325,7 +326,7 @@
 	if (t->failed >= terms.max_attempts)
 		blame(w, &w->verdict.over_budget, "%s run %lld", t->name,
 		    (long long)m->run);
-	if (j->cancel_ms != 0 && w->ms > j->cancel_ms + CANCEL_MS)
+	if (j != NULL && j->cancel_ms != 0 && w->ms > j->cancel_ms + CANCEL_MS)
 		blame(w, &w->verdict.unasked, "%s run %lld", t->name,
 		    (long long)m->run);
 	for (k = 0; k < step->after_count; k++) {
@@ -856,6 +857,13 @@
 	return true;
 }
 
+static bool
+same_task(const struct task_name *a, const struct task_name *b)
+{
+	return strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
+	    a->step == b->step && a->index == b->index;
+}
+
 /* An answer, or the owner's time-out; the second of the two is void. */
 static void
 deliver_answer(struct jobs_world *w, struct message *m)
@@ -869,7 +877,7 @@
 		    other->owner != m->owner || other->worker != m->worker ||
 		    other->asked_us != m->asked_us ||
 		    other->serial != m->serial ||
-		    memcmp(&other->task, &m->task, sizeof(m->task)) != 0)
+		    !same_task(&other->task, &m->task))
 			continue;
 		LIST_REMOVE(other, entries);
 		message_free(other);
@@ -900,7 +908,7 @@
 deliver(struct jobs_world *w)
 {
 	struct message *m, *due;
-	bool done;
+	bool done = true;
 
 	for (;;) {
 		due = NULL;
@@ -911,7 +919,6 @@
 		}
 		if (due == NULL)
 			return;
-		done = true;
 		switch (due->kind) {
 		case MESSAGE_START:
 		case MESSAGE_STOP:
--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -46,6 +46,7 @@
 	struct http_listener *readiness;
 	LIST_HEAD(front_calls, front_call) calls;
 	size_t busy;
+	bool ending; /* the process ends: nothing is waited for */
 };
 
 static void front_try(struct front_call *c);
@@ -338,7 +339,7 @@
 	int status;
 
 	f->scheduler->counts.requests++;
-	if (config == NULL) {
+	if (config == NULL || f->ending) {
 		answer(f, id, 503, NULL, RETRY_AFTER_MS);
 		return;
 	}
@@ -435,6 +436,21 @@
 	return f;
 }
 
+void
+front_answer_all(struct front *f)
+{
+	struct front_call *c, *next;
+
+	f->ending = true;
+	for (c = LIST_FIRST(&f->calls); c != NULL; c = next) {
+		next = LIST_NEXT(c, entries);
+		if (!c->local)
+			give_up(c);
+		else if (!c->answered) /* freed at the pool's reply */
+			on_local_deadline(&c->retry);
+	}
+}
+
 void
 front_close(struct front *f)
 {
--- a/src/scheduler/front.h
+++ b/src/scheduler/front.h
@@ -14,6 +14,8 @@
 /* Answers close their connections from now on (planned stop). */
 void front_leave(struct front *f);
 void front_stop_listening(struct front *f);
+/* Gives all that wait their final answer, and all that still come. */
+void front_answer_all(struct front *f);
 /* Requests that have no answer yet. */
 size_t front_busy(const struct front *f);
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -25,6 +25,7 @@
 #define IO_TIMEOUT_S 120 /* longer than every timer of our own */
 /* a planned stop: the balancer needs two looks, a second apart, to notice */
 #define STOP_LINGER_MS 2600
+#define LAST_ANSWERS_MS 400 /* for the way of final answers to callers */
 #define STOP_MAX_MS 4500 /* well within the platform's grace */
 
 static volatile sig_atomic_t stop_signal, reload_signal;
@@ -271,6 +272,8 @@
 		loop.listening_ended = true;
 		front_stop_listening(s->front);
 	}
+	if (ms > STOP_MAX_MS - LAST_ANSWERS_MS)
+		front_answer_all(s->front);
 	return front_busy(s->front) == 0 || ms > STOP_MAX_MS;
 }
 
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -267,6 +267,22 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
+/* A request that comes late in a stop and finds no owner that answers. */
+Test(jobs, a_planned_stop_answers_what_it_cannot_serve)
+{
+	int status;
+
+	proc_signal(daemons[0], SIGTERM);
+	sleep_ms(1500);
+	proc_signal(daemons[1], SIGSTOP);
+	sleep_ms(800);
+	status = call(0, "POST", "/blue/00000000000000ee",
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
+	cr_expect(status == 503 || status == 504, "%d", status);
+	cr_expect_eq(proc_wait(daemons[0], LIMIT_MS), 0);
+	proc_signal(daemons[1], SIGCONT);
+}
+
 Test(jobs, a_store_that_is_away_refuses_new_jobs_and_loses_none)
 {
 	int status;
