pool: a task that has just started counts as at work

For a wave, lasting tasks were stopped freely while their worker's last report said that they were not at work yet; reports are up to a second old. Change: such a stop needs that no more than may_miss others are away; the task itself counts as at work.

--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -54,25 +54,19 @@
 }
 
 /*
- * Tasks of a lasting step that are not at work.  Our orders may keep no more
- * than "may_miss" of them away at once.
+ * Our orders may keep no more than "may_miss" tasks of a lasting step away at
+ * once.  The task itself counts as at work, whatever was heard of it last.
  */
-static unsigned
-step_away(const struct job_step *s)
-{
-	unsigned i, n = 0;
-
-	for (i = 0; i < s->order->count; i++)
-		n += !task_at_work(&s->tasks[i]);
-	return n;
-}
-
 static bool
-step_may_miss(const struct job_step *s)
+step_may_miss(const struct task *t)
 {
+	const struct job_step *s = t->step;
 	unsigned most = s->order->may_miss > 0 ? s->order->may_miss : 1;
+	unsigned i, away = 0;
 
-	return step_away(s) < most;
+	for (i = 0; i < s->order->count; i++)
+		away += &s->tasks[i] != t && !task_at_work(&s->tasks[i]);
+	return away < most;
 }
 
 /*
@@ -89,7 +83,7 @@
 	    t->place != PLACE_RUNNING)
 		return false;
 	if (t->step->order->lasting)
-		return t->percent < 100 || step_may_miss(t->step);
+		return step_may_miss(t);
 	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
 	if (waited_ms > EMPTY_MAX_MS)
 		return true;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -312,3 +312,18 @@
 	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
 	expect_kept();
 }
+
+/* What a worker said before a task came to work says nothing of it now. */
+Test(pool, tasks_that_have_just_started_are_not_all_stopped_at_once)
+{
+	world = world_of(3);
+	submit_lasting(2, 9000, 1, NULL);
+	jobs_world_run(world, 30);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 1);
+	cr_assert_eq(jobs_world_tasks_on(world, 1), 1);
+	jobs_world_cordon_worker(world, 0);
+	jobs_world_cordon_worker(world, 1);
+	jobs_world_run(world, 200);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_kept();
+}
