jobs: one rule for a task's cpu, one way to name an order's worker

The rule that a filling task takes no cpu stood three times, a worker's address was copied into an effect four times, and a question to the policy was added and then taken back. "occurrence_open" had two meanings. A comment claimed that questions begin at another worker each time: they do not.

--- a/src/jobs/order.c
+++ b/src/jobs/order.c
@@ -58,6 +58,12 @@
 	return n;
 }
 
+int64_t
+order_step_cpu(const struct order_step *s)
+{
+	return s->fills ? 0 : s->cpu;
+}
+
 double
 order_chain_ms(const struct order *o)
 {
--- a/src/jobs/order.h
+++ b/src/jobs/order.h
@@ -58,6 +58,8 @@
 unsigned order_occurrences(const struct order *o);
 /* Tasks of one occurrence. */
 size_t order_tasks(const struct order *o);
+/* Thousandths of a core that one task counts against its worker. */
+int64_t order_step_cpu(const struct order_step *s);
 /* ms of the longest chain of steps by the caller's estimates. */
 double order_chain_ms(const struct order *o);
 /* Has tasks that run until it is cancelled. */
--- a/src/jobs/pool_effects.c
+++ b/src/jobs/pool_effects.c
@@ -95,14 +95,38 @@
 }
 
 void
-fx_stop(struct pool *p, const struct placed_worker *w,
-    const struct task_name *task, int64_t run)
+fx_target(struct worker_target *to, const struct placed_worker *w)
+{
+	snprintf(to->id, sizeof(to->id), "%s", w->report.id);
+	snprintf(to->addr, sizeof(to->addr), "%s", w->report.addr);
+	to->port = w->report.port;
+}
+
+static struct pool_effect *
+fx_order(struct pool *p, enum pool_effect_kind kind,
+    const struct placed_worker *w, const struct task_name *task, int64_t run)
 {
-	struct pool_effect *x = fx_add(p, POOL_STOP);
+	struct pool_effect *x = fx_add(p, kind);
 
-	snprintf(x->u.order.worker.id, NAME_BYTES, "%s", w->report.id);
-	snprintf(x->u.order.worker.addr, ADDR_BYTES, "%s", w->report.addr);
-	x->u.order.worker.port = w->report.port;
+	fx_target(&x->u.order.worker, w);
 	x->u.order.task = *task;
 	x->u.order.run = run;
+	return x;
+}
+
+void
+fx_stop(struct pool *p, const struct placed_worker *w,
+    const struct task_name *task, int64_t run)
+{
+	fx_order(p, POOL_STOP, w, task, run);
+}
+
+void
+fx_pace(struct pool *p, const struct task *t, int percent)
+{
+	struct task_name n;
+
+	task_name_of(t, &n);
+	fx_order(p, POOL_PACE, t->worker, &n, t->run)->u.order.percent =
+	    percent;
 }
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -11,10 +11,9 @@
 
 #define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
 #define STARVED_MS 250 /* tasks that wait so long for room get a machine */
-#define SPARE_SHARE                                                \
-	0.1 /* of its time left, that a job must have to begin … \
-	     */
-#define SPARE_MS 80 /* … and this: orders, holds, a look at what waits */
+/* A job must have this share of its time left to begin … */
+#define SPARE_SHARE 0.1
+#define SPARE_MS 80 /* … and so much more: orders, holds, a look */
 #define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 #define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
 #define ADVISE_WORKERS 30 /* workers of one question to the policy */
@@ -98,7 +97,7 @@
 }
 
 static bool
-occurrence_open(const struct occurrence *o)
+occurrence_waits(const struct occurrence *o)
 {
 	size_t i;
 
@@ -132,7 +131,7 @@
 static void
 room_add(struct room *r, const struct order_step *s, double count)
 {
-	r->cpu += s->fills ? 0 : count * (double)s->cpu;
+	r->cpu += count * (double)order_step_cpu(s);
 	r->memory_mb += count * (double)s->memory_mb;
 	r->accelerators += count * (double)s->accelerators;
 }
@@ -260,7 +259,7 @@
 		    (j->inherited && !pool_settled(p)))
 			continue;
 		LIST_FOREACH(o, &j->occurrences, entries) {
-			if (n < room && occurrence_open(o))
+			if (n < room && occurrence_waits(o))
 				rank(p, &list[n++], o);
 		}
 	}
@@ -294,9 +293,7 @@
 static bool
 has_room(const struct placed_worker *w, const struct order_step *s)
 {
-	int64_t cpu = s->fills ? 0 : s->cpu;
-
-	return w->cpu + cpu <= w->report.cpu &&
+	return w->cpu + order_step_cpu(s) <= w->report.cpu &&
 	    w->memory_mb + s->memory_mb <= w->report.memory_mb &&
 	    w->accelerators + s->accelerators <= w->report.accelerators;
 }
@@ -515,6 +512,7 @@
 {
 	const struct placed_worker *w;
 	struct pool_effect *x;
+	char(*list)[NAME_BYTES];
 	size_t n = 0;
 
 	if (!s->occurrence->job->terms.advised ||
@@ -523,23 +521,21 @@
 	if (s->advice.asked &&
 	    p->now_us - s->advice.asked_us < ADVISE_AGAIN_MS * US_PER_MS)
 		return false;
-	x = fx_add(p, POOL_ADVISE);
-	task_name_of(&s->tasks[0], &x->u.advise.step);
-	x->u.advise.workers = calloc(ADVISE_WORKERS, NAME_BYTES);
-	if (x->u.advise.workers == NULL)
-		abort(); /* the effect stands already */
-	/* begins at another worker each time, so that all are asked for */
+	list = calloc(ADVISE_WORKERS, sizeof(*list));
+	if (list == NULL)
+		abort(); /* the step would wait without a question */
 	for (w = p->workers; w != NULL && n < ADVISE_WORKERS; w = w->hh.next) {
 		if (worker_usable(p, w) && has_room(w, s->order))
-			snprintf(x->u.advise.workers[n++], NAME_BYTES, "%s",
-			    w->report.id);
+			snprintf(list[n++], NAME_BYTES, "%s", w->report.id);
 	}
-	x->u.advise.count = n;
 	if (n == 0) {
-		free(x->u.advise.workers);
-		p->fx->count--;
+		free(list);
 		return false;
 	}
+	x = fx_add(p, POOL_ADVISE);
+	task_name_of(&s->tasks[0], &x->u.advise.step);
+	x->u.advise.workers = list;
+	x->u.advise.count = n;
 	s->advice.asked = true;
 	s->advice.asked_us = p->now_us;
 	return false;
@@ -576,7 +572,7 @@
 	for (i = 0; i < n; i++) {
 		place_occurrence(p, list[i].occurrence);
 		if (list[i].class <= RANK_IN_TIME)
-			starved |= occurrence_open(list[i].occurrence);
+			starved |= occurrence_waits(list[i].occurrence);
 	}
 	free(list);
 	if (!starved)
@@ -590,8 +586,9 @@
 {
 	struct job *j = pool_find_job(p, ev->u.advised.step.job);
 	struct task *t = j != NULL ? job_task(j, &ev->u.advised.step) : NULL;
+	const struct placed_worker *w;
 	struct step_advice *a;
-	size_t bytes;
+	size_t i, bytes;
 
 	if (t == NULL)
 		return;
@@ -608,11 +605,9 @@
 		return;
 	}
 	memcpy(a->list, ev->u.advised.list, bytes);
-	for (bytes = 0; bytes < a->count; bytes++) {
-		const struct placed_worker *w =
-		    pool_find_worker(p, a->list[bytes].worker);
-
-		a->list[bytes].born_ms = w != NULL ? w->report.born_ms : 0;
+	for (i = 0; i < a->count; i++) {
+		w = pool_find_worker(p, a->list[i].worker);
+		a->list[i].born_ms = w != NULL ? w->report.born_ms : 0;
 	}
 	a->until_us = a->asked_us + (int64_t)ev->u.advised.valid_ms * US_PER_MS;
 	p->place_due = true;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -9,7 +9,6 @@
 #define SHUN_STREAK 2 /* first failures in a row that count as the worker's */
 #define SHUN_MS 1000 /* no tasks there; doubles with each further failure */
 #define SHUN_DOUBLINGS 4
-#define CPU_OF(s) ((s)->fills ? 0 : (s)->cpu) /* counted against a worker */
 
 int64_t
 task_next_run(const struct pool *p, const struct task *t)
@@ -27,7 +26,7 @@
 	t->worker = w;
 	TAILQ_INSERT_TAIL(&w->tasks, t, on_worker);
 	w->task_count++;
-	w->cpu += CPU_OF(s);
+	w->cpu += order_step_cpu(s);
 	w->memory_mb += s->memory_mb;
 	w->accelerators += s->accelerators;
 	t->step->placed_count++;
@@ -44,7 +43,7 @@
 		return;
 	TAILQ_REMOVE(&w->tasks, t, on_worker);
 	w->task_count--;
-	w->cpu -= CPU_OF(s);
+	w->cpu -= order_step_cpu(s);
 	w->memory_mb -= s->memory_mb;
 	w->accelerators -= s->accelerators;
 	if (--t->step->placed_count == 0)
@@ -67,9 +66,7 @@
 	t->run = run;
 	t->placed_us = t->progress_us = t->ordered_us = p->now_us;
 	t->answered_us = 0;
-	snprintf(x->u.start.worker.id, NAME_BYTES, "%s", w->report.id);
-	snprintf(x->u.start.worker.addr, ADDR_BYTES, "%s", w->report.addr);
-	x->u.start.worker.port = w->report.port;
+	fx_target(&x->u.start.worker, w);
 	task_name_of(t, &x->u.start.task);
 	x->u.start.run = run;
 	x->u.start.order = order_ref(t->step->occurrence->job->order);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -96,8 +96,10 @@
     __attribute__((format(printf, 3, 4)));
 void fx_answer(struct pool *p, uint64_t token, enum pool_answer answer);
 void fx_write(struct pool *p, const char *key, struct buf *value);
+void fx_target(struct worker_target *to, const struct placed_worker *w);
 void fx_stop(struct pool *p, const struct placed_worker *w,
     const struct task_name *task, int64_t run);
+void fx_pace(struct pool *p, const struct task *t, int percent);
 
 /* pool_workers.c */
 struct placed_worker *pool_find_worker(const struct pool *p, const char *id);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -155,8 +155,6 @@
 static void
 pace_task(struct pool *p, struct placed_worker *w, struct task *t, int percent)
 {
-	struct pool_effect *x;
-
 	if (percent == t->pace)
 		return;
 	fx_log(p, LOG_LEVEL_INFO,
@@ -166,13 +164,7 @@
 	    w->report.id, t->pace, percent);
 	t->pace = percent;
 	w->paced_us = p->now_us;
-	x = fx_add(p, POOL_PACE);
-	snprintf(x->u.order.worker.id, NAME_BYTES, "%s", w->report.id);
-	snprintf(x->u.order.worker.addr, ADDR_BYTES, "%s", w->report.addr);
-	x->u.order.worker.port = w->report.port;
-	task_name_of(t, &x->u.order.task);
-	x->u.order.run = t->run;
-	x->u.order.percent = percent;
+	fx_pace(p, t, percent);
 }
 
 static int
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -287,9 +287,7 @@
 	struct pool_effect *x = fx_add(p, POOL_HOLD);
 	int64_t end_ms;
 
-	snprintf(x->u.hold.worker.id, NAME_BYTES, "%s", w->report.id);
-	snprintf(x->u.hold.worker.addr, ADDR_BYTES, "%s", w->report.addr);
-	x->u.hold.worker.port = w->report.port;
+	fx_target(&x->u.hold.worker, w);
 	/*
 	 * Told once: a new life of the worker under the same id counts its
 	 * ends from 1 again, and would forget them unseen.
