scheduler: one function sends orders about a run; waves without a wrapper

Stops and paces were sent by two functions that differed in path and body. A struct of one member held operators' waves.

Checked: clang-format, clang-tidy and cppcheck on the changed files, 106 unit tests, the 8 process tests of jobs and prop_jobs pass; behaviour is as it was.

--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -46,16 +46,12 @@
 	struct machine_list machines; /* pages read so far */
 	LIST_HEAD(duty_calls, duty_call) calls;
 	lws_sorted_usec_list_t tick;
-	struct kept_wave *kept; /* operators' waves */
+	struct wave_order *kept; /* operators' waves */
 	size_t kept_count;
 	struct kept_note *known; /* a predecessor's notes */
 	size_t known_count;
 };
 
-struct kept_wave {
-	struct wave_order order;
-};
-
 /*
  * "wave/N" → completed; "wave/N/MACHINE" → its upkeep has begun;
  * "order/MACHINE" → Unix time of the newest order about it.
@@ -559,7 +555,7 @@
 	for (i = 0; i < d->known_count; i++)
 		feed_note(d, &d->known[i]);
 	for (i = 0; i < d->kept_count; i++)
-		feed_wave(d, &d->kept[i].order);
+		feed_wave(d, &d->kept[i]);
 	lws_sul_schedule(d->scheduler->context, 0, &d->tick, on_tick, 1);
 }
 
@@ -666,7 +662,7 @@
 duty_take_wave(struct duty *d, const struct store_record *r)
 {
 	struct wave_order order;
-	struct kept_wave *list;
+	struct wave_order *list;
 	size_t i;
 
 	if (wave_parse(&order, r->value, r->len) == -1) {
@@ -677,7 +673,7 @@
 		return;
 	}
 	for (i = 0; i < d->kept_count; i++) {
-		if (d->kept[i].order.wave == order.wave) {
+		if (d->kept[i].wave == order.wave) {
 			wave_uninit(&order);
 			return;
 		}
@@ -686,7 +682,7 @@
 	if (list == NULL)
 		abort(); /* an operator's order must not be dropped */
 	d->kept = list;
-	list[d->kept_count++].order = order;
+	list[d->kept_count++] = order;
 	feed_wave(d, &order);
 }
 
@@ -713,7 +709,7 @@
 		return;
 	duty_drop(d, "end");
 	for (i = 0; i < d->kept_count; i++)
-		wave_uninit(&d->kept[i].order);
+		wave_uninit(&d->kept[i]);
 	free(d->kept);
 	roster_effects_uninit(&d->effects);
 	free(d);
--- a/src/scheduler/shard_orders.c
+++ b/src/scheduler/shard_orders.c
@@ -246,32 +246,15 @@
 	    &m);
 }
 
+/* An order about a run that the worker has already. */
 static void
-send_stop(struct shard *sh, const struct pool_effect *x)
+send_about_run(struct shard *sh, const struct pool_effect *x, const char *path,
+    struct buf *body)
 {
 	struct order_send m = {
 	    .worker = &x->u.order.worker,
-	    .path = WORKER_PATH_STOP,
-	    .body =
-		worker_stop_body(&x->u.order.task, x->u.order.run, sh->fence),
-	    .timeout_ms = ORDER_TIMEOUT_MS,
-	    .repeatable = true,
-	};
-
-	send_order(sh,
-	    order_new_call(sh, x->kind, x->u.order.worker.id, &x->u.order.task,
-		x->u.order.run),
-	    &m);
-}
-
-static void
-send_pace(struct shard *sh, const struct pool_effect *x)
-{
-	struct order_send m = {
-	    .worker = &x->u.order.worker,
-	    .path = WORKER_PATH_PACE,
-	    .body = worker_pace_body(&x->u.order.task, x->u.order.run,
-		x->u.order.percent, sh->fence),
+	    .path = path,
+	    .body = body,
 	    .timeout_ms = ORDER_TIMEOUT_MS,
 	    .repeatable = true,
 	};
@@ -331,13 +314,17 @@
 		send_start(sh, x);
 		break;
 	case POOL_STOP:
-		send_stop(sh, x);
+		send_about_run(sh, x, WORKER_PATH_STOP,
+		    worker_stop_body(
+			&x->u.order.task, x->u.order.run, sh->fence));
 		break;
 	case POOL_HOLD:
 		send_hold(sh, x);
 		break;
 	case POOL_PACE:
-		send_pace(sh, x);
+		send_about_run(sh, x, WORKER_PATH_PACE,
+		    worker_pace_body(&x->u.order.task, x->u.order.run,
+			x->u.order.percent, sh->fence));
 		break;
 	case POOL_ADVISE:
 		send_advise(sh, x);
