--- a/src/cli/publish.c
+++ b/src/cli/publish.c
@@ -9,7 +9,9 @@
 #include <libwebsockets.h>
 #include <xxhash.h>
 
+#include "bounds.h"
 #include "cli.h"
+#include "clock.h"
 
 #define APPEND_TRIES 8
 #define CALL_TIMEOUT_MS 2000
@@ -37,10 +39,7 @@
 static int64_t
 clock_ms(void)
 {
-	struct timespec t;
-
-	clock_gettime(CLOCK_MONOTONIC, &t);
-	return t.tv_sec * MS_PER_S + t.tv_nsec / 1000000;
+	return clock_read_us(CLOCK_MONOTONIC) / US_PER_MS;
 }
 
 static void
--- a/src/cli/publish_record.c
+++ b/src/cli/publish_record.c
@@ -1,8 +1,9 @@
 #include "publish.h"
 
 #include <string.h>
-#include <time.h>
 
+#include "bounds.h"
+#include "clock.h"
 #include "wire.h"
 
 #define SPLICE_GAIN 4 /* a splice is sent where it is this much smaller */
@@ -55,11 +56,9 @@
 {
 	struct record r = {
 	    .format = RECORD_FORMAT, .id = *id, .kind = RECORD_CONFIG};
-	struct timespec now;
 	struct buf *out;
 
-	clock_gettime(CLOCK_REALTIME, &now);
-	r.time_ms = now.tv_sec * MS_PER_S + now.tv_nsec / 1000000;
+	r.time_ms = clock_read_us(CLOCK_REALTIME) / US_PER_MS;
 	r.body = encode_body(base, base_text, t);
 	out = r.body != NULL ? record_encode(&r) : NULL;
 	buf_unref(r.body);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
-#include <time.h>
 
+#include "clock.h"
 #include "duty.h"
 #include "front.h"
 #include "metric.h"
@@ -39,31 +39,22 @@
 	int64_t last_boot_us;
 } loop;
 
-static int64_t
-clock_us(clockid_t id)
-{
-	struct timespec ts;
-
-	clock_gettime(id, &ts);
-	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / 1000;
-}
-
 int64_t
 sched_now_us(void)
 {
-	return clock_us(CLOCK_MONOTONIC);
+	return clock_read_us(CLOCK_MONOTONIC);
 }
 
 int64_t
 sched_boot_us(void)
 {
-	return clock_us(CLOCK_BOOTTIME);
+	return clock_read_us(CLOCK_BOOTTIME);
 }
 
 int64_t
 sched_now_ms(void)
 {
-	return clock_us(CLOCK_REALTIME) / US_PER_MS;
+	return clock_read_us(CLOCK_REALTIME) / US_PER_MS;
 }
 
 static void
--- a/src/shell/loop.c
+++ b/src/shell/loop.c
@@ -10,6 +10,7 @@
 
 #include "admin_server.h"
 #include "caller_server.h"
+#include "clock.h"
 #include "http_client.h"
 #include "peer_link.h"
 #include "platform_client.h"
@@ -58,19 +59,10 @@
 	stop_signal = 1;
 }
 
-static int64_t
-clock_us(clockid_t id)
-{
-	struct timespec ts;
-
-	clock_gettime(id, &ts);
-	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / 1000;
-}
-
 int64_t
 shell_now_us(void)
 {
-	return clock_us(CLOCK_MONOTONIC);
+	return clock_read_us(CLOCK_MONOTONIC);
 }
 
 static uint64_t
@@ -141,7 +133,7 @@
 	size_t i;
 
 	ev->now_us = shell_now_us();
-	ev->wall_ms = clock_us(CLOCK_REALTIME) / US_PER_MS;
+	ev->wall_ms = clock_read_us(CLOCK_REALTIME) / US_PER_MS;
 	core_step(sh->core, ev, &loop.effects);
 	for (i = 0; i < loop.effects.count; i++)
 		run_effect(sh, &loop.effects.list[i]);
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -4,9 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 
 #include "bounds.h"
+#include "clock.h"
 
 #define TOPICS_MAX 64
 #define PARTS 8
@@ -55,10 +55,7 @@
 static int64_t
 now_ms(void)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+	return clock_read_us(CLOCK_MONOTONIC) / US_PER_MS;
 }
 
 static struct topic *
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -10,8 +10,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 
+#include "bounds.h"
+#include "clock.h"
 #include "job_store.h"
 #include "listen.h"
 
@@ -72,10 +73,7 @@
 static int64_t
 now_ms(void)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+	return clock_read_us(CLOCK_MONOTONIC) / US_PER_MS;
 }
 
 static int64_t
--- a/standin/upstream.c
+++ b/standin/upstream.c
@@ -3,11 +3,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <uthash.h>
 #include <xxhash.h>
 
+#include "bounds.h"
+#include "clock.h"
 #include "http_server.h"
 #include "view.h"
 
@@ -48,10 +49,7 @@
 static int64_t
 wall_ms(void)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / 1000000;
+	return clock_read_us(CLOCK_REALTIME) / US_PER_MS;
 }
 
 static void
