platform: one lookup of a wire name

States of machines, ends of runs and the stand-in's VM list each had their own.

Checked: clang-format, clang-tidy and cppcheck on the changed files, 106 unit tests, the 8 process tests of jobs and prop_jobs pass; behaviour is as it was.

--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -118,6 +118,18 @@
 	    split_addr(text, addr, size, port);
 }
 
+int
+name_index(const char *const *names, size_t count, const char *text)
+{
+	size_t i;
+
+	for (i = 0; text != NULL && i < count; i++) {
+		if (strcmp(names[i], text) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
 struct buf *
 json_body(struct json_object *o)
 {
--- a/src/platform/json_get.h
+++ b/src/platform/json_get.h
@@ -32,6 +32,9 @@
     struct json_object *o, const char *key, char *addr, size_t size, int *port);
 bool split_addr(const char *text, char *addr, size_t size, int *port);
 
+/* Index of the text among "count" names; -1 for NULL or another text. */
+int name_index(const char *const *names, size_t count, const char *text);
+
 /* The object as text; releases it.  NULL when memory is short. */
 struct buf *json_body(struct json_object *o);
 
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -26,15 +26,11 @@
 	    [MACHINE_UPKEEP] = "upkeep",
 	    [MACHINE_DOWN] = "down",
 	};
-	size_t i;
+	int i = name_index(names, sizeof(names) / sizeof(names[0]), text);
 
-	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-		if (strcmp(names[i], text) == 0) {
-			*state = (enum machine_state)i;
-			return true;
-		}
-	}
-	return false;
+	if (i >= 0)
+		*state = (enum machine_state)i;
+	return i >= 0;
 }
 
 static bool
--- a/src/platform/worker_wire.c
+++ b/src/platform/worker_wire.c
@@ -176,15 +176,11 @@
 	    [RUN_BROKEN] = "broken",
 	    [RUN_ALONE] = "alone",
 	};
-	size_t i;
+	int i = name_index(names, sizeof(names) / sizeof(names[0]), text);
 
-	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-		if (strcmp(names[i], text) == 0) {
-			*how = (enum run_end)i;
-			return true;
-		}
-	}
-	return false;
+	if (i >= 0)
+		*how = (enum run_end)i;
+	return i >= 0;
 }
 
 /* [number, task, run, how, saved] */
--- a/standin/vms.c
+++ b/standin/vms.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "json_get.h"
 #include "view.h"
 
 static const char *const state_names[] = {"live", "leaving", "gone"};
@@ -53,17 +54,6 @@
 	return x;
 }
 
-static int
-name_index(const char *const *names, size_t count, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		if (name != NULL && strcmp(names[i], name) == 0)
-			return (int)i;
-	return -1;
-}
-
 /* Queues the truth to be shown after the lag. */
 static void
 vms_publish(struct vms *v, const struct vms_entry *x, int64_t now_ms)
