jobs: demand in a file of its own

Demand moves to pool_demand.c; the rank of a candidate, which both use, is declared in pool_state.h. No behaviour changes.

--- /dev/null
+++ b/src/jobs/pool_demand.c
@@ -0,0 +1,123 @@
+/*
+ * How many workers a pool's jobs need.  Answers demand that comes by turns: a
+ * queue asks five times its mean for some seconds and next to nothing between.
+ */
+#include <string.h>
+
+#include "pool_state.h"
+
+#define STARVED_MS 250 /* tasks that wait so long for room get a machine */
+#define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
+
+/* Room that tasks take up, or could. */
+struct room {
+	double cpu, memory_mb, accelerators;
+};
+
+static void
+room_add(struct room *r, const struct order_step *s, double count)
+{
+	r->cpu += count * (double)order_step_cpu(s);
+	r->memory_mb += count * (double)s->memory_mb;
+	r->accelerators += count * (double)s->accelerators;
+}
+
+/*
+ * What jobs could use now.  What is late by now asks for a share only: it is
+ * served by what others leave.
+ */
+static void
+add_wanted(const struct pool *p, struct occurrence *o, struct room *r)
+{
+	const struct job_step *s;
+	struct candidate c;
+	double waiting;
+	size_t i;
+
+	pool_rank(p, &c, o);
+	for (i = 0; i < o->job->order->step_count; i++) {
+		s = &o->steps[i];
+		room_add(r, s->order, s->placed_count);
+		if (s->ready_after > 0)
+			continue;
+		waiting = (double)s->order->count - (double)s->done_count -
+		    (double)s->placed_count;
+		if (waiting > 0)
+			room_add(r, s->order,
+			    c.class > RANK_IN_TIME ? waiting * LATE_SHARE
+						   : waiting);
+	}
+}
+
+/* Room of a typical worker; what it was when there is none now. */
+static void
+typical_room(struct pool *p)
+{
+	const struct placed_worker *w;
+	double n = 0, cpu = 0, memory_mb = 0, accelerators = 0;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (!w->listed)
+			continue;
+		n++;
+		cpu += (double)w->report.cpu;
+		memory_mb += (double)w->report.memory_mb;
+		accelerators += (double)w->report.accelerators;
+	}
+	p->typical_count = n;
+	if (n == 0)
+		return;
+	p->typical_cpu = cpu / n;
+	p->typical_memory_mb = memory_mb / n;
+	p->typical_accelerators = accelerators / n;
+}
+
+static double
+part(double wanted, double room)
+{
+	return room > 0 ? wanted / room : 0;
+}
+
+static size_t
+step_floor(const struct order_step *s)
+{
+	if (!s->lasting)
+		return 0;
+	return s->per_worker > 0
+	    ? (s->count + s->per_worker - 1) / s->per_worker
+	    : 1;
+}
+
+void
+pool_demand(struct pool *p, struct pool_demand *d)
+{
+	struct room r = {0};
+	double machines, other;
+	struct occurrence *o;
+	const struct job *j;
+	size_t i, floor;
+
+	memset(d, 0, sizeof(*d));
+	typical_room(p);
+	TAILQ_FOREACH(j, &p->active, entries) {
+		if (job_final(j))
+			continue;
+		LIST_FOREACH(o, &j->occurrences, entries)
+			add_wanted(p, o, &r);
+		for (i = 0; i < j->order->step_count; i++) {
+			floor = step_floor(&j->order->steps[i]);
+			d->floor = floor > d->floor ? floor : d->floor;
+		}
+	}
+	machines = part(r.cpu, p->typical_cpu);
+	other = part(r.memory_mb, p->typical_memory_mb);
+	machines = other > machines ? other : machines;
+	other = part(r.accelerators, p->typical_accelerators);
+	machines = other > machines ? other : machines;
+	/* tasks that fit nowhere though the sum of the room would do */
+	if (p->starved_since_us != 0 &&
+	    p->now_us - p->starved_since_us > STARVED_MS * US_PER_MS &&
+	    (double)d->floor < p->typical_count + 1)
+		d->floor = (size_t)p->typical_count + 1;
+	d->wanted_milli = (int64_t)(machines * 1000);
+}
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -90,6 +90,22 @@
 	struct pool_stats stats;
 };
 
+/* Classes of work, the first goes first. */
+enum rank_class {
+	RANK_LASTING,
+	RANK_BEGUN, /* under way, and can still meet its objective */
+	RANK_IN_TIME, /* can still meet it, not begun yet */
+	RANK_LATE, /* cannot, but is still worth something */
+	RANK_HOPELESS
+};
+
+struct candidate {
+	struct occurrence *occurrence;
+	enum rank_class class;
+	int priority;
+	double slack_ms; /* until it could not meet its objective any more */
+};
+
 /* pool_effects.c */
 struct pool_effect *fx_add(struct pool *p, enum pool_effect_kind kind);
 void fx_log(struct pool *p, enum log_level level, const char *fmt, ...)
@@ -141,6 +157,7 @@
 void pool_forget_old(struct pool *p);
 
 /* pool_place.c */
+void pool_rank(const struct pool *p, struct candidate *c, struct occurrence *o);
 void pool_place(struct pool *p);
 void pool_advised(struct pool *p, const struct pool_event *ev);
 const struct step_ticket *step_ticket_for(
