jobs, roster: pools grow for the work that arrives, not by a trend

Cause: a pool's growth was foreseen by extrapolating what its jobs could use over 600 ms to the 3 s that a move takes. Ruled out: idle machines kept for packing (an empty worker leaves at the next tick); moves refused by the platform (none was). Change: pools report the room that arriving work takes up in the long run, its rate over the last 800 ms times how long it runs; 1.3 times that is foreseen. A new owner counts the jobs it reads from the store. Tests: machines::a_swing_of_demand_is_not_taken_for_a_turn and a_pool_grows_for_what_arrives (both fail before), pool::a_turn_of_demand_is_told_at_its_start.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 CFLAGS = -std=gnu11 -O2 -g $(WARN) -MMD -MP $(SANFLAGS)
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra -MMD -MP $(SANFLAGS)
 LDFLAGS = $(SANFLAGS)
-CORE_LIBS = -ljson-c -lmsgpackc -lxxhash
+CORE_LIBS = -ljson-c -lmsgpackc -lxxhash -lm
 SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
 core_src := $(wildcard src/core/*.c src/jobs/*.c src/roster/*.c)
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -17,6 +17,8 @@
 	if (p == NULL)
 		return NULL;
 	p->opts = *opts;
+	p->now_us = opts->now_us;
+	p->now_ms = opts->now_ms;
 	p->settle_until_us =
 	    opts->now_us + (int64_t)opts->settle_ms * US_PER_MS;
 	p->next_due_ms = INT64_MAX;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -233,6 +233,7 @@
 
 struct pool_demand {
 	int64_t wanted_milli; /* thousandths of a worker that jobs could use */
+	int64_t offered_milli; /* … and that jobs arriving as of late will */
 	size_t floor; /* workers that lasting tasks need */
 };
 
--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -2,18 +2,19 @@
  * How many workers a pool's jobs need.  Answers demand that comes by turns: a
  * queue asks five times its mean for some seconds and next to nothing between.
  */
+#include <math.h>
 #include <string.h>
 
 #include "pool_state.h"
 
 #define STARVED_MS 250 /* tasks that wait so long for room get a machine */
+/*
+ * Arriving work is averaged over this: shorter than a turn of demand by
+ * enough to tell its start before much has queued up.
+ */
+#define OFFERED_TAU_MS 800
 #define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 
-/* Room that tasks take up, or could. */
-struct room {
-	double cpu, memory_mb, accelerators;
-};
-
 static void
 room_add(struct room *r, const struct order_step *s, double count)
 {
@@ -49,6 +50,41 @@
 	}
 }
 
+static void
+offered_decay(struct pool *p)
+{
+	double ms = (double)(p->now_us - p->offered_us) / US_PER_MS;
+	double left = p->offered_us > 0 ? exp(-ms / OFFERED_TAU_MS) : 0;
+
+	p->offered.cpu *= left;
+	p->offered.memory_mb *= left;
+	p->offered.accelerators *= left;
+	p->offered_us = p->now_us;
+}
+
+/*
+ * A job that arrives "ago_ms" before now.  The room that work takes up in the
+ * long run is its rate of arrival times how long it runs.
+ */
+void
+pool_note_offered(struct pool *p, const struct order *o,
+    const struct queue_terms *t, int64_t ago_ms)
+{
+	double share, ratio = learned_ratio(p->learned, t->name);
+	const struct order_step *s;
+	size_t i;
+
+	if (o->repetitions > 0 || order_lasts(o) || ago_ms < 0)
+		return;
+	offered_decay(p);
+	share = exp(-(double)ago_ms / OFFERED_TAU_MS) / OFFERED_TAU_MS;
+	for (i = 0; i < o->step_count; i++) {
+		s = &o->steps[i];
+		room_add(&p->offered, s,
+		    (double)s->count * (double)s->estimate_ms * ratio * share);
+	}
+}
+
 /* Room of a typical worker; what it was when there is none now. */
 static void
 typical_room(struct pool *p)
@@ -88,11 +124,32 @@
 	    : 1;
 }
 
+static struct room
+room_sum(const struct room *a, const struct room *b)
+{
+	struct room r = {
+	    .cpu = a->cpu + b->cpu,
+	    .memory_mb = a->memory_mb + b->memory_mb,
+	    .accelerators = a->accelerators + b->accelerators,
+	};
+
+	return r;
+}
+
+/* Workers that so much room makes up: of what is scarcest. */
+static double
+workers_for(const struct pool *p, const struct room *r)
+{
+	double n = part(r->cpu, p->typical_cpu);
+
+	n = fmax(n, part(r->memory_mb, p->typical_memory_mb));
+	return fmax(n, part(r->accelerators, p->typical_accelerators));
+}
+
 void
 pool_demand(struct pool *p, struct pool_demand *d)
 {
-	struct room r = {0};
-	double machines, other;
+	struct room once = {0}, lasting = {0}, offered;
 	struct occurrence *o;
 	const struct job *j;
 	size_t i, floor;
@@ -103,21 +160,21 @@
 		if (job_final(j))
 			continue;
 		LIST_FOREACH(o, &j->occurrences, entries)
-			add_wanted(p, o, &r);
+			add_wanted(
+			    p, o, order_lasts(j->order) ? &lasting : &once);
 		for (i = 0; i < j->order->step_count; i++) {
 			floor = step_floor(&j->order->steps[i]);
 			d->floor = floor > d->floor ? floor : d->floor;
 		}
 	}
-	machines = part(r.cpu, p->typical_cpu);
-	other = part(r.memory_mb, p->typical_memory_mb);
-	machines = other > machines ? other : machines;
-	other = part(r.accelerators, p->typical_accelerators);
-	machines = other > machines ? other : machines;
 	/* tasks that fit nowhere though the sum of the room would do */
 	if (p->starved_since_us != 0 &&
 	    p->now_us - p->starved_since_us > STARVED_MS * US_PER_MS &&
 	    (double)d->floor < p->typical_count + 1)
 		d->floor = (size_t)p->typical_count + 1;
-	d->wanted_milli = (int64_t)(machines * 1000);
+	offered_decay(p);
+	offered = room_sum(&p->offered, &lasting);
+	once = room_sum(&once, &lasting);
+	d->wanted_milli = (int64_t)(workers_for(p, &once) * 1000);
+	d->offered_milli = (int64_t)(workers_for(p, &offered) * 1000);
 }
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -146,6 +146,7 @@
 		    p, ev->u.submit.token, POOL_ACCEPTED, j->order_serial);
 		return;
 	}
+	pool_note_offered(p, ev->u.submit.order, ev->u.submit.terms, 0);
 	retry_ms = ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
 					      : refusal_ms(p, ev);
 	j = retry_ms > 0 ? NULL
@@ -340,6 +341,7 @@
 		job_free(j);
 		return -1;
 	}
+	pool_note_offered(p, order, &r->terms, p->now_ms - r->accepted_ms);
 	j->inherited = true;
 	j->begun = j->state != JOB_QUEUED;
 	HASH_ADD_STR(p->jobs, id, j);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -65,6 +65,11 @@
 	UT_hash_handle hh;
 };
 
+/* Room that tasks take up, or could. */
+struct room {
+	double cpu, memory_mb, accelerators;
+};
+
 struct pool {
 	struct pool_opts opts;
 	int64_t now_us, now_ms; /* of the event */
@@ -79,6 +84,8 @@
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
 	double typical_count, typical_cpu, typical_memory_mb,
 	    typical_accelerators;
+	struct room offered; /* that arriving work takes up in the long run … */
+	int64_t offered_us; /* … as of then; 0: none has arrived */
 	bool workers_changed; /* since they were recorded */
 	struct learned *learned; /* by queue */
 	uint64_t serial; /* newest write */
@@ -163,6 +170,10 @@
 const struct step_ticket *step_ticket_for(
     const struct job_step *s, const struct placed_worker *w, int64_t now_us);
 
+/* pool_demand.c */
+void pool_note_offered(struct pool *p, const struct order *o,
+    const struct queue_terms *t, int64_t ago_ms);
+
 /* pool_watch.c */
 void pool_watch_tasks(struct pool *p, struct placed_worker *w);
 void pool_pace_fillers(struct pool *p, struct placed_worker *w);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -293,6 +293,7 @@
 	if (p == NULL)
 		return;
 	p->wanted_milli = r->wanted_milli;
+	p->offered_milli = r->offered_milli;
 	p->floor = r->floor;
 	p->told_us = f->now_us;
 	for (i = 0; i < r->worker_count; i++) {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -48,6 +48,7 @@
 struct pool_report {
 	char pool[NAME_BYTES];
 	int64_t wanted_milli; /* thousandths of a machine it could use now */
+	int64_t offered_milli; /* … and that arriving work takes up in time */
 	size_t floor; /* workers that its lasting tasks need */
 	struct pool_worker_report *workers;
 	size_t worker_count;
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -12,8 +12,11 @@
 #define REPORT_FRESH_MS 1500 /* a need older than this moves nothing */
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
 #define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
-#define TREND_MS 600 /* over which growth is measured */
-#define LEAD_SPARE_MS 1500 /* a moved machine's way into its new pool */
+/*
+ * Times what arriving work will take up: jobs arrive in bunches, and a move
+ * takes longer than the first of them can wait.
+ */
+#define FORESEEN 1.3
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
 #define SHRINKS_AT_ONCE 12 /* machines on their way to be off */
 
@@ -24,27 +27,6 @@
 	    f->now_us - p->told_us < REPORT_FRESH_MS * US_PER_MS;
 }
 
-/*
- * What the pool will want by the time that a machine moved now can work, if
- * its demand goes on to grow as it does.
- */
-static double
-projected_milli(struct roster *f, struct roster_pool *p)
-{
-	int64_t age_ms = (f->now_us - p->earlier_us) / US_PER_MS;
-	double grown = (double)(p->wanted_milli - p->earlier_milli);
-	double lead_ms = f->opts.move_ms + LEAD_SPARE_MS;
-
-	if (p->earlier_us == 0 || age_ms >= TREND_MS) {
-		p->trend_milli = p->earlier_us == 0 || grown < 0
-		    ? 0
-		    : grown * lead_ms / (double)age_ms;
-		p->earlier_milli = p->wanted_milli;
-		p->earlier_us = f->now_us;
-	}
-	return (double)p->wanted_milli * HEADROOM + p->trend_milli;
-}
-
 static size_t
 machines_for(const struct roster_pool *p, double milli)
 {
@@ -61,7 +43,9 @@
 	if (!pool_fresh(f, p))
 		return;
 	p->need = machines_for(p, (double)p->wanted_milli * HEADROOM);
-	p->foreseen = machines_for(p, projected_milli(f, p));
+	p->foreseen = machines_for(p, (double)p->offered_milli * FORESEEN);
+	if (p->foreseen < p->need)
+		p->foreseen = p->need;
 	if (p->foreseen >= p->peak ||
 	    f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
 		p->peak = p->foreseen;
@@ -233,11 +217,13 @@
 	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
 		p = &f->pools[i];
 		n += (size_t)snprintf(text + n, sizeof(text) - n,
-		    " %s=%zu/%zu/%zu/%zu/%lld", p->name, pool_have(f, p),
-		    p->need, p->foreseen, p->peak, (long long)p->wanted_milli);
+		    " %s=%zu/%zu/%zu/%zu/%lld/%lld", p->name, pool_have(f, p),
+		    p->need, p->foreseen, p->peak, (long long)p->wanted_milli,
+		    (long long)p->offered_milli);
 	}
-	roster_log(
-	    f, "msg=\"pools: have/need/foreseen/peak/wanted milli\"%s", text);
+	roster_log(f,
+	    "msg=\"pools: have/need/foreseen/peak/wanted/offered milli\"%s",
+	    text);
 }
 
 void
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -60,11 +60,9 @@
 	char name[NAME_BYTES];
 	bool spare;
 	int64_t wanted_milli;
+	int64_t offered_milli;
 	size_t floor;
 	int64_t told_us; /* newest report; 0 never */
-	int64_t earlier_milli; /* wanted … */
-	int64_t earlier_us; /* … then; 0: never told */
-	double trend_milli; /* that it will grow by in the time of a move */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
 	size_t peak; /* highest need of late … */
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -69,9 +69,10 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 4);
+	wire_map(&w, 5);
 	wire_str(&w, "pool", r->pool);
 	wire_i64(&w, "wanted", r->wanted_milli);
+	wire_i64(&w, "offered", r->offered_milli);
 	wire_u64(&w, "floor", r->floor);
 	wire_array(&w, "workers", (uint32_t)r->worker_count);
 	for (i = 0; i < r->worker_count; i++)
@@ -89,6 +90,7 @@
 
 	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
 	    !wire_get_i64(root, "wanted", &r->wanted_milli) ||
+	    !wire_get_i64(root, "offered", &r->offered_milli) ||
 	    !wire_get_u64(root, "floor", &floor) ||
 	    !wire_get_array(root, "workers", &list))
 		return false;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -505,6 +505,7 @@
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
 	pool_demand(sh->pool, &demand);
 	report->wanted_milli = demand.wanted_milli;
+	report->offered_milli = demand.offered_milli;
 	report->floor = demand.floor;
 	pool_each_worker(sh->pool, report_worker, report);
 	return 0;
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -15,6 +15,7 @@
 static int64_t now_us;
 static struct machine_report machines[MACHINES];
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
+static int64_t offered[2]; /* that arriving work takes up in the long run */
 static size_t tasks[MACHINES]; /* of its worker */
 static int64_t away_until_us[MACHINES];
 static char back_in[MACHINES][NAME_BYTES];
@@ -123,11 +124,13 @@
 }
 
 static void
-report(const char *pool, int64_t milli)
+report(const char *pool, int64_t wanted_milli, int64_t offered_milli)
 {
 	struct pool_worker_report list[MACHINES];
 	struct roster_event ev = {.kind = ROSTER_REPORT};
-	struct pool_report r = {.wanted_milli = milli, .workers = list};
+	struct pool_report r = {.wanted_milli = wanted_milli,
+	    .offered_milli = offered_milli,
+	    .workers = list};
 	int i;
 
 	memset(list, 0, sizeof(list));
@@ -172,8 +175,8 @@
 	while (now_us < until) {
 		now_us += TICK_US;
 		bring_back();
-		report("blue", wanted[0]);
-		report("green", wanted[1]);
+		report("blue", wanted[0], offered[0]);
+		report("green", wanted[1], offered[1]);
 		event(&ev);
 	}
 }
@@ -330,3 +333,25 @@
 	cr_expect_eq(in_pool("blue"), 5);
 	cr_expect_eq(in_pool("spare"), 0);
 }
+
+/* Jobs that arrive in bunches are no growth: nothing is taken for them. */
+Test(machines, a_swing_of_demand_is_not_taken_for_a_turn)
+{
+	int i;
+
+	offered[0] = 3750;
+	for (i = 0; i < 10; i++) {
+		wanted[0] = i % 2 == 0 ? 3000 : 4500;
+		run(600);
+		cr_expect_leq(in_pool("blue"), 5);
+	}
+	cr_expect_eq(in_pool("spare"), 3);
+}
+
+/* Work that arrives faster is followed before it has queued up. */
+Test(machines, a_pool_grows_for_what_arrives)
+{
+	offered[0] = 6000;
+	run(2500);
+	cr_expect_geq(in_pool("blue"), 7);
+}
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -174,6 +174,37 @@
 	expect_kept();
 }
 
+/*
+ * The load: a queue's turn begins.  Jobs of 4 core-seconds, ten a second, take
+ * up 5 workers of 8 cores once as many end as arrive; the pool says so within
+ * a second, while a tenth of that is at work.
+ */
+Test(pool, a_turn_of_demand_is_told_at_its_start)
+{
+	struct pool_demand d;
+	int i;
+
+	world = world_of(1);
+	for (i = 0; i < 10; i++) {
+		submit(2, 4, 1000, 500, NULL);
+		jobs_world_run(world, 100);
+	}
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_geq(d.offered_milli, 2500);
+	for (i = 0; i < 20; i++) {
+		submit(2, 4, 1000, 500, NULL);
+		jobs_world_run(world, 100);
+	}
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_geq(d.offered_milli, 4000);
+	cr_expect_leq(d.offered_milli, 6000);
+	jobs_world_run(world, 3000);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_leq(d.offered_milli, 500);
+	jobs_world_run(world, 20000);
+	expect_kept();
+}
+
 /* Reports before the first hold said that nothing ran there. */
 static void
 count_worker(void *arg, const char *id, size_t tasks, bool cordoned)
