roster, pool: a lasting task without room gets a machine before any surge

The worker was emptied for its upkeep, so its lasting tasks were stopped one by one, though no other worker had room for the last. And the pool asked for a third machine (need=3 have=2) for ten seconds in vain: the pool in its turn lacked more (53 of 38) and was looked at alone, and no machine of it was idle. Ruled out: the store, leases (the end was listed and stored at once). Change: a lasting task is moved only once another worker has room, and the pool asks for a machine meanwhile. Pools that lack room for lasting tasks go first and may have a machine emptied that runs only what ends by itself; a pool that finds no machine does not end the search for the others. Machines of a pool are counted once a look, not once a machine. Tests: machines::a_pool_whose_lasting_tasks_lack_room_gets_a_machine_at_once, pool::a_lasting_task_stays_until_another_worker_has_room; both fail first.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -198,16 +198,20 @@
 
 void
 pool_each_worker(const struct pool *p,
-    void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
-    void *arg)
+    void (*each)(void *arg, const struct pool_worker_view *w), void *arg)
 {
 	const struct placed_worker *w;
+	struct pool_worker_view v;
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
 		/* what runs there is known only once it has answered */
-		if (w->listed && w->held && w->misses == 0)
-			each(arg, w->report.id, w->task_count,
-			    p->now_us < w->cordon_until_us);
+		if (!w->listed || !w->held || w->misses > 0)
+			continue;
+		v.id = w->report.id;
+		v.tasks = w->task_count;
+		v.lasting = worker_lasting_tasks(w);
+		v.cordoned = p->now_us < w->cordon_until_us;
+		each(arg, &v);
 	}
 }
 
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -234,13 +234,21 @@
 struct pool_demand {
 	int64_t wanted_milli; /* thousandths of a worker that jobs could use */
 	int64_t offered_milli; /* … and that jobs arriving as of late will */
-	size_t floor; /* workers that lasting tasks need */
+	size_t floor; /* workers that lasting tasks need: others give way */
+	size_t least; /* workers at least, by what fits nowhere now */
+};
+
+/* What is known of a worker that has answered. */
+struct pool_worker_view {
+	const char *id;
+	size_t tasks;
+	size_t lasting; /* of them: they do not end by themselves */
+	bool cordoned; /* gets no new tasks, as it was asked */
 };
 
 void pool_demand(struct pool *p, struct pool_demand *d);
 /* Workers that are listed, for whoever moves machines. */
 void pool_each_worker(const struct pool *p,
-    void (*each)(void *arg, const char *id, size_t tasks, bool cordoned),
-    void *arg);
+    void (*each)(void *arg, const struct pool_worker_view *w), void *arg);
 
 #endif
--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -8,6 +8,7 @@
 #include "pool_state.h"
 
 #define STARVED_MS 250 /* tasks that wait so long for room get a machine */
+#define CRAMPED_MS 1000 /* so long after a move was seen to find no room */
 /*
  * Arriving work is averaged over this: shorter than a turn of demand by
  * enough to tell its start before much has queued up.
@@ -146,13 +147,19 @@
 	return fmax(n, part(r->accelerators, p->typical_accelerators));
 }
 
+static bool
+goes_on_for(const struct pool *p, int64_t since_us, int ms)
+{
+	return since_us != 0 && p->now_us - since_us > ms * US_PER_MS;
+}
+
 void
 pool_demand(struct pool *p, struct pool_demand *d)
 {
 	struct room once = {0}, lasting = {0}, offered;
 	struct occurrence *o;
 	const struct job *j;
-	size_t i, floor;
+	size_t i, floor, one_more;
 
 	memset(d, 0, sizeof(*d));
 	typical_room(p);
@@ -168,10 +175,14 @@
 		}
 	}
 	/* tasks that fit nowhere though the sum of the room would do */
-	if (p->starved_since_us != 0 &&
-	    p->now_us - p->starved_since_us > STARVED_MS * US_PER_MS &&
-	    (double)d->floor < p->typical_count + 1)
-		d->floor = (size_t)p->typical_count + 1;
+	one_more = (size_t)p->typical_count + 1;
+	if (goes_on_for(p, p->starved_since_us, STARVED_MS))
+		d->least = one_more;
+	if ((goes_on_for(p, p->lasting_starved_us, STARVED_MS) ||
+		(p->cramped_us != 0 &&
+		    p->now_us - p->cramped_us < CRAMPED_MS * US_PER_MS)) &&
+	    d->floor < one_more)
+		d->floor = one_more;
 	offered_decay(p);
 	offered = room_sum(&p->offered, &lasting);
 	once = room_sum(&once, &lasting);
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -178,16 +178,15 @@
 	return n;
 }
 
-static bool
-lasting_beside(const struct placed_worker *w)
+size_t
+worker_lasting_tasks(const struct placed_worker *w)
 {
 	const struct task *t;
+	size_t n = 0;
 
-	TAILQ_FOREACH(t, &w->tasks, on_worker) {
-		if (t->step->order->lasting)
-			return true;
-	}
-	return false;
+	TAILQ_FOREACH(t, &w->tasks, on_worker)
+		n += t->step->order->lasting;
+	return n;
 }
 
 const struct step_ticket *
@@ -252,7 +251,7 @@
 	if (w->fail_streak > 0)
 		points -= 1;
 	/* beside others that last: they hold their machine anyway */
-	if (s->lasting && lasting_beside(w))
+	if (s->lasting && worker_lasting_tasks(w) > 0)
 		points += 1;
 	if (s->lasting)
 		points -= 0.1 * placed_of_step(w, t->step) +
@@ -311,6 +310,18 @@
 	return best;
 }
 
+bool
+task_fits_elsewhere(struct pool *p, const struct task *t)
+{
+	struct placed_worker *w;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (w != t->worker && may_run(p, w, t))
+			return true;
+	}
+	return false;
+}
+
 static void
 step_note_rack(struct job_step *s, const struct placed_worker *w)
 {
@@ -427,27 +438,37 @@
 	}
 }
 
+/* When something began that goes on; 0 once it does not. */
+static void
+note_since(int64_t *since_us, bool goes_on, int64_t now_us)
+{
+	if (!goes_on)
+		*since_us = 0;
+	else if (*since_us == 0)
+		*since_us = now_us;
+}
+
 void
 pool_place(struct pool *p)
 {
+	bool starved = false, lasting_starved = false;
 	struct candidate *list;
 	size_t i, n;
-	bool starved;
 
 	list = gather(p, &n);
 	if (list == NULL)
 		return; /* short of memory: the next event tries again */
-	starved = false;
 	for (i = 0; i < n; i++) {
 		place_occurrence(p, list[i].occurrence);
-		if (list[i].class <= RANK_IN_TIME)
-			starved |= occurrence_waits(list[i].occurrence);
+		if (list[i].class > RANK_IN_TIME ||
+		    !occurrence_waits(list[i].occurrence))
+			continue;
+		starved = true;
+		lasting_starved |= list[i].class == RANK_LASTING;
 	}
 	free(list);
-	if (!starved)
-		p->starved_since_us = 0;
-	else if (p->starved_since_us == 0)
-		p->starved_since_us = p->now_us;
+	note_since(&p->starved_since_us, starved, p->now_us);
+	note_since(&p->lasting_starved_us, lasting_starved, p->now_us);
 }
 
 void
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -82,6 +82,8 @@
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
+	int64_t lasting_starved_us; /* a lasting task neither; 0: it does */
+	int64_t cramped_us; /* one that is to move was seen to find none */
 	double typical_count, typical_cpu, typical_memory_mb,
 	    typical_accelerators;
 	struct room offered; /* that arriving work takes up in the long run … */
@@ -166,6 +168,9 @@
 /* pool_place.c */
 void pool_rank(const struct pool *p, struct candidate *c, struct occurrence *o);
 void pool_place(struct pool *p);
+/* Another worker has room for a task that is placed. */
+bool task_fits_elsewhere(struct pool *p, const struct task *t);
+size_t worker_lasting_tasks(const struct placed_worker *w);
 void pool_advised(struct pool *p, const struct pool_event *ev);
 const struct step_ticket *step_ticket_for(
     const struct job_step *s, const struct placed_worker *w, int64_t now_us);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -69,13 +69,23 @@
 	return away < most;
 }
 
+/* Where it has none, the pool asks for a machine first. */
+static bool
+lasting_has_room(struct pool *p, const struct task *t)
+{
+	if (task_fits_elsewhere(p, t))
+		return true;
+	p->cramped_us = p->now_us;
+	return false;
+}
+
 /*
  * A worker whose machine is to go into upkeep: lasting tasks move one after
  * the other, work that lasts longer than it can wait for is stopped.
  */
 static bool
 task_makes_room(
-    const struct pool *p, const struct placed_worker *w, const struct task *t)
+    struct pool *p, const struct placed_worker *w, const struct task *t)
 {
 	int64_t waited_ms;
 
@@ -83,7 +93,7 @@
 	    t->place != PLACE_RUNNING)
 		return false;
 	if (t->step->order->lasting)
-		return step_may_miss(t);
+		return step_may_miss(t) && lasting_has_room(p, t);
 	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
 	if (waited_ms > EMPTY_MAX_MS)
 		return true;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -295,6 +295,7 @@
 	p->wanted_milli = r->wanted_milli;
 	p->offered_milli = r->offered_milli;
 	p->floor = r->floor;
+	p->least = r->least;
 	p->told_us = f->now_us;
 	for (i = 0; i < r->worker_count; i++) {
 		m = machine_of_worker(f, r->workers[i].worker);
@@ -303,6 +304,7 @@
 			continue;
 		}
 		m->tasks = r->workers[i].tasks;
+		m->lasting = r->workers[i].lasting;
 		m->cordoned = r->workers[i].cordoned;
 		m->told_us = f->now_us;
 	}
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -42,6 +42,7 @@
 struct pool_worker_report {
 	char worker[NAME_BYTES];
 	size_t tasks;
+	size_t lasting; /* of them: they do not end by themselves */
 	bool cordoned; /* gets no new tasks, as it was asked */
 };
 
@@ -50,6 +51,7 @@
 	int64_t wanted_milli; /* thousandths of a machine it could use now */
 	int64_t offered_milli; /* … and that arriving work takes up in time */
 	size_t floor; /* workers that its lasting tasks need */
+	size_t least; /* workers at least, by what fits nowhere now */
 	struct pool_worker_report *workers;
 	size_t worker_count;
 };
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -34,6 +34,8 @@
 
 	if (n < p->floor)
 		n = p->floor;
+	if (n < p->least)
+		n = p->least;
 	return n < POOL_MIN ? POOL_MIN : n;
 }
 
@@ -53,27 +55,35 @@
 	}
 }
 
-/* Machines a pool has or is about to have. */
-static size_t
-pool_have(const struct roster *f, const struct roster_pool *p)
+static struct roster_pool *
+pool_of(struct roster *f, const struct machine *m)
 {
-	const struct machine *m;
-	size_t n = 0;
-
-	for (m = f->machines; m != NULL; m = m->hh.next) {
-		if (m->order == ORDER_MOVE)
-			n += strcmp(m->to_pool, p->name) == 0;
-		else
-			n += strcmp(m->report.pool, p->name) == 0 &&
-			    m->report.state != MACHINE_DOWN;
-	}
-	return n;
+	return roster_find_pool(f, m->report.pool);
 }
 
+/* The pool that a machine is in or is about to be in. */
 static struct roster_pool *
-pool_of(struct roster *f, const struct machine *m)
+pool_to_be(struct roster *f, const struct machine *m)
 {
-	return roster_find_pool(f, m->report.pool);
+	if (m->order == ORDER_MOVE)
+		return roster_find_pool(f, m->to_pool);
+	return m->report.state != MACHINE_DOWN ? pool_of(f, m) : NULL;
+}
+
+static void
+count_machines(struct roster *f)
+{
+	struct roster_pool *p;
+	struct machine *m;
+	size_t i;
+
+	for (i = 0; i < f->pool_count; i++)
+		f->pools[i].have = 0;
+	for (m = f->machines; m != NULL; m = m->hh.next) {
+		p = pool_to_be(f, m);
+		if (p != NULL)
+			p->have++;
+	}
 }
 
 static bool
@@ -93,8 +103,13 @@
 }
 
 static void
-begin_move(struct roster *f, struct machine *m, const struct roster_pool *to)
+begin_move(struct roster *f, struct machine *m, struct roster_pool *to)
 {
+	struct roster_pool *from = pool_to_be(f, m);
+
+	if (from != NULL)
+		from->have--;
+	to->have++;
 	if (m->order == ORDER_NONE)
 		machine_set_order(f, m, ORDER_MOVE);
 	snprintf(m->to_pool, sizeof(m->to_pool), "%s", to->name);
@@ -106,60 +121,111 @@
 	    (long long)((f->now_us - to->told_us) / US_PER_MS));
 }
 
-/*
- * A machine that is off, or on its way to be; with "take", also one that its
- * pool does not need.
- */
+/* Why a pool grows, the most urgent first. */
+enum growth {
+	GROW_FLOOR, /* lasting tasks have no room: others give way */
+	GROW_NEED, /* takes what others do not need */
+	GROW_FORESEEN /* takes only machines that are off */
+};
+
+/* It runs nothing that would not end by itself soon. */
+static bool
+may_be_emptied(const struct roster *f, const struct machine *m)
+{
+	return m->order == ORDER_NONE && m->report.state == MACHINE_UP &&
+	    f->now_us >= m->retry_us && m->told_us != 0 && m->lasting == 0;
+}
+
+/* How well a machine suits, 0: not at all.  Better ones run less. */
+static int
+source_rank(struct roster *f, struct machine *m, const struct roster_pool *to,
+    enum growth g)
+{
+	struct roster_pool *from = pool_of(f, m);
+
+	if (from == NULL || from == to)
+		return 0;
+	if (goes_to_spare(f, m) || (from->spare && may_move(f, m)))
+		return 4;
+	if (g == GROW_FORESEEN || from->spare || !pool_fresh(f, from))
+		return 0;
+	if (may_move(f, m) && from->have > from->need)
+		return 3;
+	if (g != GROW_FLOOR || from->have <= from->floor ||
+	    from->have <= POOL_MIN)
+		return 0;
+	if (may_move(f, m))
+		return 2;
+	return may_be_emptied(f, m) ? 1 : 0;
+}
+
 static struct machine *
-find_source(struct roster *f, const struct roster_pool *to, bool take)
+find_source(struct roster *f, const struct roster_pool *to, enum growth g)
 {
 	struct machine *m, *best = NULL;
-	struct roster_pool *from;
+	int rank, best_rank = 0;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		from = pool_of(f, m);
-		if (from == NULL || from == to)
+		rank = source_rank(f, m, to, g);
+		if (rank == 0 || rank < best_rank ||
+		    (rank == best_rank && m->tasks >= best->tasks))
 			continue;
-		if (goes_to_spare(f, m) || (from->spare && may_move(f, m)))
-			return m;
-		if (take && best == NULL && !from->spare && may_move(f, m) &&
-		    pool_fresh(f, from) && pool_have(f, from) > from->need)
-			best = m;
+		best = m;
+		best_rank = rank;
 	}
 	return best;
 }
 
-/* The pool that lacks most of what it needs, or will by what is foreseen. */
+static size_t
+pool_wants(const struct roster_pool *p, enum growth g)
+{
+	switch (g) {
+	case GROW_FLOOR:
+		return p->floor;
+	case GROW_NEED:
+		return p->need;
+	case GROW_FORESEEN:
+		return p->foreseen;
+	}
+	return 0;
+}
+
+/* The pool that lacks most and that a machine may be found for. */
 static struct roster_pool *
-find_lacking(struct roster *f, bool foreseen)
+find_lacking(struct roster *f, enum growth g)
 {
 	struct roster_pool *p, *worst = NULL;
-	size_t i, have, want, most = 0;
+	size_t i, want, most = 0;
 
 	for (i = 0; i < f->pool_count; i++) {
 		p = &f->pools[i];
-		if (p->spare || !pool_fresh(f, p))
+		if (p->spare || p->no_source || !pool_fresh(f, p))
 			continue;
-		have = pool_have(f, p);
-		want = foreseen ? p->foreseen : p->need;
-		if (want > have && want - have > most) {
-			most = want - have;
+		want = pool_wants(p, g);
+		if (want > p->have && want - p->have > most) {
+			most = want - p->have;
 			worst = p;
 		}
 	}
 	return worst;
 }
 
-/* What is needed now goes first; growth takes only machines that are off. */
 static void
-grow(struct roster *f, bool foreseen)
+grow(struct roster *f, enum growth g)
 {
 	struct roster_pool *p;
 	struct machine *m;
+	size_t i;
 
-	while ((p = find_lacking(f, foreseen)) != NULL &&
-	    (m = find_source(f, p, !foreseen)) != NULL)
-		begin_move(f, m, p);
+	for (i = 0; i < f->pool_count; i++)
+		f->pools[i].no_source = false;
+	while ((p = find_lacking(f, g)) != NULL) {
+		m = find_source(f, p, g);
+		if (m != NULL)
+			begin_move(f, m, p);
+		else
+			p->no_source = true;
+	}
 }
 
 static struct roster_pool *
@@ -196,7 +262,7 @@
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		from = roster_find_pool(f, m->report.pool);
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
-		    !may_move(f, m) || pool_have(f, from) <= from->peak ||
+		    !may_move(f, m) || from->have <= from->peak ||
 		    shrinks_under_way(f) >= SHRINKS_AT_ONCE)
 			continue;
 		begin_move(f, m, spare);
@@ -217,8 +283,8 @@
 	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
 		p = &f->pools[i];
 		n += (size_t)snprintf(text + n, sizeof(text) - n,
-		    " %s=%zu/%zu/%zu/%zu/%lld/%lld", p->name, pool_have(f, p),
-		    p->need, p->foreseen, p->peak, (long long)p->wanted_milli,
+		    " %s=%zu/%zu/%zu/%zu/%lld/%lld", p->name, p->have, p->need,
+		    p->foreseen, p->peak, (long long)p->wanted_milli,
 		    (long long)p->offered_milli);
 	}
 	roster_log(f,
@@ -231,11 +297,12 @@
 {
 	size_t i;
 
+	count_machines(f);
 	log_pools(f);
-
 	for (i = 0; i < f->pool_count; i++)
 		update_need(f, &f->pools[i]);
-	grow(f, false);
-	grow(f, true);
+	grow(f, GROW_FLOOR);
+	grow(f, GROW_NEED);
+	grow(f, GROW_FORESEEN);
 	shrink(f);
 }
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -35,6 +35,7 @@
 	int64_t since_us; /* of the phase */
 	int64_t retry_us; /* no call earlier */
 	size_t tasks; /* of its worker, as its owner said … */
+	size_t lasting; /* … those that do not end by themselves … */
 	bool cordoned;
 	int64_t told_us; /* … then; 0 never */
 	UT_hash_handle hh; /* by machine */
@@ -61,12 +62,14 @@
 	bool spare;
 	int64_t wanted_milli;
 	int64_t offered_milli;
-	size_t floor;
+	size_t floor, least; /* see struct pool_report */
 	int64_t told_us; /* newest report; 0 never */
+	size_t have; /* machines it has or is about to have, at this look */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
 	size_t peak; /* highest need of late … */
 	int64_t peak_us; /* … seen then */
+	bool no_source; /* no machine is to be had for it at this look */
 };
 
 /* A machine that a predecessor has ordered about. */
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -14,6 +14,7 @@
 static const struct codec_field worker_fields[] = {
     CODEC_FIELD("w", CODEC_STR, struct pool_worker_report, worker),
     CODEC_FIELD("n", CODEC_U64, struct pool_worker_report, tasks),
+    CODEC_FIELD("l", CODEC_U64, struct pool_worker_report, lasting),
     CODEC_FIELD("c", CODEC_BOOL, struct pool_worker_report, cordoned),
 };
 
@@ -69,11 +70,12 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 5);
+	wire_map(&w, 6);
 	wire_str(&w, "pool", r->pool);
 	wire_i64(&w, "wanted", r->wanted_milli);
 	wire_i64(&w, "offered", r->offered_milli);
 	wire_u64(&w, "floor", r->floor);
+	wire_u64(&w, "least", r->least);
 	wire_array(&w, "workers", (uint32_t)r->worker_count);
 	for (i = 0; i < r->worker_count; i++)
 		codec_write(
@@ -85,16 +87,18 @@
 read_report(struct pool_report *r, const msgpack_object *root)
 {
 	const msgpack_object_array *list;
-	uint64_t floor;
+	uint64_t floor, least;
 	uint32_t i;
 
 	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
 	    !wire_get_i64(root, "wanted", &r->wanted_milli) ||
 	    !wire_get_i64(root, "offered", &r->offered_milli) ||
 	    !wire_get_u64(root, "floor", &floor) ||
+	    !wire_get_u64(root, "least", &least) ||
 	    !wire_get_array(root, "workers", &list))
 		return false;
 	r->floor = (size_t)floor;
+	r->least = (size_t)least;
 	r->workers = calloc(list->size + 1, sizeof(*r->workers));
 	for (i = 0; r->workers != NULL && i < list->size; i++) {
 		if (codec_read(&list->ptr[i], worker_fields,
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -467,7 +467,7 @@
 }
 
 static void
-report_worker(void *arg, const char *id, size_t tasks, bool cordoned)
+report_worker(void *arg, const struct pool_worker_view *v)
 {
 	struct pool_report *r = arg;
 	struct pool_worker_report *w;
@@ -478,9 +478,10 @@
 	r->workers = w;
 	w = &r->workers[r->worker_count++];
 	memset(w, 0, sizeof(*w));
-	snprintf(w->worker, sizeof(w->worker), "%s", id);
-	w->tasks = tasks;
-	w->cordoned = cordoned;
+	snprintf(w->worker, sizeof(w->worker), "%s", v->id);
+	w->tasks = v->tasks;
+	w->lasting = v->lasting;
+	w->cordoned = v->cordoned;
 }
 
 int
@@ -507,6 +508,7 @@
 	report->wanted_milli = demand.wanted_milli;
 	report->offered_milli = demand.offered_milli;
 	report->floor = demand.floor;
+	report->least = demand.least;
 	pool_each_worker(sh->pool, report_worker, report);
 	return 0;
 }
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -16,7 +16,10 @@
 static struct machine_report machines[MACHINES];
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static int64_t offered[2]; /* that arriving work takes up in the long run */
+static size_t floors[2]; /* machines that lasting tasks need */
 static size_t tasks[MACHINES]; /* of its worker */
+static size_t lasting[MACHINES]; /* of them */
+static bool tasks_end; /* those of a cordoned worker, by themselves */
 static int64_t away_until_us[MACHINES];
 static char back_in[MACHINES][NAME_BYTES];
 static int upkeeps, moves, most_down, statuses_completed;
@@ -121,15 +124,18 @@
 		cordoned[i] = true;
 	if (kind == CORDON_EMPTY)
 		tasks[i] = 0; /* its owner sends them elsewhere */
+	if (kind == CORDON_HOLD && tasks_end)
+		tasks[i] = lasting[i];
 }
 
 static void
-report(const char *pool, int64_t wanted_milli, int64_t offered_milli)
+report(const char *pool, int k)
 {
 	struct pool_worker_report list[MACHINES];
 	struct roster_event ev = {.kind = ROSTER_REPORT};
-	struct pool_report r = {.wanted_milli = wanted_milli,
-	    .offered_milli = offered_milli,
+	struct pool_report r = {.wanted_milli = wanted[k],
+	    .offered_milli = offered[k],
+	    .floor = floors[k],
 	    .workers = list};
 	int i;
 
@@ -144,6 +150,7 @@
 		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
 		    machines[i].worker);
 		list[r.worker_count].tasks = tasks[i];
+		list[r.worker_count].lasting = lasting[i];
 		list[r.worker_count++].cordoned = cordoned[i];
 	}
 	ev.u.report = &r;
@@ -175,8 +182,8 @@
 	while (now_us < until) {
 		now_us += TICK_US;
 		bring_back();
-		report("blue", wanted[0], offered[0]);
-		report("green", wanted[1], offered[1]);
+		report("blue", 0);
+		report("green", 1);
 		event(&ev);
 	}
 }
@@ -355,3 +362,29 @@
 	run(2500);
 	cr_expect_geq(in_pool("blue"), 7);
 }
+
+/*
+ * A pool whose surge held every machine was served first for ten seconds,
+ * while a lasting task of another had no room.
+ */
+Test(machines, a_pool_whose_lasting_tasks_lack_room_gets_a_machine_at_once)
+{
+	int i;
+
+	for (i = 0; i < 9; i++)
+		tasks[i] = 2;
+	lasting[0] = lasting[1] = 1;
+	tasks_end = true;
+	wanted[0] = 30000;
+	run(4000);
+	cr_expect_eq(in_pool("blue"), 8);
+	cr_expect_eq(in_pool("green"), 4);
+	for (i = 9; i < MACHINES; i++)
+		tasks[i] = 2;
+	floors[1] = 5;
+	run(4000);
+	cr_expect_geq(in_pool("green"), 5);
+	/* those that lasting tasks run on stay */
+	cr_expect_str_eq(machines[0].pool, "blue");
+	cr_expect_str_eq(machines[1].pool, "blue");
+}
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -207,11 +207,9 @@
 
 /* Reports before the first hold said that nothing ran there. */
 static void
-count_worker(void *arg, const char *id, size_t tasks, bool cordoned)
+count_worker(void *arg, const struct pool_worker_view *w)
 {
-	(void)id;
-	(void)tasks;
-	(void)cordoned;
+	(void)w;
 	(*(size_t *)arg)++;
 }
 
@@ -358,3 +356,24 @@
 	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
 	expect_kept();
 }
+
+/*
+ * It was stopped for its machine's upkeep and found no room anywhere: away
+ * for ten seconds, till another machine came.
+ */
+Test(pool, a_lasting_task_stays_until_another_worker_has_room)
+{
+	struct pool_demand d;
+
+	world = world_of(2);
+	submit_lasting(2, 9000, 1, NULL);
+	jobs_world_run(world, 2500);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 1);
+	cr_assert_eq(jobs_world_tasks_on(world, 1), 1);
+	jobs_world_cordon_worker(world, 0);
+	jobs_world_run(world, 500);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.floor, 3);
+	expect_kept();
+}
