claim: two claims of one epoch never share their number

Found: jobs::a_store_that_is_away_refuses_new_jobs_and_loses_none, judged "twice" once in 8 runs beside five busy processes, and again in 26: a task ran to its end six times. Cause (logs of the run): two daemons claimed a new pool at once, both with epoch 1 and number 0. The store answers a repeat of an epoch's number like the first append, whoever sends it, so both were told that they owned the pool, under one fence. One acknowledged the ends of the other's runs, which it did not know; the other found neither run nor end, and began anew. Ruled out: late orders, leases (all runs ended by themselves). Change: a claim's append carries a number of its own, hashed from member and clock; the term's appends follow it. The second claim is refused and claims the next epoch.

--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -527,7 +527,7 @@
 }
 
 static void
-on_claimed(void *arg, int64_t epoch, int64_t end)
+on_claimed(void *arg, int64_t epoch, int64_t next_seq)
 {
 	struct duty *d = arg;
 	const struct boot *b = &d->scheduler->boot;
@@ -539,12 +539,11 @@
 	};
 	size_t i;
 
-	(void)end;
 	topic_claim_free(d->claim);
 	d->claim = NULL;
 	d->fence = epoch;
 	d->roster = roster_new(&o);
-	d->notes = writer_new(d, TOPIC_DUTIES, TOPIC_CLAIM_SEQ + 1, on_noted);
+	d->notes = writer_new(d, TOPIC_DUTIES, next_seq, on_noted);
 	d->status = writer_new(d, TOPIC_STATUS, 0, on_told);
 	if (d->roster == NULL || d->notes == NULL || d->status == NULL)
 		abort(); /* the term is taken: nobody else would serve it */
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -45,6 +45,7 @@
 	int64_t confirmed_boot_us; /* the group said so when asked then */
 	int64_t began_us;
 	int64_t fence;
+	int64_t next_seq; /* of the term's first append after its claim */
 	struct takeover *takeover; /* while SHARD_TAKING */
 	struct pool *pool;
 	struct store_writer *writer;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -204,13 +204,13 @@
 }
 
 static void
-on_claimed(void *arg, int64_t epoch, int64_t end)
+on_claimed(void *arg, int64_t epoch, int64_t next_seq)
 {
 	struct takeover *t = arg;
 
-	(void)end;
 	t->claimed = true;
 	t->shard->fence = epoch;
+	t->shard->next_seq = next_seq;
 	takeover_go_on(t->shard);
 }
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -232,7 +232,7 @@
 	struct store_writer_opts o = {
 	    .scheduler = sh->scheduler,
 	    .epoch = sh->fence,
-	    .seq = TOPIC_CLAIM_SEQ + 1,
+	    .seq = sh->next_seq,
 	    .on_written = on_written,
 	    .on_fenced = on_fenced,
 	    .arg = sh,
--- a/src/scheduler/topic_claim.c
+++ b/src/scheduler/topic_claim.c
@@ -4,12 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "store_client.h"
 #include "wire.h"
 
 #define KEY_TERM "term"
 #define CALL_TIMEOUT_MS 1500 /* the store may be some 50 times slower */
 #define RETRY_MS 150
+/* Of a claim's number: appends of a term follow it and must not overflow. */
+#define SEQ_MASK INT64_C(0x3fffffffffff)
 
 struct topic_claim {
 	struct topic_claim_opts opts;
@@ -19,7 +23,8 @@
 	int64_t page_end; /* of the first page of newest records */
 	bool first_page;
 	char after[STORE_KEY_MAX + 1];
-	int64_t claimed; /* epoch of the claim that was sent; 0 none */
+	int64_t claimed; /* epoch of the claim that was sent; 0 none … */
+	int64_t claim_seq; /* … and its number */
 	struct store_op *op;
 	lws_sorted_usec_list_t due;
 };
@@ -143,7 +148,7 @@
 	t->op = NULL;
 	switch (store_append_outcome(status, body, len)) {
 	case STORE_DONE:
-		t->opts.on_claimed(t->opts.arg, t->claimed, t->next);
+		t->opts.on_claimed(t->opts.arg, t->claimed, t->claim_seq + 1);
 		return;
 	case STORE_FENCED: /* a term that was not read */
 		t->term++;
@@ -161,16 +166,32 @@
 	}
 }
 
+/*
+ * The store answers a repeat of an epoch's number like the first of them,
+ * whoever sends it: two claims of one epoch must not share their number.
+ */
+static int64_t
+own_seq(const struct topic_claim *t)
+{
+	const char *member = t->opts.scheduler->member;
+	uint64_t now = (uint64_t)sched_now_us();
+
+	return (int64_t)XXH64(member, strlen(member), now) & SEQ_MASK;
+}
+
 static void
 send_claim(struct topic_claim *t)
 {
-	struct append_opts o = {.at = t->next, .seq = TOPIC_CLAIM_SEQ};
+	struct append_opts o = {.at = t->next};
 	struct wire_writer w;
 	struct store_call c;
 	struct buf *value;
 
-	if (t->claimed == 0)
+	if (t->claimed == 0) {
 		t->claimed = t->term + 1;
+		t->claim_seq = own_seq(t);
+	}
+	o.seq = t->claim_seq;
 	wire_writer_init(&w);
 	wire_map(&w, 2);
 	wire_u64(&w, "epoch", (uint64_t)t->claimed);
--- a/src/scheduler/topic_claim.h
+++ b/src/scheduler/topic_claim.h
@@ -19,16 +19,16 @@
 	 * of order and more than once; the highest offset is the newest.
 	 */
 	void (*on_record)(void *arg, const struct store_record *r);
-	/* The term is ours and every record before it was read.  Called once.
+	/*
+	 * The term is ours and every record before it was read.  Called once.
+	 * "next_seq" is the number of the term's next append.
 	 */
-	void (*on_claimed)(void *arg, int64_t epoch, int64_t end);
+	void (*on_claimed)(void *arg, int64_t epoch, int64_t next_seq);
 	void *arg;
 };
 
 struct topic_claim *topic_claim_new(const struct topic_claim_opts *opts);
 /* Accepts NULL; may be called from on_claimed. */
 void topic_claim_free(struct topic_claim *t);
-/* Number of a claim's own append; the next one of the term is 1. */
-#define TOPIC_CLAIM_SEQ 0
 
 #endif
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -42,6 +42,14 @@
 	LIST_ENTRY(waiting_read) entries;
 };
 
+/* An append that waits for its time. */
+struct slow_append {
+	struct exchange *exchange;
+	struct topic *topic;
+	int64_t due_ms;
+	STAILQ_ENTRY(slow_append) entries;
+};
+
 struct job_store {
 	struct topic topics[TOPICS_MAX];
 	size_t topic_count;
@@ -49,6 +57,9 @@
 	size_t member_count;
 	int64_t generation;
 	LIST_HEAD(waiting_reads, waiting_read) reads;
+	STAILQ_HEAD(slow_appends, slow_append) appends;
+	int append_ms;
+	bool all; /* the group deals every partition to every member */
 	bool down;
 };
 
@@ -127,12 +138,20 @@
 	exchange_answer(x, 200, b);
 }
 
+static void append(struct job_store *s, struct exchange *x, struct topic *t);
+
 void
 job_store_tick(struct job_store *s)
 {
 	struct waiting_read *r, *next;
 	int64_t now = now_ms();
+	struct slow_append *a;
 
+	while ((a = STAILQ_FIRST(&s->appends)) != NULL && a->due_ms <= now) {
+		STAILQ_REMOVE_HEAD(&s->appends, entries);
+		append(s, a->exchange, a->topic);
+		free(a);
+	}
 	for (r = LIST_FIRST(&s->reads); r != NULL; r = next) {
 		next = LIST_NEXT(r, entries);
 		if ((size_t)r->from >= r->topic->count && now < r->until_ms)
@@ -147,6 +166,16 @@
 job_store_ended(struct job_store *s, struct exchange *x)
 {
 	struct waiting_read *r, *next;
+	struct slow_append *a;
+
+	STAILQ_FOREACH(a, &s->appends, entries) {
+		if (a->exchange == x)
+			break;
+	}
+	if (a != NULL) {
+		STAILQ_REMOVE(&s->appends, a, slow_append, entries);
+		free(a);
+	}
 
 	for (r = LIST_FIRST(&s->reads); r != NULL; r = next) {
 		next = LIST_NEXT(r, entries);
@@ -230,6 +259,22 @@
 	job_store_tick(s);
 }
 
+static void
+take_append(struct job_store *s, struct exchange *x, struct topic *t)
+{
+	struct slow_append *a;
+
+	if (s->append_ms == 0) {
+		append(s, x, t);
+		return;
+	}
+	a = calloc(1, sizeof(*a));
+	a->exchange = x;
+	a->topic = t;
+	a->due_ms = now_ms() + s->append_ms;
+	STAILQ_INSERT_TAIL(&s->appends, a, entries);
+}
+
 static void
 read_records(struct job_store *s, struct exchange *x, struct topic *t)
 {
@@ -339,7 +384,8 @@
 
 /* Partition i belongs to the i-th member, round and round. */
 static void
-add_parts(struct job_store *s, struct json_object *rows, const char *only)
+add_parts(
+    struct job_store *s, struct json_object *rows, const char *only, bool all)
 {
 	struct json_object *row;
 	const struct member *m;
@@ -347,7 +393,7 @@
 
 	for (part = 0; part < PARTS && s->member_count > 0; part++) {
 		m = &s->members[(size_t)part % s->member_count];
-		if (only != NULL && strcmp(m->name, only) != 0)
+		if (only != NULL && !all && strcmp(m->name, only) != 0)
 			continue;
 		row = json_object_new_array();
 		json_object_array_add(row, json_object_new_string(m->topic));
@@ -393,7 +439,7 @@
 	m->until_ms = now_ms() + json_object_get_int64(ttl);
 	root = json_object_new_object();
 	rows = json_object_new_array();
-	add_parts(s, rows, m->name);
+	add_parts(s, rows, m->name, s->all);
 	json_object_object_add(
 	    root, "generation", json_object_new_int64(s->generation));
 	json_object_object_add(root, "parts", rows);
@@ -423,7 +469,7 @@
 	struct json_object *rows = json_object_new_array();
 
 	expire_members(s);
-	add_parts(s, rows, NULL);
+	add_parts(s, rows, NULL, false);
 	json_object_object_add(root, "parts", rows);
 	exchange_json(x, 200, root, 1);
 }
@@ -451,7 +497,7 @@
 	else if (t == NULL)
 		exchange_answer(x, 400, NULL);
 	else if (strcmp(x->path, "/log-append") == 0)
-		append(s, x, t);
+		take_append(s, x, t);
 	else if (strcmp(x->path, "/log-read") == 0)
 		read_records(s, x, t);
 	else if (strcmp(x->path, "/log-newest") == 0)
@@ -481,13 +527,27 @@
 	s->down = down;
 }
 
+void
+job_store_deal_all(struct job_store *s)
+{
+	s->all = true;
+}
+
+void
+job_store_slow(struct job_store *s, int append_ms)
+{
+	s->append_ms = append_ms;
+}
+
 struct job_store *
 job_store_new(void)
 {
 	struct job_store *s = calloc(1, sizeof(*s));
 
-	if (s != NULL)
-		LIST_INIT(&s->reads);
+	if (s == NULL)
+		return NULL;
+	LIST_INIT(&s->reads);
+	STAILQ_INIT(&s->appends);
 	return s;
 }
 
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -25,5 +25,9 @@
     struct job_store *s, const char *topic, const char *key, const char *value);
 /* The store takes no calls while it is down. */
 void job_store_down(struct job_store *s, bool down);
+/* The group's word is wrong from now on: each member holds everything. */
+void job_store_deal_all(struct job_store *s);
+/* Each append is carried out so long after it has come. */
+void job_store_slow(struct job_store *s, int append_ms);
 
 #endif
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -424,6 +424,12 @@
 	} else if (strcmp(x->path, "/store-down") == 0) {
 		job_store_down(world.store, true);
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/group-all") == 0) {
+		job_store_deal_all(world.store);
+		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-slow") == 0) {
+		job_store_slow(world.store, (int)exchange_int(x, "ms", 0));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-up") == 0) {
 		job_store_down(world.store, false);
 		exchange_answer(x, 200, NULL);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -115,8 +115,16 @@
 	    call(1, "GET", "/blue/", NULL, NULL, 0) == 200;
 }
 
+static bool
+platform_answers(void *arg)
+{
+	(void)arg;
+	return http_json(platform_port, "GET", "/judge", NULL, NULL) == 200;
+}
+
+/* The stand-in alone. */
 static void
-setup(void)
+setup_platform(void)
 {
 	char listen[32];
 	const char *argv[] = {
@@ -128,19 +136,34 @@
 	platform_port = free_port();
 	snprintf(listen, sizeof(listen), "127.0.0.1:%d", platform_port);
 	cr_assert_not_null(proc_start(procs, "platform", "standin-jobs", argv));
-	sleep_ms(100);
+	cr_assert(wait_until(platform_answers, NULL, LIMIT_MS));
 	publish(3);
 	for (i = 0; i < DAEMONS; i++) {
 		callers_port[i] = free_port();
 		ready_port[i] = free_port();
 		peer_port[i] = free_port();
-		start_daemon(i);
 	}
+}
+
+static void
+start_daemons(void)
+{
+	int i;
+
+	for (i = 0; i < DAEMONS; i++)
+		start_daemon(i);
 	for (i = 0; i < DAEMONS; i++)
 		cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
 	cr_assert(wait_until(pools_owned, NULL, LIMIT_MS));
 }
 
+static void
+setup(void)
+{
+	setup_platform();
+	start_daemons();
+}
+
 static void
 teardown(void)
 {
@@ -267,15 +290,17 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
-/* A request that comes late in a stop and finds no owner that answers. */
+/*
+ * A request that waits at the end of a stop for an owner that does not answer.
+ * It is handed in once the pools have left, long before the end.
+ */
 Test(jobs, a_planned_stop_answers_what_it_cannot_serve)
 {
 	int status;
 
 	proc_signal(daemons[0], SIGTERM);
-	sleep_ms(1500);
+	sleep_ms(1000);
 	proc_signal(daemons[1], SIGSTOP);
-	sleep_ms(800);
 	status = call(0, "POST", "/blue/00000000000000ee",
 	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
 	cr_expect(status == 503 || status == 504, "%d", status);
@@ -365,3 +390,63 @@
 	submit_every_kind();
 	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
 }
+
+/* "pool=NAME fence=N" of each take-over that a daemon has logged. */
+static size_t
+taken_fences(struct proc *p, char (*list)[64], size_t room)
+{
+	char *text = proc_output(p), *line, *end, *save = NULL;
+	size_t n = 0;
+
+	for (line = strtok_r(text, "\n", &save); line != NULL && n < room;
+	     line = strtok_r(NULL, "\n", &save)) {
+		line = strstr(line, "msg=\"pool taken over\" ");
+		if (line == NULL)
+			continue;
+		line += strlen("msg=\"pool taken over\" ");
+		end = strstr(line, " jobs=");
+		snprintf(list[n++], sizeof(*list), "%.*s",
+		    end != NULL ? (int)(end - line) : 0, line);
+	}
+	free(text);
+	return n;
+}
+
+static bool
+both_took_over(void *arg)
+{
+	char list[16][64];
+	int i;
+
+	(void)arg;
+	for (i = 0; i < DAEMONS; i++) {
+		if (taken_fences(daemons[i], list, 16) == 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Two daemons claimed a new pool at the same time under the same epoch and
+ * number: the store took the second for a repeat of the first and told both
+ * that they owned it.  Here the group deals everything to everyone.
+ */
+Test(claims, a_term_has_one_owner_however_claims_meet, .init = setup_platform,
+    .fini = teardown, .timeout = 60)
+{
+	char fences[DAEMONS][16][64];
+	size_t n[DAEMONS], i, k;
+	const char *slow = "/store-slow?ms=100", *all = "/group-all";
+
+	cr_assert_eq(http_json(platform_port, "POST", slow, "", NULL), 200);
+	cr_assert_eq(http_json(platform_port, "POST", all, "", NULL), 200);
+	for (i = 0; i < DAEMONS; i++)
+		start_daemon((int)i);
+	cr_assert(wait_until(both_took_over, NULL, LIMIT_MS));
+	for (i = 0; i < DAEMONS; i++)
+		n[i] = taken_fences(daemons[i], fences[i], 16);
+	for (i = 0; i < n[0]; i++) {
+		for (k = 0; k < n[1]; k++)
+			cr_expect_str_neq(fences[0][i], fences[1][k]);
+	}
+}
