front: a daemon that reaches nobody sends callers elsewhere sooner

A daemon that is not ready closes its callers' connections, and asks an owner for 150 ms only. Tests: reach::* (the first two fail with the old rule).

--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -18,9 +18,10 @@
 #define BUDGET_SPARE_MS 250 /* of a caller's time, for the way back */
 #define RETRY_MS 60 /* after an owner that had not taken it */
 #define TAKEOVER_MS 1500 /* a pool without an owner is waited for so long */
-#define TRY_TIMEOUT_MS 700 /* of one try at an owner */
+#define TRY_TIMEOUT_MS 700 /* of one try at an owner … */
+/* … and where the last ones were all in vain: ten times a healthy answer. */
+#define TRY_TIMEOUT_LOST_MS 150
 #define RETRY_AFTER_MS 1000 /* told where nobody knows better */
-#define STORE_SILENT_MS 3000 /* no answer of it or a peer: not ready */
 #define PATH_READY "/readiness"
 #define LINES_BYTES 128
 
@@ -47,6 +48,7 @@
 	LIST_HEAD(front_calls, front_call) calls;
 	size_t busy;
 	bool ending; /* the process ends: nothing is waited for */
+	bool told_ready; /* what the callers' balancer was told last */
 };
 
 static void front_try(struct front_call *c);
@@ -62,6 +64,13 @@
 	free(c);
 }
 
+static bool
+front_ready(const struct scheduler *s)
+{
+	return !s->stopping && s->config != NULL &&
+	    reach_ready(&s->reach, sched_now_us(), s->store_heard_us);
+}
+
 static void
 answer(struct front *f, uint64_t id, int status, struct buf *body,
     int retry_after_ms)
@@ -71,7 +80,8 @@
 	    .status = status,
 	    .lines = lines,
 	    .body = body,
-	    .close = f->scheduler->stopping,
+	    /* a kept connection would bring the caller back here */
+	    .close = !front_ready(f->scheduler),
 	};
 	int n;
 
@@ -119,6 +129,8 @@
 		f->scheduler->counts.refused++;
 	else if (status == 504)
 		f->scheduler->counts.unknown_outcome++;
+	if (status == 503 || status == 504)
+		reach_note(&f->scheduler->reach, sched_now_us(), false);
 	answer(f, c->id, status, body, retry_after_ms);
 	call_free(c);
 }
@@ -126,6 +138,9 @@
 static void
 finish_owner(struct front_call *c, const struct job_reply *r)
 {
+	/* an owner refuses also when it is cut off itself */
+	if (r->answer != POOL_OVERLOADED)
+		reach_note(&c->front->scheduler->reach, sched_now_us(), true);
 	switch (r->answer) {
 	case POOL_ACCEPTED:
 		count_handin(c);
@@ -241,6 +256,7 @@
 {
 	struct scheduler *s = c->front->scheduler;
 	int64_t left_ms = (c->until_us - sched_now_us()) / US_PER_MS;
+	int timeout_ms = TRY_TIMEOUT_MS;
 	struct endpoint to;
 	bool self;
 
@@ -257,9 +273,11 @@
 		retry_later(c);
 		return;
 	}
-	c->peer = peer_call_start(s, &to, &c->request,
-	    left_ms < TRY_TIMEOUT_MS ? (int)left_ms : TRY_TIMEOUT_MS, on_reply,
-	    c);
+	if (s->store_lost && reach_lost(&s->reach, sched_now_us()))
+		timeout_ms = TRY_TIMEOUT_LOST_MS;
+	if (left_ms < timeout_ms)
+		timeout_ms = (int)left_ms;
+	c->peer = peer_call_start(s, &to, &c->request, timeout_ms, on_reply, c);
 	if (c->peer == NULL)
 		retry_later(c);
 }
@@ -378,11 +396,19 @@
 {
 	struct front *f = arg;
 	struct scheduler *s = f->scheduler;
-	int64_t silent_ms = (sched_now_us() - s->store_heard_us) / US_PER_MS;
-	bool ready = !s->stopping && s->config != NULL &&
-	    silent_ms < STORE_SILENT_MS && strcmp(r->path, PATH_READY) == 0;
-	struct http_reply reply = {.status = ready ? 200 : 503, .lines = ""};
+	struct http_reply reply = {.lines = ""};
+	bool ready = front_ready(s);
 
+	if (ready != f->told_ready)
+		daemon_log(LOG_LEVEL_INFO, "front",
+		    "msg=\"%s\" store_heard_ms_ago=%lld served=%.1f "
+		    "unserved=%.1f",
+		    ready ? "callers may come" : "callers should go elsewhere",
+		    (long long)((sched_now_us() - s->store_heard_us) /
+			US_PER_MS),
+		    s->reach.served, s->reach.unserved);
+	f->told_ready = ready;
+	reply.status = ready && strcmp(r->path, PATH_READY) == 0 ? 200 : 503;
 	http_listener_answer(f->readiness, id, &reply);
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -15,6 +15,7 @@
 #include "daemon_log.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "reach.h"
 #include "store_wire.h"
 
 struct duty;
@@ -49,6 +50,7 @@
 	bool stopping; /* SIGTERM has come */
 	int64_t store_heard_us; /* newest answer of the store */
 	bool store_lost; /* as logged */
+	struct reach reach; /* of owners, by callers' requests */
 	struct scheduler_counts counts;
 };
 
