pool: no hold is due at a worker that has left

Cause: pool_next_us() counted the hold of a worker whose machine was moved away, pool_hold_due() did not send it. Change: one predicate for both. Test: pool::a_worker_that_has_left_makes_no_work, fails before.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1198,6 +1198,17 @@
 	step(w, w->owner, &ev);
 }
 
+void
+jobs_world_take_worker(struct jobs_world *w, int worker)
+{
+	struct pool_event ev = {.kind = POOL_CORDON};
+
+	jobs_world_crash_worker(w, worker);
+	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
+	ev.u.cordon.gone = true;
+	step(w, w->owner, &ev);
+}
+
 void
 jobs_world_store(struct jobs_world *w, bool down)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -76,6 +76,8 @@
 /* The entry in the store comes and goes. */
 void jobs_world_list_worker(struct jobs_world *w, int worker, bool listed);
 void jobs_world_cordon_worker(struct jobs_world *w, int worker);
+/* Its machine is taken away; its entry is still listed. */
+void jobs_world_take_worker(struct jobs_world *w, int worker);
 /* Writes of the present owner are not taken while the store is down. */
 void jobs_world_store(struct jobs_world *w, bool down);
 /*
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -166,15 +166,10 @@
 int64_t
 pool_next_us(const struct pool *p)
 {
-	const struct placed_worker *w;
-	int64_t next = p->now_us + TICK_US;
+	int64_t next = pool_next_hold_us(p, p->now_us + TICK_US);
 
 	if (p->place_due && p->place_after_us < next)
 		next = p->place_after_us;
-	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!w->hold_out && w->hold_due_us < next)
-			next = w->hold_due_us;
-	}
 	return next > p->now_us ? next : p->now_us + 1;
 }
 
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -132,6 +132,8 @@
 void pool_worker_gone(struct pool *p, const char *id);
 void pool_held(struct pool *p, const struct pool_event *ev);
 void pool_hold_due(struct pool *p);
+/* When the next hold is due; "latest_us" where none is earlier. */
+int64_t pool_next_hold_us(const struct pool *p, int64_t latest_us);
 void pool_cordon(struct pool *p, const struct pool_event *ev);
 /* The worker runs nothing any more that it was told to run. */
 void pool_worker_lost(struct pool *p, struct placed_worker *w, const char *why);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -344,6 +344,25 @@
 	}
 }
 
+/* A hold is to be sent at "hold_due_us". */
+static bool
+hold_waits(const struct placed_worker *w)
+{
+	return !w->hold_out && !w->left;
+}
+
+int64_t
+pool_next_hold_us(const struct pool *p, int64_t latest_us)
+{
+	const struct placed_worker *w;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (hold_waits(w) && w->hold_due_us < latest_us)
+			latest_us = w->hold_due_us;
+	}
+	return latest_us;
+}
+
 void
 pool_hold_due(struct pool *p)
 {
@@ -359,7 +378,7 @@
 			continue;
 		}
 		worker_advance_acks(p, w);
-		if (!w->hold_out && !w->left && p->now_us >= w->hold_due_us)
+		if (hold_waits(w) && p->now_us >= w->hold_due_us)
 			hold_send(p, w);
 	}
 }
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -377,3 +377,20 @@
 	cr_expect_eq(d.floor, 3);
 	expect_kept();
 }
+
+/*
+ * A worker whose machine was taken away is not held any more.  Its hold
+ * stayed due: the owner's loop did nothing else until the entry lapsed.
+ */
+Test(pool, a_worker_that_has_left_makes_no_work)
+{
+	int64_t next_us;
+
+	world = world_of(3);
+	jobs_world_run(world, 1000);
+	jobs_world_take_worker(world, 0);
+	jobs_world_run(world, 3000);
+	next_us = pool_next_us(jobs_world_pool(world));
+	cr_expect_gt(next_us, jobs_world_ms(world) * US_PER_MS + 1);
+	expect_kept();
+}
