roster: foreseen growth takes what others will not need

Change: foreseen growth takes idle machines beyond what their pool foresees itself. Test: machines::what_one_pool_will_not_need_goes_to_one_that_grows, fails before.

--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -125,7 +125,7 @@
 enum growth {
 	GROW_FLOOR, /* lasting tasks have no room: others give way */
 	GROW_NEED, /* takes what others do not need */
-	GROW_FORESEEN /* takes only machines that are off */
+	GROW_FORESEEN /* takes what others will not need either */
 };
 
 /* It runs nothing that would not end by itself soon. */
@@ -147,9 +147,10 @@
 		return 0;
 	if (goes_to_spare(f, m) || (from->spare && may_move(f, m)))
 		return 4;
-	if (g == GROW_FORESEEN || from->spare || !pool_fresh(f, from))
+	if (from->spare || !pool_fresh(f, from))
 		return 0;
-	if (may_move(f, m) && from->have > from->need)
+	if (may_move(f, m) &&
+	    from->have > (g == GROW_FORESEEN ? from->foreseen : from->need))
 		return 3;
 	if (g != GROW_FLOOR || from->have <= from->floor ||
 	    from->have <= POOL_MIN)
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -388,3 +388,18 @@
 	cr_expect_str_eq(machines[0].pool, "blue");
 	cr_expect_str_eq(machines[1].pool, "blue");
 }
+
+/*
+ * Between two turns the pool whose turn has ended held what it had needed for
+ * three more seconds, while the next one's demand rose.
+ */
+Test(machines, what_one_pool_will_not_need_goes_to_one_that_grows)
+{
+	offered[0] = 6000;
+	run(2500);
+	cr_assert_eq(in_pool("spare"), 0);
+	wanted[0] = offered[0] = 1000;
+	offered[1] = 6000;
+	run(2500);
+	cr_expect_geq(in_pool("green"), 7);
+}
