jobs: at the start of a turn the short average of arriving work counts

Cause: arriving work is averaged over 800 ms, so that a turn's level is told after a second; each machine comes 1.8 s after it was asked for. Change: averages over 300, 800 and 3,000 ms; while the long one is below half of the short one a turn has just begun, and the short one counts. Test: pool::a_turn_of_demand_is_told_at_its_start, after 0.3 s; fails before.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -9,11 +9,7 @@
 
 #define STARVED_MS 250 /* tasks that wait so long for room get a machine */
 #define CRAMPED_MS 1000 /* so long after a move was seen to find no room */
-/*
- * Arriving work is averaged over this: shorter than a turn of demand by
- * enough to tell its start before much has queued up.
- */
-#define OFFERED_TAU_MS 800
+#define TURN_BEGINS 2.0 /* times the long average */
 #define LATE_SHARE 0.2 /* of a late job's work that asks for machines */
 
 static void
@@ -51,15 +47,35 @@
 	}
 }
 
-static void
-offered_decay(struct pool *p)
+/*
+ * Arriving work is averaged over these.  The middle one tells a turn of
+ * demand from a bunch of jobs; while the long one is far below the short one,
+ * a turn has just begun, and the short one is the better guess.
+ */
+static const double offered_ms[OFFERED_SPANS] = {300, 800, 3000};
+
+static double
+offered_left(const struct pool *p, enum offered_span k)
 {
 	double ms = (double)(p->now_us - p->offered_us) / US_PER_MS;
-	double left = p->offered_us > 0 ? exp(-ms / OFFERED_TAU_MS) : 0;
 
-	p->offered.cpu *= left;
-	p->offered.memory_mb *= left;
-	p->offered.accelerators *= left;
+	return p->offered_us > 0 ? exp(-ms / offered_ms[k]) : 0;
+}
+
+static void
+offered_decay(struct pool *p)
+{
+	struct room *r;
+	double left;
+	int k;
+
+	for (k = 0; k < OFFERED_SPANS; k++) {
+		r = &p->offered[k];
+		left = offered_left(p, k);
+		r->cpu *= left;
+		r->memory_mb *= left;
+		r->accelerators *= left;
+	}
 	p->offered_us = p->now_us;
 }
 
@@ -71,18 +87,22 @@
 pool_note_offered(struct pool *p, const struct order *o,
     const struct queue_terms *t, int64_t ago_ms)
 {
-	double share, ratio = learned_ratio(p->learned, t->name);
+	double weight, ratio = learned_ratio(p->learned, t->name);
 	const struct order_step *s;
 	size_t i;
+	int k;
 
 	if (o->repetitions > 0 || order_lasts(o) || ago_ms < 0)
 		return;
 	offered_decay(p);
-	share = exp(-(double)ago_ms / OFFERED_TAU_MS) / OFFERED_TAU_MS;
 	for (i = 0; i < o->step_count; i++) {
 		s = &o->steps[i];
-		room_add(&p->offered, s,
-		    (double)s->count * (double)s->estimate_ms * ratio * share);
+		for (k = 0; k < OFFERED_SPANS; k++) {
+			weight = exp(-(double)ago_ms / offered_ms[k]);
+			room_add(&p->offered[k], s,
+			    (double)s->count * (double)s->estimate_ms * ratio *
+				weight / offered_ms[k]);
+		}
 	}
 }
 
@@ -147,6 +167,20 @@
 	return fmax(n, part(r->accelerators, p->typical_accelerators));
 }
 
+static struct room
+offered_now(const struct pool *p)
+{
+	const struct room *o = p->offered;
+
+	if (workers_for(p, &o[OFFERED_LONG]) * TURN_BEGINS <
+	    workers_for(p, &o[OFFERED_SHORT]))
+		return workers_for(p, &o[OFFERED_SHORT]) >
+			workers_for(p, &o[OFFERED_MIDDLE])
+		    ? o[OFFERED_SHORT]
+		    : o[OFFERED_MIDDLE];
+	return o[OFFERED_MIDDLE];
+}
+
 static bool
 goes_on_for(const struct pool *p, int64_t since_us, int ms)
 {
@@ -184,7 +218,8 @@
 	    d->floor < one_more)
 		d->floor = one_more;
 	offered_decay(p);
-	offered = room_sum(&p->offered, &lasting);
+	offered = offered_now(p);
+	offered = room_sum(&offered, &lasting);
 	once = room_sum(&once, &lasting);
 	d->wanted_milli = (int64_t)(workers_for(p, &once) * 1000);
 	d->offered_milli = (int64_t)(workers_for(p, &offered) * 1000);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -65,6 +65,13 @@
 	UT_hash_handle hh;
 };
 
+enum offered_span {
+	OFFERED_SHORT,
+	OFFERED_MIDDLE,
+	OFFERED_LONG,
+	OFFERED_SPANS
+};
+
 /* Room that tasks take up, or could. */
 struct room {
 	double cpu, memory_mb, accelerators;
@@ -86,8 +93,12 @@
 	int64_t cramped_us; /* one that is to move was seen to find none */
 	double typical_count, typical_cpu, typical_memory_mb,
 	    typical_accelerators;
-	struct room offered; /* that arriving work takes up in the long run … */
-	int64_t offered_us; /* … as of then; 0: none has arrived */
+	/*
+	 * Room that arriving work takes up in the long run, averaged over
+	 * times of different length, as of then; 0: none has arrived.
+	 */
+	struct room offered[OFFERED_SPANS];
+	int64_t offered_us;
 	bool workers_changed; /* since they were recorded */
 	struct learned *learned; /* by queue */
 	uint64_t serial; /* newest write */
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -176,8 +176,8 @@
 
 /*
  * The load: a queue's turn begins.  Jobs of 4 core-seconds, ten a second, take
- * up 5 workers of 8 cores once as many end as arrive; the pool says so within
- * a second, while a tenth of that is at work.
+ * up 5 workers of 8 cores once as many end as arrive; the pool says so while a
+ * tenth of that is at work: 2 after 0.3 s, 2.5 after a second.
  */
 Test(pool, a_turn_of_demand_is_told_at_its_start)
 {
@@ -185,7 +185,13 @@
 	int i;
 
 	world = world_of(1);
-	for (i = 0; i < 10; i++) {
+	for (i = 0; i < 3; i++) {
+		submit(2, 4, 1000, 500, NULL);
+		jobs_world_run(world, 100);
+	}
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_geq(d.offered_milli, 2000);
+	for (i = 0; i < 7; i++) {
 		submit(2, 4, 1000, 500, NULL);
 		jobs_world_run(world, 100);
 	}
