--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -8,6 +8,8 @@
 
 #include <uthash.h>
 
+#include "slope.h"
+
 #define START_MS 1000000 /* Unix time at the beginning */
 #define LEASE_MS 4000
 #define GIVE_UP_MS 3000 /* of an owner that the store does not confirm */
@@ -129,6 +131,7 @@
 	uint64_t next_id;
 	struct jobs_verdict verdict;
 	uint64_t starts;
+	double step_us;
 };
 
 static struct queue_terms terms = {.name = "queue",
@@ -729,7 +732,11 @@
 	ev->now_us = w->ms * US_PER_MS;
 	ev->now_ms = START_MS + w->ms;
 	memset(&fx, 0, sizeof(fx));
+	if (w->opts.timed)
+		w->step_us -= cpu_us();
 	pool_step(o->pool, ev, &fx);
+	if (w->opts.timed)
+		w->step_us += cpu_us();
 	for (i = 0; i < fx.count; i++)
 		run_effect(w, owner, &fx.list[i]);
 	pool_effects_uninit(&fx);
@@ -1198,6 +1205,12 @@
 	step(w, w->owner, &ev);
 }
 
+double
+jobs_world_step_us(const struct jobs_world *w)
+{
+	return w->step_us;
+}
+
 void
 jobs_world_take_worker(struct jobs_world *w, int worker)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -13,7 +13,7 @@
 
 #include "pool.h"
 
-#define JOBS_WORLD_WORKERS 16
+#define JOBS_WORLD_WORKERS 350
 
 struct jobs_world;
 
@@ -29,6 +29,7 @@
 	double fail; /* share of runs that fail */
 	double estimate_spread; /* true time: estimate times 1 ± this */
 	bool guarded; /* workers refuse what does not fit */
+	bool timed; /* the reducer's processor time is measured */
 };
 
 /* What went wrong, 0 each on a world that kept its promises. */
@@ -68,6 +69,9 @@
 size_t jobs_world_completed(
     const struct jobs_world *w, int64_t *ms, size_t room);
 
+/* Processor time of the reducer, in microseconds; 0 unless "timed". */
+double jobs_world_step_us(const struct jobs_world *w);
+
 /* Faults. */
 void jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut);
 void jobs_world_crash_worker(struct jobs_world *w, int worker);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -113,6 +113,8 @@
 	bool inherited; /* accepted by an owner before this one */
 	uint64_t order_serial; /* write that stores the order */
 	bool dirty; /* progress differs from what was written */
+	bool touched; /* in the pool's list of those to look at */
+	TAILQ_ENTRY(job) touches;
 	int64_t ended_ms; /* Unix time of the final state */
 	UT_hash_handle hh; /* by id */
 	TAILQ_ENTRY(job) entries; /* unfinished or finished, in the pool */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -24,6 +24,7 @@
 	p->next_due_ms = INT64_MAX;
 	TAILQ_INIT(&p->active);
 	TAILQ_INIT(&p->finished);
+	TAILQ_INIT(&p->touched);
 	STAILQ_INIT(&p->pending);
 	return p;
 }
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -190,6 +190,7 @@
 	j->state = state;
 	j->ended_ms = p->now_ms;
 	j->dirty = true;
+	pool_touch_job(p, j);
 	stop_all(p, j);
 	p->place_due = true;
 }
@@ -290,13 +291,23 @@
 		p->stats.failed++;
 }
 
+void
+pool_touch_job(struct pool *p, struct job *j)
+{
+	if (j->touched)
+		return;
+	j->touched = true;
+	TAILQ_INSERT_TAIL(&p->touched, j, touches);
+}
+
 void
 pool_flush_jobs(struct pool *p)
 {
-	struct job *j, *next;
+	struct job *j;
 
-	for (j = TAILQ_FIRST(&p->active); j != NULL; j = next) {
-		next = TAILQ_NEXT(j, entries);
+	while ((j = TAILQ_FIRST(&p->touched)) != NULL) {
+		TAILQ_REMOVE(&p->touched, j, touches);
+		j->touched = false;
 		if (j->dirty)
 			write_progress(p, j);
 		if (!job_final(j))
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -100,6 +100,7 @@
 		if (due_ms > p->now_ms || job_begin_occurrence(j) == NULL)
 			break;
 		j->dirty |= j->order->repetitions > 0;
+		pool_touch_job(p, j);
 	}
 	if (due_ms < p->next_due_ms)
 		p->next_due_ms = due_ms;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -53,6 +53,7 @@
 	t->percent = 0;
 	t->pace = 100;
 	p->place_due = true;
+	pool_touch_job(p, t->step->occurrence->job);
 }
 
 void
@@ -224,6 +225,7 @@
 
 	if (t == NULL) /* finished or cancelled, and filed */
 		return;
+	pool_touch_job(p, j);
 	placed = t->worker == w && t->run == r->run;
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"run has ended\" job=%s task=%u.%u.%u run=%lld worker=%s "
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -86,6 +86,7 @@
 	int64_t settle_until_us; /* silent workers may run tasks until then */
 	struct job *jobs; /* all, by id */
 	TAILQ_HEAD(job_list, job) active, finished;
+	struct job_list touched; /* changed since the last flush */
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
@@ -174,6 +175,8 @@
 void pool_look(struct pool *p, const struct pool_event *ev);
 void pool_count(struct pool *p, const struct pool_event *ev);
 void pool_fail_job(struct pool *p, struct job *j, const struct task *t);
+/* A task or the state of a job has changed: pool_flush_jobs() looks at it. */
+void pool_touch_job(struct pool *p, struct job *j);
 /* Writes what has changed and files jobs that have ended. */
 void pool_flush_jobs(struct pool *p);
 void pool_forget_old(struct pool *p);
