jobs: a policy is asked about further workers while a step finds no room

Cause, found by reading: the question named the first 30 usable workers with room, always the same ones, and its answer replaced the one before. In a pool of more than 30 a step whose allowed workers came later never started; where the allowed ones were full, it waited though others were idle. Change: pool_advice.c keeps what was said of each worker in its life (what is not allowed stays so, a ticket until it runs out) and asks about those that nothing is known of, 30 at a time, while tasks find no room; after a refusal it waits 200 ms. Test: pool::a_policy_is_asked_until_a_worker_is_found (64 workers, the last two allowed); before, no task started.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -131,6 +131,8 @@
 	uint64_t next_id;
 	struct jobs_verdict verdict;
 	uint64_t starts;
+	struct pool_effect question; /* the policy's, until it answers … */
+	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
 };
 
@@ -666,6 +668,19 @@
 	}
 }
 
+static void
+ask_policy(struct jobs_world *w, const struct pool_effect *x)
+{
+	size_t bytes = x->u.advise.count * sizeof(x->u.advise.workers[0]);
+
+	if (w->answer_ms != 0)
+		free(w->question.u.advise.workers);
+	w->question = *x;
+	w->question.u.advise.workers = malloc(bytes + 1);
+	memcpy(w->question.u.advise.workers, x->u.advise.workers, bytes);
+	w->answer_ms = w->ms + w->opts.policy_ms;
+}
+
 static void
 run_effect(struct jobs_world *w, int owner, const struct pool_effect *x)
 {
@@ -710,12 +725,42 @@
 			fprintf(stderr, "%6lld owner=%d %s\n", (long long)w->ms,
 			    owner, x->u.log.line);
 		break;
-	case POOL_PACE:
 	case POOL_ADVISE:
+		ask_policy(w, x);
+		break;
+	case POOL_PACE:
 		break;
 	}
 }
 
+/* Answers for the workers named that it allows. */
+static void
+run_policy(struct jobs_world *w)
+{
+	struct pool_event ev = {.kind = POOL_ADVISED};
+	struct step_ticket list[POOL_ADVISE_MAX];
+	size_t i;
+
+	if (w->answer_ms == 0 || w->ms < w->answer_ms)
+		return;
+	w->answer_ms = 0;
+	ev.u.advised.step = w->question.u.advise.step;
+	ev.u.advised.ok = true;
+	ev.u.advised.valid_ms = 3000;
+	ev.u.advised.list = list;
+	for (i = 0; i < w->question.u.advise.count; i++) {
+		if (atoi(w->question.u.advise.workers[i] + strlen("w-")) <
+		    w->opts.allowed_from)
+			continue;
+		snprintf(list[ev.u.advised.count].worker, NAME_BYTES, "%s",
+		    w->question.u.advise.workers[i]);
+		snprintf(
+		    list[ev.u.advised.count++].ticket, SAVED_BYTES, "ticket");
+	}
+	free(w->question.u.advise.workers);
+	step(w, w->owner, &ev);
+}
+
 static void
 step(struct jobs_world *w, int owner, struct pool_event *ev)
 {
@@ -975,6 +1020,7 @@
 		if (w->ms % LOOK_MS == 0)
 			look_at_jobs(w);
 		run_workers(w);
+		run_policy(w);
 		deliver(w);
 		for (i = 0; i <= w->owner; i++) {
 			if (w->owners[i].alive &&
@@ -1088,6 +1134,7 @@
 
 	ev.u.submit.token = token_new(w, known_job(w, id));
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
+	terms.advised = w->opts.allowed_from > 0;
 	ev.u.submit.terms = &terms;
 	ev.u.submit.order = order;
 	step(w, w->owner, &ev);
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -29,6 +29,9 @@
 	double fail; /* share of runs that fail */
 	double estimate_spread; /* true time: estimate times 1 ± this */
 	bool guarded; /* workers refuse what does not fit */
+	int allowed_from; /* the policy allows workers from this on; 0: none
+			     asked */
+	int policy_ms; /* until it answers */
 	bool timed; /* the reducer's processor time is measured */
 };
 
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -24,12 +24,18 @@
 static void
 step_uninit(struct job_step *s)
 {
+	struct step_verdict *v, *next;
 	unsigned i;
 
 	for (i = 0; s->tasks != NULL && i < s->order->count; i++)
 		free(s->tasks[i].saved);
 	free(s->tasks);
-	free(s->advice.list);
+	free(s->advice.named);
+	HASH_ITER(hh, s->advice.verdicts, v, next)
+	{
+		HASH_DEL(s->advice.verdicts, v);
+		free(v);
+	}
 }
 
 static void
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -62,19 +62,29 @@
 	uint64_t reports; /* of its worker, when it was listed last */
 };
 
-/* Workers that a queue's policy allows for a step. */
+/* What a queue's policy says of a worker that may run a step. */
 struct step_ticket {
+	char worker[NAME_BYTES];
+	char ticket[SAVED_BYTES];
+};
+
+/* What it has said of a worker, in this life of the worker. */
+struct step_verdict {
 	char worker[NAME_BYTES];
 	int64_t born_ms;
+	bool allowed; /* what is not, never will be */
 	char ticket[SAVED_BYTES];
+	int64_t until_us; /* the ticket holds */
+	UT_hash_handle hh; /* by worker */
 };
 
 struct step_advice {
 	bool asked; /* an answer is due */
-	int64_t asked_us;
-	int64_t until_us; /* tickets hold; 0: none yet */
-	struct step_ticket *list;
-	size_t count;
+	bool refused; /* the last question was not answered */
+	int64_t asked_us; /* newest question; 0 none … */
+	char (*named)[NAME_BYTES]; /* … and its workers */
+	size_t named_count;
+	struct step_verdict *verdicts;
 };
 
 /* A step of one occurrence. */
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -14,9 +14,6 @@
 #define SPARE_SHARE 0.1
 #define SPARE_MS 80 /* … and so much more: orders, holds, a look */
 #define LOCAL_WAIT 0.5 /* of the time that running away from the data costs */
-#define ADVISE_WORKERS 30 /* workers of one question to the policy */
-#define ADVISE_AGAIN_MS 1500 /* a question that got no answer */
-#define ADVISE_SPARE_MS 200 /* a ticket must hold so long yet */
 
 static int
 compare_candidates(const void *a, const void *b)
@@ -160,8 +157,8 @@
 	return w->report.label_count > 1 ? w->report.labels[1] : "";
 }
 
-static bool
-has_room(const struct placed_worker *w, const struct order_step *s)
+bool
+worker_has_room(const struct placed_worker *w, const struct order_step *s)
 {
 	return w->cpu + order_step_cpu(s) <= w->report.cpu &&
 	    w->memory_mb + s->memory_mb <= w->report.memory_mb &&
@@ -190,22 +187,6 @@
 	return n;
 }
 
-const struct step_ticket *
-step_ticket_for(
-    const struct job_step *s, const struct placed_worker *w, int64_t now_us)
-{
-	size_t i;
-
-	if (now_us + ADVISE_SPARE_MS * US_PER_MS > s->advice.until_us)
-		return NULL;
-	for (i = 0; i < s->advice.count; i++) {
-		if (strcmp(s->advice.list[i].worker, w->report.id) == 0 &&
-		    s->advice.list[i].born_ms == w->report.born_ms)
-			return &s->advice.list[i];
-	}
-	return NULL;
-}
-
 static bool
 may_run(
     const struct pool *p, const struct placed_worker *w, const struct task *t)
@@ -213,7 +194,7 @@
 	const struct order_step *s = t->step->order;
 
 	if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
-	    !has_room(w, s))
+	    !worker_has_room(w, s))
 		return false;
 	if (s->label[0] != '\0' && !has_label(w, s->label))
 		return false;
@@ -387,41 +368,6 @@
 	}
 }
 
-/* True once the policy has said where the step may run. */
-static bool
-step_advised(struct pool *p, struct job_step *s)
-{
-	const struct placed_worker *w;
-	struct pool_effect *x;
-	char(*list)[NAME_BYTES];
-	size_t n = 0;
-
-	if (!s->occurrence->job->terms.advised ||
-	    p->now_us + ADVISE_SPARE_MS * US_PER_MS <= s->advice.until_us)
-		return true;
-	if (s->advice.asked &&
-	    p->now_us - s->advice.asked_us < ADVISE_AGAIN_MS * US_PER_MS)
-		return false;
-	list = calloc(ADVISE_WORKERS, sizeof(*list));
-	if (list == NULL)
-		abort(); /* the step would wait without a question */
-	for (w = p->workers; w != NULL && n < ADVISE_WORKERS; w = w->hh.next) {
-		if (worker_usable(p, w) && has_room(w, s->order))
-			snprintf(list[n++], NAME_BYTES, "%s", w->report.id);
-	}
-	if (n == 0) {
-		free(list);
-		return false;
-	}
-	x = fx_add(p, POOL_ADVISE);
-	task_name_of(&s->tasks[0], &x->u.advise.step);
-	x->u.advise.workers = list;
-	x->u.advise.count = n;
-	s->advice.asked = true;
-	s->advice.asked_us = p->now_us;
-	return false;
-}
-
 static void
 place_occurrence(struct pool *p, struct occurrence *o)
 {
@@ -430,12 +376,14 @@
 
 	for (i = 0; i < o->job->order->step_count; i++) {
 		s = &o->steps[i];
-		if (!step_open(s) || !step_advised(p, s))
+		if (!step_open(s))
 			continue;
 		if (s->order->gang)
 			place_gang(p, s);
 		else
 			place_tasks(p, s);
+		if (step_open(s) && o->job->terms.advised)
+			pool_ask_policy(p, s);
 	}
 }
 
@@ -471,39 +419,3 @@
 	note_since(&p->starved_since_us, starved, p->now_us);
 	note_since(&p->lasting_starved_us, lasting_starved, p->now_us);
 }
-
-void
-pool_advised(struct pool *p, const struct pool_event *ev)
-{
-	struct job *j = pool_find_job(p, ev->u.advised.step.job);
-	struct task *t = j != NULL ? job_task(j, &ev->u.advised.step) : NULL;
-	const struct placed_worker *w;
-	struct step_advice *a;
-	size_t i, bytes;
-
-	if (t == NULL)
-		return;
-	a = &t->step->advice;
-	a->asked = false;
-	if (!ev->u.advised.ok)
-		return;
-	free(a->list);
-	a->count = ev->u.advised.count;
-	bytes = a->count * sizeof(*a->list);
-	a->list = malloc(bytes + 1);
-	if (a->list == NULL) {
-		a->count = 0;
-		return;
-	}
-	memcpy(a->list, ev->u.advised.list, bytes);
-	for (i = 0; i < a->count; i++) {
-		w = pool_find_worker(p, a->list[i].worker);
-		a->list[i].born_ms = w != NULL ? w->report.born_ms : 0;
-	}
-	a->until_us = a->asked_us + (int64_t)ev->u.advised.valid_ms * US_PER_MS;
-	p->place_due = true;
-	fx_log(p, LOG_LEVEL_INFO,
-	    "msg=\"policy has answered\" job=%s step=%u "
-	    "workers=%zu",
-	    j->id, t->step->number, a->count);
-}
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -60,7 +60,7 @@
 task_start(struct pool *p, struct task *t, int64_t run)
 {
 	struct placed_worker *w = t->worker;
-	const struct step_ticket *ticket;
+	const char *ticket;
 	struct pool_effect *x = fx_add(p, POOL_START);
 
 	t->place = PLACE_STARTING;
@@ -79,7 +79,7 @@
 		snprintf(x->u.start.saved, SAVED_BYTES, "%s", t->saved);
 	ticket = step_ticket_for(t->step, w, p->now_us);
 	if (ticket != NULL)
-		snprintf(x->u.start.ticket, SAVED_BYTES, "%s", ticket->ticket);
+		snprintf(x->u.start.ticket, SAVED_BYTES, "%s", ticket);
 	p->stats.starts++;
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"starts a run\" job=%s task=%u.%u.%u run=%lld worker=%s "
@@ -292,7 +292,7 @@
 	if (end == ORDER_END_NO_ROOM)
 		w->full_until_us = p->now_us + FULL_MS * US_PER_MS;
 	else if (end == ORDER_END_NO_TICKET)
-		t->step->advice.until_us = 0;
+		step_ticket_refused(t->step, w);
 	else if (end != ORDER_END_OLD)
 		w->shunned_until_us = p->now_us + FULL_MS * US_PER_MS;
 	if (t->step->order->gang)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -187,9 +187,18 @@
 /* Another worker has room for a task that is placed. */
 bool task_fits_elsewhere(struct pool *p, const struct task *t);
 size_t worker_lasting_tasks(const struct placed_worker *w);
-void pool_advised(struct pool *p, const struct pool_event *ev);
-const struct step_ticket *step_ticket_for(
+
+bool worker_has_room(const struct placed_worker *w, const struct order_step *s);
+
+/* pool_advice.c */
+/* NULL: the policy allows none, or has not been asked. */
+const char *step_ticket_for(
     const struct job_step *s, const struct placed_worker *w, int64_t now_us);
+/* The worker does not take it any more. */
+void step_ticket_refused(struct job_step *s, const struct placed_worker *w);
+/* About workers that it was not asked about yet, unless an answer is due. */
+void pool_ask_policy(struct pool *p, struct job_step *s);
+void pool_advised(struct pool *p, const struct pool_event *ev);
 
 /* pool_demand.c */
 void pool_note_offered(struct pool *p, const struct order *o,
--- a/src/platform/advice_wire.c
+++ b/src/platform/advice_wire.c
@@ -36,6 +36,10 @@
 	if (!json_object_is_type(id, json_type_string) ||
 	    !json_object_is_type(ticket, json_type_string))
 		return false;
+	/* a ticket that is cut off would be refused */
+	if ((size_t)json_object_get_string_len(id) >= sizeof(t->worker) ||
+	    (size_t)json_object_get_string_len(ticket) >= sizeof(t->ticket))
+		return false;
 	snprintf(
 	    t->worker, sizeof(t->worker), "%s", json_object_get_string(id));
 	snprintf(
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -400,3 +400,30 @@
 	cr_expect_gt(next_us, jobs_world_ms(world) * US_PER_MS + 1);
 	expect_kept();
 }
+
+/*
+ * The policy was asked about the first 30 workers with room alone, whatever
+ * it said of them.
+ */
+Test(pool, a_policy_is_asked_until_a_worker_is_found)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = 64,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .allowed_from = 62,
+	    .policy_ms = 40,
+	};
+
+	world = jobs_world_new(&o);
+	submit(1, 12, 1000, 500, NULL);
+	jobs_world_run(world, 300);
+	cr_expect_eq(
+	    jobs_world_tasks_on(world, 62) + jobs_world_tasks_on(world, 63),
+	    12);
+	jobs_world_run(world, 3000);
+	expect_kept();
+}
