--- a/bench/bench_demo.c
+++ b/bench/bench_demo.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "callers.h"
+#include "demo_jobs.h"
 #include "fleet.h"
 #include "http_json.h"
 #include "judge.h"
@@ -364,6 +365,26 @@
 	    "", d->publish_code[0] == 0 && d->publish_code[1] == 0, "0");
 }
 
+static void
+demo_jobs(struct demo *d)
+{
+	struct demo_jobs j;
+
+	printf("\njobs: two daemons of the scheduler, one of them killed\n");
+	fflush(stdout);
+	demo_jobs_run(&j);
+	row(d, "jobs handed in", j.handed_in, "", true, "");
+	row(d, "jobs accepted", j.accepted, "", j.accepted == j.handed_in,
+	    "all, with retries");
+	row(d, "jobs completed", j.completed, "", true, "");
+	row(d, "jobs cancelled", j.cancelled, "", true, "");
+	row(d, "jobs that were accepted and have not ended",
+	    j.accepted - j.completed - j.cancelled, "", j.finished, "0");
+	row(d, "tasks run twice", j.twice, "", j.twice == 0, "0");
+	row(d, "handed in to first start, median", j.start_p50_ms, "ms", true,
+	    "");
+}
+
 int
 main(void)
 {
@@ -380,6 +401,7 @@
 	demo_table(&d);
 	callers_free(d.callers);
 	fleet_free(d.fleet);
+	demo_jobs(&d);
 	printf("%s after %lld s\n",
 	    d.failures == 0 ? "every promise held" : "PROMISES BROKEN",
 	    (long long)((clock_ms() - begun) / 1000));
--- /dev/null
+++ b/bench/job_fleet.c
@@ -0,0 +1,155 @@
+#include "job_fleet.h"
+
+#include <err.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http_json.h"
+
+#define START_LIMIT_MS 30000
+#define CONFIG_VERSION 3
+
+static const char settings_format[] =
+    "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
+    "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
+    "\"portRange\":[%d,%d],\"heartbeatMs\":1000,"
+    "\"bounds\":{\"holdMaxMs\":6000,\"stopTimeoutMs\":200,\"status_s\":60,"
+    "\"maintenanceS\":0.2,\"migrateS\":0.2,\"leaseMs\":300},"
+    "\"advice\":\"127.0.0.1:%d\","
+    "\"platform\":{\"addr\":\"127.0.0.1:%d\",\"parts\":8,"
+    "\"ttlMinMs\":500},"
+    "\"cloudApi\":{\"addr\":\"127.0.0.1:%d\",\"dutyPerS\":64}}";
+
+static const char config_format[] =
+    "{\"configVersion\":%d,\"routes\":["
+    "{\"name\":\"r-blue\",\"host\":\"jobs.example\",\"pathPrefix\":\"/blue/\","
+    "\"service\":\"blue\",\"maxAttempts\":3,\"stretch\":1.6,"
+    "\"targetLatencyMs\":600},"
+    "{\"name\":\"r-green\",\"host\":\"jobs.example\","
+    "\"pathPrefix\":\"/blue/green/\",\"service\":\"green\","
+    "\"maxAttempts\":2,\"stretch\":2,\"targetLatencyMs\":600,"
+    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.1,\"validityMs\":3000}}],"
+    "\"services\":[{\"name\":\"blue\",\"admissionControl\":true},"
+    "{\"name\":\"green\",\"admissionControl\":true}]}";
+
+int
+job_fleet_put(const struct job_fleet *f, const char *topic, const char *key,
+    const char *value)
+{
+	char path[128];
+
+	snprintf(path, sizeof(path), "/put?topic=%s&key=%s", topic, key);
+	return http_json(f->platform_port, "POST", path, value, NULL);
+}
+
+static bool
+platform_answers(void *arg)
+{
+	const struct job_fleet *f = arg;
+
+	return http_json(f->platform_port, "GET", "/judge", NULL, NULL) == 200;
+}
+
+struct job_fleet *
+job_fleet_new(void)
+{
+	char listen[32], text[sizeof(config_format) + 16];
+	const char *argv[] = {
+	    "--listen", listen, "--workers", "4", "--task-ms", "60", NULL};
+	struct job_fleet *f;
+	int i;
+
+	f = calloc(1, sizeof(*f));
+	if (f == NULL)
+		err(1, "no memory for the fleet");
+	f->procs = procs_new();
+	f->platform_port = free_port();
+	snprintf(listen, sizeof(listen), "127.0.0.1:%d", f->platform_port);
+	if (proc_start(f->procs, "platform", "standin-jobs", argv) == NULL ||
+	    !wait_until(platform_answers, f, START_LIMIT_MS))
+		errx(1, "the stand-in of the platform does not answer");
+	snprintf(text, sizeof(text), config_format, CONFIG_VERSION);
+	if (job_fleet_put(f, "keyed.op", "config", text) != 200)
+		errx(1, "the stand-in does not take the configuration");
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		f->callers_port[i] = free_port();
+		f->ready_port[i] = free_port();
+		f->peer_port[i] = free_port();
+	}
+	return f;
+}
+
+void
+job_fleet_free(struct job_fleet *f)
+{
+	if (f == NULL)
+		return;
+	procs_free(f->procs);
+	free(f);
+}
+
+void
+job_fleet_start(struct job_fleet *f, int i)
+{
+	char name[32], path[160], text[2048];
+	const char *argv[] = {"schedule", "-c", path, NULL};
+
+	snprintf(text, sizeof(text), settings_format, i, f->callers_port[i],
+	    f->ready_port[i], f->peer_port[i], f->peer_port[i],
+	    f->platform_port, f->platform_port, f->platform_port);
+	snprintf(name, sizeof(name), "boot-%d.json", i);
+	procs_write(f->procs, name, text, path, sizeof(path));
+	snprintf(name, sizeof(name), "daemon-%d", i);
+	f->daemons[i] = proc_start(f->procs, name, "mimosalead", argv);
+	if (f->daemons[i] == NULL)
+		err(1, "daemon %d cannot be started", i);
+}
+
+bool
+job_fleet_ready(const struct job_fleet *f, int i)
+{
+	return http_json(f->ready_port[i], "GET", "/readiness", NULL, NULL) ==
+	    200;
+}
+
+bool
+job_fleet_owned(const struct job_fleet *f)
+{
+	return job_fleet_call(f, 0, "GET", "/blue/", NULL, NULL, 0) == 200 &&
+	    job_fleet_call(f, 0, "GET", "/blue/green/", NULL, NULL, 0) == 200 &&
+	    job_fleet_call(f, 1, "GET", "/blue/", NULL, NULL, 0) == 200;
+}
+
+int
+job_fleet_call(const struct job_fleet *f, int i, const char *method,
+    const char *path, const char *body, char *out, size_t size)
+{
+	struct headers h = {.count = 0};
+	struct answer *a = NULL;
+	int status;
+
+	headers_add(&h, "host", "jobs.example");
+	status = http_raw(f->callers_port[i], method, path, &h, body, &a);
+	if (out != NULL)
+		snprintf(out, size, "%.*s",
+		    a != NULL && a->body != NULL ? (int)a->body->len : 0,
+		    a != NULL && a->body != NULL ? (char *)a->body->data : "");
+	answer_unref(a);
+	headers_uninit(&h);
+	return status;
+}
+
+int64_t
+job_fleet_judged(const struct job_fleet *f, const char *what)
+{
+	struct json_object *o = NULL;
+	int64_t n;
+
+	if (http_json(f->platform_port, "GET", "/judge", NULL, &o) != 200)
+		return -1;
+	n = json_int(o, what, -1);
+	json_object_put(o);
+	return n;
+}
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -7,167 +7,66 @@
 #include <criterion/criterion.h>
 
 #include "http_json.h"
-#include "proc.h"
+#include "job_fleet.h"
 
 #define LIMIT_MS 30000 /* generous: every wait ends on its condition */
-#define DAEMONS 2
 #define JOBS_MAX 32
 
-static struct procs *procs;
-static struct proc *daemons[DAEMONS];
-static int platform_port, callers_port[DAEMONS], ready_port[DAEMONS];
-static int peer_port[DAEMONS];
+static struct job_fleet *fleet;
 static char paths[JOBS_MAX][64];
 static size_t job_count;
 
-static const char settings_format[] =
-    "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
-    "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
-    "\"portRange\":[%d,%d],\"heartbeatMs\":1000,"
-    "\"bounds\":{\"holdMaxMs\":6000,\"stopTimeoutMs\":200,\"status_s\":60,"
-    "\"maintenanceS\":0.2,\"migrateS\":0.2,\"leaseMs\":300},"
-    "\"advice\":\"127.0.0.1:%d\","
-    "\"platform\":{\"addr\":\"127.0.0.1:%d\",\"parts\":8,"
-    "\"ttlMinMs\":500},"
-    "\"cloudApi\":{\"addr\":\"127.0.0.1:%d\",\"dutyPerS\":64}}";
-
-static const char config_text[] =
-    "{\"configVersion\":%d,\"routes\":["
-    "{\"name\":\"r-blue\",\"host\":\"jobs.example\",\"pathPrefix\":\"/blue/\","
-    "\"service\":\"blue\",\"maxAttempts\":3,\"stretch\":1.6,"
-    "\"targetLatencyMs\":600},"
-    "{\"name\":\"r-green\",\"host\":\"jobs.example\","
-    "\"pathPrefix\":\"/blue/green/\",\"service\":\"green\","
-    "\"maxAttempts\":2,\"stretch\":2,\"targetLatencyMs\":600,"
-    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.1,\"validityMs\":3000}}],"
-    "\"services\":[{\"name\":\"blue\",\"admissionControl\":true},"
-    "{\"name\":\"green\",\"admissionControl\":true}]}";
-
-static void
-put(const char *topic, const char *key, const char *value)
-{
-	char path[128];
-
-	snprintf(path, sizeof(path), "/put?topic=%s&key=%s", topic, key);
-	cr_assert_eq(http_json(platform_port, "POST", path, value, NULL), 200);
-}
-
-static void
-publish(int version)
-{
-	char text[sizeof(config_text) + 16];
-
-	snprintf(text, sizeof(text), config_text, version);
-	put("keyed.op", "config", text);
-}
-
-static void
-start_daemon(int i)
-{
-	char name[32], path[160], text[2048];
-	const char *argv[] = {"schedule", "-c", path, NULL};
-
-	snprintf(text, sizeof(text), settings_format, i, callers_port[i],
-	    ready_port[i], peer_port[i], peer_port[i], platform_port,
-	    platform_port, platform_port);
-	snprintf(name, sizeof(name), "boot-%d.json", i);
-	procs_write(procs, name, text, path, sizeof(path));
-	snprintf(name, sizeof(name), "daemon-%d", i);
-	daemons[i] = proc_start(procs, name, "mimosalead", argv);
-	cr_assert_not_null(daemons[i]);
-}
-
-/* One request of a caller; the status, or -1 where there was no answer. */
 static int
 call(int daemon, const char *method, const char *path, const char *body,
     char *out, size_t size)
 {
-	struct headers h = {.count = 0};
-	struct answer *a = NULL;
-	int status;
-
-	headers_add(&h, "host", "jobs.example");
-	status = http_raw(callers_port[daemon], method, path, &h, body, &a);
-	if (out != NULL)
-		snprintf(out, size, "%.*s",
-		    a != NULL && a->body != NULL ? (int)a->body->len : 0,
-		    a != NULL && a->body != NULL ? (char *)a->body->data : "");
-	answer_unref(a);
-	headers_uninit(&h);
-	return status;
+	return job_fleet_call(fleet, daemon, method, path, body, out, size);
 }
 
-static bool
-daemon_ready(void *arg)
+static void
+put(const char *topic, const char *key, const char *value)
 {
-	int i = *(int *)arg;
-
-	return http_json(ready_port[i], "GET", "/readiness", NULL, NULL) == 200;
+	cr_assert_eq(job_fleet_put(fleet, topic, key, value), 200);
 }
 
-/* Both pools have an owner that answers. */
 static bool
-pools_owned(void *arg)
+daemon_ready(void *arg)
 {
-	(void)arg;
-	return call(0, "GET", "/blue/", NULL, NULL, 0) == 200 &&
-	    call(0, "GET", "/blue/green/", NULL, NULL, 0) == 200 &&
-	    call(1, "GET", "/blue/", NULL, NULL, 0) == 200;
+	return job_fleet_ready(fleet, *(int *)arg);
 }
 
 static bool
-platform_answers(void *arg)
+pools_owned(void *arg)
 {
 	(void)arg;
-	return http_json(platform_port, "GET", "/judge", NULL, NULL) == 200;
+	return job_fleet_owned(fleet);
 }
 
 /* The stand-in alone. */
 static void
 setup_platform(void)
 {
-	char listen[32];
-	const char *argv[] = {
-	    "--listen", listen, "--workers", "4", "--task-ms", "60", NULL};
-	int i;
-
-	procs = procs_new();
+	fleet = job_fleet_new();
 	job_count = 0;
-	platform_port = free_port();
-	snprintf(listen, sizeof(listen), "127.0.0.1:%d", platform_port);
-	cr_assert_not_null(proc_start(procs, "platform", "standin-jobs", argv));
-	cr_assert(wait_until(platform_answers, NULL, LIMIT_MS));
-	publish(3);
-	for (i = 0; i < DAEMONS; i++) {
-		callers_port[i] = free_port();
-		ready_port[i] = free_port();
-		peer_port[i] = free_port();
-	}
 }
 
 static void
-start_daemons(void)
+setup(void)
 {
 	int i;
 
-	for (i = 0; i < DAEMONS; i++)
-		start_daemon(i);
-	for (i = 0; i < DAEMONS; i++)
+	setup_platform();
+	for (i = 0; i < JOB_DAEMONS; i++)
+		job_fleet_start(fleet, i);
+	for (i = 0; i < JOB_DAEMONS; i++)
 		cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
 	cr_assert(wait_until(pools_owned, NULL, LIMIT_MS));
 }
 
-static void
-setup(void)
-{
-	setup_platform();
-	start_daemons();
-}
-
 static void
 teardown(void)
 {
-	procs_free(procs);
+	job_fleet_free(fleet);
 }
 
 /* Hands a job in until it is acknowledged; at any daemon that runs. */
@@ -182,7 +81,7 @@
 	snprintf(
 	    body, sizeof(body), "{\"taskSpec\":\"work\",\"steps\":%s}", steps);
 	while (status != 200 && tries++ < 300) {
-		status = call(tries % DAEMONS, "POST", path, body, NULL, 0);
+		status = call(tries % JOB_DAEMONS, "POST", path, body, NULL, 0);
 		if (status != 200)
 			sleep_ms(50);
 	}
@@ -196,8 +95,8 @@
 	int i;
 
 	snprintf(wanted, sizeof(wanted), "\"%s\"", state);
-	for (i = 0; i < DAEMONS; i++) {
-		if (proc_running(daemons[i]) &&
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		if (proc_running(fleet->daemons[i]) &&
 		    call(i, "GET", path, NULL, text, sizeof(text)) == 200 &&
 		    strstr(text, wanted) != NULL)
 			return true;
@@ -221,13 +120,7 @@
 static int64_t
 judged(const char *what)
 {
-	struct json_object *o = NULL;
-	int64_t n;
-
-	cr_assert_eq(http_json(platform_port, "GET", "/judge", NULL, &o), 200);
-	n = json_int(o, what, -1);
-	json_object_put(o);
-	return n;
+	return job_fleet_judged(fleet, what);
 }
 
 /* One job of each kind of step that the users' pages know. */
@@ -267,15 +160,15 @@
 	int i;
 
 	submit_every_kind();
-	proc_signal(daemons[1], SIGKILL);
-	cr_assert_neq(proc_wait(daemons[1], LIMIT_MS), -1);
+	proc_signal(fleet->daemons[1], SIGKILL);
+	cr_assert_neq(proc_wait(fleet->daemons[1], LIMIT_MS), -1);
 	submit_every_kind();
 	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
-	start_daemon(1);
+	job_fleet_start(fleet, 1);
 	i = 1;
 	cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
-	proc_signal(daemons[0], SIGKILL);
-	cr_assert_neq(proc_wait(daemons[0], LIMIT_MS), -1);
+	proc_signal(fleet->daemons[0], SIGKILL);
+	cr_assert_neq(proc_wait(fleet->daemons[0], LIMIT_MS), -1);
 	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
 	cr_expect_eq(judged("twice"), 0);
 }
@@ -283,9 +176,9 @@
 Test(jobs, a_planned_stop_hands_pools_over)
 {
 	submit_every_kind();
-	proc_signal(daemons[0], SIGTERM);
+	proc_signal(fleet->daemons[0], SIGTERM);
 	submit_every_kind();
-	cr_expect_eq(proc_wait(daemons[0], LIMIT_MS), 0);
+	cr_expect_eq(proc_wait(fleet->daemons[0], LIMIT_MS), 0);
 	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
 	cr_expect_eq(judged("twice"), 0);
 }
@@ -298,14 +191,14 @@
 {
 	int status;
 
-	proc_signal(daemons[0], SIGTERM);
+	proc_signal(fleet->daemons[0], SIGTERM);
 	sleep_ms(1000);
-	proc_signal(daemons[1], SIGSTOP);
+	proc_signal(fleet->daemons[1], SIGSTOP);
 	status = call(0, "POST", "/blue/00000000000000ee",
 	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
 	cr_expect(status == 503 || status == 504, "%d", status);
-	cr_expect_eq(proc_wait(daemons[0], LIMIT_MS), 0);
-	proc_signal(daemons[1], SIGCONT);
+	cr_expect_eq(proc_wait(fleet->daemons[0], LIMIT_MS), 0);
+	proc_signal(fleet->daemons[1], SIGCONT);
 }
 
 Test(jobs, a_store_that_is_away_refuses_new_jobs_and_loses_none)
@@ -314,14 +207,16 @@
 
 	submit_every_kind();
 	cr_assert_eq(
-	    http_json(platform_port, "POST", "/store-down", "", NULL), 200);
+	    http_json(fleet->platform_port, "POST", "/store-down", "", NULL),
+	    200);
 	sleep_ms(1500);
 	status = call(0, "POST", "/blue/00000000000000ff",
 	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
 	cr_expect(
 	    status == 503 || status == 429 || status == 504, "%d", status);
 	cr_assert_eq(
-	    http_json(platform_port, "POST", "/store-up", "", NULL), 200);
+	    http_json(fleet->platform_port, "POST", "/store-up", "", NULL),
+	    200);
 	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
 	cr_expect_eq(judged("twice"), 0);
 }
@@ -419,8 +314,8 @@
 	int i;
 
 	(void)arg;
-	for (i = 0; i < DAEMONS; i++) {
-		if (taken_fences(daemons[i], list, 16) == 0)
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		if (taken_fences(fleet->daemons[i], list, 16) == 0)
 			return false;
 	}
 	return true;
@@ -434,17 +329,19 @@
 Test(claims, a_term_has_one_owner_however_claims_meet, .init = setup_platform,
     .fini = teardown, .timeout = 60)
 {
-	char fences[DAEMONS][16][64];
-	size_t n[DAEMONS], i, k;
+	char fences[JOB_DAEMONS][16][64];
+	size_t n[JOB_DAEMONS], i, k;
 	const char *slow = "/store-slow?ms=100", *all = "/group-all";
 
-	cr_assert_eq(http_json(platform_port, "POST", slow, "", NULL), 200);
-	cr_assert_eq(http_json(platform_port, "POST", all, "", NULL), 200);
-	for (i = 0; i < DAEMONS; i++)
-		start_daemon((int)i);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", all, "", NULL), 200);
+	for (i = 0; i < JOB_DAEMONS; i++)
+		job_fleet_start(fleet, (int)i);
 	cr_assert(wait_until(both_took_over, NULL, LIMIT_MS));
-	for (i = 0; i < DAEMONS; i++)
-		n[i] = taken_fences(daemons[i], fences[i], 16);
+	for (i = 0; i < JOB_DAEMONS; i++)
+		n[i] = taken_fences(fleet->daemons[i], fences[i], 16);
 	for (i = 0; i < n[0]; i++) {
 		for (k = 0; k < n[1]; k++)
 			cr_expect_str_neq(fences[0][i], fences[1][k]);
