roster: pools ask for twice what arriving work takes up

Cause: at 1.3 times, what queued up in the two seconds until machines come was caught up with late in the turn.

--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -13,10 +13,10 @@
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
 #define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
 /*
- * Times what arriving work will take up: jobs arrive in bunches, and a move
- * takes longer than the first of them can wait.
+ * Times what arriving work will take up: a reserve for what queues up while
+ * machines are on their way.  Measured; see docs/JOBS.md.
  */
-#define FORESEEN 1.3
+#define FORESEEN 2.0
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
 #define SHRINKS_AT_ONCE 12 /* machines on their way to be off */
 
