pool: a job that comes again after a refusal keeps its first time

Cause: after an outage of the store a queue's callers come back all at once. Test: pool::jobs_that_come_again_do_not_pass_for_new_ones, fails before.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -29,16 +29,18 @@
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 
-/* Jobs arrive evenly, so many in "ms". */
+/* Jobs arrive evenly, so many in each ms. */
 static void
 play(struct jobs_world *w, struct order *o, double jobs_per_ms, int ms)
 {
-	double due = 0;
-	int i;
+	int i, due, submitted = 0;
 
-	for (i = 0; i < ms; i++) {
-		for (due += jobs_per_ms; due >= 1; due--)
+	for (i = 1; i <= ms; i++) {
+		due = (int)(jobs_per_ms * i);
+		while (submitted < due) {
 			jobs_world_submit(w, o, NULL);
+			submitted++;
+		}
 		jobs_world_run(w, 1);
 	}
 }
@@ -97,7 +99,7 @@
 	    .now_ms = MS_PER_S,
 	    .lease_ms = 4000,
 	    .status_keep_ms = 120000};
-	struct order_record r = {.accepted_ms = MS_PER_S};
+	struct order_record r = {.handed_in_ms = MS_PER_S};
 	struct pool *p = pool_new(&opts);
 	double heap = heap_bytes(), cpu = cpu_us();
 	char id[JOB_ID_BYTES];
--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -121,6 +121,7 @@
 	struct owner owners[OWNERS_MAX];
 	int owner; /* the present one */
 	bool store_down;
+	int refuse_ms;
 	struct stored *records;
 	LIST_HEAD(message_list, message) messages;
 	struct known_task *tasks;
@@ -1137,6 +1138,7 @@
 	terms.advised = w->opts.allowed_from > 0;
 	ev.u.submit.terms = &terms;
 	ev.u.submit.order = order;
+	ev.u.submit.refuse_ms = w->refuse_ms;
 	step(w, w->owner, &ev);
 }
 
@@ -1269,6 +1271,12 @@
 	step(w, w->owner, &ev);
 }
 
+void
+jobs_world_refuse(struct jobs_world *w, int retry_ms)
+{
+	w->refuse_ms = retry_ms;
+}
+
 void
 jobs_world_store(struct jobs_world *w, bool down)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -85,6 +85,8 @@
 void jobs_world_cordon_worker(struct jobs_world *w, int worker);
 /* Its machine is taken away; its entry is still listed. */
 void jobs_world_take_worker(struct jobs_world *w, int worker);
+/* The owner is told to refuse new jobs for so long; 0: to take them. */
+void jobs_world_refuse(struct jobs_world *w, int retry_ms);
 /* Writes of the present owner are not taken while the store is down. */
 void jobs_world_store(struct jobs_world *w, bool down);
 /*
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -6,7 +6,7 @@
 
 struct job *
 job_new(const char *id, const struct queue_terms *terms, struct order *order,
-    int64_t accepted_ms)
+    int64_t handed_in_ms)
 {
 	struct job *j;
 
@@ -16,7 +16,7 @@
 	snprintf(j->id, sizeof(j->id), "%s", id);
 	j->terms = *terms;
 	j->order = order_ref(order);
-	j->accepted_ms = accepted_ms;
+	j->handed_in_ms = handed_in_ms;
 	LIST_INIT(&j->occurrences);
 	return j;
 }
@@ -321,7 +321,7 @@
 int64_t
 occurrence_objective_ms(const struct occurrence *o)
 {
-	int64_t from = o->due_ms > 0 ? o->due_ms : o->job->accepted_ms;
+	int64_t from = o->due_ms > 0 ? o->due_ms : o->job->handed_in_ms;
 
 	return from + occurrence_length_ms(o);
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -115,7 +115,7 @@
 	struct order *order;
 	enum job_state state; /* also while not stored yet */
 	uint64_t state_serial; /* write that stores the final state */
-	int64_t accepted_ms; /* Unix time */
+	int64_t handed_in_ms; /* Unix time it came first, refused or not */
 	LIST_HEAD(occurrence_list, occurrence) occurrences; /* under way */
 	unsigned next_occurrence; /* lowest that is not under way yet */
 	unsigned done_occurrences;
@@ -131,7 +131,7 @@
 };
 
 struct job *job_new(const char *id, const struct queue_terms *terms,
-    struct order *order, int64_t accepted_ms);
+    struct order *order, int64_t handed_in_ms);
 void job_free(struct job *j);
 static inline bool
 job_final(const struct job *j)
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -83,7 +83,7 @@
 
 	wire_writer_init(&w);
 	wire_map(&w, 3);
-	wire_i64(&w, "a", j->accepted_ms);
+	wire_i64(&w, "a", j->handed_in_ms);
 	wire_key(&w, "t");
 	terms_write(&w, &j->terms);
 	wire_bin(&w, "b", j->order->text->data, j->order->text->len);
@@ -102,7 +102,7 @@
 	memset(&r, 0, sizeof(r));
 	if (wire_reader_init(&in, data, len, e) == -1)
 		return -1;
-	if (wire_get_i64(in.root, "a", &r.accepted_ms) &&
+	if (wire_get_i64(in.root, "a", &r.handed_in_ms) &&
 	    wire_get(in.root, "t", &map) && terms_read(map, &r.terms) &&
 	    wire_get_bin(in.root, "b", &r.text, &r.text_len)) {
 		found(arg, &r);
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -33,7 +33,7 @@
 /* What an order's record holds; "text" belongs to the record. */
 struct order_record {
 	struct queue_terms terms;
-	int64_t accepted_ms;
+	int64_t handed_in_ms;
 	const uint8_t *text;
 	size_t text_len;
 };
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -53,6 +53,7 @@
 		free(a);
 	}
 	learned_free(p->learned);
+	pool_refused_free(p);
 	free(p);
 }
 
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -104,6 +104,7 @@
 	struct pool_effect *x;
 
 	p->stats.refused++;
+	pool_note_refused(p, ev->u.submit.id);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job refused\" why=%s job=%s queue=%s active=%zu "
 	    "retry_ms=%d",
@@ -149,9 +150,10 @@
 	pool_note_offered(p, ev->u.submit.order, ev->u.submit.terms, 0);
 	retry_ms = ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
 					      : refusal_ms(p, ev);
-	j = retry_ms > 0 ? NULL
-			 : job_new(ev->u.submit.id, ev->u.submit.terms,
-			       ev->u.submit.order, p->now_ms);
+	j = retry_ms > 0
+	    ? NULL
+	    : job_new(ev->u.submit.id, ev->u.submit.terms, ev->u.submit.order,
+		  pool_take_refused(p, ev->u.submit.id));
 	if (j == NULL) {
 		refuse(p, ev, retry_ms > 0 ? retry_ms : RETRY_MAX_MS);
 		return;
@@ -163,9 +165,10 @@
 	p->place_due = true;
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job taken in\" job=%s queue=%s tasks=%zu chain_ms=%.0f "
-	    "active=%zu",
+	    "active=%zu came_ms_ago=%lld",
 	    j->id, j->terms.name, order_tasks(j->order),
-	    order_chain_ms(j->order), p->active_count);
+	    order_chain_ms(j->order), p->active_count,
+	    (long long)(p->now_ms - j->handed_in_ms));
 }
 
 static void
@@ -342,7 +345,7 @@
 pool_load(struct pool *p, const char *id, const struct order_record *r,
     struct order *order, const struct buf *progress, struct err *e)
 {
-	struct job *j = job_new(id, &r->terms, order, r->accepted_ms);
+	struct job *j = job_new(id, &r->terms, order, r->handed_in_ms);
 
 	if (j == NULL)
 		return err_set(e, ERR_MEMORY, 0, "give the process more memory",
@@ -352,7 +355,7 @@
 		job_free(j);
 		return -1;
 	}
-	pool_note_offered(p, order, &r->terms, p->now_ms - r->accepted_ms);
+	pool_note_offered(p, order, &r->terms, p->now_ms - r->handed_in_ms);
 	j->inherited = true;
 	j->begun = j->state != JOB_QUEUED;
 	HASH_ADD_STR(p->jobs, id, j);
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -261,7 +261,7 @@
 	cost_ms = (p->opts.remote_factor - 1) * (double)s->estimate_ms;
 	waited_ms = (double)(p->now_ms -
 	    (t->step->occurrence->due_ms > 0 ? t->step->occurrence->due_ms
-					     : j->accepted_ms));
+					     : j->handed_in_ms));
 	if (waited_ms > cost_ms * LOCAL_WAIT)
 		return false;
 	for (other = p->workers; other != NULL; other = other->hh.next) {
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -145,7 +145,7 @@
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"job is completed\" job=%s queue=%s took_ms=%lld",
 		    j->id, j->terms.name,
-		    (long long)(p->now_ms - j->accepted_ms));
+		    (long long)(p->now_ms - j->handed_in_ms));
 }
 
 /* Failures of tasks that had not failed before are held against it. */
@@ -320,7 +320,7 @@
 			    "msg=\"job has begun\" job=%s worker=%s "
 			    "after_ms=%lld",
 			    j->id, ev->u.order.worker,
-			    (long long)(p->now_ms - j->accepted_ms));
+			    (long long)(p->now_ms - j->handed_in_ms));
 		j->begun = true;
 		if (j->state == JOB_QUEUED)
 			j->state = JOB_RUNNING;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -77,6 +77,13 @@
 	double cpu, memory_mb, accelerators;
 };
 
+/* A job that was refused, by id. */
+struct refused_job {
+	char id[JOB_ID_BYTES];
+	int64_t first_ms; /* Unix time it came first */
+	UT_hash_handle hh;
+};
+
 struct pool {
 	struct pool_opts opts;
 	int64_t now_us, now_ms; /* of the event */
@@ -86,6 +93,7 @@
 	int64_t settle_until_us; /* silent workers may run tasks until then */
 	struct job *jobs; /* all, by id */
 	TAILQ_HEAD(job_list, job) active, finished;
+	struct refused_job *refused; /* the oldest first */
 	struct job_list touched; /* changed since the last flush */
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
@@ -181,6 +189,12 @@
 void pool_flush_jobs(struct pool *p);
 void pool_forget_old(struct pool *p);
 
+/* pool_refused.c */
+void pool_note_refused(struct pool *p, const char *id);
+/* Unix time at which a job that is taken in came first. */
+int64_t pool_take_refused(struct pool *p, const char *id);
+void pool_refused_free(struct pool *p);
+
 /* pool_place.c */
 void pool_rank(const struct pool *p, struct candidate *c, struct occurrence *o);
 void pool_place(struct pool *p);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -427,3 +427,32 @@
 	jobs_world_run(world, 3000);
 	expect_kept();
 }
+
+/*
+ * The load: the store was away for 3 s, then 24 jobs that were refused come
+ * again, as many as the room does in 3 s, with 8 new ones behind them.  The
+ * objective of the first is past; the new ones can all be in time.
+ */
+Test(pool, jobs_that_come_again_do_not_pass_for_new_ones)
+{
+	struct order *o = jobs_order(2, 4, 1000, 500);
+	char again[24][JOB_ID_BYTES], fresh[8][JOB_ID_BYTES];
+	int i;
+
+	world = world_of(4); /* 32 cores: 8 jobs at a time, each in 1 s */
+	jobs_world_refuse(world, 1000);
+	for (i = 0; i < 24; i++)
+		jobs_world_submit(world, o, again[i]);
+	jobs_world_run(world, 3000);
+	jobs_world_refuse(world, 0);
+	for (i = 0; i < 24; i++)
+		jobs_world_submit_again(world, o, again[i]);
+	for (i = 0; i < 8; i++)
+		jobs_world_submit(world, o, fresh[i]);
+	order_unref(o);
+	jobs_world_run(world, 2200); /* the objective of a job */
+	for (i = 0; i < 8; i++)
+		cr_expect_eq(jobs_world_state(world, fresh[i]), JOB_COMPLETED);
+	jobs_world_run(world, 12000);
+	expect_kept();
+}
