store: 429 is no answer

Ruled out: the owners (others took the pools over within 2.3 s). Change: only answers below 500 other than 429 say that the store is there. Test: jobs::a_daemon_that_the_store_turns_away_sends_callers_elsewhere, fails before. The stand-in's /store-down takes the status to answer with. Left: such a daemon could ask its peers for owners.

--- a/src/scheduler/store_client.c
+++ b/src/scheduler/store_client.c
@@ -36,6 +36,13 @@
 	s->store_lost = true;
 }
 
+/* The store turns a daemon away with 429 or 503 as long as it likes. */
+static bool
+served(int status)
+{
+	return status < 500 && status != 429;
+}
+
 static void
 op_ended(void *arg, enum http_end end, struct answer *answer)
 {
@@ -43,7 +50,7 @@
 	bool whole = end == HTTP_WHOLE;
 	const struct buf *body = whole ? answer->body : NULL;
 
-	note_answer(op->scheduler, whole && answer->status < 500);
+	note_answer(op->scheduler, whole && served(answer->status));
 	op->end(op->arg, whole ? answer->status : 0, end != HTTP_UNSENT,
 	    body != NULL ? body->data : NULL, body != NULL ? body->len : 0);
 	free(op);
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -60,7 +60,7 @@
 	STAILQ_HEAD(slow_appends, slow_append) appends;
 	int append_ms;
 	bool all; /* the group deals every partition to every member */
-	bool down;
+	int refuse; /* status of every answer; 0: calls are served */
 };
 
 static int64_t
@@ -482,8 +482,8 @@
 
 	if (strncmp(x->path, "/log-", 5) != 0)
 		return false;
-	if (s->down) {
-		exchange_answer(x, 503, NULL);
+	if (s->refuse != 0) {
+		exchange_answer(x, s->refuse, NULL);
 		return true;
 	}
 	if (exchange_str(x, "topic", name, sizeof(name)))
@@ -522,9 +522,9 @@
 }
 
 void
-job_store_down(struct job_store *s, bool down)
+job_store_refuse(struct job_store *s, int status)
 {
-	s->down = down;
+	s->refuse = status;
 }
 
 void
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -23,8 +23,9 @@
 /* Appends a record of a worker's entry. */
 void job_store_put(
     struct job_store *s, const char *topic, const char *key, const char *value);
-/* The store takes no calls while it is down. */
-void job_store_down(struct job_store *s, bool down);
+/* Each call is answered with this status and nothing else; 0: they are served.
+ */
+void job_store_refuse(struct job_store *s, int status);
 /* The group's word is wrong from now on: each member holds everything. */
 void job_store_deal_all(struct job_store *s);
 /* Each append is carried out so long after it has come. */
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -422,7 +422,8 @@
 	} else if (strcmp(x->path, "/put") == 0) {
 		put(x);
 	} else if (strcmp(x->path, "/store-down") == 0) {
-		job_store_down(world.store, true);
+		job_store_refuse(
+		    world.store, (int)exchange_int(x, "status", 503));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/group-all") == 0) {
 		job_store_deal_all(world.store);
@@ -431,7 +432,7 @@
 		job_store_slow(world.store, (int)exchange_int(x, "ms", 0));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-up") == 0) {
-		job_store_down(world.store, false);
+		job_store_refuse(world.store, 0);
 		exchange_answer(x, 200, NULL);
 	} else {
 		worker_request(x);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -221,6 +221,30 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
+static bool
+not_ready(void *arg)
+{
+	return !daemon_ready(arg);
+}
+
+/*
+ * A store that turns a daemon away says 429 to everything: that is no answer,
+ * and callers must not be kept there.
+ */
+Test(jobs, a_daemon_that_the_store_turns_away_sends_callers_elsewhere)
+{
+	const char *busy = "/store-down?status=429";
+	int i = 0;
+
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", busy, "", NULL), 200);
+	cr_expect(wait_until(not_ready, &i, LIMIT_MS));
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", "/store-up", "", NULL),
+	    200);
+	cr_expect(wait_until(daemon_ready, &i, LIMIT_MS));
+}
+
 Test(jobs, a_lasting_job_runs_until_it_is_cancelled)
 {
 	char text[128];
