pool: a lasting task that fits no worker asks for no machine

A label that no worker has, or an advised task that was to move while its policy had not been asked about other workers, would have drawn in every machine. Change: it asks only where a worker of the pool would have room for it if it ran nothing, and for no more machines than there are lasting tasks and one; the policy is asked about other workers before an advised task moves. Roster: the ranks of machines to take have names. Test: pool::a_lasting_task_that_fits_no_worker_asks_for_none, fails before.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -193,7 +193,7 @@
 	struct room once = {0}, lasting = {0}, offered;
 	struct occurrence *o;
 	const struct job *j;
-	size_t i, floor, one_more;
+	size_t i, floor, one_more, tasks = 0;
 
 	memset(d, 0, sizeof(*d));
 	typical_room(p);
@@ -206,6 +206,8 @@
 		for (i = 0; i < j->order->step_count; i++) {
 			floor = step_floor(&j->order->steps[i]);
 			d->floor = floor > d->floor ? floor : d->floor;
+			if (j->order->steps[i].lasting)
+				tasks += j->order->steps[i].count;
 		}
 	}
 	/* tasks that fit nowhere though the sum of the room would do */
@@ -216,7 +218,8 @@
 		(p->cramped_us != 0 &&
 		    p->now_us - p->cramped_us < CRAMPED_MS * US_PER_MS)) &&
 	    d->floor < one_more)
-		d->floor = one_more;
+		/* no more than one for each, and one to move to */
+		d->floor = one_more < tasks + 1 ? one_more : tasks + 1;
 	offered_decay(p);
 	offered = offered_now(p);
 	offered = room_sum(&offered, &lasting);
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -165,6 +165,34 @@
 	    w->accelerators + s->accelerators <= w->report.accelerators;
 }
 
+/* It would have room if it ran nothing. */
+static bool
+fits_empty(const struct placed_worker *w, const struct order_step *s)
+{
+	return order_step_cpu(s) <= w->report.cpu &&
+	    s->memory_mb <= w->report.memory_mb &&
+	    s->accelerators <= w->report.accelerators &&
+	    (s->label[0] == '\0' || has_label(w, s->label));
+}
+
+/* Another worker like one of the pool's would have room for what waits. */
+static bool
+one_more_would_do(const struct pool *p, const struct occurrence *o)
+{
+	const struct placed_worker *w;
+	size_t i;
+
+	for (i = 0; i < o->job->order->step_count; i++) {
+		if (!step_open(&o->steps[i]))
+			continue;
+		for (w = p->workers; w != NULL; w = w->hh.next) {
+			if (w->listed && fits_empty(w, o->steps[i].order))
+				return true;
+		}
+	}
+	return false;
+}
+
 static unsigned
 placed_of_step(const struct placed_worker *w, const struct job_step *s)
 {
@@ -413,7 +441,8 @@
 		    !occurrence_waits(list[i].occurrence))
 			continue;
 		starved = true;
-		lasting_starved |= list[i].class == RANK_LASTING;
+		lasting_starved |= list[i].class == RANK_LASTING &&
+		    one_more_would_do(p, list[i].occurrence);
 	}
 	free(list);
 	note_since(&p->starved_since_us, starved, p->now_us);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -71,10 +71,12 @@
 
 /* Where it has none, the pool asks for a machine first. */
 static bool
-lasting_has_room(struct pool *p, const struct task *t)
+lasting_has_room(struct pool *p, struct task *t)
 {
 	if (task_fits_elsewhere(p, t))
 		return true;
+	if (t->step->occurrence->job->terms.advised)
+		pool_ask_policy(p, t->step);
 	p->cramped_us = p->now_us;
 	return false;
 }
@@ -84,8 +86,7 @@
  * the other, work that lasts longer than it can wait for is stopped.
  */
 static bool
-task_makes_room(
-    struct pool *p, const struct placed_worker *w, const struct task *t)
+task_makes_room(struct pool *p, const struct placed_worker *w, struct task *t)
 {
 	int64_t waited_ms;
 
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -136,43 +136,52 @@
 	    f->now_us >= m->retry_us && m->told_us != 0 && m->lasting == 0;
 }
 
-/* How well a machine suits, 0: not at all.  Better ones run less. */
-static int
-source_rank(struct roster *f, struct machine *m, const struct roster_pool *to,
+/* How well a machine suits, the last best. */
+enum source {
+	SOURCE_NONE,
+	SOURCE_BUSY, /* is to be emptied first */
+	SOURCE_IDLE, /* its pool needs it too */
+	SOURCE_SURPLUS, /* its pool does not need it */
+	SOURCE_OFF /* in the spare pool, or on its way there */
+};
+
+static enum source
+source_of(struct roster *f, struct machine *m, const struct roster_pool *to,
     enum growth g)
 {
 	struct roster_pool *from = pool_of(f, m);
 
 	if (from == NULL || from == to)
-		return 0;
+		return SOURCE_NONE;
 	if (goes_to_spare(f, m) || (from->spare && may_move(f, m)))
-		return 4;
+		return SOURCE_OFF;
 	if (from->spare || !pool_fresh(f, from))
-		return 0;
+		return SOURCE_NONE;
 	if (may_move(f, m) &&
 	    from->have > (g == GROW_FORESEEN ? from->foreseen : from->need))
-		return 3;
+		return SOURCE_SURPLUS;
 	if (g != GROW_FLOOR || from->have <= from->floor ||
 	    from->have <= POOL_MIN)
-		return 0;
+		return SOURCE_NONE;
 	if (may_move(f, m))
-		return 2;
-	return may_be_emptied(f, m) ? 1 : 0;
+		return SOURCE_IDLE;
+	return may_be_emptied(f, m) ? SOURCE_BUSY : SOURCE_NONE;
 }
 
+/* The one that suits best; of these the one that runs least. */
 static struct machine *
 find_source(struct roster *f, const struct roster_pool *to, enum growth g)
 {
+	enum source source, best_source = SOURCE_NONE;
 	struct machine *m, *best = NULL;
-	int rank, best_rank = 0;
 
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		rank = source_rank(f, m, to, g);
-		if (rank == 0 || rank < best_rank ||
-		    (rank == best_rank && m->tasks >= best->tasks))
+		source = source_of(f, m, to, g);
+		if (source == SOURCE_NONE || source < best_source ||
+		    (source == best_source && m->tasks >= best->tasks))
 			continue;
 		best = m;
-		best_rank = rank;
+		best_source = source;
 	}
 	return best;
 }
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -456,3 +456,20 @@
 	jobs_world_run(world, 12000);
 	expect_kept();
 }
+
+/* It would have taken every machine there is, one after the other. */
+Test(pool, a_lasting_task_that_fits_no_worker_asks_for_none)
+{
+	struct order *o = jobs_order(1, 1, 500, 0);
+	struct pool_demand d;
+
+	world = world_of(3);
+	o->steps[0].lasting = true;
+	snprintf(o->steps[0].label, sizeof(o->steps[0].label), "nowhere");
+	jobs_world_submit(world, o, NULL);
+	order_unref(o);
+	jobs_world_run(world, 2000);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.floor, 1);
+	jobs_world_free(world);
+}
