--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -438,11 +438,10 @@
 	for (i = 0; i < n; i++) {
 		place_occurrence(p, list[i].occurrence);
 		if (list[i].class > RANK_IN_TIME ||
-		    !occurrence_waits(list[i].occurrence))
+		    !one_more_would_do(p, list[i].occurrence))
 			continue;
 		starved = true;
-		lasting_starved |= list[i].class == RANK_LASTING &&
-		    one_more_would_do(p, list[i].occurrence);
+		lasting_starved |= list[i].class == RANK_LASTING;
 	}
 	free(list);
 	note_since(&p->starved_since_us, starved, p->now_us);
