pool: a stop that was answered waits for the next hold; adopted tasks are not stopped at once

Where other tasks of the worker end meanwhile the hold returns early, which is why it was rare. Now a stop that was answered is sent again only while its run is listed. Now a task that was adopted does not count as at work until a stop of the owner before must have had its effect. Tests: pool::a_start_without_an_answer_is_made_up_for and pool::a_new_owner_stops_no_lasting_task_at_once, both fail before. prop_jobs: 400 cases of each property.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -848,6 +848,7 @@
 	    .lease_ms = LEASE_MS,
 	    .settle_ms = w->owner > 0 ? SETTLE_MS : 0,
 	    .status_keep_ms = STATUS_KEEP_MS,
+	    .stop_ms = STOP_MS,
 	    .restore_ms = RESTORE_MS,
 	    .remote_factor = 2,
 	};
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -43,6 +43,7 @@
 	struct job_step *step;
 	unsigned index;
 	bool done;
+	bool adopted; /* ordered by an earlier owner, listed by its worker */
 	enum placement place;
 	struct placed_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -25,6 +25,7 @@
 	int lease_ms; /* granted to tasks at each hold */
 	int settle_ms; /* tasks of an earlier term have ended after this */
 	int status_keep_ms; /* finished jobs are known this long */
+	int stop_ms; /* a stop takes so long at most */
 	int restore_ms; /* a start from a checkpoint takes so long */
 	double remote_factor; /* work time away from its data */
 };
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -64,6 +64,7 @@
 	struct pool_effect *x = fx_add(p, POOL_START);
 
 	t->place = PLACE_STARTING;
+	t->adopted = false;
 	t->run = run;
 	t->placed_us = t->progress_us = t->ordered_us = p->now_us;
 	t->answered_us = 0;
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -4,6 +4,7 @@
 
 #include "pool_state.h"
 
+#define ADOPTED_SPARE_MS 1000 /* an earlier owner's stop may arrive so late */
 #define STOP_AGAIN_MS 400 /* a stop that had no effect */
 #define STALL_MS 2500 /* without progress: the run stands still */
 #define STALL_ESTIMATES 2.0 /* … and so many times its estimate for 1 % */
@@ -45,10 +46,17 @@
 	task_stop(p, t);
 }
 
-/* At work as far as its worker has said, and that answers. */
+/*
+ * At work as far as its worker has said, and that answers.  A run that an
+ * earlier owner has told to stop is listed until it ends.
+ */
 static bool
-task_at_work(const struct task *t)
+task_at_work(const struct pool *p, const struct task *t)
 {
+	int64_t unsure_ms = p->opts.stop_ms + ADOPTED_SPARE_MS;
+
+	if (t->adopted && p->now_us - t->placed_us < unsure_ms * US_PER_MS)
+		return false;
 	return t->place == PLACE_RUNNING && t->percent >= 100 &&
 	    t->worker->misses == 0;
 }
@@ -58,14 +66,14 @@
  * once.  The task itself counts as at work, whatever was heard of it last.
  */
 static bool
-step_may_miss(const struct task *t)
+step_may_miss(const struct pool *p, const struct task *t)
 {
 	const struct job_step *s = t->step;
 	unsigned most = s->order->may_miss > 0 ? s->order->may_miss : 1;
 	unsigned i, away = 0;
 
 	for (i = 0; i < s->order->count; i++)
-		away += &s->tasks[i] != t && !task_at_work(&s->tasks[i]);
+		away += &s->tasks[i] != t && !task_at_work(p, &s->tasks[i]);
 	return away < most;
 }
 
@@ -94,7 +102,7 @@
 	    t->place != PLACE_RUNNING)
 		return false;
 	if (t->step->order->lasting)
-		return step_may_miss(t) && lasting_has_room(p, t);
+		return step_may_miss(p, t) && lasting_has_room(p, t);
 	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
 	if (waited_ms > EMPTY_MAX_MS)
 		return true;
@@ -123,11 +131,17 @@
 	    t->percent < 80;
 }
 
-/* An order to stop that has had no effect yet. */
+/*
+ * An order to stop that has had no effect yet.  One that was answered waits
+ * for a hold that is asked later: sent again before each, none ever would be.
+ */
 static bool
 stop_is_due(const struct pool *p, const struct task *t)
 {
+	bool listed = t->reports == t->worker->reports;
+
 	return (t->place == PLACE_STOPPING || t->place == PLACE_UNSURE) &&
+	    (t->answered_us == 0 || listed) &&
 	    p->now_us - t->ordered_us > STOP_AGAIN_MS * US_PER_MS;
 }
 
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -426,6 +426,7 @@
 	}
 	task_attach(t, w);
 	t->place = PLACE_RUNNING;
+	t->adopted = true;
 	t->run = r->run > t->run ? r->run : t->run;
 	t->placed_us = t->answered_us = t->progress_us = p->now_us;
 	j->begun = true;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -157,6 +157,7 @@
 	    .lease_ms = LEASE_MS < b->lease_max_ms ? LEASE_MS : b->lease_max_ms,
 	    .settle_ms = sh->fence > 1 ? SETTLE_MS : 0,
 	    .status_keep_ms = b->status_keep_ms,
+	    .stop_ms = b->stop_timeout_ms,
 	    .restore_ms = b->restore_ms,
 	    .remote_factor = b->remote_factor,
 	};
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -473,3 +473,42 @@
 	cr_expect_eq(d.floor, 1);
 	jobs_world_free(world);
 }
+
+/*
+ * The stop that bars a start without an answer was sent again before each
+ * hold, so that no hold was ever asked after its answer: the task waited for
+ * good.
+ */
+Test(pool, a_start_without_an_answer_is_made_up_for)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(1);
+	submit(1, 1, 1000, 500, id);
+	jobs_world_run(world, 5); /* stored, and the start is on its way */
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_run(world, 900);
+	jobs_world_cut_worker(world, 0, false);
+	jobs_world_run(world, 6000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
+
+/*
+ * The owner before had told one of them to stop: it was still listed as at
+ * work, and the next owner stopped another.
+ */
+Test(pool, a_new_owner_stops_no_lasting_task_at_once)
+{
+	world = world_of(4);
+	submit_lasting(2, 9000, 1, NULL);
+	jobs_world_run(world, 2500);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 1);
+	cr_assert_eq(jobs_world_tasks_on(world, 1), 1);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 100);
+	jobs_world_cordon_worker(world, 0);
+	jobs_world_run(world, 300);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	expect_kept();
+}
