platform, jobs, roster: a number of the wire is looked up once; two ages have two names

field_int() and field_real() each looked a number up; they share one lookup. offered_now() worked out each average up to three times. Two constants of the roster were both REPORT_FRESH_MS, 600 and 1500 ms; the second is NEED_FRESH_MS now. Behaviour is the same.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -171,13 +171,11 @@
 offered_now(const struct pool *p)
 {
 	const struct room *o = p->offered;
+	double now = workers_for(p, &o[OFFERED_SHORT]);
 
-	if (workers_for(p, &o[OFFERED_LONG]) * TURN_BEGINS <
-	    workers_for(p, &o[OFFERED_SHORT]))
-		return workers_for(p, &o[OFFERED_SHORT]) >
-			workers_for(p, &o[OFFERED_MIDDLE])
-		    ? o[OFFERED_SHORT]
-		    : o[OFFERED_MIDDLE];
+	if (now > TURN_BEGINS * workers_for(p, &o[OFFERED_LONG]) &&
+	    now > workers_for(p, &o[OFFERED_MIDDLE]))
+		return o[OFFERED_SHORT];
 	return o[OFFERED_MIDDLE];
 }
 
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -38,30 +38,29 @@
 	return v;
 }
 
+/* NULL where the field is missing or no number. */
+static struct json_object *
+field_number(struct json_object *o, const char *key)
+{
+	struct json_object *v = field_member(o, key, json_type_int);
+
+	return v != NULL ? v : field_member(o, key, json_type_double);
+}
+
 int64_t
 field_int(struct json_object *o, const char *key, int64_t missing)
 {
-	struct json_object *v;
+	struct json_object *v = field_number(o, key);
 
-	if (!json_object_object_get_ex(o, key, &v))
-		return missing;
-	if (!json_object_is_type(v, json_type_int) &&
-	    !json_object_is_type(v, json_type_double))
-		return missing;
-	return json_object_get_int64(v);
+	return v != NULL ? json_object_get_int64(v) : missing;
 }
 
 double
 field_real(struct json_object *o, const char *key, double missing)
 {
-	struct json_object *v;
+	struct json_object *v = field_number(o, key);
 
-	if (!json_object_object_get_ex(o, key, &v))
-		return missing;
-	if (!json_object_is_type(v, json_type_int) &&
-	    !json_object_is_type(v, json_type_double))
-		return missing;
-	return json_object_get_double(v);
+	return v != NULL ? json_object_get_double(v) : missing;
 }
 
 bool
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -9,7 +9,7 @@
 
 #include "roster_state.h"
 
-#define REPORT_FRESH_MS 1500 /* a need older than this moves nothing */
+#define NEED_FRESH_MS 1500 /* a need older than this moves nothing */
 #define PEAK_MS 3000 /* a need counts so long after it was seen */
 #define HEADROOM 1.1 /* times what is wanted: tasks do not fit evenly */
 /*
@@ -24,7 +24,7 @@
 pool_fresh(const struct roster *f, const struct roster_pool *p)
 {
 	return p->told_us != 0 &&
-	    f->now_us - p->told_us < REPORT_FRESH_MS * US_PER_MS;
+	    f->now_us - p->told_us < NEED_FRESH_MS * US_PER_MS;
 }
 
 static size_t
@@ -270,7 +270,7 @@
 	if (spare == NULL)
 		return;
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		from = roster_find_pool(f, m->report.pool);
+		from = pool_of(f, m);
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || from->have <= from->peak ||
 		    shrinks_under_way(f) >= SHRINKS_AT_ONCE)
