--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -13,6 +13,7 @@
 #include "metric.h"
 #include "owners.h"
 #include "peer_server.h"
+#include "service.h"
 #include "shards.h"
 #include "watch.h"
 
@@ -20,9 +21,7 @@
 #define IDLE_MS 4000 /* a kept connection; both sides cut earlier or later */
 #define LOG_LINES_PER_S 400 /* bounds the processor time of logs */
 #define FILES_MAX 4096 /* of the library's table; the limit may be lower */
-#define SERVICE_BYTES 32768 /* the library's buffer for request headers */
 #define HEADER_POOL 256 /* requests whose headers are being read */
-#define IO_TIMEOUT_S 120 /* longer than every timer of our own */
 /* a planned stop: the balancer needs two looks, a second apart, to notice */
 #define STOP_LINGER_MS 2600
 #define LAST_ANSWERS_MS 400 /* for the way of final answers to callers */
@@ -146,40 +145,6 @@
 	http_pool_expire(s->conns);
 }
 
-static struct lws_context *
-context_new(void)
-{
-	struct lws_context_creation_info info;
-
-	memset(&info, 0, sizeof(info));
-	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
-	    LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS |
-	    LWS_SERVER_OPTION_DISABLE_IPV6;
-	info.gid = (gid_t)-1;
-	info.uid = (uid_t)-1;
-	info.max_http_header_data2 = 2 * HEADERS_MAX_BYTES;
-	info.max_http_header_pool2 = HEADER_POOL;
-	info.pt_serv_buf_size = SERVICE_BYTES;
-	info.timeout_secs = IO_TIMEOUT_S;
-	info.connect_timeout_secs = IO_TIMEOUT_S;
-	return lws_create_context(&info);
-}
-
-static int
-client_vhost_new(struct lws_context *context)
-{
-	static struct lws_protocols protocols[2];
-	struct lws_context_creation_info info;
-
-	memset(&info, 0, sizeof(info));
-	protocols[0] = http_client_protocol;
-	info.vhost_name = "client";
-	info.port = CONTEXT_PORT_NO_LISTEN;
-	info.protocols = protocols;
-	info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
-	return lws_create_vhost(context, &info) == NULL ? -1 : 0;
-}
-
 /* The library sizes and walks a table by the limit: keep it small. */
 static void
 limit_files(void)
@@ -196,9 +161,13 @@
 static int
 open_all(struct scheduler *s, struct err *e)
 {
+	static const struct service_opts service = {
+	    .header_pool = HEADER_POOL, .ipv4_only = true};
+
 	limit_files();
-	s->context = context_new();
-	if (s->context == NULL || client_vhost_new(s->context) == -1)
+	s->context = service_context_new(&service);
+	if (s->context == NULL ||
+	    service_client_vhost(s->context, &service) == -1)
 		return err_set(e, ERR_IO, 0, "give the daemon more memory",
 		    "no libwebsockets context");
 	s->conns = http_pool_new(IDLE_MS);
--- a/src/shell/loop.c
+++ b/src/shell/loop.c
@@ -11,20 +11,18 @@
 #include "admin_server.h"
 #include "caller_server.h"
 #include "clock.h"
-#include "http_client.h"
 #include "peer_link.h"
 #include "platform_client.h"
+#include "service.h"
 #include "shell.h"
 #include "upstream.h"
 
-#define SERVICE_BYTES 32768 /* the library's buffer for request headers */
 #define HEADER_POOL 65535 /* no wait for header memory */
 #define SPIN_TURNS 20000 /* of the loop, within … */
 #define SPIN_MS 66 /* … this time: more than 300,000 a second */
 #define SPIN_PAUSE_US 200
 #define SPIN_PAUSES 10000 /* about 2 s and more */
 #define OTHER_DESCRIPTORS 1024 /* beside callers' connections */
-#define IO_TIMEOUT_S 120 /* longer than every timer of our own */
 /* at the end of a planned stop, after the reducer has nothing left */
 #define LAST_ANSWERS_MS 100 /* for what was accepted by then */
 #define FLUSH_MS 2000 /* bound on writing what is decided */
@@ -215,42 +213,6 @@
 	    (unsigned long long)want);
 }
 
-static struct lws_context *
-context_new(void)
-{
-	struct lws_context_creation_info info;
-
-	memset(&info, 0, sizeof(info));
-	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
-	    LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
-	info.gid = (gid_t)-1;
-	info.uid = (uid_t)-1;
-	info.max_http_header_data2 = 2 * HEADERS_MAX_BYTES;
-	info.max_http_header_pool2 = HEADER_POOL;
-	info.pt_serv_buf_size = SERVICE_BYTES;
-	info.timeout_secs = IO_TIMEOUT_S;
-	info.connect_timeout_secs = IO_TIMEOUT_S;
-	return lws_create_context(&info);
-}
-
-/* Vhost of the calls to upstreams and to the platform. */
-static int
-client_vhost_new(struct lws_context *context, struct err *e)
-{
-	static struct lws_protocols protocols[2];
-	struct lws_context_creation_info info;
-
-	memset(&info, 0, sizeof(info));
-	protocols[0] = http_client_protocol;
-	info.vhost_name = "client";
-	info.port = CONTEXT_PORT_NO_LISTEN;
-	info.protocols = protocols;
-	if (lws_create_vhost(context, &info) == NULL)
-		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
-		    "no client side");
-	return 0;
-}
-
 static int
 core_start(struct shell *sh, struct err *e)
 {
@@ -272,17 +234,21 @@
 static int
 shell_open(struct shell *sh, struct err *e)
 {
+	static const struct service_opts service = {.header_pool = HEADER_POOL};
+
 	sh->incarnation = random_u64();
 	if (core_start(sh, e) == -1)
 		return -1;
 	limit_descriptors(sh);
-	sh->context = context_new();
+	sh->context = service_context_new(&service);
 	if (sh->context == NULL)
 		return err_set(e, ERR_IO, 0,
 		    "raise the limit of open files, give more memory",
 		    "no libwebsockets context");
-	if (client_vhost_new(sh->context, e) == -1 ||
-	    (sh->callers = caller_server_new(sh, e)) == NULL ||
+	if (service_client_vhost(sh->context, &service) == -1)
+		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
+		    "no client side");
+	if ((sh->callers = caller_server_new(sh, e)) == NULL ||
 	    (sh->admin = admin_server_new(sh, e)) == NULL ||
 	    (sh->upstreams = upstreams_new(sh, e)) == NULL ||
 	    (sh->links = peer_links_new(sh, e)) == NULL ||
--- /dev/null
+++ b/src/shell/service.h
@@ -0,0 +1,20 @@
+/* The library's context of a daemon, and the vhost of its calls. */
+#ifndef SERVICE_H
+#define SERVICE_H
+
+#include <stdbool.h>
+
+#include <libwebsockets.h>
+
+struct service_opts {
+	unsigned header_pool; /* requests whose headers are being read */
+	bool ipv4_only;
+};
+
+/* NULL when memory is short. */
+struct lws_context *service_context_new(const struct service_opts *opts);
+/* -1 when memory is short. */
+int service_client_vhost(
+    struct lws_context *context, const struct service_opts *opts);
+
+#endif
