standin: an answer is one write; a second request behind it stops nobody else

The stand-in's server wrote an answer's head and its body in two turns of the loop. An answer without a body (the 429 of a store that refuses) is whole with its head, so a daemon asked again on the same connection before the server had ended the first exchange. libwebsockets keeps those bytes, says "body is in" for the first request again and again and polls no other socket while it does: the stand-in spun at 100% of a core (gdb: the same three frames under lws_service_do_ripe_rxflow) and served nobody any more.

Change: head and body go in one write that ends the exchange; a connection that sends more before its answer is closed.

Conclusion: a fault of our stand-in, not of the daemon.

--- a/standin/http_server.c
+++ b/standin/http_server.c
@@ -148,17 +148,15 @@
 	return strtoll(length, NULL, 10) == 0;
 }
 
+/* Writes an answer's head to "*p"; it ends there. */
 static int
-exchange_write_headers(struct exchange *x)
+exchange_head(struct exchange *x, unsigned char **p, unsigned char *end)
 {
-	unsigned char area[LWS_PRE + ANSWER_HEADERS_BYTES];
-	unsigned char *start = area + LWS_PRE, *p = start;
-	unsigned char *end = area + sizeof(area) - 1;
 	char name[NAME_BYTES + 2];
 	size_t i;
 
 	if (lws_add_http_header_status(x->wsi,
-		(unsigned)x->status | LWSAHH_FLAG_NO_SERVER_NAME, &p, end))
+		(unsigned)x->status | LWSAHH_FLAG_NO_SERVER_NAME, p, end))
 		return -1;
 	for (i = 0; i < x->answer_headers.count; i++) {
 		snprintf(
@@ -166,26 +164,25 @@
 		if (lws_add_http_header_by_name(x->wsi,
 			(const unsigned char *)name,
 			(const unsigned char *)x->answer_headers.list[i].value,
-			(int)strlen(x->answer_headers.list[i].value), &p, end))
+			(int)strlen(x->answer_headers.list[i].value), p, end))
 			return -1;
 	}
 	if (lws_add_http_header_content_length(
-		x->wsi, x->answer->len, &p, end) ||
-	    lws_finalize_http_header(x->wsi, &p, end))
-		return -1;
-	x->headers_sent = true;
-	x->server->traffic.bytes_out +=
-	    (uint64_t)lws_ptr_diff(p, start) + x->answer->len;
-	if (lws_write(x->wsi, start, lws_ptr_diff(p, start),
-		LWS_WRITE_HTTP_HEADERS) < 0)
+		x->wsi, x->answer->len, p, end) ||
+	    lws_finalize_http_header(x->wsi, p, end))
 		return -1;
 	return 0;
 }
 
-/* Returns 1 when the whole answer is written, 0 when more is to come. */
+/*
+ * Returns 1 when the whole answer is written, 0 when more is to come.  Head and
+ * body go in one write: a client that has the whole answer may ask again, and
+ * the library serves nobody else while that waits behind an unfinished answer.
+ */
 static int
 exchange_write(struct exchange *x)
 {
+	unsigned char *start, *p;
 	struct buf *area;
 	size_t len;
 	int n;
@@ -194,20 +191,20 @@
 		return -1;
 	if (!x->answered)
 		return 0;
-	if (!x->headers_sent) {
-		if (exchange_write_headers(x) == -1)
-			return -1;
-		lws_callback_on_writable(x->wsi);
-		return 0;
-	}
 	len = x->truncate ? x->answer->len / 2 : x->answer->len;
-	area = buf_new(LWS_PRE + len + 1);
+	area = buf_new(LWS_PRE + ANSWER_HEADERS_BYTES + len);
 	if (area == NULL)
 		return -1;
-	if (len > 0)
-		memcpy(area->data + LWS_PRE, x->answer->data, len);
-	n = lws_write(x->wsi, area->data + LWS_PRE, len,
-	    x->truncate ? LWS_WRITE_HTTP : LWS_WRITE_HTTP_FINAL);
+	start = p = area->data + LWS_PRE;
+	n = exchange_head(x, &p, start + ANSWER_HEADERS_BYTES);
+	if (n == 0) {
+		x->server->traffic.bytes_out +=
+		    (uint64_t)lws_ptr_diff(p, start) + x->answer->len;
+		if (len > 0)
+			memcpy(p, x->answer->data, len);
+		n = lws_write(x->wsi, start,
+		    (size_t)lws_ptr_diff(p, start) + len, LWS_WRITE_HTTP);
+	}
 	buf_unref(area);
 	if (n < 0)
 		return -1;
@@ -254,6 +251,22 @@
 	return buf_append(x->body, data, len);
 }
 
+/*
+ * The library says so again, without a pause, when bytes of a next request wait
+ * behind one that is not answered: such a connection is closed.
+ */
+static int
+server_body_end(struct exchange *x)
+{
+	if (x == NULL)
+		return 0;
+	if (x->body_ended)
+		return -1;
+	x->body_ended = true;
+	exchange_dispatch(x);
+	return 0;
+}
+
 static int
 server_callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
     void *in, size_t len)
@@ -275,9 +288,7 @@
 	case LWS_CALLBACK_HTTP_BODY:
 		return server_body(session->exchange, in, len);
 	case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-		if (session->exchange != NULL)
-			exchange_dispatch(session->exchange);
-		return 0;
+		return server_body_end(session->exchange);
 	case LWS_CALLBACK_HTTP_WRITEABLE:
 		return server_writable(session, wsi);
 	case LWS_CALLBACK_CLOSED_HTTP:
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -29,7 +29,8 @@
 	/* internal */
 	struct http_server *server;
 	struct lws *wsi;
-	bool dispatched, answered, headers_sent, drop;
+	bool dispatched, answered, drop;
+	bool body_ended; /* the library said that the body is in */
 	int status;
 	struct headers answer_headers;
 	struct buf *answer;
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -6,11 +6,13 @@
 
 #include <criterion/criterion.h>
 
+#include "fixture.h"
 #include "http_json.h"
 #include "job_fleet.h"
 
 #define LIMIT_MS 30000 /* generous: every wait ends on its condition */
 #define JOBS_MAX 32
+#define PIPELINED_MS 300 /* both requests are read by then */
 
 static struct job_fleet *fleet;
 static char paths[JOBS_MAX][64];
@@ -371,3 +373,21 @@
 			cr_expect_str_neq(fences[0][i], fences[1][k]);
 	}
 }
+
+/*
+ * Bytes behind a request whose answer is on its way: the library says that its
+ * body is in again and again, and served nobody else.
+ */
+Test(standin, a_second_request_behind_the_first_stops_nobody_else,
+    .init = setup_platform, .fini = teardown)
+{
+	static const char request[] = "POST /store-up HTTP/1.1\r\nHost: a\r\n"
+				      "Content-Length: 1\r\n\r\n1";
+	char two[2 * sizeof(request)], out[512];
+
+	snprintf(two, sizeof(two), "%s%s", request, request);
+	raw_exchange(fleet->platform_port, two, strlen(two), out, sizeof(out),
+	    PIPELINED_MS);
+	cr_expect_eq(
+	    http_json(fleet->platform_port, "GET", "/judge", NULL, NULL), 200);
+}
