scheduler: an append whose answer is lost is repeated at once, not after its time-out

Cause: a topic has one append under way. Where the store carried it out and its answer was lost, the writer waited for the time-out of 1.5 s, and so did all jobs of the pool behind it: callers were told 504 after 2.5 s, ends were not taken note of, claims took 1.6 s longer.

Ruled out: refused connections to workers (the log is full of them: each has no other connection of ours open, the machine has been moved away), the group (joins are carried out though not answered; one pool was given up), the processor (--no-cpu).

Change: append_op.c sends the same append, under the same number, again after 50 ms or four times what answers take (repeat_timer.c, as TCP does it), then after twice as long, up to four tries at once; the first answer that settles it counts. The store takes a number once. Writers and claims use it.

Tests: jobs::answers_of_the_store_that_are_lost_keep_no_caller_waiting (two tries of each append unanswered: four hand-ins of four were 504 before), repeat_timer::* (a lost answer, a slow store, growing waits).

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -328,6 +328,8 @@
 	    out, "store_calls_total", "calls to the store", "", n->store_calls);
 	metric_counter(out, "store_failed_total",
 	    "calls without an answer of use", "", n->store_failed);
+	metric_counter(out, "store_repeats_total",
+	    "appends sent again before their answer", "", n->store_repeats);
 	metric_counter(out, "worker_orders_total", "orders to workers", "",
 	    n->worker_orders);
 	metric_counter(out, "worker_unanswered_total",
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -16,6 +16,7 @@
 #include "http_client.h"
 #include "http_listener.h"
 #include "reach.h"
+#include "repeat_timer.h"
 #include "store_wire.h"
 
 struct duty;
@@ -28,7 +29,8 @@
 /* Counted since the start; served as metrics. */
 struct scheduler_counts {
 	uint64_t requests, accepted, refused, unknown_outcome, not_found;
-	uint64_t store_calls, store_failed, worker_orders, worker_unanswered;
+	uint64_t store_calls, store_failed, store_repeats;
+	uint64_t worker_orders, worker_unanswered;
 	uint64_t forwarded, forward_failed, takeovers, takeovers_given_up;
 	uint64_t handin_ms_sum, handin_count; /* request to stored */
 	uint64_t handin_ms_bucket[10]; /* upper bounds: handin_ms_bounds */
@@ -50,6 +52,7 @@
 	bool stopping; /* SIGTERM has come */
 	int64_t store_heard_us; /* newest answer of the store */
 	bool store_lost; /* as logged */
+	struct repeat_timer append_timer;
 	struct reach reach; /* of owners, by callers' requests */
 	struct scheduler_counts counts;
 };
--- a/src/scheduler/store_client.c
+++ b/src/scheduler/store_client.c
@@ -3,8 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "append_op.h"
+
 #define STORE_ANSWER_MAX (4 * 1024 * 1024) /* bytes: a page and its base64 */
-#define APPEND_TIMEOUT_MS 1500 /* the store may be some 50 times slower */
 #define APPEND_GATHER_US (2 * US_PER_MS) /* half of one append's own time */
 #define APPEND_RETRY_MS 100
 #define APPEND_MAX_BYTES (1024 * 1024) /* of records, in one append */
@@ -108,7 +109,7 @@
 	struct buf *sent; /* records of the append under way */
 	uint64_t sent_serial;
 	int64_t seq;
-	struct store_op *op;
+	struct append_op *op;
 	lws_sorted_usec_list_t due;
 	bool due_set;
 	bool fenced;
@@ -142,13 +143,13 @@
 }
 
 static void
-append_ended(void *arg, int status, bool sent, const void *body, size_t len)
+append_ended(
+    void *arg, enum store_outcome outcome, const void *body, size_t len)
 {
 	struct store_writer *w = arg;
 
-	(void)sent;
 	w->op = NULL;
-	switch (store_append_outcome(status, body, len)) {
+	switch (outcome) {
 	case STORE_DONE:
 		append_done(w);
 		return;
@@ -186,7 +187,6 @@
 	    .epoch = w->opts.epoch,
 	    .seq = w->seq,
 	};
-	struct store_call c;
 
 	if (w->sent == NULL) {
 		w->sent = w->gathered;
@@ -194,9 +194,7 @@
 		w->gathered = NULL;
 	}
 	o.records = w->sent;
-	store_append_call(&c, &o);
-	w->op = store_send(
-	    w->opts.scheduler, &c, APPEND_TIMEOUT_MS, append_ended, w);
+	w->op = append_op_start(w->opts.scheduler, &o, append_ended, w);
 	if (w->op == NULL)
 		writer_schedule(w, APPEND_RETRY_MS * US_PER_MS);
 }
@@ -232,7 +230,7 @@
 	if (w == NULL)
 		return;
 	lws_sul_cancel(&w->due);
-	store_op_cancel(w->op);
+	append_op_cancel(w->op);
 	buf_unref(w->gathered);
 	buf_unref(w->sent);
 	free(w);
--- a/src/scheduler/topic_claim.c
+++ b/src/scheduler/topic_claim.c
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "append_op.h"
 #include "store_client.h"
 #include "wire.h"
 
@@ -26,6 +27,7 @@
 	int64_t claimed; /* epoch of the claim that was sent; 0 none … */
 	int64_t claim_seq; /* … and its number */
 	struct store_op *op;
+	struct append_op *append; /* of the claim */
 	lws_sorted_usec_list_t due;
 };
 
@@ -140,13 +142,15 @@
 }
 
 static void
-append_ended(void *arg, int status, bool sent, const void *body, size_t len)
+append_ended(
+    void *arg, enum store_outcome outcome, const void *body, size_t len)
 {
 	struct topic_claim *t = arg;
 
-	(void)sent;
-	t->op = NULL;
-	switch (store_append_outcome(status, body, len)) {
+	(void)body;
+	(void)len;
+	t->append = NULL;
+	switch (outcome) {
 	case STORE_DONE:
 		t->opts.on_claimed(t->opts.arg, t->claimed, t->claim_seq + 1);
 		return;
@@ -184,7 +188,6 @@
 {
 	struct append_opts o = {.at = t->next};
 	struct wire_writer w;
-	struct store_call c;
 	struct buf *value;
 
 	if (t->claimed == 0) {
@@ -204,11 +207,9 @@
 		goto out;
 	o.topic = t->opts.topic;
 	o.epoch = t->claimed;
-	store_append_call(&c, &o);
-	t->op =
-	    store_send(t->opts.scheduler, &c, CALL_TIMEOUT_MS, append_ended, t);
+	t->append = append_op_start(t->opts.scheduler, &o, append_ended, t);
 out:
-	if (t->op == NULL)
+	if (t->append == NULL)
 		claim_schedule(t, RETRY_MS);
 	buf_unref(value);
 	buf_unref(o.records);
@@ -220,7 +221,7 @@
 	struct topic_claim *t = lws_container_of(sul, struct topic_claim, due);
 	struct store_call c;
 
-	if (t->op != NULL)
+	if (t->op != NULL || t->append != NULL)
 		return;
 	if (t->next >= 0) {
 		send_claim(t);
@@ -256,5 +257,6 @@
 		return;
 	lws_sul_cancel(&t->due);
 	store_op_cancel(t->op);
+	append_op_cancel(t->append);
 	free(t);
 }
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -25,6 +25,7 @@
 	size_t count;
 	int64_t epoch, seq; /* of the newest producer */
 	int64_t seq_end; /* offset behind its newest append */
+	int tries; /* of that append, carried out or repeated */
 };
 
 struct member {
@@ -61,6 +62,7 @@
 	int append_ms;
 	bool all; /* the group deals every partition to every member */
 	int refuse; /* status of every answer; 0: calls are served */
+	int lose; /* tries of each append that get no answer */
 };
 
 static int64_t
@@ -206,9 +208,17 @@
 	exchange_json(x, status, o, 2);
 }
 
+/* The answer to a producer's newest append, as often as it is sent. */
+static void
+answer_newest(const struct job_store *s, struct exchange *x, struct topic *t)
+{
+	if (t->tries++ >= s->lose)
+		answer_append(x, t->seq_end, t->seq_end);
+}
+
 /* True where the producer's epoch and number let the append pass. */
 static bool
-check_producer(struct exchange *x, struct topic *t)
+check_producer(struct job_store *s, struct exchange *x, struct topic *t)
 {
 	int64_t epoch = exchange_int(x, "epoch", -1);
 	int64_t seq = exchange_int(x, "seq", -1);
@@ -220,7 +230,7 @@
 		return false;
 	}
 	if (epoch == t->epoch && seq == t->seq) {
-		answer_append(x, t->seq_end, t->seq_end);
+		answer_newest(s, x, t);
 		return false;
 	}
 	if (epoch == t->epoch && seq != t->seq + 1) {
@@ -237,7 +247,7 @@
 	size_t offset = t->count, pos = 0;
 	uint32_t len;
 
-	if (!check_producer(x, t))
+	if (!check_producer(s, x, t))
 		return;
 	if (at >= 0 && (size_t)at != t->count) {
 		refuse_append(x, 412, "at", (int64_t)t->count);
@@ -254,8 +264,11 @@
 		t->epoch = exchange_int(x, "epoch", -1);
 		t->seq = exchange_int(x, "seq", -1);
 		t->seq_end = (int64_t)t->count;
+		t->tries = 0;
+		answer_newest(s, x, t);
+	} else {
+		answer_append(x, (int64_t)offset, (int64_t)t->count);
 	}
-	answer_append(x, (int64_t)offset, (int64_t)t->count);
 	job_store_tick(s);
 }
 
@@ -533,6 +546,12 @@
 	s->all = true;
 }
 
+void
+job_store_lose(struct job_store *s, int tries)
+{
+	s->lose = tries;
+}
+
 void
 job_store_slow(struct job_store *s, int append_ms)
 {
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -30,5 +30,7 @@
 void job_store_deal_all(struct job_store *s);
 /* Each append is carried out so long after it has come. */
 void job_store_slow(struct job_store *s, int append_ms);
+/* Each producer's append is carried out; so many tries of it get no answer. */
+void job_store_lose(struct job_store *s, int tries);
 
 #endif
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -431,6 +431,9 @@
 	} else if (strcmp(x->path, "/store-slow") == 0) {
 		job_store_slow(world.store, (int)exchange_int(x, "ms", 0));
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-lose") == 0) {
+		job_store_lose(world.store, (int)exchange_int(x, "tries", 0));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-up") == 0) {
 		job_store_refuse(world.store, 0);
 		exchange_answer(x, 200, NULL);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -247,6 +247,29 @@
 	cr_expect(wait_until(daemon_ready, &i, LIMIT_MS));
 }
 
+/*
+ * Answers of the store that are lost: each append waited for its time-out, and
+ * callers for 2.5 s.  A repeat under the same number is taken once.
+ */
+Test(jobs, answers_of_the_store_that_are_lost_keep_no_caller_waiting)
+{
+	const char *lose = "/store-lose?tries=2";
+	char path[64];
+	size_t i;
+
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", lose, "", NULL), 200);
+	for (i = 0; i < 4; i++) {
+		snprintf(path, sizeof(path), "/blue/%016zx", 700 + i);
+		cr_expect_eq(
+		    call((int)(i % 2), "POST", path,
+			"{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL,
+			0),
+		    200);
+	}
+	cr_expect_eq(judged("twice"), 0);
+}
+
 Test(jobs, a_lasting_job_runs_until_it_is_cancelled)
 {
 	char text[128];
