tests: scripted runs of jobs, one for each kind of step

bench/jobs_world: workers have accelerators, save checkpoints and are traced; terms belong to a world instead of to the program; a step that fills counts no core against its worker, as in the pool.

Seen, no fault: occurrences start some 20 ms after they are due; a step whose copies may run side by side runs one copy (docs/JOBS.md, "Thin yet").

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 process_src := $(wildcard tests/process/*.c)
 property_src := $(wildcard tests/properties/*.cc)
 scripts := $(wildcard tests/scripts/*.script)
+job_scripts := $(wildcard tests/jobs/*.script)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 core_obj := $(call obj,$(core_src))
@@ -97,6 +98,9 @@
 $(BUILD)/script: $(BUILD)/tests/scripts/script.o $(libs)
 	$(CC) $(LDFLAGS) -o $@ $^ $(SHELL_LIBS)
 
+$(BUILD)/job_script: $(BUILD)/tests/jobs/job_script.o $(bench_lib) $(libs)
+	$(CC) $(LDFLAGS) -o $@ $^ $(SHELL_LIBS) -lm
+
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
 	    { apt-get update && apt-get install -y $(PACKAGES); }
@@ -104,7 +108,8 @@
 build: deps
 	$(MAKE) -j8 all
 
-test-programs: all $(tests) $(if $(scripts),$(BUILD)/script)
+test-programs: all $(tests) $(if $(scripts),$(BUILD)/script) \
+	$(if $(job_scripts),$(BUILD)/job_script)
 
 check: deps
 	$(MAKE) -j8 test-programs
@@ -128,7 +133,7 @@
 	@$(BUILD)/bench-$*
 
 c_files := $(core_src) $(shell_src) $(cli_src) $(standin_src) $(bench_src) \
-	src/main.c $(unit_src) $(process_src) $(wildcard tests/scripts/*.c)
+	src/main.c $(unit_src) $(process_src) $(wildcard tests/scripts/*.c tests/jobs/*.c)
 h_files := $(wildcard src/*/*.h standin/*.h bench/*.h tests/*/*.h)
 
 lint: deps
--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -28,8 +28,9 @@
 struct sim_run {
 	struct task_name task;
 	int64_t run;
-	int64_t cpu, memory_mb;
+	int64_t cpu, memory_mb, accelerators;
 	int64_t begun_ms, ends_ms;
+	bool checkpoints;
 	bool fails;
 	int64_t stop_ms; /* ends stopped then; 0: not told to */
 	LIST_ENTRY(sim_run) entries;
@@ -80,6 +81,7 @@
 	struct task_name task;
 	int64_t run;
 	struct order *order;
+	char saved[SAVED_BYTES], ticket[SAVED_BYTES];
 	int64_t lease_end_ms, acked_end, asked_us, until_ms;
 	enum order_end end;
 	bool answer_lost;
@@ -135,13 +137,39 @@
 	struct pool_effect question; /* the policy's, until it answers … */
 	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
+	struct queue_terms terms;
 };
 
-static struct queue_terms terms = {.name = "queue",
+static const struct queue_terms usual_terms = {.name = "queue",
     .max_attempts = 3,
     .stretch = 1.6,
     .target_latency_ms = 600};
 
+static void __attribute__((format(printf, 2, 3)))
+trace(struct jobs_world *w, const char *fmt, ...)
+{
+	char line[160];
+	va_list ap;
+
+	if (w->opts.trace == NULL)
+		return;
+	va_start(ap, fmt);
+	vsnprintf(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	w->opts.trace(w->opts.trace_arg, w->ms, line);
+}
+
+/* "1.0.0.2": job, occurrence, step, index, as the trace shows a task. */
+static const char *
+short_name(const struct task_name *n)
+{
+	static char out[TASK_NAME_BYTES];
+
+	snprintf(out, sizeof(out), "%llu.%u.%u.%u", strtoull(n->job, NULL, 16),
+	    n->occurrence, n->step, n->index);
+	return out;
+}
+
 static double
 chance(struct jobs_world *w)
 {
@@ -266,6 +294,11 @@
 	struct sim_bar *b = bar_of(s, &r->task);
 	struct end_report *e;
 
+	static const char *const hows[] = {
+	    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+	trace(w, "%s ends %s run %lld %s", s->id, short_name(&r->task),
+	    (long long)r->run, hows[how]);
 	if (r->run > b->run)
 		b->run = r->run;
 	s->ended = realloc(s->ended, (s->ended_count + 1) * sizeof(*s->ended));
@@ -275,6 +308,9 @@
 	e->task = r->task;
 	e->run = r->run;
 	e->how = how;
+	if (r->checkpoints && how == RUN_STOPPED)
+		snprintf(e->saved, sizeof(e->saved), "after-%lld-ms",
+		    (long long)(w->ms - r->begun_ms));
 	if (how == RUN_DONE)
 		known_task(w, &r->task)->done = true;
 	LIST_REMOVE(r, entries);
@@ -329,7 +365,7 @@
 	if (t->done_noted)
 		blame(w, &w->verdict.ran_twice, "%s run %lld after its end",
 		    t->name, (long long)m->run);
-	if (t->failed >= terms.max_attempts)
+	if (t->failed >= w->terms.max_attempts)
 		blame(w, &w->verdict.over_budget, "%s run %lld", t->name,
 		    (long long)m->run);
 	if (j != NULL && j->cancel_ms != 0 && w->ms > j->cancel_ms + CANCEL_MS)
@@ -350,14 +386,17 @@
 has_room(struct jobs_world *w, const struct sim_worker *s,
     const struct order_step *step)
 {
-	int64_t cpu = step->cpu, memory_mb = step->memory_mb;
+	int64_t cpu = order_step_cpu(step), memory_mb = step->memory_mb;
+	int64_t accelerators = step->accelerators;
 	struct sim_run *r;
 
 	LIST_FOREACH(r, &s->runs, entries) {
 		cpu += r->cpu;
 		memory_mb += r->memory_mb;
+		accelerators += r->accelerators;
 	}
-	return cpu <= w->opts.cpu && memory_mb <= w->opts.memory_mb;
+	return cpu <= w->opts.cpu && memory_mb <= w->opts.memory_mb &&
+	    accelerators <= w->opts.accelerators;
 }
 
 static enum order_end
@@ -377,6 +416,7 @@
 	if (m->lease_end_ms > s->lease_end_ms)
 		s->lease_end_ms = m->lease_end_ms;
 	if (!has_room(w, s, step)) {
+		trace(w, "%s has no room for %s", s->id, short_name(&m->task));
 		if (w->opts.guarded)
 			return ORDER_END_NO_ROOM;
 		blame(w, &w->verdict.over_room, "%s", s->id);
@@ -386,8 +426,10 @@
 	r = calloc(1, sizeof(*r));
 	r->task = m->task;
 	r->run = m->run;
-	r->cpu = step->cpu;
+	r->cpu = order_step_cpu(step);
 	r->memory_mb = step->memory_mb;
+	r->accelerators = step->accelerators;
+	r->checkpoints = step->checkpoints;
 	r->begun_ms = w->ms;
 	spread = 1 + w->opts.estimate_spread * (2 * chance(w) - 1);
 	r->ends_ms = step->lasting
@@ -395,6 +437,9 @@
 	    : w->ms + 1 + (int64_t)((double)step->estimate_ms * spread);
 	r->fails = chance(w) < w->opts.fail;
 	LIST_INSERT_HEAD(&s->runs, r, entries);
+	trace(w, "%s starts %s run %lld%s%s%s%s", s->id, short_name(&m->task),
+	    (long long)m->run, m->saved[0] != '\0' ? " from " : "", m->saved,
+	    m->ticket[0] != '\0' ? " with " : "", m->ticket);
 	return ORDER_END_TAKEN;
 }
 
@@ -651,12 +696,17 @@
 		if (!j->accepted)
 			w->accepted++;
 		j->accepted = true;
+		trace(w, "caller of %llu: accepted", strtoull(j->id, NULL, 16));
 		break;
 	case POOL_OVERLOADED:
 		w->refused++;
+		trace(w, "caller of %llu: refused, again after %d ms",
+		    strtoull(j->id, NULL, 16), x->u.answer.retry_ms);
 		break;
 	case POOL_CANCELLING:
 		j->cancel_ms = w->ms;
+		trace(
+		    w, "caller of %llu: cancelled", strtoull(j->id, NULL, 16));
 		break;
 	case POOL_STATE:
 		w->looked_state = x->u.answer.state;
@@ -696,6 +746,8 @@
 		m->run = x->u.start.run;
 		m->order = order_ref(x->u.start.order);
 		m->lease_end_ms = x->u.start.lease_end_ms;
+		memcpy(m->saved, x->u.start.saved, sizeof(m->saved));
+		memcpy(m->ticket, x->u.start.ticket, sizeof(m->ticket));
 		time_out(w, m, ORDER_TIMEOUT_MS);
 		break;
 	case POOL_STOP:
@@ -727,9 +779,13 @@
 			    owner, x->u.log.line);
 		break;
 	case POOL_ADVISE:
+		trace(w, "policy is asked of step %u and %zu workers",
+		    x->u.advise.step.step, x->u.advise.count);
 		ask_policy(w, x);
 		break;
 	case POOL_PACE:
+		trace(w, "%s is told to run %s at %d%%", x->u.order.worker.id,
+		    short_name(&x->u.order.task), x->u.order.percent);
 		break;
 	}
 }
@@ -803,6 +859,7 @@
 	r.born_ms = s->born_ms;
 	r.cpu = w->opts.cpu;
 	r.memory_mb = w->opts.memory_mb;
+	r.accelerators = w->opts.accelerators;
 	r.draining = s->draining;
 	r.label_count = 2;
 	snprintf(r.labels[0], NAME_BYTES, "kind");
@@ -1042,6 +1099,7 @@
 	w->opts = *opts;
 	w->random = opts->seed * 2654435761u + 88172645463325252u;
 	w->ms = 1;
+	w->terms = usual_terms;
 	LIST_INIT(&w->messages);
 	for (i = 0; i < opts->workers; i++) {
 		snprintf(w->workers[i].id, NAME_BYTES, "w-%d", i);
@@ -1136,8 +1194,8 @@
 
 	ev.u.submit.token = token_new(w, known_job(w, id));
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
-	terms.advised = w->opts.allowed_from > 0;
-	ev.u.submit.terms = &terms;
+	w->terms.advised = w->opts.allowed_from > 0;
+	ev.u.submit.terms = &w->terms;
 	ev.u.submit.order = order;
 	ev.u.submit.refuse_ms = w->refuse_ms;
 	step(w, w->owner, &ev);
@@ -1272,6 +1330,12 @@
 	step(w, w->owner, &ev);
 }
 
+void
+jobs_world_terms(struct jobs_world *w, const struct queue_terms *terms)
+{
+	w->terms = *terms;
+}
+
 void
 jobs_world_refuse(struct jobs_world *w, int retry_ms)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -33,6 +33,10 @@
 			     asked */
 	int policy_ms; /* until it answers */
 	bool timed; /* the reducer's processor time is measured */
+	int64_t accelerators; /* of a worker */
+	/* What workers, callers and the policy see, a line each; NULL: none. */
+	void (*trace)(void *arg, int64_t ms, const char *line);
+	void *trace_arg;
 };
 
 /* What went wrong, 0 each on a world that kept its promises. */
@@ -85,6 +89,8 @@
 void jobs_world_cordon_worker(struct jobs_world *w, int worker);
 /* Its machine is taken away; its entry is still listed. */
 void jobs_world_take_worker(struct jobs_world *w, int worker);
+/* Terms of the queue that jobs are handed in at from now on. */
+void jobs_world_terms(struct jobs_world *w, const struct queue_terms *terms);
 /* The owner is told to refuse new jobs for so long; 0: to take them. */
 void jobs_world_refuse(struct jobs_world *w, int retry_ms);
 /* Writes of the present owner are not taken while the store is down. */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -30,17 +30,23 @@
 for t in unit process; do
 	[ -x "$build/$t" ] && run_program "$build/$t" --tap=- -j4
 done
-for s in tests/scripts/*.script; do
-	[ -f "$s" ] || continue
-	name=$(basename "$s" .script)
-	"$build/script" "$s" >"$work/$name.actual" 2>&1
-	if diff -u "tests/scripts/$name.expected" "$work/$name.actual" \
+run_script() {
+	name=$(basename "$2" .script)
+	"$1" "$2" >"$work/$name.actual" 2>&1
+	if diff -u "${2%.script}.expected" "$work/$name.actual" \
 	    >"$work/$name.diff"; then
 		echo "ok - script.$name" >>"$work/tap"
 	else
 		head -n 60 "$work/$name.diff"
 		echo "not ok - script.$name" >>"$work/tap"
 	fi
+}
+
+for s in tests/scripts/*.script; do
+	[ -f "$s" ] && run_script "$build/script" "$s"
+done
+for s in tests/jobs/*.script; do
+	[ -f "$s" ] && run_script "$build/job_script" "$s"
 done
 
 passed=$(grep -c '^ok ' "$work/tap")
