jobs: an acknowledgement is told only right after an answer of the worker

A worker that had started anew under its id counts its ends from 1 again: a repeat from an owner that had been replaced, and did not know of the new life, made it forget ends that the present owner had not seen. That owner then found the run "not at its worker" and ran the task again.

Ruled out: the present owner's own late holds (it keeps nothing there for 12 s after one, late_until_us), the fence (the new life has not seen it yet).

Change: a hold acknowledges only if the one before was answered; a repeat does not. The worker must start anew within one way of the link for the two to meet.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -502,7 +502,8 @@
 		    : (int)(100 * (w->ms - run->begun_ms) / (took + 1));
 	}
 	r->ended = calloc(s->ended_count + 1, sizeof(*r->ended));
-	memcpy(r->ended, s->ended, s->ended_count * sizeof(*r->ended));
+	if (s->ended_count > 0)
+		memcpy(r->ended, s->ended, s->ended_count * sizeof(*r->ended));
 	r->ended_count = s->ended_count;
 }
 
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -289,10 +289,11 @@
 
 	fx_target(&x->u.hold.worker, w);
 	/*
-	 * Told once: a new life of the worker under the same id counts its
-	 * ends from 1 again, and would forget them unseen.
+	 * Told once, right after an answer: a new life of the worker under the
+	 * same id counts its ends from 1 again, and would forget them unseen.
 	 */
-	w->telling_end = w->acked_end > w->told_end ? w->acked_end : 0;
+	w->telling_end =
+	    w->misses == 0 && w->acked_end > w->told_end ? w->acked_end : 0;
 	x->u.hold.acked_end = w->telling_end;
 	w->hold_out = true;
 	/*
