scheduler: a repeat that cannot be sent does not end the repeats

Read in the diff: where a try could not be started (no memory, no connection) no later one was scheduled, and with the others ended the append would have waited for good. The timer goes on. No test: the call fails only where memory or descriptors run out; jobs::answers_of_the_store_that_are_lost passes.

--- a/src/scheduler/append_op.c
+++ b/src/scheduler/append_op.c
@@ -6,8 +6,7 @@
 #include "store_client.h"
 
 #define TIMEOUT_MS 1500 /* of a try; the store may be some 50 times slower */
-#define TRIES_MAX \
-	4 /* under way at once; of three in ten lost, 1 in 120 fails */
+#define TRIES_MAX 4 /* under way; the oldest is given up for a fifth */
 
 struct append_try {
 	struct append_op *append;
@@ -127,9 +126,10 @@
 {
 	struct append_op *a = lws_container_of(sul, struct append_op, repeat);
 
-	a->scheduler->counts.store_repeats++;
+	/* one that cannot be sent now may be next time */
 	if (try_send(a) == 0)
-		repeat_schedule(a);
+		a->scheduler->counts.store_repeats++;
+	repeat_schedule(a);
 }
 
 static void
