--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -30,7 +30,9 @@
 	int64_t run;
 	int64_t cpu, memory_mb, accelerators;
 	int64_t begun_ms, ends_ms;
-	bool checkpoints;
+	bool checkpoints, fills;
+	int64_t target_ms; /* of a task that serves; 0 none */
+	int pace; /* percent, of a task that fills */
 	bool fails;
 	int64_t stop_ms; /* ends stopped then; 0: not told to */
 	LIST_ENTRY(sim_run) entries;
@@ -430,6 +432,9 @@
 	r->memory_mb = step->memory_mb;
 	r->accelerators = step->accelerators;
 	r->checkpoints = step->checkpoints;
+	r->fills = step->fills;
+	r->target_ms = step->target_ms;
+	r->pace = 100;
 	r->begun_ms = w->ms;
 	spread = 1 + w->opts.estimate_spread * (2 * chance(w) - 1);
 	r->ends_ms = step->lasting
@@ -478,6 +483,18 @@
 	s->ended_count = kept;
 }
 
+/* Half of its target, and as much again for each task that fills beside it. */
+static int64_t
+tail_ms(const struct sim_worker *s, const struct sim_run *serving)
+{
+	const struct sim_run *r;
+	int64_t parts = 100;
+
+	LIST_FOREACH(r, &s->runs, entries)
+		parts += r->fills ? r->pace : 0;
+	return serving->target_ms * parts / 200;
+}
+
 static void
 fill_report(struct jobs_world *w, struct sim_worker *s, struct hold_report *r)
 {
@@ -496,6 +513,7 @@
 
 		out->task = run->task;
 		out->run = run->run;
+		out->usage = tail_ms(s, run);
 		took = run->ends_ms - run->begun_ms;
 		out->percent = run->ends_ms == INT64_MAX
 		    ? 100
@@ -733,6 +751,20 @@
 	w->answer_ms = w->ms + w->opts.policy_ms;
 }
 
+static void
+pace_run(struct jobs_world *w, const struct pool_effect *x)
+{
+	int i = worker_index(w, x->u.order.worker.id);
+	struct sim_run *r = NULL;
+
+	trace(w, "%s is told to run %s at %d%%", x->u.order.worker.id,
+	    short_name(&x->u.order.task), x->u.order.percent);
+	if (i >= 0)
+		r = find_run(&w->workers[i], &x->u.order.task);
+	if (r != NULL)
+		r->pace = x->u.order.percent;
+}
+
 static void
 run_effect(struct jobs_world *w, int owner, const struct pool_effect *x)
 {
@@ -785,8 +817,7 @@
 		ask_policy(w, x);
 		break;
 	case POOL_PACE:
-		trace(w, "%s is told to run %s at %d%%", x->u.order.worker.id,
-		    short_name(&x->u.order.task), x->u.order.percent);
+		pace_run(w, x);
 		break;
 	}
 }
