scheduler: a daemon that stops hands all its pools over within 0.3 s

Change: a pool that is given up takes no events but its writes' ends, so that those come to an end; after 0.3 s all are given up and the daemon leaves; a daemon that stops begins no pool, nor the duty of machines, that it is dealt.

Test: claims::a_daemon_that_stops_is_dealt_no_pool_again (appends take 1.5 s: before, the pools were given up only with the process, and the duty ten times).

--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -103,7 +103,8 @@
 	}
 	/* the duty of machines stands behind the pools */
 	duty_assign(o->scheduler->duty,
-	    part_held(shares, (int)(c->pool_count % (size_t)parts_of(o))),
+	    !o->scheduler->stopping &&
+		part_held(shares, (int)(c->pool_count % (size_t)parts_of(o))),
 	    o->join_boot_us);
 	if (o->held_count != before)
 		daemon_log(LOG_LEVEL_INFO, "owners",
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -23,6 +23,7 @@
 #define FILES_MAX 4096 /* of the library's table; the limit may be lower */
 #define HEADER_POOL 256 /* requests whose headers are being read */
 /* a planned stop: the balancer needs two looks, a second apart, to notice */
+#define HAND_OVER_MS 300 /* for writes under way; the store may be away */
 #define STOP_LINGER_MS 2600
 #define LAST_ANSWERS_MS 400 /* for the way of final answers to callers */
 #define STOP_MAX_MS 4500 /* well within the platform's grace */
@@ -222,7 +223,7 @@
 {
 	int64_t ms = (sched_now_us() - loop.stop_begun_us) / US_PER_MS;
 
-	shards_give_up_all(s->shards);
+	shards_give_up_all(s->shards, ms >= HAND_OVER_MS);
 	duty_assign(s->duty, false, 0);
 	if (shards_none(s->shards))
 		owners_leave(s->owners);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -117,6 +117,9 @@
 
 	if (sh->lost)
 		return;
+	/* or its writes would never end */
+	if (sh->state == SHARD_GIVING_UP && ev->kind != POOL_WRITTEN)
+		return;
 	if (shard_outlived(sh)) {
 		sh->lost = true;
 		schedule_tick(sh);
@@ -301,7 +304,7 @@
 		else if (!sh->lost)
 			sh->confirmed_boot_us = asked_boot_us;
 	}
-	for (i = 0; i < count; i++) {
+	for (i = 0; i < count && !all->scheduler->stopping; i++) {
 		if (find_shard(all, pools[i]) == NULL)
 			shard_begin(all, pools[i], asked_boot_us);
 	}
@@ -320,13 +323,14 @@
 }
 
 void
-shards_give_up_all(struct shards *all)
+shards_give_up_all(struct shards *all, bool at_once)
 {
 	struct shard *sh, *next;
 
 	for (sh = LIST_FIRST(&all->list); sh != NULL; sh = next) {
 		next = LIST_NEXT(sh, entries);
-		if (sh->writer == NULL || store_writer_idle(sh->writer))
+		if (at_once || sh->writer == NULL ||
+		    store_writer_idle(sh->writer))
 			shard_drop(sh, "planned-stop");
 		else
 			sh->state = SHARD_GIVING_UP;
--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -21,7 +21,7 @@
 void shards_assign(struct shards *all, const char (*pools)[NAME_BYTES],
     size_t count, int64_t asked_boot_us);
 /* Gives all up once their writes are stored (planned stop). */
-void shards_give_up_all(struct shards *all);
+void shards_give_up_all(struct shards *all, bool at_once);
 bool shards_none(const struct shards *all);
 
 void shards_worker(struct shards *all, const struct worker_report *r);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -373,6 +373,55 @@
 	return true;
 }
 
+/* The first daemon owns every pool. */
+static bool
+first_took_all(void *arg)
+{
+	char list[16][64];
+
+	(void)arg;
+	return taken_fences(fleet->daemons[0], list, 16) >= 2;
+}
+
+/* True where "later" follows "first" in what a daemon has said. */
+static bool
+said_after(struct proc *p, const char *first, const char *later)
+{
+	char *text = proc_output(p);
+	const char *at = strstr(text, first);
+	bool ret = at != NULL && strstr(at, later) != NULL;
+
+	free(text);
+	return ret;
+}
+
+/*
+ * A daemon that stops gave its idle pool up and stayed in the group until its
+ * busy one had nothing to write any more: the group dealt the idle one back to
+ * it, each half second, and nobody owned it.
+ */
+Test(claims, a_daemon_that_stops_is_dealt_no_pool_again, .init = setup_platform,
+    .fini = teardown, .timeout = 60)
+{
+	const char *slow = "/store-slow?ms=1500";
+	int i = 0;
+
+	job_fleet_start(fleet, 0);
+	cr_assert(wait_until(daemon_ready, &i, LIMIT_MS));
+	cr_assert(wait_until(first_took_all, NULL, LIMIT_MS));
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
+	call(0, "POST", "/blue/00000000000000cc",
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL, 0);
+	proc_signal(fleet->daemons[0], SIGTERM);
+	cr_expect_eq(proc_wait(fleet->daemons[0], LIMIT_MS), 0);
+	cr_expect(said_after(fleet->daemons[0], "msg=\"planned stop begins\"",
+	    "why=planned-stop"));
+	cr_expect_not(
+	    said_after(fleet->daemons[0], "msg=\"planned stop begins\"",
+		"msg=\"the group deals this pool\""));
+}
+
 /*
  * Two daemons claimed a new pool at the same time under the same epoch and
  * number: the store took the second for a repeat of the first and told both
