--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -20,7 +20,10 @@
  */
 void shards_assign(struct shards *all, const char (*pools)[NAME_BYTES],
     size_t count, int64_t asked_boot_us);
-/* Gives all up once their writes are stored (planned stop). */
+/*
+ * Gives all up for a planned stop, each once its writes are stored, or with
+ * "at_once" without waiting.  Call it until none is left.
+ */
 void shards_give_up_all(struct shards *all, bool at_once);
 bool shards_none(const struct shards *all);
 
