--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -153,8 +153,7 @@
 	 * It has forgotten the fence: an owner that has been replaced must not
 	 * command it, and finds that out when this is not stored.
 	 */
-	w->recorded = false;
-	p->workers_changed = true;
+	worker_record_again(p, w);
 	w->seen_end = w->acked_end = w->pending_end = w->told_end = 0;
 	/* nothing runs there while an old hold could acknowledge its ends */
 	w->shunned_until_us = w->late_until_us;
