standin: one reader of a JSON field's text

job_store.c and main_jobs.c had the same text_of(); it is exchange_text() beside exchange_body_json() now. No code of the daemon is touched.

--- a/standin/http_server.c
+++ b/standin/http_server.c
@@ -501,3 +501,12 @@
 	json_tokener_free(tok);
 	return object;
 }
+
+const char *
+exchange_text(struct json_object *o, const char *key)
+{
+	struct json_object *v;
+
+	return json_object_object_get_ex(o, key, &v) ? json_object_get_string(v)
+						     : "";
+}
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -87,5 +87,7 @@
 void exchange_drop(struct exchange *x);
 /* The request's body as a JSON object, or NULL.  The caller releases it. */
 struct json_object *exchange_body_json(const struct exchange *x);
+/* A field's text in such an object; "" where it is missing. */
+const char *exchange_text(struct json_object *o, const char *key);
 
 #endif
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -396,15 +396,6 @@
 	return NULL;
 }
 
-static const char *
-text_of(struct json_object *o, const char *key)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, key, &v) ? json_object_get_string(v)
-						     : "";
-}
-
 /* Partition i belongs to the i-th member, round and round. */
 static void
 add_parts(
@@ -443,7 +434,8 @@
 		return;
 	}
 	expire_members(s);
-	m = find_member(s, text_of(in, "group"), text_of(in, "member"));
+	m = find_member(
+	    s, exchange_text(in, "group"), exchange_text(in, "member"));
 	if (m == NULL && s->member_count == MEMBERS_MAX) {
 		exchange_answer(x, 429, NULL);
 		json_object_put(in);
@@ -451,9 +443,10 @@
 	}
 	if (m == NULL) {
 		m = &s->members[s->member_count++];
-		snprintf(
-		    m->group, sizeof(m->group), "%s", text_of(in, "group"));
-		snprintf(m->name, sizeof(m->name), "%s", text_of(in, "member"));
+		snprintf(m->group, sizeof(m->group), "%s",
+		    exchange_text(in, "group"));
+		snprintf(m->name, sizeof(m->name), "%s",
+		    exchange_text(in, "member"));
 		snprintf(m->topic, sizeof(m->topic), "%s",
 		    json_object_get_string(
 			json_object_array_get_idx(topics, 0)));
@@ -474,8 +467,8 @@
 leave(struct job_store *s, struct exchange *x)
 {
 	struct json_object *in = exchange_body_json(x);
-	struct member *m =
-	    find_member(s, text_of(in, "group"), text_of(in, "member"));
+	struct member *m = find_member(
+	    s, exchange_text(in, "group"), exchange_text(in, "member"));
 
 	if (m != NULL) {
 		*m = s->members[--s->member_count];
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -102,15 +102,6 @@
 						     : 0;
 }
 
-static const char *
-text_of(struct json_object *o, const char *key)
-{
-	struct json_object *v;
-
-	return json_object_object_get_ex(o, key, &v) ? json_object_get_string(v)
-						     : "";
-}
-
 static void
 refuse(struct exchange *x, const char *reason)
 {
@@ -174,7 +165,7 @@
 static void
 start(struct exchange *x, struct worker *w, struct json_object *in)
 {
-	const char *task = text_of(in, "task");
+	const char *task = exchange_text(in, "task");
 	struct run *r = find_run(w, task);
 	int64_t number = number_of(in, "run");
 
@@ -197,7 +188,7 @@
 	snprintf(r->task, sizeof(r->task), "%s", task);
 	r->number = number;
 	r->begun_ms = now_ms();
-	r->ends_ms = strstr(text_of(in, "taskSpec"), "lasts") != NULL
+	r->ends_ms = strstr(exchange_text(in, "taskSpec"), "lasts") != NULL
 	    ? INT64_MAX
 	    : now_ms() + world.task_ms;
 	LIST_INSERT_HEAD(&w->runs, r, entries);
@@ -269,7 +260,7 @@
 static void
 stop(struct exchange *x, struct worker *w, struct json_object *in)
 {
-	struct run *r = find_run(w, text_of(in, "task"));
+	struct run *r = find_run(w, exchange_text(in, "task"));
 
 	if (r != NULL && r->number == number_of(in, "run"))
 		r->stop_ms = now_ms();
