scheduler: appends within the store's limits, a record for each worker

Cause: what gathered behind an append went out as one body of any size. The store refuses one over `requestBytes`, or with a record over `recordBytes`; the refusal counted as "not done, try again", and the same body was sent for ever: the pool was dead until its owner changed, and the next owner inherited the load. They piled up since the record `workers` of all workers was written whole at each change of one: 17.7 KB for 90 workers.

Ruled out: trimming of the topic; a slow partition alone (the unit test plays it).

Progress that has grown too large is written without checkpoints. - `w/ID` holds one worker; `workers` of earlier versions is read and dropped. An inherited worker is written again only when it is silent.

--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -19,7 +19,7 @@
     "\"maintenanceS\":0.2,\"migrateS\":0.2,\"leaseMs\":300},"
     "\"advice\":\"127.0.0.1:%d\","
     "\"platform\":{\"addr\":\"127.0.0.1:%d\",\"parts\":8,"
-    "\"ttlMinMs\":500},"
+    "\"ttlMinMs\":500,\"recordBytes\":8192,\"requestBytes\":16384},"
     "\"cloudApi\":{\"addr\":\"127.0.0.1:%d\",\"dutyPerS\":64}}";
 
 static const char config_format[] =
--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -941,6 +941,7 @@
 	    .restore_ms = RESTORE_MS,
 	    .remote_factor = 2,
 	};
+	char id[NAME_BYTES];
 	struct stored *r;
 	struct err e;
 	int i;
@@ -952,9 +953,9 @@
 		if (strncmp(r->key, "j/", 2) == 0)
 			job_order_decode(
 			    r->value->data, r->value->len, &e, found_order, w);
-		else if (strcmp(r->key, KEY_WORKERS) == 0)
-			pool_load_workers(
-			    o->pool, r->value->data, r->value->len, &e);
+		else if (worker_key_id(r->key, id))
+			pool_load_worker(
+			    o->pool, id, r->value->data, r->value->len, &e);
 	}
 	for (i = 0; i < w->opts.workers; i++) {
 		if (w->workers[i].listed)
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -8,8 +8,26 @@
 
 #define PREFIX_ORDER "j/"
 #define PREFIX_PROGRESS "p/"
+#define PREFIX_WORKER "w/"
 #define PREFIX_BYTES 2
 
+void
+worker_record_key(char key[JOB_KEY_BYTES], const char *id)
+{
+	snprintf(key, JOB_KEY_BYTES, PREFIX_WORKER "%s", id);
+}
+
+bool
+worker_key_id(const char *key, char id[NAME_BYTES])
+{
+	if (strncmp(key, PREFIX_WORKER, PREFIX_BYTES) != 0 ||
+	    key[PREFIX_BYTES] == '\0' ||
+	    strlen(key + PREFIX_BYTES) >= NAME_BYTES)
+		return false;
+	snprintf(id, NAME_BYTES, "%s", key + PREFIX_BYTES);
+	return true;
+}
+
 void
 job_order_key(char key[JOB_KEY_BYTES], const char *id)
 {
@@ -154,7 +172,8 @@
 
 /* [index, attempts, failed runs, checkpoint] of tasks not done. */
 static void
-write_notes(struct wire_writer *w, const struct job_step *s)
+write_notes(struct wire_writer *w, const struct job_step *s,
+    enum progress_detail detail)
 {
 	const char *saved;
 	size_t n = 0;
@@ -166,7 +185,9 @@
 	for (i = 0; i < s->order->count; i++) {
 		if (!task_noted(&s->tasks[i]))
 			continue;
-		saved = s->tasks[i].saved != NULL ? s->tasks[i].saved : "";
+		saved = s->tasks[i].saved != NULL && detail == PROGRESS_WHOLE
+		    ? s->tasks[i].saved
+		    : "";
 		msgpack_pack_array(&w->pk, 4);
 		msgpack_pack_unsigned_int(&w->pk, i);
 		msgpack_pack_int(&w->pk, s->tasks[i].attempts);
@@ -177,7 +198,8 @@
 }
 
 static void
-write_occurrence(struct wire_writer *w, const struct occurrence *o)
+write_occurrence(struct wire_writer *w, const struct occurrence *o,
+    enum progress_detail detail)
 {
 	size_t i, steps = o->job->order->step_count;
 
@@ -188,7 +210,7 @@
 		write_done(w, &o->steps[i]);
 	wire_array(w, "n", (uint32_t)steps);
 	for (i = 0; i < steps; i++)
-		write_notes(w, &o->steps[i]);
+		write_notes(w, &o->steps[i], detail);
 }
 
 static bool
@@ -198,7 +220,7 @@
 }
 
 struct buf *
-job_progress_encode(const struct job *j)
+job_progress_encode(const struct job *j, enum progress_detail detail)
 {
 	const struct occurrence *o;
 	struct wire_writer w;
@@ -215,7 +237,7 @@
 	wire_array(&w, "o", n);
 	LIST_FOREACH(o, &j->occurrences, entries) {
 		if (!job_final(j) && occurrence_open(o))
-			write_occurrence(&w, o);
+			write_occurrence(&w, o, detail);
 	}
 	return wire_writer_take(&w);
 }
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -1,6 +1,6 @@
 /*
- * Records that keep a job in the store: the order, written once, and its
- * progress, written whenever it changes.  A key for each.
+ * Records of a pool's topic, a key for each: a job's order, written once, its
+ * progress, written whenever it changes, and a worker that may run tasks.
  */
 #ifndef JOBS_JOB_RECORD_H
 #define JOBS_JOB_RECORD_H
@@ -13,10 +13,13 @@
 #include "job.h"
 #include "wire.h"
 
-#define JOB_KEY_BYTES 24
-/* Workers that may run tasks of the pool, for the next owner. */
+#define JOB_KEY_BYTES 48 /* any key of a pool's topic, with NUL */
+/* All workers in one record, as earlier versions wrote them. */
 #define KEY_WORKERS "workers"
 
+/* Key of a worker that may run tasks of the pool, for the next owner. */
+void worker_record_key(char key[JOB_KEY_BYTES], const char *id);
+bool worker_key_id(const char *key, char id[NAME_BYTES]);
 void job_order_key(char key[JOB_KEY_BYTES], const char *id);
 void job_progress_key(char key[JOB_KEY_BYTES], const char *id);
 /* Id in a key; false where it is neither of the two. */
@@ -26,9 +29,15 @@
 void terms_write(struct wire_writer *w, const struct queue_terms *t);
 bool terms_read(const msgpack_object *map, struct queue_terms *t);
 
+enum progress_detail {
+	PROGRESS_WHOLE,
+	PROGRESS_NO_CHECKPOINTS /* smaller: saved work is done again */
+};
+
 /* NULL when memory is short. */
 struct buf *job_order_encode(const struct job *j);
-struct buf *job_progress_encode(const struct job *j);
+struct buf *job_progress_encode(
+    const struct job *j, enum progress_detail detail);
 
 /* What an order's record holds; "text" belongs to the record. */
 struct order_record {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -28,6 +28,7 @@
 	int stop_ms; /* a stop takes so long at most */
 	int restore_ms; /* a start from a checkpoint takes so long */
 	double remote_factor; /* work time away from its data */
+	size_t record_bytes; /* largest record of the store; 0: any */
 };
 
 struct worker_target {
@@ -213,7 +214,10 @@
  */
 int pool_load(struct pool *p, const char *id, const struct order_record *r,
     struct order *order, const struct buf *progress, struct err *e);
-/* Workers that an earlier term may have ordered tasks to (KEY_WORKERS). */
+/* A worker that an earlier term may have ordered tasks to, from its record. */
+int pool_load_worker(struct pool *p, const char *id, const void *data,
+    size_t len, struct err *e);
+/* The same for a list of them (KEY_WORKERS). */
 int pool_load_workers(
     struct pool *p, const void *data, size_t len, struct err *e);
 void pool_step(
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -269,9 +269,18 @@
 static void
 write_progress(struct pool *p, struct job *j)
 {
-	struct buf *value = job_progress_encode(j);
+	struct buf *value = job_progress_encode(j, PROGRESS_WHOLE);
 	char key[JOB_KEY_BYTES];
 
+	if (value != NULL && p->opts.record_bytes > 0 &&
+	    value->len + JOB_KEY_BYTES > p->opts.record_bytes) {
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"progress is too large: without checkpoints\" "
+		    "job=%s bytes=%zu most=%zu",
+		    j->id, value->len, p->opts.record_bytes);
+		buf_unref(value);
+		value = job_progress_encode(j, PROGRESS_NO_CHECKPOINTS);
+	}
 	if (value == NULL)
 		abort(); /* ends are acknowledged on the strength of it */
 	job_progress_key(key, j->id);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -21,8 +21,10 @@
 	 * it answers, or did of late.  A next owner is told.
 	 */
 	int64_t silent_until_ms;
-	bool recorded; /* a next owner will know of it … */
+	bool stored; /* the topic has a record of it … */
+	bool recorded; /* … that says what is believed of it … */
 	uint64_t record_serial; /* … once this is written */
+	int64_t recorded_silent_ms; /* "silent_until_ms" of the record */
 	int64_t clock_us; /* when report.clock_ms was observed */
 	int64_t lease_end_ms; /* latest that was sent, on its clock */
 	int64_t heard_us;
@@ -108,7 +110,8 @@
 	 */
 	struct room offered[OFFERED_SPANS];
 	int64_t offered_us;
-	bool workers_changed; /* since they were recorded */
+	bool workers_changed; /* one is not recorded as it is */
+	bool workers_listed; /* an earlier version's record of all is stored */
 	struct learned *learned; /* by queue */
 	uint64_t serial; /* newest write */
 	uint64_t written; /* newest that is stored */
@@ -160,7 +163,7 @@
 int64_t worker_clock_ms(const struct placed_worker *w, int64_t now_us);
 bool worker_lease_over(const struct placed_worker *w, int64_t now_us);
 bool worker_usable(const struct pool *p, const struct placed_worker *w);
-/* Writes the list of workers where it has changed. */
+/* Writes the workers that are not recorded as they are. */
 void pool_record_workers(struct pool *p);
 /* All tasks of earlier terms are known or have ended. */
 bool pool_settled(const struct pool *p);
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -200,6 +200,9 @@
 						    : STORE_FENCED;
 	case 412:
 		return STORE_MOVED;
+	case 400:
+	case 413:
+		return STORE_UNREADABLE;
 	case 429:
 	case 503:
 		return STORE_NOT_DONE;
--- a/src/platform/store_wire.h
+++ b/src/platform/store_wire.h
@@ -70,6 +70,7 @@
 	STORE_EARLY, /* its number does not follow the last one */
 	STORE_MOVED, /* the topic does not end where it was expected */
 	STORE_FULL, /* no room in the store */
+	STORE_UNREADABLE, /* the bytes are wrong or too many: final */
 	STORE_UNKNOWN
 };
 
--- a/src/scheduler/append_op.c
+++ b/src/scheduler/append_op.c
@@ -60,6 +60,7 @@
 	case STORE_FENCED:
 	case STORE_MOVED:
 	case STORE_FULL:
+	case STORE_UNREADABLE:
 		return true;
 	case STORE_NOT_DONE:
 	case STORE_UNKNOWN:
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -43,6 +43,7 @@
 	uint64_t serial; /* newest note */
 	STAILQ_HEAD(noted_orders, noted_order) noted;
 	struct store_writer *status; /* what operators read */
+	uint64_t status_serial; /* newest of it */
 	struct machine_list machines; /* pages read so far */
 	LIST_HEAD(duty_calls, duty_call) calls;
 	lws_sorted_usec_list_t tick;
@@ -266,7 +267,7 @@
 		write_note(d, x->wave, NULL);
 	wave_status_key(key, sizeof(key), x->wave);
 	if (value != NULL)
-		store_writer_put(d->status, key, value, 0);
+		store_writer_put(d->status, key, value, ++d->status_serial);
 	buf_unref(value);
 	daemon_log(LOG_LEVEL_INFO, "duty", "msg=\"wave is %s\" wave=%lld",
 	    x->completed ? "completed" : "running", (long long)x->wave);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -331,6 +331,10 @@
 	    "calls without an answer of use", "", n->store_failed);
 	metric_counter(out, "store_repeats_total",
 	    "appends sent again before their answer", "", n->store_repeats);
+	metric_counter(out, "store_records_too_large_total",
+	    "records that the store would not take", "", n->records_too_large);
+	metric_counter(out, "store_appends_unreadable_total",
+	    "appends whose bytes the store refused", "", n->appends_unreadable);
 	metric_counter(out, "worker_orders_total", "orders to workers", "",
 	    n->worker_orders);
 	metric_counter(out, "worker_unanswered_total",
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -30,6 +30,7 @@
 struct scheduler_counts {
 	uint64_t requests, accepted, refused, unknown_outcome, not_found;
 	uint64_t store_calls, store_failed, store_repeats;
+	uint64_t records_too_large, appends_unreadable;
 	uint64_t worker_orders, worker_unanswered;
 	uint64_t forwarded, forward_failed, takeovers, takeovers_given_up;
 	uint64_t handin_ms_sum, handin_count; /* request to stored */
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -17,12 +17,21 @@
 	UT_hash_handle hh;
 };
 
+/* … and of one worker. */
+struct stored_worker {
+	char id[NAME_BYTES];
+	struct buf *record;
+	int64_t offset;
+	UT_hash_handle hh;
+};
+
 struct takeover {
 	struct shard *shard;
 	struct topic_claim *claim;
 	struct stored_job *jobs;
-	struct buf *workers; /* of earlier terms; NULL none */
-	int64_t workers_offset;
+	struct stored_worker *workers; /* of earlier terms */
+	struct buf *list; /* of an earlier version's workers; NULL none */
+	int64_t list_offset;
 	bool claimed;
 };
 
@@ -38,12 +47,19 @@
 takeover_cancel(struct shard *sh)
 {
 	struct takeover *t = sh->takeover;
+	struct stored_worker *w, *next_worker;
 	struct stored_job *j, *next;
 
 	if (t == NULL)
 		return;
 	topic_claim_free(t->claim);
-	buf_unref(t->workers);
+	buf_unref(t->list);
+	HASH_ITER(hh, t->workers, w, next_worker)
+	{
+		HASH_DEL(t->workers, w);
+		buf_unref(w->record);
+		free(w);
+	}
 	HASH_ITER(hh, t->jobs, j, next)
 	{
 		HASH_DEL(t->jobs, j);
@@ -70,6 +86,23 @@
 	return j;
 }
 
+static struct stored_worker *
+stored_worker_of(struct takeover *t, const char *id)
+{
+	struct stored_worker *w;
+
+	HASH_FIND_STR(t->workers, id, w);
+	if (w != NULL)
+		return w;
+	w = calloc(1, sizeof(*w));
+	if (w == NULL)
+		abort(); /* it may run tasks that would be started again */
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->offset = -1;
+	HASH_ADD_STR(t->workers, id, w);
+	return w;
+}
+
 static void
 keep_newest(struct buf **to, int64_t *at, const struct store_record *r)
 {
@@ -84,12 +117,18 @@
 take_record(void *arg, const struct store_record *r)
 {
 	struct takeover *t = arg;
-	char id[JOB_ID_BYTES];
+	char id[JOB_ID_BYTES], worker[NAME_BYTES];
+	struct stored_worker *w;
 	struct stored_job *j;
 	bool progress;
 
 	if (strcmp(r->key, KEY_WORKERS) == 0) {
-		keep_newest(&t->workers, &t->workers_offset, r);
+		keep_newest(&t->list, &t->list_offset, r);
+		return;
+	}
+	if (worker_key_id(r->key, worker)) {
+		w = stored_worker_of(t, worker);
+		keep_newest(&w->record, &w->offset, r);
 		return;
 	}
 	if (!job_key_id(r->key, id, &progress)) {
@@ -160,35 +199,55 @@
 	    .stop_ms = b->stop_timeout_ms,
 	    .restore_ms = b->restore_ms,
 	    .remote_factor = b->remote_factor,
+	    .record_bytes = (size_t)b->store_record_bytes,
 	};
 
 	snprintf(o.name, sizeof(o.name), "%s", sh->pool_name);
 	return pool_new(&o);
 }
 
+static void
+load_workers(struct takeover *t, struct pool *pool)
+{
+	const struct stored_worker *w;
+	struct err e;
+
+	for (w = t->workers; w != NULL; w = w->hh.next) {
+		if (w->record != NULL && /* else it was dropped */
+		    pool_load_worker(
+			pool, w->id, w->record->data, w->record->len, &e) == -1)
+			daemon_log(LOG_LEVEL_ERROR, "takeover",
+			    "msg=\"worker cannot be read: left out\" pool=%s "
+			    "worker=%s offset=%lld error=\"%s\"",
+			    t->shard->pool_name, w->id, (long long)w->offset,
+			    e.message);
+	}
+	if (t->list != NULL &&
+	    pool_load_workers(pool, t->list->data, t->list->len, &e) == -1)
+		daemon_log(LOG_LEVEL_ERROR, "takeover",
+		    "msg=\"list of workers cannot be read\" pool=%s "
+		    "error=\"%s\"",
+		    t->shard->pool_name, e.message);
+}
+
 /* The term is ours and workers are known: what was read is all there is. */
 static void
 finish(struct takeover *t)
 {
 	struct shard *sh = t->shard;
 	struct stored_job *j;
-	struct err e;
 
 	sh->pool = make_pool(sh);
 	if (sh->pool == NULL)
 		abort(); /* the term is taken: nobody else would serve it */
 	for (j = t->jobs; j != NULL; j = j->hh.next)
 		load_job(t, j, sh->pool);
-	if (t->workers != NULL &&
-	    pool_load_workers(
-		sh->pool, t->workers->data, t->workers->len, &e) == -1)
-		daemon_log(LOG_LEVEL_ERROR, "takeover",
-		    "msg=\"list of workers cannot be read\" pool=%s "
-		    "error=\"%s\"",
-		    sh->pool_name, e.message);
+	load_workers(t, sh->pool);
 	daemon_log(LOG_LEVEL_INFO, "takeover",
-	    "msg=\"pool taken over\" pool=%s fence=%lld jobs=%u took_ms=%lld",
+	    "msg=\"pool taken over\" pool=%s fence=%lld jobs=%u workers=%u "
+	    "took_ms=%lld",
 	    sh->pool_name, (long long)sh->fence, HASH_COUNT(t->jobs),
+	    HASH_COUNT(t->workers),
 	    (long long)((sched_now_us() - sh->began_us) / US_PER_MS));
 	takeover_cancel(sh);
 	shard_taken(sh);
@@ -229,7 +288,7 @@
 	if (t == NULL)
 		return -1;
 	t->shard = sh;
-	t->workers_offset = -1;
+	t->list_offset = -1;
 	snprintf(o.topic, sizeof(o.topic), "%s", sh->topic);
 	o.arg = t;
 	t->claim = topic_claim_new(&o);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -13,6 +13,7 @@
 #define STORE_STUCK_MS \
 	400 /* a write that waits so long: new ones are refused */
 #define STORE_RETRY_MS 1000 /* told to callers then */
+#define ORDER_TERMS_BYTES 1024 /* of a job's record besides its text */
 
 struct shards {
 	struct scheduler *scheduler;
@@ -392,17 +393,29 @@
 	reply(arg, &r);
 }
 
+/* Bytes of a job that one record of the store holds. */
+static size_t
+body_max(const struct shard *sh)
+{
+	int64_t most = sh->scheduler->boot.store_record_bytes;
+
+	return most > ORDER_TERMS_BYTES ? (size_t)most - ORDER_TERMS_BYTES : 0;
+}
+
 static void
 submit(struct shard *sh, const struct job_request *r, uint64_t token)
 {
 	struct pool_event ev = {.kind = POOL_SUBMIT};
 	struct job_reply bad = {.kind = REPLY_BAD};
+	struct order *order = NULL;
 	struct shard_token *t;
-	struct order *order;
 
-	order = r->body != NULL
-	    ? order_parse(r->body->data, r->body->len, &bad.error)
-	    : NULL;
+	if (r->body == NULL || r->body->len > body_max(sh))
+		err_set(&bad.error, ERR_LIMIT, 0, "split the job",
+		    "a job of %zu bytes cannot be stored",
+		    r->body != NULL ? r->body->len : 0);
+	else
+		order = order_parse(r->body->data, r->body->len, &bad.error);
 	if (order == NULL) {
 		HASH_FIND(hh, sh->tokens, &token, sizeof(token), t);
 		if (t == NULL)
--- a/src/scheduler/store_writer.c
+++ b/src/scheduler/store_writer.c
@@ -18,6 +18,7 @@
 	struct store_writer_opts opts;
 	struct append_window window;
 	struct writer_op ops[APPENDS_MAX];
+	bool piled; /* more waits than is usual, as logged */
 	lws_sorted_usec_list_t due;
 };
 
@@ -38,13 +39,13 @@
 }
 
 static void
-log_refusal(
-    const struct store_writer *w, int64_t seq, const void *body, size_t len)
+log_refusal(const struct store_writer *w, const char *why, int64_t seq,
+    const void *body, size_t len)
 {
 	daemon_log(LOG_LEVEL_WARN, "store",
-	    "msg=\"append refused: a later owner writes\" topic=%s epoch=%lld "
+	    "msg=\"append refused: %s\" topic=%s epoch=%lld "
 	    "seq=%lld answer=%.*s",
-	    w->opts.topic, (long long)w->opts.epoch, (long long)seq,
+	    why, w->opts.topic, (long long)w->opts.epoch, (long long)seq,
 	    (int)(len < 100 ? len : 100),
 	    body != NULL ? (const char *)body : "");
 }
@@ -74,7 +75,12 @@
 		w->opts.on_written(w->opts.arg, serial);
 		return;
 	case WINDOW_FENCED:
-		log_refusal(w, op->seq, body, len);
+		log_refusal(w, "a later owner writes", op->seq, body, len);
+		w->opts.on_fenced(w->opts.arg);
+		return;
+	case WINDOW_UNREADABLE:
+		w->opts.scheduler->counts.appends_unreadable++;
+		log_refusal(w, "the store cannot read it", op->seq, body, len);
 		w->opts.on_fenced(w->opts.arg);
 		return;
 	}
@@ -118,13 +124,19 @@
 struct store_writer *
 store_writer_new(const struct store_writer_opts *opts)
 {
+	struct append_window_opts window;
 	struct store_writer *w;
 
 	w = calloc(1, sizeof(*w));
 	if (w == NULL)
 		return NULL;
 	w->opts = *opts;
-	append_window_init(&w->window, opts->seq, opts->epoch_known);
+	window.seq = opts->seq;
+	window.established = opts->epoch_known;
+	window.record_bytes = (size_t)opts->scheduler->boot.store_record_bytes;
+	window.request_bytes =
+	    (size_t)opts->scheduler->boot.store_request_bytes;
+	append_window_init(&w->window, &window);
 	return w;
 }
 
@@ -139,18 +151,41 @@
 	free(w);
 }
 
-void
-store_writer_put(struct store_writer *w, const char *key,
-    const struct buf *value, uint64_t serial)
+/* Once for each pile: it is told again when it has been written. */
+static void
+note_pile(struct store_writer *w)
 {
-	struct append_window *a = &w->window;
+	bool piled = w->window.gathered_bytes > PILE_BYTES;
 
-	if (append_window_put(a, sched_now_us(), key, value, serial) == -1)
-		abort(); /* a write must not be skipped */
-	if (a->gathered->len > PILE_BYTES)
+	if (piled && !w->piled)
 		daemon_log(LOG_LEVEL_WARN, "store",
-		    "msg=\"writes pile up\" topic=%s bytes=%zu", w->opts.topic,
-		    a->gathered->len);
+		    "msg=\"writes pile up\" topic=%s bytes=%zu "
+		    "waits_ms=%lld",
+		    w->opts.topic, w->window.gathered_bytes,
+		    (long long)store_writer_stuck_ms(w));
+	w->piled = piled;
+}
+
+void
+store_writer_put(
+    struct store_writer *w, const char *key, struct buf *value, uint64_t serial)
+{
+	switch (
+	    append_window_put(&w->window, sched_now_us(), key, value, serial)) {
+	case PUT_GATHERED:
+		break;
+	case PUT_TOO_LARGE:
+		w->opts.scheduler->counts.records_too_large++;
+		daemon_log(LOG_LEVEL_ERROR, "store",
+		    "msg=\"record is too large: left out\" topic=%s key=%s "
+		    "bytes=%zu most=%zu remedy=\"report it\"",
+		    w->opts.topic, key, value != NULL ? value->len : 0,
+		    w->window.opts.record_bytes);
+		return;
+	case PUT_NO_MEMORY:
+		abort(); /* a write must not be skipped */
+	}
+	note_pile(w);
 	writer_send(w);
 }
 
--- a/src/scheduler/store_writer.h
+++ b/src/scheduler/store_writer.h
@@ -17,16 +17,22 @@
 	bool epoch_known; /* to the store: an append of it is stored */
 	/* All writes up to "serial" are stored. */
 	void (*on_written)(void *arg, uint64_t serial);
-	/* A later epoch writes the topic: nothing of ours is taken any more. */
+	/*
+	 * Nothing of ours is taken any more: a later epoch writes the topic, or
+	 * the store refuses an append's bytes for good.
+	 */
 	void (*on_fenced)(void *arg);
 	void *arg;
 };
 
 struct store_writer *store_writer_new(const struct store_writer_opts *opts);
 void store_writer_free(struct store_writer *w);
-/* "value" NULL drops the key. */
+/*
+ * "value" NULL drops the key.  A record that the store would not take is
+ * logged, counted and left out.
+ */
 void store_writer_put(struct store_writer *w, const char *key,
-    const struct buf *value, uint64_t serial);
+    struct buf *value, uint64_t serial);
 /* Nothing waits for the store. */
 bool store_writer_idle(const struct store_writer *w);
 /* ms since the store last took a write while one waits; 0 where none does. */
--- a/src/scheduler/topic_claim.c
+++ b/src/scheduler/topic_claim.c
@@ -147,8 +147,6 @@
 {
 	struct topic_claim *t = arg;
 
-	(void)body;
-	(void)len;
 	t->append = NULL;
 	switch (outcome) {
 	case STORE_DONE:
@@ -162,6 +160,13 @@
 	case STORE_MOVED: /* somebody wrote meanwhile */
 		read_tail(t);
 		return;
+	case STORE_UNREADABLE: /* a claim is small: the store is at fault */
+		daemon_log(LOG_LEVEL_ERROR, "claim",
+		    "msg=\"the store cannot read a claim\" topic=%s "
+		    "answer=%.*s remedy=\"look at the store\"",
+		    t->opts.topic, (int)(len < 100 ? len : 100),
+		    body != NULL ? (const char *)body : "");
+		/* FALLTHROUGH */
 	case STORE_NOT_DONE:
 	case STORE_FULL:
 	case STORE_UNKNOWN:
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -14,6 +14,9 @@
 #define MEMBERS_MAX 64
 #define NAME_MAX_BYTES 128
 #define RECORD_HEAD 4 /* bytes of a record's length */
+/* Larger ones are refused whole; the practice settings name the same. */
+#define RECORD_BYTES 8192
+#define REQUEST_BYTES 16384 /* records of one append */
 
 struct record_bytes {
 	uint8_t *data;
@@ -66,6 +69,7 @@
 	bool all; /* the group deals every partition to every member */
 	int refuse; /* status of every answer; 0: calls are served */
 	int lose; /* tries of each append that get no answer */
+	int unreadable; /* appends refused for good */
 };
 
 static int64_t
@@ -246,6 +250,24 @@
 	return true;
 }
 
+/* All of its records are whole, and within the limits. */
+static bool
+readable(const struct buf *b)
+{
+	size_t pos = 0;
+	uint32_t len;
+
+	if (b->len > REQUEST_BYTES)
+		return false;
+	while (pos + RECORD_HEAD <= b->len) {
+		len = get_u32(b->data + pos);
+		if (len > RECORD_BYTES || len > b->len - pos - RECORD_HEAD)
+			return false;
+		pos += RECORD_HEAD + len;
+	}
+	return pos == b->len;
+}
+
 static void
 append(struct job_store *s, struct exchange *x, struct topic *t)
 {
@@ -255,6 +277,11 @@
 	size_t offset = t->count, pos = 0;
 	uint32_t len;
 
+	if (!readable(x->body)) {
+		s->unreadable++;
+		refuse_append(x, 400, "unreadable", (int64_t)t->count);
+		return;
+	}
 	if (!check_producer(s, x, t))
 		return;
 	if (at >= 0 && (size_t)at != t->count) {
@@ -263,8 +290,6 @@
 	}
 	while (pos + RECORD_HEAD <= x->body->len) {
 		len = get_u32(x->body->data + pos);
-		if (pos + RECORD_HEAD + len > x->body->len)
-			break;
 		topic_add(t, x->body->data + pos + RECORD_HEAD, len);
 		pos += RECORD_HEAD + len;
 	}
@@ -561,6 +586,12 @@
 	s->append_ms = append_ms;
 }
 
+int
+job_store_unreadable(const struct job_store *s)
+{
+	return s->unreadable;
+}
+
 struct job_store *
 job_store_new(void)
 {
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -371,6 +371,8 @@
 	    o, "upkeeps", json_object_new_int64(world.upkeeps));
 	json_object_object_add(
 	    o, "advised", json_object_new_int64(world.advised));
+	json_object_object_add(o, "unreadable",
+	    json_object_new_int64(job_store_unreadable(world.store)));
 	exchange_json(x, 200, o, 0);
 }
 
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <criterion/criterion.h>
 
@@ -273,6 +275,66 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
+/* One caller's job with a text of 2,000 bytes; the socket of its answer. */
+static int
+send_large_job(size_t number)
+{
+	char body[2300], request[2600];
+	int fd = raw_connect(fleet->callers_port[0]), n;
+
+	n = snprintf(body, sizeof(body),
+	    "{\"taskSpec\":\"%02000zu\",\"steps\":"
+	    "[{\"count\":1,\"estimateMs\":60}]}",
+	    number);
+	n = snprintf(request, sizeof(request),
+	    "POST /blue/%016zx HTTP/1.1\r\nHost: jobs.example\r\n"
+	    "Content-Length: %d\r\n\r\n%s",
+	    number, n, body);
+	cr_assert_neq(fd, -1);
+	cr_assert_eq(send(fd, request, (size_t)n, MSG_NOSIGNAL), n);
+	return fd;
+}
+
+/*
+ * The store refuses an append over its limit whole.  What had gathered while an
+ * append was under way went out as one body, was refused, and was sent again
+ * for ever: the pool took no job any more.
+ */
+Test(jobs, jobs_that_come_at_once_are_stored_within_the_stores_limits)
+{
+	const char *slow = "/store-slow?ms=100";
+	int fds[JOBS_MAX], i;
+	char out[512];
+	ssize_t n;
+
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
+	for (i = 0; i < JOBS_MAX; i++)
+		fds[i] = send_large_job((size_t)i + 1);
+	for (i = 0; i < JOBS_MAX; i++) {
+		n = recv(fds[i], out, sizeof(out) - 1, 0);
+		cr_assert_gt(n, 0);
+		out[n] = '\0';
+		cr_expect(strstr(out, " 200 ") != NULL, "%s", out);
+		close(fds[i]);
+	}
+	cr_expect_eq(judged("unreadable"), 0);
+}
+
+/* It is refused at once: no record of the store would hold it. */
+Test(jobs, a_job_that_no_record_holds_is_refused)
+{
+	char body[9000];
+
+	snprintf(body, sizeof(body),
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}],\"more\":\"%"
+	    "08000d\"}",
+	    0);
+	cr_expect_eq(
+	    call(0, "POST", "/blue/00000000000000aa", body, NULL, 0), 400);
+	cr_expect_eq(judged("unreadable"), 0);
+}
+
 Test(jobs, a_lasting_job_runs_until_it_is_cancelled)
 {
 	char text[128];
--- a/tests/unit/test_append_window.c
+++ b/tests/unit/test_append_window.c
@@ -2,6 +2,7 @@
  * Appends of one writer against a store that takes each number once, in order:
  * answers are lost, appends overtake each other or come late.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,8 @@
 #define WRITES 400
 #define LIMIT_MS 60000 /* all writes are stored long before */
 #define OPS_MAX 64
+#define RECORD_BYTES 1000 /* largest that the store takes */
+#define REQUEST_BYTES 4000
 
 /* An append on its way, or its answer. */
 struct message {
@@ -40,6 +43,19 @@
 	int chaos; /* of a hundred appends: lost, late, or out of order */
 };
 
+static void
+window_init(struct append_window *w, int64_t seq, bool established)
+{
+	struct append_window_opts o = {
+	    .seq = seq,
+	    .established = established,
+	    .record_bytes = RECORD_BYTES,
+	    .request_bytes = REQUEST_BYTES,
+	};
+
+	append_window_init(w, &o);
+}
+
 static void
 play_init(struct play *p, uint64_t seed, int chaos, bool established)
 {
@@ -48,7 +64,7 @@
 	p->now_us = US_PER_S;
 	p->store_seq = 6;
 	p->chaos = chaos;
-	append_window_init(&p->window, 7, established);
+	window_init(&p->window, 7, established);
 }
 
 static bool
@@ -110,6 +126,7 @@
 			p->told_us[++p->told] = p->now_us;
 		return;
 	case WINDOW_FENCED:
+	case WINDOW_UNREADABLE:
 		p->fenced = true;
 		return;
 	case WINDOW_WAITS:
@@ -145,9 +162,13 @@
 static void
 put(struct play *p, uint64_t serial)
 {
+	char key[32];
+
 	p->put_us[serial] = p->now_us;
+	snprintf(key, sizeof(key), "key/%llu", (unsigned long long)serial);
 	cr_assert_eq(
-	    append_window_put(&p->window, p->now_us, "key", NULL, serial), 0);
+	    append_window_put(&p->window, p->now_us, key, NULL, serial),
+	    PUT_GATHERED);
 }
 
 /* A write each few ms until all are known to be stored. */
@@ -229,7 +250,7 @@
 	uint64_t serial;
 	int64_t wait_us;
 
-	append_window_init(&w, 0, false);
+	window_init(&w, 0, false);
 	append_window_put(&w, 0, "a", NULL, 1);
 	s = append_window_next(&w, 10 * US_PER_MS, &wait_us);
 	cr_assert_not_null(s);
@@ -249,7 +270,7 @@
 	uint64_t serial;
 	int64_t wait_us;
 
-	append_window_init(&w, 3, true);
+	window_init(&w, 3, true);
 	append_window_put(&w, 0, "a", NULL, 1);
 	cr_assert_not_null(append_window_next(&w, 3 * US_PER_MS, &wait_us));
 	append_window_put(&w, 4 * US_PER_MS, "b", NULL, 2);
@@ -269,3 +290,126 @@
 	cr_expect_null(append_window_next(&w, 90 * US_PER_MS, &wait_us));
 	append_window_uninit(&w);
 }
+
+static struct buf *
+value_of(size_t len, char fill)
+{
+	struct buf *b = buf_new(len);
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		buf_append(b, &fill, 1);
+	return b;
+}
+
+static enum window_put
+put_value(struct append_window *w, const char *key, size_t len, char fill,
+    uint64_t serial)
+{
+	struct buf *b = value_of(len, fill);
+	enum window_put put = append_window_put(w, US_PER_MS, key, b, serial);
+
+	buf_unref(b);
+	return put;
+}
+
+/*
+ * The store refuses an append over its limit whole: one body of all that had
+ * gathered, 4.2 MB, was sent again for ever, and the pool was dead.
+ */
+Test(append_window, an_append_is_cut_between_records)
+{
+	const struct append_slot *s;
+	struct append_window w;
+	uint64_t serial = 0, i;
+	int64_t wait_us;
+	char key[16];
+
+	window_init(&w, 0, true);
+	for (i = 1; i <= 20; i++) {
+		snprintf(key, sizeof(key), "k%llu", (unsigned long long)i);
+		cr_expect_eq(put_value(&w, key, 900, 'v', i), PUT_GATHERED);
+	}
+	for (i = 1; i <= 5; i++) {
+		s = append_window_next(&w, (int64_t)i * US_PER_S, &wait_us);
+		cr_assert_not_null(s);
+		cr_expect_leq(s->records->len, REQUEST_BYTES);
+		cr_expect_eq(append_window_ended(&w, (int64_t)i * US_PER_S,
+				 s->seq, STORE_DONE, &serial),
+		    WINDOW_WRITTEN);
+		cr_expect_eq(serial, i * 4);
+	}
+	cr_expect(append_window_idle(&w));
+	append_window_uninit(&w);
+}
+
+/* It is found where it is made, and what is behind it goes on. */
+Test(append_window, a_record_over_the_limit_is_not_taken)
+{
+	struct append_window w;
+
+	window_init(&w, 0, true);
+	cr_expect_eq(
+	    put_value(&w, "large", RECORD_BYTES, 'v', 1), PUT_TOO_LARGE);
+	cr_expect(append_window_idle(&w));
+	cr_expect_eq(put_value(&w, "fits", 10, 'v', 2), PUT_GATHERED);
+	cr_expect_not(append_window_idle(&w));
+	append_window_uninit(&w);
+}
+
+/*
+ * Only the newest value of a key that waits is sent, in its first place; the
+ * later write counts as stored only with all before it.
+ */
+Test(append_window, a_later_value_replaces_one_that_waits)
+{
+	const struct append_slot *s;
+	struct append_window w;
+	uint64_t serial = 0;
+	int64_t wait_us;
+
+	window_init(&w, 0, true);
+	put_value(&w, "a", 900, 'x', 1);
+	put_value(&w, "b", 900, 'x', 2);
+	put_value(&w, "c", 900, 'x', 3);
+	put_value(&w, "a", 900, 'y', 4);
+	put_value(&w, "d", 900, 'x', 5);
+	put_value(&w, "e", 900, 'x', 6);
+	s = append_window_next(&w, US_PER_S, &wait_us);
+	cr_assert_not_null(s);
+	cr_expect_eq(s->records->len, 4 * (4 + 1 + 1 + 900));
+	cr_expect_eq(s->records->data[4 + 1 + 1], 'y');
+	cr_expect_eq(append_window_ended(&w, US_PER_S, 0, STORE_DONE, &serial),
+	    WINDOW_WRITTEN);
+	cr_expect_eq(serial, 5);
+	append_window_uninit(&w);
+
+	window_init(&w, 0, true);
+	put_value(&w, "a", 900, 'x', 1);
+	put_value(&w, "b", 900, 'x', 2);
+	put_value(&w, "c", 900, 'x', 3);
+	put_value(&w, "d", 900, 'x', 4);
+	put_value(&w, "e", 900, 'x', 5);
+	put_value(&w, "a", 900, 'y', 6);
+	cr_assert_not_null(append_window_next(&w, US_PER_S, &wait_us));
+	append_window_ended(&w, US_PER_S, 0, STORE_DONE, &serial);
+	cr_expect_eq(serial, 4, "the write of a is behind that of e");
+	append_window_uninit(&w);
+}
+
+/* The same bytes are not sent again; a new term begins from what is stored. */
+Test(append_window, bytes_that_the_store_cannot_read_end_the_term)
+{
+	struct append_window w;
+	uint64_t serial;
+	int64_t wait_us;
+
+	window_init(&w, 0, true);
+	put_value(&w, "a", 10, 'x', 1);
+	cr_assert_not_null(append_window_next(&w, US_PER_S, &wait_us));
+	cr_expect_eq(
+	    append_window_ended(&w, US_PER_S, 0, STORE_UNREADABLE, &serial),
+	    WINDOW_UNREADABLE);
+	cr_expect_null(append_window_next(&w, 2 * US_PER_S, &wait_us));
+	append_window_uninit(&w);
+}
