scheduler: small machines own pools only while no larger one does

Cause: the group deals pools evenly and knows no sizes.

Weighed: the owner hands on what it is dealt (rings of hand-overs); names that sort (the group's dealing is not ours); standing by. Chosen: a daemon below 0.2 core or 50 Mbit/s is not in the group while a larger one is; the member's name says so, and the holders of the group are looked at each second. Without one for 2.5 s it steps in, and gives way when one is back.

--- a/src/platform/boot.c
+++ b/src/platform/boot.c
@@ -95,6 +95,9 @@
 	if (parse_listen(b, root, e) == -1 || parse_store(b, root, e) == -1)
 		return -1;
 	parse_bounds(b, root);
+	o = field_member(root, "limits", json_type_object);
+	b->cores = field_real(o, "cpuShare", 0) * field_real(o, "cores", 1);
+	b->link_mbps = field_real(o, "linkMbps", 0);
 	b->heartbeat_ms = (int)field_int(root, "heartbeatMs", 1500);
 	/* both services are missing on deployments that lack them */
 	if (!field_addr(root, "advice", b->advice.addr, sizeof(b->advice.addr),
--- a/src/platform/boot.h
+++ b/src/platform/boot.h
@@ -23,6 +23,8 @@
 	struct endpoint callers; /* where callers' requests arrive */
 	struct endpoint readiness; /* where the balancer asks */
 	int peer_port; /* same on all machines of a day */
+	double cores; /* of the machine, for this daemon; 0: not said */
+	double link_mbps; /* of the machine; 0: not said */
 	struct endpoint store;
 	int store_writes_per_s; /* of all daemons together */
 	int store_reads_per_s;
--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "candidacy.h"
 #include "duty.h"
 #include "json_get.h"
 #include "shards.h"
@@ -15,11 +16,15 @@
 #define MEMBER_TTL_MS 2000 /* four joins: one or two may be lost */
 #define JOIN_TIMEOUT_MS 900
 #define OWNERS_EVERY_MS 5000 /* at least; at once when the group changes */
+#define STANDBY_EVERY_MS 1000 /* where the group's changes are not heard */
 #define OWNERS_PAUSE_MS 200 /* between two that were asked for */
+#define STEP_BACK_EVERY_MS 50 /* until what is owned has been written */
 #define PARTS_MAX 64
 
 struct owners {
 	struct scheduler *scheduler;
+	struct candidacy candidacy;
+	bool joined; /* or may be, by a join without an answer */
 	int64_t generation;
 	int64_t join_boot_us; /* when the join under way was sent */
 	struct store_op *join_op;
@@ -144,6 +149,37 @@
 	store_shares_uninit(&shares);
 }
 
+static void
+left_ended(void *arg, int status, bool sent, const void *body, size_t len)
+{
+	struct owners *o = arg;
+
+	(void)status; /* the group drops a member that joins no more */
+	(void)sent;
+	(void)body;
+	(void)len;
+	o->join_op = NULL;
+}
+
+/* Gives the pools up, and then the place in the group. */
+static void
+step_back(struct owners *o)
+{
+	struct store_call c;
+
+	duty_assign(o->scheduler->duty, false, 0);
+	shards_give_up_all(o->scheduler->shards, false);
+	if (!shards_none(o->scheduler->shards)) {
+		schedule_join(o, STEP_BACK_EVERY_MS);
+		return;
+	}
+	o->joined = false;
+	o->generation = 0;
+	store_leave_call(&c, GROUP, o->scheduler->member);
+	o->join_op =
+	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, left_ended, o);
+}
+
 static void
 join_due(lws_sorted_usec_list_t *sul)
 {
@@ -162,6 +198,12 @@
 
 	if (o->leaving || o->join_op != NULL)
 		return;
+	if (!candidacy_stands(&o->candidacy, sched_now_us())) {
+		if (o->joined)
+			step_back(o);
+		return;
+	}
+	o->joined = true;
 	o->join_boot_us = sched_boot_us();
 	store_join_call(&c, &j);
 	o->join_op =
@@ -170,17 +212,38 @@
 		schedule_join(o, JOIN_EVERY_MS);
 }
 
+/* Small machines own pools only while no larger one does. */
+static void
+stand_or_step_back(struct owners *o, bool able_seen)
+{
+	bool stands;
+
+	candidacy_heard(&o->candidacy, sched_now_us(), able_seen);
+	stands = candidacy_stands(&o->candidacy, sched_now_us());
+	if (o->leaving || stands == o->joined)
+		return;
+	daemon_log(LOG_LEVEL_INFO, "owners",
+	    "msg=\"%s\" cores=%.2f link_mbps=%.0f able_seen=%d",
+	    stands ? "no able member: stands in" : "steps back",
+	    o->scheduler->boot.cores, o->scheduler->boot.link_mbps, able_seen);
+	if (o->join_op == NULL)
+		schedule_join(o, 0); /* or when its answer is here */
+}
+
 static void
 owners_ended(void *arg, int status, bool sent, const void *body, size_t len)
 {
 	struct owners *o = arg;
 	struct store_shares shares;
+	struct endpoint to;
 	struct store_share *h;
+	bool able, able_seen = false;
 	size_t i;
 
 	(void)sent;
 	o->owners_op = NULL;
-	schedule_owners(o, OWNERS_EVERY_MS);
+	schedule_owners(
+	    o, o->candidacy.able ? OWNERS_EVERY_MS : STANDBY_EVERY_MS);
 	if (status != 200 || store_owners_parse(&shares, body, len) == -1)
 		return;
 	for (i = 0; i < shares.count; i++) {
@@ -189,8 +252,12 @@
 		    h->part < PARTS_MAX)
 			snprintf(
 			    o->members[h->part], MEMBER_BYTES, "%s", h->member);
+		able_seen |= member_parse(h->member, to.addr, sizeof(to.addr),
+				 &to.port, &able) &&
+		    able;
 	}
 	store_shares_uninit(&shares);
+	stand_or_step_back(o, able_seen);
 }
 
 static void
@@ -221,7 +288,8 @@
 		return false;
 	member = o->members[owners_part(c, pool, parts_of(o))];
 	*self = strcmp(member, o->scheduler->member) == 0;
-	return split_addr(member, to->addr, sizeof(to->addr), &to->port);
+	return member_parse(
+	    member, to->addr, sizeof(to->addr), &to->port, NULL);
 }
 
 void
@@ -252,6 +320,9 @@
 	o->leaving = true;
 	lws_sul_cancel(&o->join_due);
 	store_op_cancel(o->join_op);
+	o->join_op = NULL;
+	if (!o->joined)
+		return;
 	store_leave_call(&c, GROUP, o->scheduler->member);
 	o->join_op =
 	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, o);
@@ -260,12 +331,19 @@
 struct owners *
 owners_new(struct scheduler *s)
 {
+	struct machine_size size = {
+	    .cores = s->boot.cores,
+	    .link_mbps = s->boot.link_mbps,
+	};
 	struct owners *o;
 
 	o = calloc(1, sizeof(*o));
 	if (o == NULL)
 		return NULL;
 	o->scheduler = s;
+	candidacy_init(&o->candidacy, &size);
+	member_format(
+	    s->member, s->boot.ip, s->boot.peer_port, o->candidacy.able);
 	schedule_join(o, 0);
 	schedule_owners(o, JOIN_EVERY_MS);
 	return o;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -263,8 +263,6 @@
 	    s->settings_path, sizeof(s->settings_path), "%s", settings_path);
 	if (boot_load(&s->boot, settings_path, e) == -1)
 		return -1;
-	snprintf(s->member, sizeof(s->member), "%s:%d", s->boot.ip,
-	    s->boot.peer_port);
 	s->store_heard_us = sched_now_us();
 	loop.last_boot_us = sched_boot_us();
 	daemon_log_open("info", s->boot.name);
