front: an owner that is silent is probed, and tries again have a budget

Change: peer_gate.c, one for each pool and owner. After three requests in a row without the owner's word one probe is under way at a time, with pauses that double from 100 ms to 1 s and jitter; the others wait at the front and go out with the first answer. Requests that may have been taken already are sent again from a budget: a tenth of the answers, ten a second, twenty at first. Hand-ins, and looks and cancels, have 32 places each. Where nobody has answered for 2.5 s (the group's 2 s and a take-over) callers are refused at once with 503 and Retry-After instead of after 1.5 s.

Tests: peer_gate::* play 47 fronts with 250 requests a second at an owner that is down for ten seconds: tries bounded by one probe a front, callers served within two seconds of its return, refused at once when nobody is there.

--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -8,6 +8,7 @@
 #include "order_wire.h"
 #include "owners.h"
 #include "peer_client.h"
+#include "peer_gate.h"
 #include "shards.h"
 
 #define BODY_MAX (256 * 1024) /* bytes of a job */
@@ -25,6 +26,14 @@
 #define PATH_READY "/readiness"
 #define LINES_BYTES 128
 
+/* What may be sent to one owner of one pool. */
+struct owner_gate {
+	struct endpoint owner;
+	char pool[NAME_BYTES];
+	struct peer_gate gate;
+	LIST_ENTRY(owner_gate) entries;
+};
+
 /* One caller's request until its answer. */
 struct front_call {
 	struct front *front;
@@ -36,7 +45,9 @@
 	bool unsure; /* an earlier try may have been taken */
 	bool local; /* waits for a pool of this daemon */
 	bool answered; /* too late for the caller: freed at the reply */
-	struct peer_call *peer; /* under way */
+	struct peer_call *peer; /* under way … */
+	struct owner_gate *sent_to; /* … by leave of this gate … */
+	enum gate_verdict leave; /* … given so */
 	lws_sorted_usec_list_t retry;
 	LIST_ENTRY(front_call) entries;
 };
@@ -46,6 +57,7 @@
 	struct http_listener *callers;
 	struct http_listener *readiness;
 	LIST_HEAD(front_calls, front_call) calls;
+	LIST_HEAD(owner_gates, owner_gate) gates;
 	size_t busy;
 	bool ending; /* the process ends: nothing is waited for */
 	bool told_ready; /* what the callers' balancer was told last */
@@ -64,6 +76,12 @@
 	free(c);
 }
 
+static enum gate_kind
+gate_kind_of(const struct front_call *c)
+{
+	return c->request.op == JOB_SUBMIT ? GATE_HAND_IN : GATE_ABOUT_JOB;
+}
+
 static bool
 front_ready(const struct scheduler *s)
 {
@@ -187,8 +205,9 @@
 	front_try(c);
 }
 
+/* "gone": nobody has answered for the pool for longer than a take-over. */
 static void
-retry_later(struct front_call *c)
+retry_later(struct front_call *c, bool gone)
 {
 	int64_t now = sched_now_us(), until = c->until_us;
 	bool lost = c->front->scheduler->store_lost;
@@ -197,7 +216,8 @@
 	if (!c->unsure && c->begun_us + TAKEOVER_MS * US_PER_MS < until)
 		until = c->begun_us + TAKEOVER_MS * US_PER_MS;
 	/* without the store no owner can take over: known at once */
-	if (now + RETRY_MS * US_PER_MS >= until || (lost && !c->unsure)) {
+	if (now + RETRY_MS * US_PER_MS >= until || (lost && !c->unsure) ||
+	    (gone && !c->unsure)) {
 		give_up(c);
 		return;
 	}
@@ -228,6 +248,10 @@
 	struct front_call *c = arg;
 
 	c->peer = NULL;
+	if (c->sent_to != NULL)
+		peer_gate_ended(&c->sent_to->gate, sched_now_us(),
+		    gate_kind_of(c), c->leave, job_reply_decided(r));
+	c->sent_to = NULL;
 	if (c->answered) {
 		call_free(c);
 		return;
@@ -248,7 +272,56 @@
 	case REPLY_NOT_TAKEN:
 		break;
 	}
-	retry_later(c);
+	retry_later(c, false);
+}
+
+static struct owner_gate *
+gate_of(struct front *f, const struct endpoint *owner, const char *pool)
+{
+	struct owner_gate *g;
+
+	LIST_FOREACH(g, &f->gates, entries) {
+		if (g->owner.port == owner->port &&
+		    strcmp(g->owner.addr, owner->addr) == 0 &&
+		    strcmp(g->pool, pool) == 0)
+			return g;
+	}
+	g = calloc(1, sizeof(*g));
+	if (g == NULL)
+		return NULL;
+	g->owner = *owner;
+	snprintf(g->pool, sizeof(g->pool), "%s", pool);
+	g->gate.prng = (uint64_t)sched_now_us() | 1;
+	LIST_INSERT_HEAD(&f->gates, g, entries);
+	return g;
+}
+
+/* Hands the request to the owner, unless it must wait for the owner's sake. */
+static void
+send_to_owner(struct front_call *c, const struct endpoint *to, int timeout_ms)
+{
+	struct scheduler *s = c->front->scheduler;
+	struct owner_gate *g = gate_of(c->front, to, c->request.pool);
+	int64_t now = sched_now_us();
+
+	if (g == NULL) {
+		retry_later(c, false);
+		return;
+	}
+	c->leave = peer_gate_ask(&g->gate, now, gate_kind_of(c), c->unsure);
+	if (c->leave == GATE_WAIT) {
+		s->counts.held_back++;
+		retry_later(c, peer_gate_gone(&g->gate, now));
+		return;
+	}
+	c->tries++;
+	c->sent_to = g;
+	c->peer = peer_call_start(s, to, &c->request, timeout_ms, on_reply, c);
+	if (c->peer != NULL)
+		return;
+	c->sent_to = NULL;
+	peer_gate_ended(&g->gate, now, gate_kind_of(c), c->leave, false);
+	retry_later(c, false);
 }
 
 static void
@@ -260,8 +333,8 @@
 	struct endpoint to;
 	bool self;
 
-	c->tries++;
 	if (shards_owns(s->shards, c->request.pool) && left_ms > 0) {
+		c->tries++;
 		c->local = true;
 		lws_sul_schedule(s->context, 0, &c->retry, on_local_deadline,
 		    left_ms * US_PER_MS);
@@ -270,16 +343,14 @@
 	}
 	if (!owners_of(s->owners, c->request.pool, &to, &self) || self ||
 	    left_ms <= 0) {
-		retry_later(c);
+		retry_later(c, false);
 		return;
 	}
 	if (s->store_lost && reach_lost(&s->reach, sched_now_us()))
 		timeout_ms = TRY_TIMEOUT_LOST_MS;
 	if (left_ms < timeout_ms)
 		timeout_ms = (int)left_ms;
-	c->peer = peer_call_start(s, &to, &c->request, timeout_ms, on_reply, c);
-	if (c->peer == NULL)
-		retry_later(c);
+	send_to_owner(c, &to, timeout_ms);
 }
 
 static bool
@@ -446,6 +517,7 @@
 	}
 	f->scheduler = s;
 	LIST_INIT(&f->calls);
+	LIST_INIT(&f->gates);
 	o.arg = f;
 	f->callers = http_listener_new(&o, e);
 	o.name = "readiness";
@@ -491,8 +563,14 @@
 void
 front_free(struct front *f)
 {
+	struct owner_gate *g;
+
 	if (f == NULL)
 		return;
+	while ((g = LIST_FIRST(&f->gates)) != NULL) {
+		LIST_REMOVE(g, entries);
+		free(g);
+	}
 	http_listener_free(f->callers);
 	http_listener_free(f->readiness);
 	free(f);
--- a/src/scheduler/job_call.c
+++ b/src/scheduler/job_call.c
@@ -17,6 +17,12 @@
 	return op_names[op];
 }
 
+bool
+job_reply_decided(const struct job_reply *r)
+{
+	return r->kind == REPLY_ANSWER || r->kind == REPLY_BAD;
+}
+
 struct buf *
 job_request_encode(const struct job_request *r)
 {
--- a/src/scheduler/job_call.h
+++ b/src/scheduler/job_call.h
@@ -40,6 +40,9 @@
 	struct err error;
 };
 
+/* The pool's owner has decided, whatever it said. */
+bool job_reply_decided(const struct job_reply *r);
+
 typedef void job_reply_fn(void *arg, const struct job_reply *reply);
 
 /* msgpack; NULL when memory is short. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -339,6 +339,8 @@
 	    "orders without an answer", "", n->worker_unanswered);
 	metric_counter(out, "forwarded_total", "requests handed to owners", "",
 	    n->forwarded);
+	metric_counter(out, "held_back_total",
+	    "tries that waited for a silent or busy owner", "", n->held_back);
 	metric_counter(out, "connects_total", "connections made", "",
 	    http_pool_connects(s->conns));
 	metric_counter(
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -32,6 +32,7 @@
 	uint64_t store_calls, store_failed, store_repeats;
 	uint64_t records_too_large, appends_unreadable;
 	uint64_t worker_orders, worker_unanswered;
+	uint64_t held_back; /* for the sake of a silent or busy owner */
 	uint64_t forwarded, forward_failed, takeovers, takeovers_given_up;
 	uint64_t handin_ms_sum, handin_count; /* request to stored */
 	uint64_t handin_ms_bucket[10]; /* upper bounds: handin_ms_bounds */
