roster: hundreds of machines that are not needed are off within seconds

Cause: twelve machines at a time went to the spare pool, whatever the fleet's size.

Change: one in four of all machines at once, twelve at least, so that fleets of 49 machines keep what they had.

Test: machines::hundreds_that_are_not_needed_are_soon_off, failing before.

--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -18,7 +18,9 @@
  */
 #define FORESEEN 2.0
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
-#define SHRINKS_AT_ONCE 12 /* machines on their way to be off */
+/* Machines on their way to be off: one in so many of all, but some always. */
+#define SHRINKS_SHARE 4
+#define SHRINKS_MIN 12
 
 static bool
 pool_fresh(const struct roster *f, const struct roster_pool *p)
@@ -265,16 +267,21 @@
 shrink(struct roster *f)
 {
 	struct roster_pool *spare = spare_pool(f), *from;
+	size_t most = HASH_COUNT(f->machines) / SHRINKS_SHARE, under_way;
 	struct machine *m;
 
 	if (spare == NULL)
 		return;
+	if (most < SHRINKS_MIN)
+		most = SHRINKS_MIN;
+	under_way = shrinks_under_way(f);
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		from = pool_of(f, m);
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
-		    !may_move(f, m) || from->have <= from->peak ||
-		    shrinks_under_way(f) >= SHRINKS_AT_ONCE)
+		    !may_move(f, m) || from->have <= from->peak)
 			continue;
+		if (under_way++ >= most)
+			return;
 		begin_move(f, m, spare);
 	}
 }
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -7,23 +7,25 @@
 #include "roster.h"
 
 #define MACHINES 12
+#define MACHINES_MAX 371 /* of the largest deployment */
 #define TICK_US (200 * US_PER_MS)
 #define UPKEEP_MS 2000
 #define MOVE_MS 1500
 
 static struct roster *roster;
 static int64_t now_us;
-static struct machine_report machines[MACHINES];
+static int machine_count;
+static struct machine_report machines[MACHINES_MAX];
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static int64_t offered[2]; /* that arriving work takes up in the long run */
 static size_t floors[2]; /* machines that lasting tasks need */
-static size_t tasks[MACHINES]; /* of its worker */
-static size_t lasting[MACHINES]; /* of them */
+static size_t tasks[MACHINES_MAX]; /* of its worker */
+static size_t lasting[MACHINES_MAX]; /* of them */
 static bool tasks_end; /* those of a cordoned worker, by themselves */
-static int64_t away_until_us[MACHINES];
-static char back_in[MACHINES][NAME_BYTES];
+static int64_t away_until_us[MACHINES_MAX];
+static char back_in[MACHINES_MAX][NAME_BYTES];
 static int upkeeps, moves, most_down, statuses_completed;
-static bool upkept[MACHINES];
+static bool upkept[MACHINES_MAX];
 
 static void event(struct roster_event *ev);
 
@@ -48,7 +50,7 @@
 {
 	int i, n = 0;
 
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		n += machines[i].state == MACHINE_UPKEEP;
 	return n;
 }
@@ -73,7 +75,7 @@
 	switch (x->kind) {
 	case ROSTER_LIST:
 		ev.u.machines.list = machines;
-		ev.u.machines.count = MACHINES;
+		ev.u.machines.count = (size_t)machine_count;
 		event(&ev);
 		break;
 	case ROSTER_MOVE:
@@ -112,7 +114,7 @@
 	roster_effects_uninit(&mine);
 }
 
-static bool cordoned[MACHINES];
+static bool cordoned[MACHINES_MAX];
 
 static void
 cordon(void *arg, const char *worker, enum cordon_kind kind)
@@ -131,7 +133,7 @@
 static void
 report(const char *pool, int k)
 {
-	struct pool_worker_report list[MACHINES];
+	struct pool_worker_report list[MACHINES_MAX];
 	struct roster_event ev = {.kind = ROSTER_REPORT};
 	struct pool_report r = {.wanted_milli = wanted[k],
 	    .offered_milli = offered[k],
@@ -143,7 +145,7 @@
 	memset(cordoned, 0, sizeof(cordoned));
 	roster_cordons(roster, pool, cordon, NULL);
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
-	for (i = 0; i < MACHINES; i++) {
+	for (i = 0; i < machine_count; i++) {
 		if (machines[i].worker[0] == '\0' ||
 		    strcmp(machines[i].pool, pool) != 0)
 			continue;
@@ -162,7 +164,7 @@
 {
 	int i;
 
-	for (i = 0; i < MACHINES; i++) {
+	for (i = 0; i < machine_count; i++) {
 		if (machines[i].state == MACHINE_UP ||
 		    now_us < away_until_us[i])
 			continue;
@@ -204,13 +206,13 @@
 	size_t n = 0;
 	int i;
 
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		n += strcmp(machines[i].pool, name) == 0;
 	return n;
 }
 
 static void
-setup(void)
+setup_machines(int count, int blue, int green)
 {
 	struct roster_opts o = {.now_us = 1,
 	    .quiet_ms = 3000,
@@ -219,17 +221,18 @@
 	int i;
 
 	now_us = 1;
+	machine_count = count;
 	roster = roster_new(&o);
 	pool("blue", false);
 	pool("green", false);
 	pool("spare", true);
-	for (i = 0; i < MACHINES; i++) {
+	for (i = 0; i < machine_count; i++) {
 		snprintf(machines[i].machine, NAME_BYTES, "m-%d", i);
 		snprintf(machines[i].pool, NAME_BYTES, "%s",
-		    i < 5       ? "blue"
-			: i < 9 ? "green"
-				: "spare");
-		if (i < 9)
+		    i < blue               ? "blue"
+			: i < blue + green ? "green"
+					   : "spare");
+		if (i < blue + green)
 			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
 		machines[i].cpu = 8000;
 	}
@@ -237,6 +240,18 @@
 	wanted[1] = 3400;
 }
 
+static void
+setup(void)
+{
+	setup_machines(MACHINES, 5, 4);
+}
+
+static void
+setup_large(void)
+{
+	setup_machines(MACHINES_MAX, 160, 151);
+}
+
 static void
 teardown(void)
 {
@@ -248,15 +263,15 @@
 static void
 ask_wave(int cap, int within_ms)
 {
-	static char names[MACHINES][NAME_BYTES];
+	static char names[MACHINES_MAX][NAME_BYTES];
 	struct roster_event ev = {.kind = ROSTER_WAVE};
 	int i;
 
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		snprintf(names[i], NAME_BYTES, "m-%d", i);
 	ev.u.wave.wave = 7;
 	ev.u.wave.machines = (const char(*)[NAME_BYTES])names;
-	ev.u.wave.count = MACHINES;
+	ev.u.wave.count = (size_t)machine_count;
 	ev.u.wave.within_ms = within_ms;
 	ev.u.wave.cap = cap;
 	event(&ev);
@@ -266,12 +281,12 @@
 {
 	int i;
 
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		tasks[i] = i < 9 ? 2 : 0;
 	run(600);
 	ask_wave(3, 27000);
 	run(27000);
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		cr_expect(upkept[i], "m-%d", i);
 	cr_expect_leq(most_down, 3);
 	cr_expect_eq(statuses_completed, 1);
@@ -301,7 +316,7 @@
 	struct roster_event ev = {.kind = ROSTER_ORDERED};
 	int i;
 
-	for (i = 0; i < MACHINES; i++) {
+	for (i = 0; i < machine_count; i++) {
 		snprintf(ev.u.ordered.machine, NAME_BYTES, "m-%d", i);
 		ev.u.ordered.ago_ms = 500;
 		event(&ev);
@@ -332,7 +347,7 @@
 {
 	int i;
 
-	for (i = 0; i < MACHINES; i++)
+	for (i = 0; i < machine_count; i++)
 		tasks[i] = i < 9 ? 1 : 0;
 	wanted[0] = 400;
 	wanted[1] = 9000;
@@ -379,7 +394,7 @@
 	run(4000);
 	cr_expect_eq(in_pool("blue"), 8);
 	cr_expect_eq(in_pool("green"), 4);
-	for (i = 9; i < MACHINES; i++)
+	for (i = 9; i < machine_count; i++)
 		tasks[i] = 2;
 	floors[1] = 5;
 	run(4000);
@@ -403,3 +418,15 @@
 	run(2500);
 	cr_expect_geq(in_pool("green"), 7);
 }
+
+/*
+ * The load: a turn that used nearly all of 311 machines has ended. Twelve at a
+ * time went off, 235 were still on after six seconds: as long as a turn.
+ */
+Test(machines, hundreds_that_are_not_needed_are_soon_off, .init = setup_large)
+{
+	wanted[0] = wanted[1] = 30000;
+	run(3200); /* they were needed until now, as far as is known */
+	run(4000);
+	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
+}
