jobs: an event looks at its own worker, not at all of them

Change: the time of the next hold is kept; all workers are looked at when it has come, each 20 ms, and at events that may touch any. The log's bound is asked first.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -166,7 +166,7 @@
 	}
 	pool_flush_jobs(p);
 	pool_record_workers(p);
-	pool_hold_due(p);
+	pool_hold_due(p, ev);
 	if (ev->kind == POOL_TICK)
 		pool_forget_old(p);
 }
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -369,6 +369,7 @@
 		/* the next hold tells what is there */
 		t->answered_us = p->now_us;
 		t->worker->hold_due_us = p->now_us;
+		p->next_hold_us = p->now_us;
 		return;
 	case ORDER_END_OTHER_LIFE:
 		pool_worker_lost(p, t->worker, "other-life");
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -99,6 +99,8 @@
 	struct job_list touched; /* changed since the last flush */
 	size_t active_count, finished_count;
 	struct placed_worker *workers; /* by id */
+	int64_t next_hold_us; /* no worker is to be held earlier */
+	int64_t workers_run_us; /* when all workers were looked at last */
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
 	int64_t lasting_starved_us; /* a lasting task neither; 0: it does */
 	int64_t cramped_us; /* one that is to move was seen to find none */
@@ -161,7 +163,7 @@
 void pool_worker_entry(struct pool *p, const struct worker_report *r);
 void pool_worker_gone(struct pool *p, const char *id);
 void pool_held(struct pool *p, const struct pool_event *ev);
-void pool_hold_due(struct pool *p);
+void pool_hold_due(struct pool *p, const struct pool_event *ev);
 /* When the next hold is due; "latest_us" where none is earlier. */
 int64_t pool_next_hold_us(const struct pool *p, int64_t latest_us);
 void pool_cordon(struct pool *p, const struct pool_event *ev);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -21,6 +21,7 @@
 #define CLOCKS_APART_MS 500 /* of daemons; "close to true time" */
 #define CORDON_MS 2000 /* a cordon that is not renewed ends */
 #define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
+#define WORKERS_EVERY_MS 20 /* leases and entries that end by time */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
 
 struct placed_worker *
@@ -365,33 +366,72 @@
 int64_t
 pool_next_hold_us(const struct pool *p, int64_t latest_us)
 {
-	const struct placed_worker *w;
+	return p->next_hold_us < latest_us ? p->next_hold_us : latest_us;
+}
 
-	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (hold_waits(w) && w->hold_due_us < latest_us)
-			latest_us = w->hold_due_us;
+/* What is due for one worker; it may be freed. */
+static void
+worker_run(struct pool *p, struct placed_worker *w)
+{
+	worker_check_lease(p, w);
+	if (!worker_known(p, w) && !w->left && w->task_count == 0 &&
+	    !w->hold_out && (w->held || p->now_us >= p->settle_until_us)) {
+		worker_free(p, w);
+		return;
 	}
-	return latest_us;
+	worker_advance_acks(p, w);
+	if (hold_waits(w) && p->now_us >= w->hold_due_us)
+		hold_send(p, w);
+	if (hold_waits(w) && w->hold_due_us < p->next_hold_us)
+		p->next_hold_us = w->hold_due_us;
+}
+
+/* Events that say something of one worker at most leave the others alone. */
+static bool
+all_workers_due(const struct pool *p, enum pool_event_kind kind)
+{
+	if (p->now_us >= p->next_hold_us ||
+	    p->now_us - p->workers_run_us >= WORKERS_EVERY_MS * US_PER_MS)
+		return true;
+	switch (kind) {
+	case POOL_TICK:
+	case POOL_TERMS:
+	case POOL_HELD: /* its worker is looked at alone */
+	case POOL_STARTED:
+	case POOL_STOPPED: /* brings "next_hold_us" forward */
+	case POOL_SUBMIT:
+	case POOL_CANCEL:
+	case POOL_LOOK:
+	case POOL_COUNT:
+	case POOL_ADVISED:
+		return false;
+	case POOL_LOADED:
+	case POOL_WORKER:
+	case POOL_WORKER_GONE:
+	case POOL_CORDON:
+	case POOL_WRITTEN: /* ends may be acknowledged now */
+		return true;
+	}
+	return true;
 }
 
 void
-pool_hold_due(struct pool *p)
+pool_hold_due(struct pool *p, const struct pool_event *ev)
 {
 	struct placed_worker *w, *next;
 
-	HASH_ITER(hh, p->workers, w, next)
-	{
-		worker_check_lease(p, w);
-		if (!worker_known(p, w) && !w->left && w->task_count == 0 &&
-		    !w->hold_out &&
-		    (w->held || p->now_us >= p->settle_until_us)) {
-			worker_free(p, w);
-			continue;
-		}
-		worker_advance_acks(p, w);
-		if (hold_waits(w) && p->now_us >= w->hold_due_us)
-			hold_send(p, w);
+	if (!all_workers_due(p, ev->kind)) {
+		w = ev->kind == POOL_HELD
+		    ? pool_find_worker(p, ev->u.held.worker)
+		    : NULL;
+		if (w != NULL)
+			worker_run(p, w);
+		return;
 	}
+	p->workers_run_us = p->now_us;
+	p->next_hold_us = INT64_MAX;
+	HASH_ITER(hh, p->workers, w, next)
+	worker_run(p, w);
 }
 
 static void
--- a/src/shell/daemon_log.c
+++ b/src/shell/daemon_log.c
@@ -71,12 +71,12 @@
  * believes of owners, workers and stores.
  */
 static bool
-take_budget(const char *line)
+take_budget(const char *module)
 {
 	time_t now = time(NULL);
 	int most = bounded.lines_per_s;
 
-	if (strstr(line, "module=pool ") != NULL)
+	if (strcmp(module, "pool") == 0)
 		most -= most / 4;
 
 	if (now != bounded.second) {
@@ -98,8 +98,6 @@
 	size_t len = strlen(line);
 	int n;
 
-	if (!take_budget(line))
-		return 0;
 	n = bounded.left_out > 0
 	    ? snprintf(out, sizeof(out), "%.*s left_out=%llu\n",
 		  (int)(len > 0 ? len - 1 : 0), line, bounded.left_out)
@@ -189,6 +187,9 @@
 	if (category == NULL ||
 	    !log4c_category_is_priority_enabled(category, priorities[level]))
 		return;
+	/* before it is formatted: most lines of a surge are left out */
+	if (bounded.lines_per_s > 0 && !take_budget(module))
+		return;
 	n = snprintf(text, sizeof(text), "module=%s ", module);
 	va_start(ap, fmt);
 	vsnprintf(text + n, sizeof(text) - (size_t)n, fmt, ap);
