jobs: a daemon far behind refuses new jobs at once

Change: ticks tell by how much the loop is behind of late; from 300 ms on a new job is refused with 429 and Retry-After 1 s, why=lag. Jobs that were accepted go on. The lag is a metric, pool_loop_lag_us.

Test: pool::a_daemon_far_behind_refuses_new_jobs_and_serves_those_it_has.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -118,6 +118,7 @@
 };
 
 struct jobs_world {
+	int64_t lag_us; /* told to the reducer */
 	struct jobs_world_opts opts;
 	uint64_t random;
 	int64_t ms;
@@ -864,6 +865,7 @@
 		return;
 	}
 	ev->now_us = w->ms * US_PER_MS;
+	ev->lag_us = w->lag_us;
 	ev->now_ms = START_MS + w->ms;
 	memset(&fx, 0, sizeof(fx));
 	if (w->opts.timed)
@@ -1369,6 +1371,12 @@
 	w->terms = *terms;
 }
 
+void
+jobs_world_lag(struct jobs_world *w, int ms)
+{
+	w->lag_us = ms * US_PER_MS;
+}
+
 void
 jobs_world_refuse(struct jobs_world *w, int retry_ms)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -93,6 +93,8 @@
 void jobs_world_terms(struct jobs_world *w, const struct queue_terms *terms);
 /* The owner is told to refuse new jobs for so long; 0: to take them. */
 void jobs_world_refuse(struct jobs_world *w, int retry_ms);
+/* The owner's loop is behind by so much. */
+void jobs_world_lag(struct jobs_world *w, int ms);
 /* Writes of the present owner are not taken while the store is down. */
 void jobs_world_store(struct jobs_world *w, bool down);
 /*
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -71,6 +71,7 @@
 	enum pool_event_kind kind;
 	int64_t now_us;
 	int64_t now_ms;
+	int64_t lag_us; /* of late, the daemon's loop is behind by so much */
 	union {
 		struct {
 			const struct queue_terms *terms;
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -7,6 +7,12 @@
 
 #define ACTIVE_MAX 4000 /* unfinished jobs: bounds memory and the take-over */
 #define LATE_LIMIT 3.0 /* times its objective: nothing is left to gain */
+/*
+ * The daemon's loop is so far behind that a hand-in may not be answered in
+ * time: it is refused, so that jobs that were accepted are served.
+ */
+#define LAG_REFUSE_MS 300
+#define LAG_RETRY_MS 1000 /* told to callers then */
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 10000
 
@@ -107,9 +113,12 @@
 	pool_note_refused(p, ev->u.submit.id);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job refused\" why=%s job=%s queue=%s active=%zu "
-	    "retry_ms=%d",
-	    ev->u.submit.refuse_ms > 0 ? "store" : "backlog", ev->u.submit.id,
-	    ev->u.submit.terms->name, p->active_count, retry_ms);
+	    "lag_ms=%lld retry_ms=%d",
+	    p->lag_us >= LAG_REFUSE_MS * US_PER_MS ? "lag"
+		: ev->u.submit.refuse_ms > 0       ? "store"
+						   : "backlog",
+	    ev->u.submit.id, ev->u.submit.terms->name, p->active_count,
+	    (long long)(p->lag_us / US_PER_MS), retry_ms);
 	fx_answer(p, ev->u.submit.token, POOL_OVERLOADED);
 	x = &p->fx->list[p->fx->count - 1];
 	x->u.answer.retry_ms = retry_ms;
@@ -148,8 +157,9 @@
 		return;
 	}
 	pool_note_offered(p, ev->u.submit.order, ev->u.submit.terms, 0);
-	retry_ms = ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
-					      : refusal_ms(p, ev);
+	retry_ms = p->lag_us >= LAG_REFUSE_MS * US_PER_MS ? LAG_RETRY_MS
+	    : ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
+					 : refusal_ms(p, ev);
 	j = retry_ms > 0
 	    ? NULL
 	    : job_new(ev->u.submit.id, ev->u.submit.terms, ev->u.submit.order,
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -56,6 +56,8 @@
 	uint64_t next_token;
 	LIST_HEAD(shard_orders, shard_order) orders;
 	lws_sorted_usec_list_t tick;
+	int64_t tick_due_us;
+	int64_t lag_us; /* by which ticks came late, averaged */
 	LIST_ENTRY(shard) entries;
 };
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -13,6 +13,7 @@
 #define STORE_STUCK_MS \
 	400 /* a write that waits so long: new ones are refused */
 #define STORE_RETRY_MS 1000 /* told to callers then */
+#define LAG_WEIGHT 4 /* a tick's part of the average, one in so many */
 #define ORDER_TERMS_BYTES 1024 /* of a job's record besides its text */
 
 struct shards {
@@ -98,6 +99,8 @@
 		shard_drop(sh, "fenced");
 		return;
 	}
+	sh->lag_us +=
+	    (sched_now_us() - sh->tick_due_us - sh->lag_us) / LAG_WEIGHT;
 	shard_event(sh, &ev);
 }
 
@@ -106,8 +109,10 @@
 {
 	int64_t us = sh->lost ? 1 : pool_next_us(sh->pool) - sched_now_us();
 
-	lws_sul_schedule(
-	    sh->scheduler->context, 0, &sh->tick, on_tick, us > 0 ? us : 1);
+	if (us < 1)
+		us = 1;
+	sh->tick_due_us = sched_now_us() + us;
+	lws_sul_schedule(sh->scheduler->context, 0, &sh->tick, on_tick, us);
 }
 
 void
@@ -128,6 +133,7 @@
 	}
 	ev->now_us = sched_now_us();
 	ev->now_ms = sched_now_ms();
+	ev->lag_us = sh->lag_us;
 	/* Effects may bring events of their own: each step has its list. */
 	fx = sh->effects;
 	memset(&sh->effects, 0, sizeof(sh->effects));
@@ -581,6 +587,7 @@
 		    (int64_t)st.jobs_waiting);
 		metric_gauge(out, "pool_tasks_placed", NULL, labels,
 		    (int64_t)st.tasks_placed);
+		metric_gauge(out, "pool_loop_lag_us", NULL, labels, sh->lag_us);
 		metric_gauge(
 		    out, "pool_workers", NULL, labels, (int64_t)st.workers);
 		metric_gauge(out, "pool_workers_held", NULL, labels,
@@ -595,8 +602,7 @@
 		    out, "pool_jobs_refused_total", NULL, labels, st.refused);
 		metric_counter(
 		    out, "pool_starts_total", NULL, labels, st.starts);
-		metric_counter(
-		    out, "pool_looks_total", NULL, labels, st.looks);
+		metric_counter(out, "pool_looks_total", NULL, labels, st.looks);
 		metric_counter(out, "pool_starts_refused_total", NULL, labels,
 		    st.starts_refused);
 		metric_counter(out, "pool_runs_failed_total", NULL, labels,
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -560,3 +560,26 @@
 	    (unsigned long long)st.looks, (unsigned long long)st.starts);
 	jobs_world_free(world);
 }
+
+/* Hand-ins got no answer in time, and were sent again by their callers. */
+Test(pool, a_daemon_far_behind_refuses_new_jobs_and_serves_those_it_has)
+{
+	char id[JOB_ID_BYTES];
+	int accepted;
+
+	world = world_of(4);
+	submit(1, 4, 1500, 400, id);
+	jobs_world_run(world, 50);
+	accepted = jobs_world_accepted(world);
+	jobs_world_lag(world, 400);
+	submit(1, 4, 1500, 400, NULL);
+	jobs_world_run(world, 2000);
+	cr_expect_eq(jobs_world_accepted(world), accepted);
+	cr_expect_eq(jobs_world_refused(world), 1);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	jobs_world_lag(world, 0);
+	submit(1, 4, 1500, 400, id);
+	jobs_world_run(world, 2000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
