scheduler: the log says why a term has ended

Cause: a term that ended since the store could not read an append was logged as "a later owner commands the pool".

Change: the writer says why; the line is "the term has ended" with why= later-owner-at-store, later-owner-at-worker or append-unreadable.

Test: jobs::an_append_that_the_store_cannot_read_stops_nothing_behind_it: the jobs behind it are accepted and completed, once each.

--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -534,10 +534,11 @@
 }
 
 static void
-on_fenced(void *arg)
+on_fenced(void *arg, const char *why)
 {
 	struct duty *d = arg;
 
+	(void)why; /* the writer has logged it */
 	/* dropped by the next check, outside the writer's callback */
 	d->confirmed_boot_us = 0;
 }
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -63,8 +63,8 @@
 
 /* Stamps the event, lets the reducer take it, carries the effects out. */
 void shard_event(struct shard *sh, struct pool_event *ev);
-/* A later owner was met: the shard is dropped from the loop. */
-void shard_deposed(struct shard *sh, const char *by);
+/* Nothing of the term is taken any more: the shard is dropped from the loop. */
+void shard_deposed(struct shard *sh, const char *why);
 
 /* shard_takeover.c */
 int takeover_begin(struct shard *sh);
--- a/src/scheduler/shard_orders.c
+++ b/src/scheduler/shard_orders.c
@@ -157,7 +157,7 @@
 		break;
 	}
 	if (end == ORDER_END_FENCED)
-		shard_deposed(sh, o->worker);
+		shard_deposed(sh, "later-owner-at-worker");
 	free(o);
 }
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -147,14 +147,13 @@
 }
 
 void
-shard_deposed(struct shard *sh, const char *by)
+shard_deposed(struct shard *sh, const char *why)
 {
 	if (sh->lost || sh->pool == NULL)
 		return;
 	daemon_log(LOG_LEVEL_WARN, "shards",
-	    "msg=\"a later owner commands the pool\" pool=%s fence=%lld "
-	    "seen_at=%s",
-	    sh->pool_name, (long long)sh->fence, by);
+	    "msg=\"the term has ended\" pool=%s fence=%lld why=%s",
+	    sh->pool_name, (long long)sh->fence, why);
 	sh->lost = true;
 	schedule_tick(sh);
 }
@@ -206,9 +205,9 @@
 }
 
 static void
-on_fenced(void *arg)
+on_fenced(void *arg, const char *why)
 {
-	shard_deposed(arg, "store");
+	shard_deposed(arg, why);
 }
 
 static void
--- a/src/scheduler/store_writer.c
+++ b/src/scheduler/store_writer.c
@@ -76,12 +76,12 @@
 		return;
 	case WINDOW_FENCED:
 		log_refusal(w, "a later owner writes", op->seq, body, len);
-		w->opts.on_fenced(w->opts.arg);
+		w->opts.on_fenced(w->opts.arg, "later-owner-at-store");
 		return;
 	case WINDOW_UNREADABLE:
 		w->opts.scheduler->counts.appends_unreadable++;
 		log_refusal(w, "the store cannot read it", op->seq, body, len);
-		w->opts.on_fenced(w->opts.arg);
+		w->opts.on_fenced(w->opts.arg, "append-unreadable");
 		return;
 	}
 }
--- a/src/scheduler/store_writer.h
+++ b/src/scheduler/store_writer.h
@@ -21,7 +21,7 @@
 	 * Nothing of ours is taken any more: a later epoch writes the topic, or
 	 * the store refuses an append's bytes for good.
 	 */
-	void (*on_fenced)(void *arg);
+	void (*on_fenced)(void *arg, const char *why);
 	void *arg;
 };
 
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -70,6 +70,7 @@
 	int refuse; /* status of every answer; 0: calls are served */
 	int lose; /* tries of each append that get no answer */
 	int unreadable; /* appends refused for good */
+	int garble; /* so many appends are refused as if they were */
 };
 
 static int64_t
@@ -277,7 +278,8 @@
 	size_t offset = t->count, pos = 0;
 	uint32_t len;
 
-	if (!readable(x->body)) {
+	if (!readable(x->body) || (epoch >= 0 && s->garble > 0)) {
+		s->garble -= s->garble > 0;
 		s->unreadable++;
 		refuse_append(x, 400, "unreadable", (int64_t)t->count);
 		return;
@@ -586,6 +588,12 @@
 	s->append_ms = append_ms;
 }
 
+void
+job_store_garble(struct job_store *s, int appends)
+{
+	s->garble = appends;
+}
+
 int
 job_store_unreadable(const struct job_store *s)
 {
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -32,6 +32,8 @@
 void job_store_slow(struct job_store *s, int append_ms);
 /* Each producer's append is carried out; so many tries of it get no answer. */
 void job_store_lose(struct job_store *s, int tries);
+/* So many of producers' appends are refused as if they were unreadable. */
+void job_store_garble(struct job_store *s, int appends);
 /* Appends that were refused for good: records too large, or broken. */
 int job_store_unreadable(const struct job_store *s);
 
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -427,6 +427,10 @@
 	} else if (strcmp(x->path, "/store-lose") == 0) {
 		job_store_lose(world.store, (int)exchange_int(x, "tries", 0));
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-garble") == 0) {
+		job_store_garble(
+		    world.store, (int)exchange_int(x, "appends", 0));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-up") == 0) {
 		job_store_refuse(world.store, 0);
 		exchange_answer(x, 200, NULL);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -321,6 +321,24 @@
 	cr_expect_eq(judged("unreadable"), 0);
 }
 
+/*
+ * The same bytes were sent for ever. The term ends, and the next one begins
+ * from what is stored.
+ */
+Test(jobs, an_append_that_the_store_cannot_read_stops_nothing_behind_it)
+{
+	const char *garble = "/store-garble?appends=1";
+
+	submit("/blue/", "[{\"count\":2,\"cpu\":500}]");
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", garble, "", NULL), 200);
+	submit("/blue/", "[{\"count\":2,\"cpu\":500}]");
+	submit("/blue/", "[{\"count\":2,\"cpu\":500}]");
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("unreadable"), 1);
+	cr_expect_eq(judged("twice"), 0);
+}
+
 /* It is refused at once: no record of the store would hold it. */
 Test(jobs, a_job_that_no_record_holds_is_refused)
 {
