jobs, front, duty: what the reading of the diff found

- Records of workers are a file of their own, pool_worker_records.c; behaviour as it was.
- A refusal's reason is decided where the refusal is, once.
- A front forgets idle gates beyond 512: owners come and go for months.
- The keeper's cordons for one pool were cut at 256 without a word; a pool of 326 workers whose machines move 35 times a second has more. 1,024, and a line when even they do not suffice.
Test: machines::cordons_of_hundreds_ reach_their_owner, failing before.

--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -104,8 +104,26 @@
 				      : (int)wait_ms;
 }
 
+/* Why a job is not taken in, and when it may come again; 0: it is taken. */
+static int
+hand_in_refusal_ms(
+    const struct pool *p, const struct pool_event *ev, const char **why)
+{
+	if (p->lag_us >= LAG_REFUSE_MS * US_PER_MS) {
+		*why = "lag";
+		return LAG_RETRY_MS;
+	}
+	if (ev->u.submit.refuse_ms > 0) {
+		*why = "store";
+		return ev->u.submit.refuse_ms;
+	}
+	*why = "backlog";
+	return refusal_ms(p, ev);
+}
+
 static void
-refuse(struct pool *p, const struct pool_event *ev, int retry_ms)
+refuse(
+    struct pool *p, const struct pool_event *ev, const char *why, int retry_ms)
 {
 	struct pool_effect *x;
 
@@ -114,10 +132,7 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job refused\" why=%s job=%s queue=%s active=%zu "
 	    "lag_ms=%lld retry_ms=%d",
-	    p->lag_us >= LAG_REFUSE_MS * US_PER_MS ? "lag"
-		: ev->u.submit.refuse_ms > 0       ? "store"
-						   : "backlog",
-	    ev->u.submit.id, ev->u.submit.terms->name, p->active_count,
+	    why, ev->u.submit.id, ev->u.submit.terms->name, p->active_count,
 	    (long long)(p->lag_us / US_PER_MS), retry_ms);
 	fx_answer(p, ev->u.submit.token, POOL_OVERLOADED);
 	x = &p->fx->list[p->fx->count - 1];
@@ -149,6 +164,7 @@
 pool_submit(struct pool *p, const struct pool_event *ev)
 {
 	struct job *j = pool_find_job(p, ev->u.submit.id);
+	const char *why;
 	int retry_ms;
 
 	if (j != NULL) { /* handed in again: it stays one job */
@@ -157,15 +173,14 @@
 		return;
 	}
 	pool_note_offered(p, ev->u.submit.order, ev->u.submit.terms, 0);
-	retry_ms = p->lag_us >= LAG_REFUSE_MS * US_PER_MS ? LAG_RETRY_MS
-	    : ev->u.submit.refuse_ms > 0 ? ev->u.submit.refuse_ms
-					 : refusal_ms(p, ev);
+	retry_ms = hand_in_refusal_ms(p, ev, &why);
 	j = retry_ms > 0
 	    ? NULL
 	    : job_new(ev->u.submit.id, ev->u.submit.terms, ev->u.submit.order,
 		  pool_take_refused(p, ev->u.submit.id));
 	if (j == NULL) {
-		refuse(p, ev, retry_ms > 0 ? retry_ms : RETRY_MAX_MS);
+		refuse(p, ev, retry_ms > 0 ? why : "memory",
+		    retry_ms > 0 ? retry_ms : RETRY_MAX_MS);
 		return;
 	}
 	file_active(p, j);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -173,11 +173,16 @@
 int64_t worker_clock_ms(const struct placed_worker *w, int64_t now_us);
 bool worker_lease_over(const struct placed_worker *w, int64_t now_us);
 bool worker_usable(const struct pool *p, const struct placed_worker *w);
-/* Writes the workers that are not recorded as they are. */
-void pool_record_workers(struct pool *p);
+/* NULL when memory is short. */
+struct placed_worker *pool_worker_new(
+    struct pool *p, const struct worker_report *r);
 /* All tasks of earlier terms are known or have ended. */
 bool pool_settled(const struct pool *p);
 
+/* pool_worker_records.c */
+/* Writes the workers that are not recorded as they are. */
+void pool_record_workers(struct pool *p);
+
 /* pool_runs.c */
 void task_attach(struct task *t, struct placed_worker *w);
 void task_detach(struct pool *p, struct task *t);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "pool_state.h"
-#include "wire.h"
 
 #define HOLD_WAIT_BUSY_MS 1000 /* a hold waits so long for an end … */
 #define HOLD_WAIT_FILLS_MS 400 /* … where tails are watched … */
@@ -169,8 +168,8 @@
 	w->hold_due_us = p->now_us;
 }
 
-static struct placed_worker *
-worker_new(struct pool *p, const struct worker_report *r)
+struct placed_worker *
+pool_worker_new(struct pool *p, const struct worker_report *r)
 {
 	struct placed_worker *w;
 
@@ -205,7 +204,7 @@
 	bool drained;
 
 	if (w == NULL)
-		w = worker_new(p, r);
+		w = pool_worker_new(p, r);
 	if (w == NULL || (r->born_ms != 0 && r->born_ms < w->report.born_ms))
 		return;
 	if (w->left && r->born_ms == w->report.born_ms)
@@ -431,7 +430,9 @@
 	p->workers_run_us = p->now_us;
 	p->next_hold_us = INT64_MAX;
 	HASH_ITER(hh, p->workers, w, next)
-	worker_run(p, w);
+	{
+		worker_run(p, w);
+	}
 }
 
 static void
@@ -630,121 +631,3 @@
 	else
 		hold_failed(p, w, ev->u.held.end);
 }
-
-#define WORKER_FIELDS 4 /* birth, address, port, silent until */
-
-static void
-record_worker(struct pool *p, struct placed_worker *w)
-{
-	char key[JOB_KEY_BYTES];
-	struct wire_writer out;
-
-	wire_writer_init(&out);
-	wire_map(&out, WORKER_FIELDS);
-	wire_i64(&out, "born", w->report.born_ms);
-	wire_str(&out, "addr", w->report.addr);
-	wire_u64(&out, "port", (uint64_t)w->report.port);
-	wire_i64(&out, "silent", w->silent_until_ms);
-	worker_record_key(key, w->report.id);
-	fx_write(p, key, wire_writer_take(&out));
-	w->record_serial = p->serial;
-	w->recorded_silent_ms = w->silent_until_ms;
-	w->recorded = w->stored = true;
-}
-
-void
-pool_record_workers(struct pool *p)
-{
-	struct placed_worker *w;
-
-	if (!p->workers_changed)
-		return;
-	p->workers_changed = false;
-	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!w->recorded)
-			record_worker(p, w);
-	}
-	if (p->workers_listed) /* each has a record of its own by now */
-		fx_write(p, KEY_WORKERS, NULL);
-	p->workers_listed = false;
-}
-
-/* False where a field is missing. */
-static bool
-load_worker(struct pool *p, const char *id, const msgpack_object *map,
-    struct placed_worker **loaded)
-{
-	int64_t silent_ms = 0, until_ms = p->opts.now_ms + p->opts.settle_ms;
-	struct worker_report r;
-	struct placed_worker *w;
-	uint64_t port;
-
-	memset(&r, 0, sizeof(r));
-	snprintf(r.id, sizeof(r.id), "%s", id);
-	if (!wire_get_i64(map, "born", &r.born_ms) ||
-	    !wire_get_str(map, "addr", r.addr, sizeof(r.addr)) ||
-	    !wire_get_u64(map, "port", &port))
-		return false;
-	r.port = (int)port;
-	if (wire_get_i64(map, "silent", &silent_ms) && silent_ms != 0 &&
-	    silent_ms < until_ms)
-		until_ms = silent_ms;
-	p->now_us = p->opts.now_us;
-	w = pool_find_worker(p, id);
-	if (w == NULL)
-		w = worker_new(p, &r);
-	if (w == NULL)
-		abort(); /* it may run tasks that would be started again */
-	w->inherited = true;
-	if (until_ms > w->silent_until_ms)
-		w->silent_until_ms = until_ms;
-	w->recorded_silent_ms = silent_ms;
-	*loaded = w;
-	return true;
-}
-
-int
-pool_load_worker(
-    struct pool *p, const char *id, const void *data, size_t len, struct err *e)
-{
-	struct placed_worker *w;
-	struct wire_reader in;
-	bool ok;
-
-	if (wire_reader_init(&in, data, len, e) == -1)
-		return -1;
-	ok = load_worker(p, id, in.root, &w);
-	if (ok)
-		w->recorded = w->stored = true;
-	wire_reader_uninit(&in);
-	if (!ok)
-		return err_set(e, ERR_PROTOCOL, 0,
-		    "look at who writes to the topic",
-		    "record of worker %s lacks a field", id);
-	return 0;
-}
-
-int
-pool_load_workers(struct pool *p, const void *data, size_t len, struct err *e)
-{
-	const msgpack_object_array *list;
-	struct placed_worker *w;
-	struct wire_reader in;
-	char id[NAME_BYTES];
-	uint32_t i, bad = 0;
-
-	if (wire_reader_init(&in, data, len, e) == -1)
-		return -1;
-	if (!wire_get_array(in.root, "w", &list))
-		list = NULL;
-	for (i = 0; list != NULL && i < list->size; i++)
-		bad += !wire_get_str(&list->ptr[i], "id", id, sizeof(id)) ||
-		    !load_worker(p, id, &list->ptr[i], &w);
-	p->workers_listed = p->workers_changed = true;
-	wire_reader_uninit(&in);
-	if (bad > 0)
-		return err_set(e, ERR_PROTOCOL, 0,
-		    "look at who writes to the topic",
-		    "%u workers of the list lack a field", bad);
-	return 0;
-}
--- a/src/scheduler/cordon_call.h
+++ b/src/scheduler/cordon_call.h
@@ -6,7 +6,7 @@
 #include "errors.h"
 #include "roster.h"
 
-#define CORDONS_MAX 256 /* workers of one question */
+#define CORDONS_MAX 1024 /* workers of one question */
 
 struct cordon {
 	char worker[NAME_BYTES];
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -383,8 +383,13 @@
 {
 	struct cordon_request *r = arg;
 
-	if (r->count == CORDONS_MAX)
+	if (r->count == CORDONS_MAX) {
+		daemon_log(LOG_LEVEL_WARN, "duty",
+		    "msg=\"too many cordons: the rest waits\" pool=%s "
+		    "worker=%s",
+		    r->pool, worker);
 		return;
+	}
 	snprintf(r->list[r->count].worker, NAME_BYTES, "%s", worker);
 	r->list[r->count++].kind = kind;
 }
--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -25,6 +25,7 @@
 #define RETRY_AFTER_MS 1000 /* told where nobody knows better */
 #define PATH_READY "/readiness"
 #define LINES_BYTES 128
+#define GATES_MAX 512 /* owners that were met; idle ones are forgotten */
 
 /* What may be sent to one owner of one pool. */
 struct owner_gate {
@@ -58,6 +59,7 @@
 	struct http_listener *readiness;
 	LIST_HEAD(front_calls, front_call) calls;
 	LIST_HEAD(owner_gates, owner_gate) gates;
+	size_t gate_count;
 	size_t busy;
 	bool ending; /* the process ends: nothing is waited for */
 	bool told_ready; /* what the callers' balancer was told last */
@@ -275,6 +277,23 @@
 	retry_later(c, false);
 }
 
+/* Owners come and go: forgets one that nothing is under way to. */
+static void
+forget_gate(struct front *f)
+{
+	struct owner_gate *g;
+
+	LIST_FOREACH(g, &f->gates, entries) {
+		if (peer_gate_idle(&g->gate))
+			break;
+	}
+	if (g == NULL)
+		return;
+	LIST_REMOVE(g, entries);
+	f->gate_count--;
+	free(g);
+}
+
 static struct owner_gate *
 gate_of(struct front *f, const struct endpoint *owner, const char *pool)
 {
@@ -286,9 +305,12 @@
 		    strcmp(g->pool, pool) == 0)
 			return g;
 	}
+	if (f->gate_count >= GATES_MAX)
+		forget_gate(f);
 	g = calloc(1, sizeof(*g));
 	if (g == NULL)
 		return NULL;
+	f->gate_count++;
 	g->owner = *owner;
 	snprintf(g->pool, sizeof(g->pool), "%s", pool);
 	g->gate.prng = (uint64_t)sched_now_us() | 1;
--- a/src/scheduler/peer_gate.c
+++ b/src/scheduler/peer_gate.c
@@ -14,6 +14,13 @@
 #define RETRIES_PER_S 10.0 /* also where nothing is answered */
 #define GONE_MS 2500 /* the group's 2 s, and a take-over */
 
+bool
+peer_gate_idle(const struct peer_gate *g)
+{
+	return g->under_way[GATE_HAND_IN] == 0 &&
+	    g->under_way[GATE_ABOUT_JOB] == 0;
+}
+
 bool
 peer_gate_silent(const struct peer_gate *g)
 {
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include "cordon_call.h"
 #include "roster.h"
 
 #define MACHINES 12
@@ -461,3 +462,28 @@
 	run(4000);
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
 }
+
+/*
+ * A pool of 326 workers from which 210 had been moved within six seconds: what
+ * went beyond 256 was cut off without a word.
+ */
+Test(machines, cordons_of_hundreds_reach_their_owner)
+{
+	static struct cordon_request out, in;
+	struct buf *b;
+	struct err e;
+	size_t i;
+
+	snprintf(out.pool, sizeof(out.pool), "blue");
+	for (i = 0; i < 600; i++) {
+		snprintf(out.list[i].worker, NAME_BYTES, "w-%zu", i);
+		out.list[i].kind = CORDON_GONE;
+	}
+	out.count = 600;
+	b = cordon_request_encode(&out);
+	cr_assert_not_null(b);
+	cr_assert_eq(cordon_request_decode(&in, b->data, b->len, &e), 0);
+	cr_expect_eq(in.count, 600);
+	cr_expect_str_eq(in.list[599].worker, "w-599");
+	buf_unref(b);
+}
