roster, jobs: lasting tasks do not move to machines that are due too

Ruled out: the cap (75, used up in the first second only), the time that a successor thinks is left (one keeper until 41 s).

Change: the keeper tells owners which machines an open wave has yet to come to; lasting tasks avoid their workers, other work does not.

Tests: pool::a_lasting_task_does_not_move_to_a_worker_that_is_due_too (failing before), machines::owners_are_told_of_machines_that_are_due.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1348,6 +1348,16 @@
 	step(w, w->owner, &ev);
 }
 
+void
+jobs_world_due_worker(struct jobs_world *w, int worker)
+{
+	struct pool_event ev = {.kind = POOL_CORDON};
+
+	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
+	ev.u.cordon.due = true;
+	step(w, w->owner, &ev);
+}
+
 double
 jobs_world_step_us(const struct jobs_world *w)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -87,6 +87,8 @@
 /* The entry in the store comes and goes. */
 void jobs_world_list_worker(struct jobs_world *w, int worker, bool listed);
 void jobs_world_cordon_worker(struct jobs_world *w, int worker);
+/* The upkeep of its machine is to come, and has not begun. */
+void jobs_world_due_worker(struct jobs_world *w, int worker);
 /* Its machine is taken away; its entry is still listed. */
 void jobs_world_take_worker(struct jobs_world *w, int worker);
 /* Terms of the queue that jobs are handed in at from now on. */
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -86,6 +86,8 @@
 			char id[NAME_BYTES];
 			bool empty; /* its tasks are to go elsewhere */
 			bool gone; /* its machine was taken away */
+			bool
+			    due; /* no cordon yet: its machine's upkeep comes */
 		} cordon;
 		struct {
 			char worker[NAME_BYTES];
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -263,6 +263,9 @@
 	/* beside others that last: they hold their machine anyway */
 	if (s->lasting && worker_lasting_tasks(w) > 0)
 		points += 1;
+	/* it would have to move again, one of its step after the other */
+	if (s->lasting && p->now_us < w->due_until_us)
+		points -= 4;
 	if (s->lasting)
 		points -= 0.1 * placed_of_step(w, t->step) +
 		    0.05 * placed_on_rack(p, worker_rack(w), t->step);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -49,6 +49,7 @@
 	int64_t drain_end_us; /* it may be gone then; 0: not draining */
 	int64_t paced_us; /* newest change of pace */
 	int64_t cordon_until_us; /* no new tasks: its machine is to go away */
+	int64_t due_until_us; /* its machine's upkeep is to come */
 	int64_t emptied_since_us; /* its tasks go elsewhere; 0: not asked */
 	UT_hash_handle hh; /* by report.id */
 };
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -270,6 +270,10 @@
 		worker_left(p, w);
 		return;
 	}
+	if (ev->u.cordon.due) {
+		w->due_until_us = p->now_us + CORDON_MS * US_PER_MS;
+		return;
+	}
 	if (p->now_us >= w->cordon_until_us)
 		w->emptied_since_us = 0;
 	w->cordon_until_us = p->now_us + CORDON_MS * US_PER_MS;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -14,6 +14,7 @@
 #define CORDON_GIVE_UP_MS 2500 /* a worker to be moved that gets not idle */
 #define BUSY_RETRY_MS 400
 #define TELL_GONE_MS 6000 /* until the worker's entry has lapsed */
+#define DUE_FRESH_MS 1000 /* five looks: what a wave said is in force */
 #define AWAY_MAX_MS 15000 /* a machine that is not seen again: forgotten */
 
 struct roster_effect *
@@ -457,10 +458,14 @@
 		    f->now_us - m->left_us < TELL_GONE_MS * US_PER_MS &&
 		    strcmp(m->from_pool, pool) == 0)
 			each(arg, m->left_worker, CORDON_GONE);
-		if (m->order == ORDER_NONE || m->phase == PHASE_AWAY ||
-		    m->report.worker[0] == '\0' ||
+		if (m->report.worker[0] == '\0' ||
 		    strcmp(m->report.pool, pool) != 0)
 			continue;
+		if (m->order == ORDER_NONE && m->due_us != 0 &&
+		    f->now_us - m->due_us < DUE_FRESH_MS * US_PER_MS)
+			each(arg, m->report.worker, CORDON_DUE);
+		if (m->order == ORDER_NONE || m->phase == PHASE_AWAY)
+			continue;
 		each(arg, m->report.worker,
 		    m->order == ORDER_UPKEEP ? CORDON_EMPTY : CORDON_HOLD);
 	}
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -153,10 +153,11 @@
 enum cordon_kind {
 	CORDON_HOLD, /* no new tasks */
 	CORDON_EMPTY, /* and those it has are to go elsewhere */
-	CORDON_GONE /* its machine was taken away: it has ended */
+	CORDON_GONE, /* its machine was taken away: it has ended */
+	CORDON_DUE /* its machine's upkeep is to come: nothing that lasts */
 };
 
-/* Calls back with each worker of a pool that is cordoned. */
+/* Calls back with each worker of a pool of which its owner is to know. */
 void roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, enum cordon_kind kind),
     void *arg);
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -34,6 +34,7 @@
 	int64_t wave; /* ORDER_UPKEEP */
 	int64_t since_us; /* of the phase */
 	int64_t retry_us; /* no call earlier */
+	int64_t due_us; /* an open wave was to come to it then; 0: none */
 	size_t tasks; /* of its worker, as its owner said … */
 	size_t lasting; /* … those that do not end by themselves … */
 	bool cordoned;
--- a/src/roster/roster_waves.c
+++ b/src/roster/roster_waves.c
@@ -245,6 +245,7 @@
 static void
 run_wave(struct roster *f, struct wave *w)
 {
+	struct machine *m;
 	size_t i, left = 0;
 
 	if (!w->told_running) {
@@ -253,8 +254,13 @@
 	}
 	for (i = 0; i < w->count; i++) {
 		/* a machine that has left needs none */
-		left += !w->list[i].begun &&
-		    roster_find_machine(f, w->list[i].machine) != NULL;
+		m = w->list[i].begun
+		    ? NULL
+		    : roster_find_machine(f, w->list[i].machine);
+		if (m == NULL)
+			continue;
+		m->due_us = f->now_us;
+		left++;
 	}
 	if (left == 0) {
 		w->completed = true;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -523,6 +523,7 @@
 		snprintf(ev.u.cordon.id, NAME_BYTES, "%s", r->list[i].worker);
 		ev.u.cordon.empty = r->list[i].kind == CORDON_EMPTY;
 		ev.u.cordon.gone = r->list[i].kind == CORDON_GONE;
+		ev.u.cordon.due = r->list[i].kind == CORDON_DUE;
 		shard_event(sh, &ev);
 	}
 	memset(report, 0, sizeof(*report));
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -119,6 +119,7 @@
 }
 
 static bool cordoned[MACHINES_MAX];
+static bool due[MACHINES_MAX]; /* its upkeep is to come */
 
 static void
 cordon(void *arg, const char *worker, enum cordon_kind kind)
@@ -126,7 +127,8 @@
 	int i = atoi(worker + 2);
 
 	(void)arg;
-	if (kind != CORDON_GONE)
+	due[i] = kind == CORDON_DUE;
+	if (kind != CORDON_GONE && kind != CORDON_DUE)
 		cordoned[i] = true;
 	if (kind == CORDON_EMPTY)
 		tasks[i] = 0; /* its owner sends them elsewhere */
@@ -336,6 +338,23 @@
 	cr_expect_eq(waves_noted, 0, "as the predecessor noted it");
 }
 
+/*
+ * Lasting tasks were moved to workers whose machines were in the same wave, and
+ * moved again: 4 to 7 of 193 machines were left at its end.
+ */
+Test(machines, owners_are_told_of_machines_that_are_due)
+{
+	int i, n = 0;
+
+	for (i = 0; i < machine_count; i++)
+		tasks[i] = lasting[i] = i < 9;
+	ask_wave(1, 60000);
+	run(600);
+	for (i = 0; i < 9; i++)
+		n += due[i];
+	cr_expect_geq(n, 8, "%d due", n);
+}
+
 Test(machines, a_wave_is_noted_for_a_successor)
 {
 	ask_wave(4, 20000);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -583,3 +583,26 @@
 	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
 	expect_kept();
 }
+
+/*
+ * A wave of upkeep: each lasting task was moved to where it was packed best,
+ * and from there again.
+ */
+Test(pool, a_lasting_task_does_not_move_to_a_worker_that_is_due_too)
+{
+	world = world_of(3);
+	submit_lasting(1, 2000, 1, NULL);
+	submit_lasting(1, 2000, 1, NULL);
+	jobs_world_run(world, 50);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 2);
+	jobs_world_due_worker(world, 1);
+	jobs_world_cordon_worker(world, 0);
+	jobs_world_run(world, 600);
+	jobs_world_due_worker(world, 1);
+	jobs_world_cordon_worker(world, 0);
+	jobs_world_run(world, 1500);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 0);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 0);
+	cr_expect_eq(jobs_world_tasks_on(world, 2), 2);
+	expect_kept();
+}
