--- a/src/scheduler/append_window.c
+++ b/src/scheduler/append_window.c
@@ -36,14 +36,11 @@
 	STAILQ_INIT(&w->gathered);
 }
 
-/* Takes the oldest record out. */
+/* Of a record that was taken out of "gathered". */
 static void
-drop_oldest(struct append_window *w)
+record_free(struct append_window *w, struct append_record *r)
 {
-	struct append_record *r = STAILQ_FIRST(&w->gathered);
-
-	STAILQ_REMOVE_HEAD(&w->gathered, entries);
-	HASH_DEL(w->by_key, r);
+	HASH_DEL(w->by_key, r); /* NOLINT: it is in the table */
 	w->gathered_bytes -= record_bytes(r->key, r->value);
 	buf_unref(r->value);
 	free(r);
@@ -52,12 +49,15 @@
 void
 append_window_uninit(struct append_window *w)
 {
+	struct append_record *r;
 	int i;
 
 	for (i = 0; i < w->count; i++)
 		buf_unref(w->slots[i].records);
-	while (!STAILQ_EMPTY(&w->gathered))
-		drop_oldest(w);
+	while ((r = STAILQ_FIRST(&w->gathered)) != NULL) {
+		STAILQ_REMOVE_HEAD(&w->gathered, entries);
+		record_free(w, r);
+	}
 	memset(w, 0, sizeof(*w));
 }
 
@@ -132,7 +132,7 @@
 	size_t most = APPEND_BYTES < w->opts.request_bytes
 	    ? APPEND_BYTES
 	    : w->opts.request_bytes;
-	const struct append_record *r;
+	struct append_record *r;
 	struct buf *b = buf_new(1024);
 
 	while (b != NULL && (r = STAILQ_FIRST(&w->gathered)) != NULL) {
@@ -143,7 +143,8 @@
 			r->value != NULL ? r->value->data : NULL,
 			r->value != NULL ? r->value->len : 0) == -1)
 			abort(); /* a write must not be skipped */
-		drop_oldest(w);
+		STAILQ_REMOVE_HEAD(&w->gathered, entries);
+		record_free(w, r);
 	}
 	return b;
 }
