jobs: an owner that is cut off does not start again what its successor has

A zone was cut off with the pool's owner in it. The group deals the pool to another daemon 2 s after the owner's last join; the owner acts for 3 s. A worker outside the zone went on under the successor, which extended its leases; the owner inside took them for over after 4.2 s, and started the tasks again on a worker of its own zone, which the successor could not reach to fence it.

Change: a lease counts as over only if it was over when the group last confirmed the owner. There was no successor by then, so nobody has extended it. In calm this is half a second later at most.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -48,6 +48,7 @@
 	char id[NAME_BYTES];
 	int64_t born_ms;
 	bool up, cut, listed, draining;
+	int side; /* 1 and more: only this owner, from 1, reaches it; 0: all */
 	int64_t fence, lease_end_ms;
 	LIST_HEAD(sim_runs, sim_run) runs;
 	struct end_report *ended;
@@ -484,6 +485,12 @@
 	s->ended_count = kept;
 }
 
+static bool
+out_of_reach(const struct sim_worker *s, int owner)
+{
+	return s->cut || (s->side > 0 && s->side != owner + 1);
+}
+
 /* Half of its target, and as much again for each task that fills beside it. */
 static int64_t
 tail_ms(const struct sim_worker *s, const struct sim_run *serving)
@@ -531,7 +538,7 @@
 {
 	struct message *a;
 
-	if (m->answer_lost || w->workers[m->worker].cut)
+	if (m->answer_lost || out_of_reach(&w->workers[m->worker], m->owner))
 		return;
 	a = message_new(w, MESSAGE_ORDER_END, w->ms + w->opts.link_ms);
 	a->owner = m->owner;
@@ -557,7 +564,7 @@
 	note_ends(w, s);
 	if (s->ended_count == 0 && w->ms < m->until_ms)
 		return false;
-	if (m->answer_lost || s->cut)
+	if (m->answer_lost || out_of_reach(s, m->owner))
 		return true;
 	a = message_new(w, MESSAGE_HELD, w->ms + w->opts.link_ms);
 	a->owner = m->owner;
@@ -576,7 +583,7 @@
 	int64_t fence = w->owners[m->owner].fence;
 	enum order_end end;
 
-	if (!s->up || s->cut || s->born_ms != m->born_ms)
+	if (!s->up || out_of_reach(s, m->owner) || s->born_ms != m->born_ms)
 		return true; /* nobody there: no answer */
 	if (fence < s->fence) {
 		if (m->kind == MESSAGE_HOLD) {
@@ -866,6 +873,7 @@
 	}
 	ev->now_us = w->ms * US_PER_MS;
 	ev->lag_us = w->lag_us;
+	ev->confirmed_us = (o->cut_ms != 0 ? o->cut_ms : w->ms) * US_PER_MS;
 	ev->now_ms = START_MS + w->ms;
 	memset(&fx, 0, sizeof(fx));
 	if (w->opts.timed)
@@ -1348,6 +1356,12 @@
 	step(w, w->owner, &ev);
 }
 
+void
+jobs_world_side(struct jobs_world *w, int worker, int side)
+{
+	w->workers[worker].side = side;
+}
+
 void
 jobs_world_due_worker(struct jobs_world *w, int worker)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -81,6 +81,8 @@
 
 /* Faults. */
 void jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut);
+/* Only the owner with this number, from 1, reaches it; 0: all do. */
+void jobs_world_side(struct jobs_world *w, int worker, int side);
 void jobs_world_crash_worker(struct jobs_world *w, int worker);
 void jobs_world_restart_worker(struct jobs_world *w, int worker);
 void jobs_world_drain_worker(struct jobs_world *w, int worker, int ms);
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -149,6 +149,7 @@
 	p->now_us = ev->now_us;
 	p->now_ms = ev->now_ms;
 	p->lag_us = ev->lag_us;
+	p->confirmed_us = ev->confirmed_us;
 	p->fx = fx;
 	dispatch(p, ev);
 	if (!p->loaded)
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -72,6 +72,7 @@
 	int64_t now_us;
 	int64_t now_ms;
 	int64_t lag_us; /* of late, the daemon's loop is behind by so much */
+	int64_t confirmed_us; /* the owner was known to be it then */
 	union {
 		struct {
 			const struct queue_terms *terms;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -91,6 +91,7 @@
 	struct pool_opts opts;
 	int64_t now_us, now_ms; /* of the event */
 	int64_t lag_us; /* of the daemon's loop, as the event said */
+	int64_t confirmed_us; /* as the event said */
 	struct pool_effects *fx;
 	bool loaded;
 	bool settled; /* seen to be, so that waiting tasks are looked at */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -346,12 +346,17 @@
 	}
 }
 
+/*
+ * A successor that reaches the worker goes on with what runs there.  There was
+ * none yet while this owner was confirmed: a lease that was over by then has
+ * been extended by nobody.
+ */
 static void
 worker_check_lease(struct pool *p, struct placed_worker *w)
 {
 	if (w->misses == 0 || w->task_count == 0 || !w->held)
 		return;
-	if (worker_lease_over(w, p->now_us)) {
+	if (worker_lease_over(w, p->confirmed_us)) {
 		w->silent_until_ms = p->now_ms;
 		worker_record_again(p, w);
 		pool_worker_lost(p, w, "lease-over");
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -134,6 +134,8 @@
 	ev->now_us = sched_now_us();
 	ev->now_ms = sched_now_ms();
 	ev->lag_us = sh->lag_us;
+	ev->confirmed_us =
+	    ev->now_us - (sched_boot_us() - sh->confirmed_boot_us);
 	/* Effects may bring events of their own: each step has its list. */
 	fx = sh->effects;
 	memset(&sh->effects, 0, sizeof(sh->effects));
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -606,3 +606,36 @@
 	cr_expect_eq(jobs_world_tasks_on(world, 2), 2);
 	expect_kept();
 }
+
+/*
+ * A data centre is cut off with the pool's owner and a worker in it, from the
+ * store and from the other worker. The group deals the pool to an owner
+ * outside, which goes on with what runs there; the one inside took the leases
+ * there for over, and started it again: two runs of eight tasks at the same
+ * time.
+ */
+Test(pool, an_owner_that_is_cut_off_does_not_start_again_what_its_successor_has)
+{
+	char id[JOB_ID_BYTES];
+	int i;
+
+	world = world_of(2);
+	jobs_world_cordon_worker(world, 1); /* for two seconds */
+	submit(1, 4, 1500, 7000, id);
+	jobs_world_run(world, 100);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), 4);
+	/* the cut: the first owner keeps worker 1 only */
+	jobs_world_side(world, 1, 1);
+	jobs_world_side(world, 0, 2);
+	jobs_world_run(world, 2500);
+	jobs_world_take_over(world, 3000);
+	for (i = 0; i < 30; i++) {
+		jobs_world_run(world, 100);
+		cr_expect_eq(jobs_world_tasks_on(world, 1), 0, "%d", i);
+	}
+	jobs_world_side(world, 0, 0);
+	jobs_world_side(world, 1, 0);
+	jobs_world_run(world, 20000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
