--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -47,8 +47,8 @@
 	bool local; /* waits for a pool of this daemon */
 	bool answered; /* too late for the caller: freed at the reply */
 	struct peer_call *peer; /* under way … */
-	struct owner_gate *sent_to; /* … by leave of this gate … */
-	enum gate_verdict leave; /* … given so */
+	struct owner_gate *sent_to; /* … as this gate allowed … */
+	enum gate_verdict verdict; /* … which said so */
 	lws_sorted_usec_list_t retry;
 	LIST_ENTRY(front_call) entries;
 };
@@ -252,7 +252,7 @@
 	c->peer = NULL;
 	if (c->sent_to != NULL)
 		peer_gate_ended(&c->sent_to->gate, sched_now_us(),
-		    gate_kind_of(c), c->leave, job_reply_decided(r));
+		    gate_kind_of(c), c->verdict, job_reply_decided(r));
 	c->sent_to = NULL;
 	if (c->answered) {
 		call_free(c);
@@ -330,8 +330,8 @@
 		retry_later(c, false);
 		return;
 	}
-	c->leave = peer_gate_ask(&g->gate, now, gate_kind_of(c), c->unsure);
-	if (c->leave == GATE_WAIT) {
+	c->verdict = peer_gate_ask(&g->gate, now, gate_kind_of(c), c->unsure);
+	if (c->verdict == GATE_WAIT) {
 		s->counts.held_back++;
 		retry_later(c, peer_gate_gone(&g->gate, now));
 		return;
@@ -342,7 +342,7 @@
 	if (c->peer != NULL)
 		return;
 	c->sent_to = NULL;
-	peer_gate_ended(&g->gate, now, gate_kind_of(c), c->leave, false);
+	peer_gate_ended(&g->gate, now, gate_kind_of(c), c->verdict, false);
 	retry_later(c, false);
 }
 
