jobs, scheduler, roster: what a last reading found

- append_record kept the serial of its newest write, which nothing read.
- load_worker() returns the worker instead of a flag and an out parameter.
- peer_gate_silent() is used in its own file only; owners.c included json_get.h for a call that went to candidacy.c.
- roster_cordons() asked for the same order twice.
- Two cordons of the pool's test world were one copy with another flag.

No change of behaviour.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1346,14 +1346,20 @@
 	step(w, w->owner, &ev);
 }
 
+static void
+send_cordon(struct jobs_world *w, int worker, struct pool_event *ev)
+{
+	ev->kind = POOL_CORDON;
+	snprintf(ev->u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
+	step(w, w->owner, ev);
+}
+
 void
 jobs_world_cordon_worker(struct jobs_world *w, int worker)
 {
-	struct pool_event ev = {.kind = POOL_CORDON};
+	struct pool_event ev = {.u.cordon.empty = true};
 
-	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
-	ev.u.cordon.empty = true;
-	step(w, w->owner, &ev);
+	send_cordon(w, worker, &ev);
 }
 
 void
@@ -1365,11 +1371,9 @@
 void
 jobs_world_due_worker(struct jobs_world *w, int worker)
 {
-	struct pool_event ev = {.kind = POOL_CORDON};
+	struct pool_event ev = {.u.cordon.due = true};
 
-	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
-	ev.u.cordon.due = true;
-	step(w, w->owner, &ev);
+	send_cordon(w, worker, &ev);
 }
 
 double
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -47,10 +47,9 @@
 	p->workers_listed = false;
 }
 
-/* False where a field is missing. */
-static bool
-load_worker(struct pool *p, const char *id, const msgpack_object *map,
-    struct placed_worker **loaded)
+/* NULL where a field is missing. */
+static struct placed_worker *
+load_worker(struct pool *p, const char *id, const msgpack_object *map)
 {
 	int64_t silent_ms = 0, until_ms = p->opts.now_ms + p->opts.settle_ms;
 	struct worker_report r;
@@ -62,7 +61,7 @@
 	if (!wire_get_i64(map, "born", &r.born_ms) ||
 	    !wire_get_str(map, "addr", r.addr, sizeof(r.addr)) ||
 	    !wire_get_u64(map, "port", &port))
-		return false;
+		return NULL;
 	r.port = (int)port;
 	if (wire_get_i64(map, "silent", &silent_ms) && silent_ms != 0 &&
 	    silent_ms < until_ms)
@@ -77,8 +76,7 @@
 	if (until_ms > w->silent_until_ms)
 		w->silent_until_ms = until_ms;
 	w->recorded_silent_ms = silent_ms;
-	*loaded = w;
-	return true;
+	return w;
 }
 
 int
@@ -87,15 +85,14 @@
 {
 	struct placed_worker *w;
 	struct wire_reader in;
-	bool ok;
 
 	if (wire_reader_init(&in, data, len, e) == -1)
 		return -1;
-	ok = load_worker(p, id, in.root, &w);
-	if (ok)
+	w = load_worker(p, id, in.root);
+	if (w != NULL)
 		w->recorded = w->stored = true;
 	wire_reader_uninit(&in);
-	if (!ok)
+	if (w == NULL)
 		return err_set(e, ERR_PROTOCOL, 0,
 		    "look at who writes to the topic",
 		    "record of worker %s lacks a field", id);
@@ -106,7 +103,6 @@
 pool_load_workers(struct pool *p, const void *data, size_t len, struct err *e)
 {
 	const msgpack_object_array *list;
-	struct placed_worker *w;
 	struct wire_reader in;
 	char id[NAME_BYTES];
 	uint32_t i, bad = 0;
@@ -117,7 +113,7 @@
 		list = NULL;
 	for (i = 0; list != NULL && i < list->size; i++)
 		bad += !wire_get_str(&list->ptr[i], "id", id, sizeof(id)) ||
-		    !load_worker(p, id, &list->ptr[i], &w);
+		    load_worker(p, id, &list->ptr[i]) == NULL;
 	p->workers_listed = p->workers_changed = true;
 	wire_reader_uninit(&in);
 	if (bad > 0)
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -461,12 +461,14 @@
 		if (m->report.worker[0] == '\0' ||
 		    strcmp(m->report.pool, pool) != 0)
 			continue;
-		if (m->order == ORDER_NONE && m->due_us != 0 &&
-		    f->now_us - m->due_us < DUE_FRESH_MS * US_PER_MS)
+		if (m->order != ORDER_NONE) {
+			if (m->phase != PHASE_AWAY)
+				each(arg, m->report.worker,
+				    m->order == ORDER_UPKEEP ? CORDON_EMPTY
+							     : CORDON_HOLD);
+		} else if (m->due_us != 0 &&
+		    f->now_us - m->due_us < DUE_FRESH_MS * US_PER_MS) {
 			each(arg, m->report.worker, CORDON_DUE);
-		if (m->order == ORDER_NONE || m->phase == PHASE_AWAY)
-			continue;
-		each(arg, m->report.worker,
-		    m->order == ORDER_UPKEEP ? CORDON_EMPTY : CORDON_HOLD);
+		}
 	}
 }
--- a/src/scheduler/append_window.c
+++ b/src/scheduler/append_window.c
@@ -98,7 +98,6 @@
 	w->gathered_bytes += bytes - record_bytes(key, r->value);
 	buf_unref(r->value);
 	r->value = value != NULL ? buf_ref(value) : NULL;
-	r->serial = serial;
 	w->newest_serial = serial;
 	if (w->waits_since_us == 0)
 		w->waits_since_us = now_us;
--- a/src/scheduler/append_window.h
+++ b/src/scheduler/append_window.h
@@ -23,8 +23,7 @@
 struct append_record {
 	char key[STORE_KEY_MAX + 1];
 	struct buf *value; /* NULL drops the key */
-	uint64_t first_serial; /* oldest write of this key that waits … */
-	uint64_t serial; /* … and the newest, whose value this is */
+	uint64_t first_serial; /* oldest write of this key that waits */
 	STAILQ_ENTRY(append_record) entries;
 	UT_hash_handle hh; /* by key */
 };
--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -6,7 +6,6 @@
 
 #include "candidacy.h"
 #include "duty.h"
-#include "json_get.h"
 #include "shards.h"
 #include "store_client.h"
 
--- a/src/scheduler/peer_gate.h
+++ b/src/scheduler/peer_gate.h
@@ -27,7 +27,7 @@
 	uint64_t prng; /* seed of the jitter; not 0 */
 	int under_way[GATE_KINDS];
 	int unanswered; /* in a row */
-	int64_t silent_since_us; /* while peer_gate_silent() */
+	int64_t silent_since_us; /* while too many were unanswered */
 	bool probing;
 	int64_t probe_us; /* none earlier, while "unanswered" is high */
 	double retries; /* that may be sent … */
@@ -45,9 +45,10 @@
     enum gate_verdict sent, bool answered);
 /* Nothing is under way. */
 bool peer_gate_idle(const struct peer_gate *g);
-/* No answer came to the newest requests. */
-bool peer_gate_silent(const struct peer_gate *g);
-/* … for longer than a take-over takes: callers are not kept waiting. */
+/*
+ * No answer has come for longer than a take-over takes: callers are not kept
+ * waiting.
+ */
 bool peer_gate_gone(const struct peer_gate *g, int64_t now_us);
 
 #endif
