path: a daemon alone in its data centre has its share at once

Traced: the daemon's own record, the text and the VMs were folded between two ticks; its share was settled only in the next tick (settled 0, target 1, base 0 on every worker), so a request in between was refused although nobody else had to agree. Ruled out: VMs not yet on record (all three serving), an ejected upstream (health 0), a lost lease (a set of one needs none). Change: share_sync settles where there is no peer. Test: tests/scripts/alone.script, failing first ("not-run status=503 reason=no-upstream").

--- a/src/core/path_share.c
+++ b/src/core/path_share.c
@@ -126,6 +126,46 @@
 	}
 }
 
+/* Agreement on a new set. */
+
+/* Every other one has agreed, or can't but have folded the set before. */
+static bool
+share_agreed(const struct share *s, const struct view *v)
+{
+	const struct fold_daemon *d, *e;
+	const struct share_peer *q;
+	unsigned i;
+
+	for (i = 0; i < s->peer_count; i++) {
+		q = &s->peers[i];
+		if (q->agreed == s->target.hash)
+			continue;
+		if (!s->restarted || s->settled.count > 0 ||
+		    v->now_us - s->started_us <
+			(LOAN_LEASE_US + SHARE_PROMISE_US + s->longest_us) * 2)
+			return false;
+		d = fold_daemon(v->fold, q->id);
+		for (e = fold_daemons(v->fold); e != NULL; e = e->hh.next) {
+			if (share_has(&s->target, e->process) &&
+			    e->process != v->self && d != NULL &&
+			    e->joined > d->joined)
+				return false;
+		}
+	}
+	return true;
+}
+
+static void
+share_settle(struct share *s, const struct view *v)
+{
+	if (s->target.count == 0 || s->settled.hash == s->target.hash)
+		return;
+	if (!share_agreed(s, v))
+		return;
+	s->settled = s->target;
+	s->version++;
+}
+
 void
 share_sync(struct share *s, const struct view *v)
 {
@@ -153,6 +193,9 @@
 			share_sync_peer(s, v, d);
 	}
 	share_drop_peers(s);
+	/* Nobody else has to agree: requests don't wait for a tick. */
+	if (s->peer_count == 0)
+		share_settle(s, v);
 }
 
 /* The nth-largest of the others' leases; a set that needs none: always. */
@@ -373,46 +416,6 @@
 		s->active_since = v->now_us;
 }
 
-/* Agreement on a new set. */
-
-/* Every other one has agreed, or can't but have folded the set before. */
-static bool
-share_agreed(const struct share *s, const struct view *v)
-{
-	const struct fold_daemon *d, *e;
-	const struct share_peer *q;
-	unsigned i;
-
-	for (i = 0; i < s->peer_count; i++) {
-		q = &s->peers[i];
-		if (q->agreed == s->target.hash)
-			continue;
-		if (!s->restarted || s->settled.count > 0 ||
-		    v->now_us - s->started_us <
-			(LOAN_LEASE_US + SHARE_PROMISE_US + s->longest_us) * 2)
-			return false;
-		d = fold_daemon(v->fold, q->id);
-		for (e = fold_daemons(v->fold); e != NULL; e = e->hh.next) {
-			if (share_has(&s->target, e->process) &&
-			    e->process != v->self && d != NULL &&
-			    e->joined > d->joined)
-				return false;
-		}
-	}
-	return true;
-}
-
-static void
-share_settle(struct share *s, const struct view *v)
-{
-	if (s->target.count == 0 || s->settled.hash == s->target.hash)
-		return;
-	if (!share_agreed(s, v))
-		return;
-	s->settled = s->target;
-	s->version++;
-}
-
 /* Statuses. */
 
 static struct buf *
