pool: the next lasting task moves as soon as the one before is at work

A step may miss one or two tasks, so its moves come one after the other, 2.3 to 2.9 s each: that a task is at work again was seen only when a hold of 1 or 2 s ended. Ruled out: no room ("starts a run" in the same millisecond as the end), the cap (7 machines in upkeep), the keeper's ticks (0.2 s). Change: a hold waits 150 ms while a lasting task begins, 300 ms on idle workers while lasting tasks move; a task that comes to work has the workers that are being emptied looked at. Test: pool::lasting_tasks_move_one_after_the_other_without_a_pause, failing first (9600 ms, bound 7200).

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -503,11 +503,20 @@
 	return serving->target_ms * parts / 200;
 }
 
+static int
+run_percent(const struct jobs_world *w, const struct sim_run *r)
+{
+	int64_t ran = w->ms - r->begun_ms, takes = r->ends_ms - r->begun_ms + 1;
+
+	if (r->ends_ms == INT64_MAX)
+		takes = w->opts.begin_ms;
+	return ran >= takes ? 100 : (int)(100 * ran / takes);
+}
+
 static void
 fill_report(struct jobs_world *w, struct sim_worker *s, struct hold_report *r)
 {
 	struct sim_run *run;
-	int64_t took;
 	size_t n = 0;
 
 	memset(r, 0, sizeof(*r));
@@ -522,10 +531,7 @@
 		out->task = run->task;
 		out->run = run->run;
 		out->usage = tail_ms(s, run);
-		took = run->ends_ms - run->begun_ms;
-		out->percent = run->ends_ms == INT64_MAX
-		    ? 100
-		    : (int)(100 * (w->ms - run->begun_ms) / (took + 1));
+		out->percent = run_percent(w, run);
 	}
 	r->ended = calloc(s->ended_count + 1, sizeof(*r->ended));
 	if (s->ended_count > 0)
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -24,6 +24,7 @@
 	int64_t memory_mb;
 	int link_ms; /* one way, owner to worker */
 	int store_ms; /* a write */
+	int begin_ms; /* until a task that lasts is at work */
 	double lose; /* share of orders whose answer is lost */
 	double late; /* share of orders carried out 2 to 12 s later */
 	double fail; /* share of runs that fail */
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -107,6 +107,7 @@
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
 	int64_t lasting_starved_us; /* a lasting task neither; 0: it does */
 	int64_t cramped_us; /* one that is to move was seen to find none */
+	int64_t moves_until_us; /* lasting tasks move about until then */
 	double typical_count, typical_cpu, typical_memory_mb,
 	    typical_accelerators;
 	/*
@@ -240,6 +241,10 @@
 
 /* pool_watch.c */
 void pool_watch_tasks(struct pool *p, struct placed_worker *w);
+/* The next lasting task may leave a worker that is being emptied. */
+void pool_watch_emptied(struct pool *p);
+/* Lasts, and is not at work yet. */
+bool task_begins(const struct task *t);
 void pool_pace_fillers(struct pool *p, struct placed_worker *w);
 
 /* learned.c */
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -10,6 +10,7 @@
 #define STALL_ESTIMATES 2.0 /* … and so many times its estimate for 1 % */
 #define EMPTY_SOFT_MS 1500 /* before work that loses little is stopped … */
 #define EMPTY_MAX_MS 4000 /* … and before all is */
+#define MOVES_MS 3000 /* lasting tasks move on so long after one had to */
 #define PACE_HOLD_MS 700 /* between changes: reports cover half a second */
 #define PACE_HIGH 0.85 /* tail ÷ target: slow the fillers down … */
 #define PACE_LOW 0.6 /* … and let them go on */
@@ -46,6 +47,13 @@
 	task_stop(p, t);
 }
 
+bool
+task_begins(const struct task *t)
+{
+	return t->step->order->lasting && t->percent < 100 &&
+	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING);
+}
+
 /*
  * At work as far as its worker has said, and that answers.  A run that an
  * earlier owner has told to stop is listed until it ends.
@@ -101,8 +109,10 @@
 	if (p->now_us >= w->cordon_until_us || w->emptied_since_us == 0 ||
 	    t->place != PLACE_RUNNING)
 		return false;
-	if (t->step->order->lasting)
+	if (t->step->order->lasting) {
+		p->moves_until_us = p->now_us + MOVES_MS * US_PER_MS;
 		return step_may_miss(p, t) && lasting_has_room(p, t);
+	}
 	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
 	if (waited_ms > EMPTY_MAX_MS)
 		return true;
@@ -160,6 +170,18 @@
 	}
 }
 
+void
+pool_watch_emptied(struct pool *p)
+{
+	struct placed_worker *w, *next;
+
+	HASH_ITER(hh, p->workers, w, next)
+	{
+		if (w->emptied_since_us != 0 && p->now_us < w->cordon_until_us)
+			pool_watch_tasks(p, w);
+	}
+}
+
 /* Worst tail ÷ target of the tasks that serve; 0 where none does. */
 static double
 worker_pressure(const struct placed_worker *w)
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -7,6 +7,8 @@
 
 #define HOLD_WAIT_BUSY_MS 1000 /* a hold waits so long for an end … */
 #define HOLD_WAIT_FILLS_MS 400 /* … where tails are watched … */
+#define HOLD_WAIT_BEGINS_MS 150 /* … where a task is about to be at work … */
+#define HOLD_WAIT_MOVES_MS 300 /* … where one may be moved to soon … */
 #define HOLD_WAIT_IDLE_MS                                    \
 	2000 /* … and where nothing runs: the most allowed \
 	      */
@@ -282,17 +284,24 @@
 	pool_watch_tasks(p, w);
 }
 
-/* Tasks of a queue that serve beside tasks that fill: tails are watched. */
-static bool
-worker_has_fillers(const struct placed_worker *w)
+/* A hold waits for an end: what else is to be seen soon makes it shorter. */
+static int
+hold_wait_ms(const struct pool *p, const struct placed_worker *w)
 {
+	int wait_ms = HOLD_WAIT_BUSY_MS;
 	const struct task *t;
 
+	if (w->task_count == 0)
+		return p->now_us < p->moves_until_us ? HOLD_WAIT_MOVES_MS
+						     : HOLD_WAIT_IDLE_MS;
 	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (task_begins(t))
+			return HOLD_WAIT_BEGINS_MS;
+		/* tails of the tasks that serve beside it are watched */
 		if (t->step->order->fills)
-			return true;
+			wait_ms = HOLD_WAIT_FILLS_MS;
 	}
-	return false;
+	return wait_ms;
 }
 
 static void
@@ -323,9 +332,7 @@
 	x->u.hold.lease_end_ms = w->lease_end_ms;
 	if (w->seen_end > w->acked_end)
 		return;
-	x->u.hold.wait_ms = w->task_count == 0 ? HOLD_WAIT_IDLE_MS
-	    : worker_has_fillers(w)            ? HOLD_WAIT_FILLS_MS
-					       : HOLD_WAIT_BUSY_MS;
+	x->u.hold.wait_ms = hold_wait_ms(p, w);
 }
 
 /* Ends that are stored may be forgotten; the next hold says so. */
@@ -510,11 +517,13 @@
 	return t;
 }
 
-static void
+/* Returns true if a task that lasts has come to work. */
+static bool
 take_running(
     struct pool *p, struct placed_worker *w, const struct hold_report *report)
 {
 	const struct run_report *r;
+	bool begun = false;
 	struct task *t;
 	size_t i;
 
@@ -532,11 +541,13 @@
 			t->place = PLACE_RUNNING;
 		if (t->percent != r->percent || t->progress_us == 0)
 			t->progress_us = p->now_us;
+		begun |= task_begins(t) && r->percent >= 100;
 		t->percent = r->percent;
 		t->usage = r->usage;
 		t->reports = w->reports;
 		task_set_saved(t, r->saved);
 	}
+	return begun;
 }
 
 static void
@@ -582,6 +593,7 @@
     struct pool *p, struct placed_worker *w, const struct pool_event *ev)
 {
 	const struct hold_report *r = ev->u.held.report;
+	bool begun;
 
 	if (r->born_ms != 0 && w->report.born_ms != 0 &&
 	    r->born_ms != w->report.born_ms) {
@@ -616,10 +628,12 @@
 	w->reports++;
 	/* Ends first: what has ended must not be taken for wanted. */
 	take_ended(p, w, r);
-	take_running(p, w, r);
+	begun = take_running(p, w, r);
 	if (r->ended_count < ENDS_OF_A_REPORT)
 		drop_missing(p, w, ev->u.held.asked_us);
 	pool_watch_tasks(p, w);
+	if (begun)
+		pool_watch_emptied(p);
 	pool_pace_fillers(p, w);
 	w->hold_due_us = w->seen_end > w->acked_end
 	    ? p->now_us + HOLD_UNACKED_MS * US_PER_MS
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -639,3 +639,43 @@
 	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
 	expect_kept();
 }
+
+/*
+ * The load: a wave of upkeep takes half of a step's workers, with a bound that
+ * leaves 0.2 s for each move beside the stop and the new start. Whether a task
+ * was at work again was seen when a hold of a second ended; the wave was late.
+ */
+Test(pool, lasting_tasks_move_one_after_the_other_without_a_pause)
+{
+	enum {
+		TASKS = 6,
+		BEGIN_MS = 900,
+		MOVE_MS = 100 + BEGIN_MS + 200 /* stop, start, slack */
+	};
+	struct jobs_world_opts opts = {.workers = 2 * TASKS,
+	    .cpu = 16000,
+	    .memory_mb = 16000,
+	    .link_ms = 1,
+	    .store_ms = 2,
+	    .begin_ms = BEGIN_MS};
+	int used[TASKS], ms, i, n = 0;
+	size_t left = TASKS;
+
+	world = jobs_world_new(&opts);
+	submit_lasting(TASKS, 9000, 1, NULL);
+	jobs_world_run(world, 2500);
+	for (i = 0; i < 2 * TASKS; i++) {
+		if (jobs_world_tasks_on(world, i) == 1 && n < TASKS)
+			used[n++] = i;
+	}
+	cr_assert_eq(n, TASKS);
+	for (ms = 0; left > 0 && ms < 30000; ms += 200) {
+		for (i = 0; i < TASKS; i++)
+			jobs_world_cordon_worker(world, used[i]);
+		jobs_world_run(world, 200);
+		for (left = 0, i = 0; i < TASKS; i++)
+			left += jobs_world_tasks_on(world, used[i]);
+	}
+	cr_expect_leq(ms, TASKS * MOVE_MS, "%d ms", ms);
+	expect_kept();
+}
