roster: a wave begins where lasting tasks have to move

Idle machines took the whole cap first; and a pool that gave machines back counted these as away, so that none of its others began. Change: machines with lasting tasks first, then idle ones, then any; machines that are moved to other pools count neither as the pool's nor as away. Test: machines::a_wave_begins_where_lasting_tasks_have_to_move, failing first (one machine late).

--- a/src/roster/roster_waves.c
+++ b/src/roster/roster_waves.c
@@ -154,15 +154,16 @@
 	return n;
 }
 
+/* Machines of a pool that upkeep keeps away; those it gives up do not count. */
 static size_t
-pool_ordered(const struct roster *f, const char *pool, size_t *all)
+pool_away(const struct roster *f, const char *pool, size_t *all)
 {
 	const struct machine *m;
 	size_t n = 0;
 
 	*all = 0;
 	for (m = f->machines; m != NULL; m = m->hh.next) {
-		if (strcmp(m->report.pool, pool) != 0)
+		if (m->order == ORDER_MOVE || strcmp(m->report.pool, pool) != 0)
 			continue;
 		(*all)++;
 		n += m->order != ORDER_NONE || m->report.state != MACHINE_UP;
@@ -182,8 +183,8 @@
 }
 
 /*
- * Machines that run nothing go first, wherever they are; one that works is
- * emptied only in a pool that has few away, sooner when time presses.
+ * Machines that run nothing go wherever they are; one that works is emptied
+ * only in a pool that has few away, sooner when time presses.
  */
 static bool
 may_begin(struct roster *f, struct machine *m, bool presses)
@@ -196,7 +197,7 @@
 		return true;
 	if (m->told_us == 0) /* its pool's owner is not known to hear us */
 		return false;
-	away = pool_ordered(f, m->report.pool, &all);
+	away = pool_away(f, m->report.pool, &all);
 	if (presses)
 		return away < (all + 1) / 2;
 	return away < (all + POOL_SHARE - 1) / POOL_SHARE;
@@ -223,8 +224,30 @@
 	x->completed = w->completed;
 }
 
+/* What a look at a wave's machines begins with, in this order. */
+enum wave_turn {
+	/* tasks that last leave one after the other: what takes longest */
+	TURN_LASTING,
+	TURN_IDLE,
+	TURN_ANY
+};
+
+static bool
+has_turn(const struct roster *f, const struct machine *m, enum wave_turn t)
+{
+	switch (t) {
+	case TURN_LASTING:
+		return m->lasting > 0;
+	case TURN_IDLE:
+		return machine_idle(f, m);
+	case TURN_ANY:
+		return true;
+	}
+	return false;
+}
+
 static void
-begin_some(struct roster *f, struct wave *w, size_t left, bool idle_only)
+begin_some(struct roster *f, struct wave *w, size_t left, enum wave_turn t)
 {
 	bool presses = wave_presses(f, w, left);
 	size_t down = wave_down(f, w), i;
@@ -234,7 +257,7 @@
 		if (w->list[i].begun)
 			continue;
 		m = roster_find_machine(f, w->list[i].machine);
-		if (m == NULL || (idle_only && !machine_idle(f, m)) ||
+		if (m == NULL || !has_turn(f, m, t) ||
 		    !may_begin(f, m, presses))
 			continue;
 		begin_upkeep(f, w, m);
@@ -272,8 +295,9 @@
 		tell(f, w);
 		return;
 	}
-	begin_some(f, w, left, true);
-	begin_some(f, w, left, false);
+	begin_some(f, w, left, TURN_LASTING);
+	begin_some(f, w, left, TURN_IDLE);
+	begin_some(f, w, left, TURN_ANY);
 }
 
 void
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -23,6 +23,9 @@
 static size_t tasks[MACHINES_MAX]; /* of its worker */
 static size_t lasting[MACHINES_MAX]; /* of them */
 static bool tasks_end; /* those of a cordoned worker, by themselves */
+static int lasting_every_ms; /* one of a pool leaves in each; 0: at once */
+static int64_t lasting_left_us[2]; /* when one did last */
+static bool emptied[MACHINES_MAX];
 static int64_t away_until_us[MACHINES_MAX];
 static char back_in[MACHINES_MAX][NAME_BYTES];
 static int upkeeps, moves, most_down, statuses_completed, waves_noted;
@@ -128,14 +131,41 @@
 
 	(void)arg;
 	due[i] = kind == CORDON_DUE;
+	emptied[i] = kind == CORDON_EMPTY;
 	if (kind != CORDON_GONE && kind != CORDON_DUE)
 		cordoned[i] = true;
-	if (kind == CORDON_EMPTY)
-		tasks[i] = 0; /* its owner sends them elsewhere */
+	if (kind == CORDON_EMPTY) /* its owner sends them elsewhere */
+		tasks[i] = lasting_every_ms > 0 ? lasting[i] : 0;
 	if (kind == CORDON_HOLD && tasks_end)
 		tasks[i] = lasting[i];
 }
 
+/* Lasting tasks leave one after the other, to a machine that stays. */
+static void
+move_lasting(const char *pool, int k)
+{
+	int i, to = -1, from = -1;
+
+	if (lasting_every_ms == 0 ||
+	    now_us - lasting_left_us[k] < lasting_every_ms * US_PER_MS)
+		return;
+	for (i = 0; i < machine_count; i++) {
+		if (machines[i].worker[0] == '\0' ||
+		    strcmp(machines[i].pool, pool) != 0)
+			continue;
+		if (emptied[i] && lasting[i] > 0)
+			from = i;
+		else if (!cordoned[i] && !due[i])
+			to = i;
+	}
+	if (from == -1 || to == -1)
+		return;
+	tasks[from] = --lasting[from];
+	tasks[to]++;
+	lasting[to]++;
+	lasting_left_us[k] = now_us;
+}
+
 static void
 report(const char *pool, int k)
 {
@@ -150,6 +180,7 @@
 	memset(list, 0, sizeof(list));
 	memset(cordoned, 0, sizeof(cordoned));
 	roster_cordons(roster, pool, cordon, NULL);
+	move_lasting(pool, k);
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
 	for (i = 0; i < machine_count; i++) {
 		if (machines[i].worker[0] == '\0' ||
@@ -266,23 +297,30 @@
 
 TestSuite(machines, .init = setup, .fini = teardown);
 
+/* Of each machine whose number is a multiple of "each". */
 static void
-ask_wave(int cap, int within_ms)
+ask_wave_of(int each, int cap, int within_ms)
 {
 	static char names[MACHINES_MAX][NAME_BYTES];
 	struct roster_event ev = {.kind = ROSTER_WAVE};
-	int i;
+	int i, n = 0;
 
-	for (i = 0; i < machine_count; i++)
-		snprintf(names[i], NAME_BYTES, "m-%d", i);
+	for (i = 0; i < machine_count; i += each)
+		snprintf(names[n++], NAME_BYTES, "m-%d", i);
 	ev.u.wave.wave = 7;
 	ev.u.wave.machines = (const char(*)[NAME_BYTES])names;
-	ev.u.wave.count = (size_t)machine_count;
+	ev.u.wave.count = (size_t)n;
 	ev.u.wave.within_ms = within_ms;
 	ev.u.wave.cap = cap;
 	event(&ev);
 }
 
+static void
+ask_wave(int cap, int within_ms)
+{
+	ask_wave_of(1, cap, within_ms);
+}
+
 Test(machines, a_wave_is_done_in_time_and_never_above_its_cap)
 {
 	int i;
@@ -506,3 +544,39 @@
 	cr_expect_str_eq(in.list[599].worker, "w-599");
 	buf_unref(b);
 }
+
+static void
+setup_idle(void)
+{
+	setup_machines(MACHINES_MAX, 21, 21);
+}
+
+/*
+ * The load: every other machine of a large deployment, whose pools have small
+ * turns of demand. The tasks that last leave one after the other, which takes
+ * most of the time that the wave has: they were begun with last, and not at all
+ * while a pool gave machines back.
+ */
+Test(machines, a_wave_begins_where_lasting_tasks_have_to_move,
+    .init = setup_idle)
+{
+	int i;
+
+	for (i = 0; i < 42; i++)
+		tasks[i] = lasting[i] = 1;
+	lasting_every_ms = 2000;
+	floors[0] = floors[1] = 21;
+	wanted[0] = wanted[1] = 19000;
+	run(600);
+	ask_wave_of(2, 62, 24000);
+	for (i = 0; i < 24; i++) {
+		wanted[0] = i % 9 < 3 ? 70000 : 19000;
+		wanted[1] = i % 9 == 5 ? 70000 : 19000;
+		run(1000);
+	}
+	for (i = 0; i < machine_count; i += 2)
+		cr_expect(upkept[i], "m-%d in %s, %zu last", i,
+		    machines[i].pool, lasting[i]);
+	cr_expect_leq(most_down, 62);
+	cr_expect_eq(statuses_completed, 1);
+}
