--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -108,6 +108,7 @@
 	int64_t lasting_starved_us; /* a lasting task neither; 0: it does */
 	int64_t cramped_us; /* one that is to move was seen to find none */
 	int64_t moves_until_us; /* lasting tasks move about until then */
+	int64_t stays_logged_us;
 	double typical_count, typical_cpu, typical_memory_mb,
 	    typical_accelerators;
 	/*
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -69,20 +69,42 @@
 	    t->worker->misses == 0;
 }
 
-/*
- * Our orders may keep no more than "may_miss" tasks of a lasting step away at
- * once.  The task itself counts as at work, whatever was heard of it last.
- */
-static bool
-step_may_miss(const struct pool *p, const struct task *t)
+/* Others of the step that are not at work, "last" one of them. */
+static unsigned
+step_away(const struct pool *p, const struct task *t, const struct task **last)
 {
 	const struct job_step *s = t->step;
-	unsigned most = s->order->may_miss > 0 ? s->order->may_miss : 1;
 	unsigned i, away = 0;
 
-	for (i = 0; i < s->order->count; i++)
-		away += &s->tasks[i] != t && !task_at_work(p, &s->tasks[i]);
-	return away < most;
+	for (i = 0; i < s->order->count; i++) {
+		if (&s->tasks[i] == t || task_at_work(p, &s->tasks[i]))
+			continue;
+		*last = &s->tasks[i];
+		away++;
+	}
+	return away;
+}
+
+/* One line a second: what keeps a worker from being emptied. */
+static void
+log_stays(struct pool *p, const struct placed_worker *w, const struct task *t,
+    unsigned away, const struct task *last)
+{
+	if (p->now_us - p->stays_logged_us < US_PER_S)
+		return;
+	p->stays_logged_us = p->now_us;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"lasting task stays for now\" job=%s task=%u.%u worker=%s "
+	    "emptied_ms_ago=%lld away=%u may_miss=%d one_away=%u on=%s "
+	    "percent=%d silent=%d",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    w->report.id,
+	    (long long)((p->now_us - w->emptied_since_us) / US_PER_MS), away,
+	    t->step->order->may_miss, last != NULL ? last->index : 0,
+	    last != NULL && last->worker != NULL ? last->worker->report.id
+						 : "none",
+	    last != NULL ? last->percent : 0,
+	    last != NULL && last->worker != NULL ? last->worker->misses : 0);
 }
 
 /* Where it has none, the pool asks for a machine first. */
@@ -97,6 +119,24 @@
 	return false;
 }
 
+/*
+ * Our orders may keep no more than "may_miss" tasks of a lasting step away at
+ * once.  The task itself counts as at work, whatever was heard of it last.
+ */
+static bool
+lasting_may_move(struct pool *p, const struct placed_worker *w, struct task *t)
+{
+	const struct order_step *s = t->step->order;
+	const struct task *last = NULL;
+	unsigned away = step_away(p, t, &last);
+
+	if (away < (s->may_miss > 0 ? s->may_miss : 1) &&
+	    lasting_has_room(p, t))
+		return true;
+	log_stays(p, w, t, away, last);
+	return false;
+}
+
 /*
  * A worker whose machine is to go into upkeep: lasting tasks move one after
  * the other, work that lasts longer than it can wait for is stopped.
@@ -111,7 +151,7 @@
 		return false;
 	if (t->step->order->lasting) {
 		p->moves_until_us = p->now_us + MOVES_MS * US_PER_MS;
-		return step_may_miss(p, t) && lasting_has_room(p, t);
+		return lasting_may_move(p, w, t);
 	}
 	waited_ms = (p->now_us - w->emptied_since_us) / US_PER_MS;
 	if (waited_ms > EMPTY_MAX_MS)
