roster: a machine whose worker is gone counts for no pool

Pool lede88c had 25 machines of 25 needed: machines of a dark rack, up by the platform's list, whose workers nobody reached. Ruled out: refused starts (none), the policy (none there). Change: a machine that is up, and whose worker its pool's owner has not had for 2.5 s, does not count as the pool's. Tests: machines::a_machine_whose_worker_is_gone_is_replaced, failing first (5 machines, 7 wanted); machines::a_new_owner_of_a_pool_wants_no_other_machines.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -220,12 +220,14 @@
 		if (m == NULL)
 			return; /* the next list tries again */
 		m->report = *r;
+		m->worker_us = f->now_us;
 		m->retry_us = quiet_until_us(f, r->machine);
 		HASH_ADD(hh, f->machines, report.machine,
 		    strlen(m->report.machine), m);
 	}
 	if (strcmp(m->report.worker, r->worker) != 0) {
 		m->told_us = 0;
+		m->worker_us = f->now_us;
 		m->tasks = 0;
 		m->cordoned = false;
 	}
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -17,6 +17,11 @@
  * machines are on their way.  Measured; see docs/JOBS.md.
  */
 #define FORESEEN 2.0
+/*
+ * A machine that is up, whose pool's owner has had nothing of its worker for so
+ * long: the owner was new, or the worker starts; then it is not there.
+ */
+#define ABSENT_MS 2500
 #define POOL_MIN 2 /* machines a pool keeps, for the first jobs of a turn */
 /* Machines on their way to be off: one in so many of all, but some always. */
 #define SHRINKS_SHARE 4
@@ -72,6 +77,18 @@
 	return m->report.state != MACHINE_DOWN ? pool_of(f, m) : NULL;
 }
 
+/* Listed as up by the platform, and its owner does not reach its worker. */
+static bool
+machine_absent(const struct roster *f, const struct machine *m,
+    const struct roster_pool *p)
+{
+	int64_t since_us =
+	    m->told_us > m->worker_us ? m->told_us : m->worker_us;
+
+	return m->order == ORDER_NONE && !p->spare && pool_fresh(f, p) &&
+	    f->now_us - since_us > ABSENT_MS * US_PER_MS;
+}
+
 static void
 count_machines(struct roster *f)
 {
@@ -83,7 +100,7 @@
 		f->pools[i].have = 0;
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		p = pool_to_be(f, m);
-		if (p != NULL)
+		if (p != NULL && !machine_absent(f, m, p))
 			p->have++;
 	}
 }
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -39,6 +39,7 @@
 	size_t lasting; /* … those that do not end by themselves … */
 	bool cordoned;
 	int64_t told_us; /* … then; 0 never */
+	int64_t worker_us; /* when the list showed this worker first */
 	UT_hash_handle hh; /* by machine */
 };
 
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -22,6 +22,7 @@
 static size_t floors[2]; /* machines that lasting tasks need */
 static size_t tasks[MACHINES_MAX]; /* of its worker */
 static size_t lasting[MACHINES_MAX]; /* of them */
+static bool silent[MACHINES_MAX]; /* its worker does not answer its owner */
 static bool tasks_end; /* those of a cordoned worker, by themselves */
 static int lasting_every_ms; /* one of a pool leaves in each; 0: at once */
 static int64_t lasting_left_us[2]; /* when one did last */
@@ -183,7 +184,7 @@
 	move_lasting(pool, k);
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
 	for (i = 0; i < machine_count; i++) {
-		if (machines[i].worker[0] == '\0' ||
+		if (machines[i].worker[0] == '\0' || silent[i] ||
 		    strcmp(machines[i].pool, pool) != 0)
 			continue;
 		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
@@ -580,3 +581,36 @@
 	cr_expect_leq(most_down, 62);
 	cr_expect_eq(statuses_completed, 1);
 }
+
+/*
+ * A rack went dark: its machines were still listed as up, so that the pool had
+ * all that its lasting tasks need, and one had no worker for ten seconds.
+ */
+Test(machines, a_machine_whose_worker_is_gone_is_replaced)
+{
+	floors[0] = 5;
+	run(3000);
+	cr_assert_eq(in_pool("blue"), 5);
+	silent[0] = silent[1] = true;
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 7);
+	silent[0] = silent[1] = false;
+	run(12000);
+	cr_expect_eq(in_pool("blue"), 5);
+}
+
+/* A new owner hears its workers one by one: no machine is to come for that. */
+Test(machines, a_new_owner_of_a_pool_wants_no_other_machines)
+{
+	int i;
+
+	floors[0] = 5;
+	run(3000);
+	for (i = 0; i < 5; i++)
+		silent[i] = true;
+	run(1000);
+	memset(silent, 0, sizeof(silent));
+	run(2000);
+	cr_expect_eq(in_pool("blue"), 5);
+	cr_expect_eq(moves, 0);
+}
