roster: machines that are emptied for upkeep are replaced in their pool

Cause: "lasting task stays for now ... away=0": no room. Ruled out: mayMiss (away=0), the owner (it asks each time). Change: a machine that is to go into upkeep, or is there, does not count as what its pool has. Test: machines::machines_in_upkeep_are_replaced_where_lasting_tasks_need_them, failing first.

--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -89,6 +89,13 @@
 	    f->now_us - since_us > ABSENT_MS * US_PER_MS;
 }
 
+/* What leaves it needs room elsewhere before it goes. */
+static bool
+in_upkeep(const struct machine *m)
+{
+	return m->order == ORDER_UPKEEP || m->report.state == MACHINE_UPKEEP;
+}
+
 static void
 count_machines(struct roster *f)
 {
@@ -100,7 +107,7 @@
 		f->pools[i].have = 0;
 	for (m = f->machines; m != NULL; m = m->hh.next) {
 		p = pool_to_be(f, m);
-		if (p != NULL && !machine_absent(f, m, p))
+		if (p != NULL && !in_upkeep(m) && !machine_absent(f, m, p))
 			p->have++;
 	}
 }
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -614,3 +614,18 @@
 	cr_expect_eq(in_pool("blue"), 5);
 	cr_expect_eq(moves, 0);
 }
+
+/*
+ * Lasting tasks need as many workers as before while some are emptied: one
+ * more came each time that a task had found no room, and the wave was late.
+ */
+Test(machines, machines_in_upkeep_are_replaced_where_lasting_tasks_need_them)
+{
+	floors[0] = 5;
+	lasting_every_ms = 60000; /* they do not leave before there is room */
+	tasks[0] = lasting[0] = tasks[1] = lasting[1] = 1;
+	run(600);
+	ask_wave_of(1, 2, 27000);
+	run(3000);
+	cr_expect_eq(in_pool("blue"), 7);
+}
