tests: what operators of similar systems saw, for the scheduler of jobs

Scripted runs: a silent worker, two owners that act, a worker that left. Processes: a paused owner, malformed messages at each port and in records.

--- a/tests/jobs/job_script.c
+++ b/tests/jobs/job_script.c
@@ -125,6 +125,12 @@
 		jobs_world_crash_worker(s->world, n);
 	else if (strcmp(word, "restart") == 0)
 		jobs_world_restart_worker(s->world, n);
+	else if (strcmp(word, "cut") == 0)
+		jobs_world_cut_worker(s->world, n, true);
+	else if (strcmp(word, "mend") == 0)
+		jobs_world_cut_worker(s->world, n, false);
+	else if (strcmp(word, "take") == 0)
+		jobs_world_take_worker(s->world, n);
 	else if (strcmp(word, "drain") == 0)
 		jobs_world_drain_worker(s->world, n, 0);
 	else if (strcmp(word, "empty") == 0)
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -19,6 +19,7 @@
 static struct job_fleet *fleet;
 static char paths[JOBS_MAX][64];
 static size_t job_count;
+static bool paused[JOB_DAEMONS]; /* a call to it would wait for its time-out */
 
 static int
 call(int daemon, const char *method, const char *path, const char *body,
@@ -100,7 +101,7 @@
 
 	snprintf(wanted, sizeof(wanted), "\"%s\"", state);
 	for (i = 0; i < JOB_DAEMONS; i++) {
-		if (proc_running(fleet->daemons[i]) &&
+		if (proc_running(fleet->daemons[i]) && !paused[i] &&
 		    call(i, "GET", path, NULL, text, sizeof(text)) == 200 &&
 		    strstr(text, wanted) != NULL)
 			return true;
@@ -205,6 +206,64 @@
 	proc_signal(fleet->daemons[1], SIGCONT);
 }
 
+/*
+ * A paused process goes on where it stopped, with terms that have run out: what
+ * its successor has done meanwhile is neither started nor stopped again.
+ */
+Test(jobs, a_paused_owner_acts_on_no_term_that_has_run_out)
+{
+	int64_t starts;
+
+	submit_every_kind();
+	proc_signal(fleet->daemons[0], SIGSTOP);
+	paused[0] = true;
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	starts = judged("starts");
+	proc_signal(fleet->daemons[0], SIGCONT);
+	paused[0] = false;
+	cr_assert(wait_until(pools_owned, NULL, LIMIT_MS));
+	sleep_ms(1000); /* orders that it had begun arrive by then */
+	cr_expect_eq(judged("starts"), starts);
+	cr_expect_eq(judged("twice"), 0);
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	cr_expect_eq(judged("twice"), 0);
+}
+
+Test(jobs, malformed_messages_end_no_daemon)
+{
+	static const char *const requests[] = {"\r\n\r\n",
+	    "GET / HTTP/9.9\r\n\r\n", "\xff\xff\xff\xff\x00\x00\x00\x01",
+	    "POST /submit HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n"
+	    "\x93\xc1\xff\xdf\xff",
+	    "POST /cordon HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\n"
+	    "\x84\xa4pool",
+	    "POST /blue/x HTTP/1.1\r\nHost: a\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n"};
+	const int *ports[] = {
+	    fleet->callers_port, fleet->ready_port, fleet->peer_port};
+	char out[1024];
+	size_t i, k;
+	int d;
+
+	for (d = 0; d < JOB_DAEMONS; d++)
+		for (k = 0; k < sizeof(ports) / sizeof(ports[0]); k++)
+			for (i = 0; i < sizeof(requests) / sizeof(requests[0]);
+			     i++)
+				raw_exchange(ports[k][d], requests[i],
+				    strlen(requests[i]), out, sizeof(out), 100);
+	/* what operators, and workers, may have written */
+	put("keyed.op", "wave/nan", "{\"machines\":7,\"cap\":\"x\"}");
+	put("keyed.duties", "fence", "[[[");
+	put("keyed.servers", "i-odd", "{\"id\":3,\"capacity\":[]}");
+	submit_every_kind();
+	cr_assert(wait_until(all_completed, NULL, LIMIT_MS));
+	for (d = 0; d < JOB_DAEMONS; d++)
+		cr_expect(proc_running(fleet->daemons[d]), "daemon %d", d);
+	cr_expect_eq(judged("twice"), 0);
+}
+
 Test(jobs, a_store_that_is_away_refuses_new_jobs_and_loses_none)
 {
 	int status;
