pool: the backlog of a turn counts on workers that are on their way

The time that the backlog takes was counted by the 18 workers that were there. Ruled out: the store (why=store begins with the cut at 33.5 s), lag (0). Change: the keeper tells a pool's owner how many machines are on their way and when they work; what it said holds for a second. Tests: pool::a_turn_is_not_refused_while_its_workers_are_on_their_way, failing without it; pool::workers_that_do_not_come_are_not_counted_on.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1382,6 +1382,15 @@
 	send_cordon(w, worker, &ev);
 }
 
+void
+jobs_world_coming(struct jobs_world *w, size_t count, int within_ms)
+{
+	struct pool_event ev = {.kind = POOL_COMING,
+	    .u.coming = {.count = count, .within_ms = within_ms}};
+
+	step(w, w->owner, &ev);
+}
+
 double
 jobs_world_step_us(const struct jobs_world *w)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -92,6 +92,8 @@
 void jobs_world_cordon_worker(struct jobs_world *w, int worker);
 /* The upkeep of its machine is to come, and has not begun. */
 void jobs_world_due_worker(struct jobs_world *w, int worker);
+/* The keeper says that so many workers are on their way. */
+void jobs_world_coming(struct jobs_world *w, size_t count, int within_ms);
 /* Its machine is taken away; its entry is still listed. */
 void jobs_world_take_worker(struct jobs_world *w, int worker);
 /* Terms of the queue that jobs are handed in at from now on. */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -110,6 +110,11 @@
 	case POOL_WORKER_GONE:
 		pool_worker_gone(p, ev->u.gone.id);
 		break;
+	case POOL_COMING:
+		p->coming = ev->u.coming.count;
+		p->coming_within_ms = ev->u.coming.within_ms;
+		p->coming_us = p->now_us;
+		break;
 	case POOL_CORDON:
 		pool_cordon(p, ev);
 		break;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -56,6 +56,7 @@
 	POOL_WORKER, /* a worker's entry, new or changed */
 	POOL_WORKER_GONE, /* its entry was dropped */
 	POOL_CORDON, /* a worker gets no new tasks for a while */
+	POOL_COMING, /* workers on their way to the pool */
 	POOL_HELD, /* answer to a hold, or none */
 	POOL_STARTED, /* answer to a start */
 	POOL_STOPPED, /* answer to a stop */
@@ -90,6 +91,10 @@
 			bool
 			    due; /* no cordon yet: its machine's upkeep comes */
 		} cordon;
+		struct {
+			size_t count;
+			int within_ms; /* they work by then */
+		} coming;
 		struct {
 			char worker[NAME_BYTES];
 			int64_t asked_us; /* when the hold was sent */
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -13,6 +13,8 @@
  */
 #define LAG_REFUSE_MS 300
 #define LAG_RETRY_MS 1000 /* told to callers then */
+#define COMING_FRESH_MS 1000 /* five looks of the keeper: what it said holds \
+			      */
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 10000
 
@@ -59,11 +61,28 @@
 	return cpu;
 }
 
+/*
+ * A turn of demand begins in a pool of few workers, and most that will serve it
+ * are on their way: the backlog waits for these, not for the few.
+ */
+static double
+work_ms(const struct pool *p, double work, double cpu)
+{
+	double ms = cpu > 0 ? work / cpu : 0;
+	double coming = (double)p->coming * p->typical_cpu;
+	double within_ms = p->coming_within_ms;
+
+	if (coming <= 0 || ms <= within_ms ||
+	    p->now_us - p->coming_us > COMING_FRESH_MS * US_PER_MS)
+		return ms;
+	return within_ms + (work - cpu * within_ms) / (cpu + coming);
+}
+
 /* ms until the work that is accepted has been done, by learned times. */
 static double
 backlog_ms(const struct pool *p)
 {
-	double work = 0, cpu = pool_cpu(p);
+	double work = 0;
 	const struct occurrence *o;
 	const struct job *j;
 
@@ -74,7 +93,7 @@
 			work += occurrence_work_left(o) *
 			    learned_ratio(p->learned, j->terms.name);
 	}
-	return cpu > 0 ? work / cpu : 0;
+	return work_ms(p, work, pool_cpu(p));
 }
 
 /*
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -107,6 +107,9 @@
 	int64_t starved_since_us; /* work in time finds no room; 0: it does */
 	int64_t lasting_starved_us; /* a lasting task neither; 0: it does */
 	int64_t cramped_us; /* one that is to move was seen to find none */
+	size_t coming; /* workers on their way … */
+	int coming_within_ms; /* … that work so long … */
+	int64_t coming_us; /* … after this was told */
 	int64_t moves_until_us; /* lasting tasks move about until then */
 	int64_t stays_logged_us;
 	double typical_count, typical_cpu, typical_memory_mb,
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -419,6 +419,7 @@
 	case POOL_LOOK:
 	case POOL_COUNT:
 	case POOL_ADVISED:
+	case POOL_COMING:
 		return false;
 	case POOL_LOADED:
 	case POOL_WORKER:
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -15,6 +15,7 @@
 #define BUSY_RETRY_MS 400
 #define TELL_GONE_MS 6000 /* until the worker's entry has lapsed */
 #define DUE_FRESH_MS 1000 /* five looks: what a wave said is in force */
+#define ARRIVAL_MS 500 /* from the end of a move until its worker is listed */
 #define AWAY_MAX_MS 15000 /* a machine that is not seen again: forgotten */
 
 struct roster_effect *
@@ -448,6 +449,18 @@
 	run_orders(f);
 }
 
+size_t
+roster_coming(const struct roster *f, const char *pool, int *within_ms)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next)
+		n += m->order == ORDER_MOVE && strcmp(m->to_pool, pool) == 0;
+	*within_ms = f->opts.move_ms + ARRIVAL_MS;
+	return n;
+}
+
 void
 roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, enum cordon_kind kind),
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -157,6 +157,8 @@
 	CORDON_DUE /* its machine's upkeep is to come: nothing that lasts */
 };
 
+/* Machines on their way to a pool; the last of them works within so long. */
+size_t roster_coming(const struct roster *f, const char *pool, int *within_ms);
 /* Calls back with each worker of a pool of which its owner is to know. */
 void roster_cordons(const struct roster *f, const char *pool,
     void (*each)(void *arg, const char *worker, enum cordon_kind kind),
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -27,8 +27,10 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 2);
+	wire_map(&w, 4);
 	wire_str(&w, "pool", r->pool);
+	wire_u64(&w, "coming", r->coming);
+	wire_u64(&w, "within", r->within_ms);
 	wire_array(&w, "cordons", (uint32_t)r->count);
 	for (i = 0; i < r->count; i++)
 		codec_write(
@@ -48,6 +50,9 @@
 	memset(r, 0, sizeof(*r));
 	if (wire_reader_init(&in, data, len, e) == -1)
 		return -1;
+	/* a keeper of the version before does not say */
+	wire_get_u64(in.root, "coming", &r->coming);
+	wire_get_u64(in.root, "within", &r->within_ms);
 	ok = wire_get_str(in.root, "pool", r->pool, sizeof(r->pool)) &&
 	    wire_get_array(in.root, "cordons", &list);
 	for (i = 0; ok && i < list->size && r->count < CORDONS_MAX; i++) {
--- a/src/scheduler/cordon_call.h
+++ b/src/scheduler/cordon_call.h
@@ -17,6 +17,8 @@
 	char pool[NAME_BYTES];
 	struct cordon list[CORDONS_MAX];
 	size_t count;
+	uint64_t coming; /* workers on their way to the pool … */
+	uint64_t within_ms; /* … that work within so long */
 };
 
 /* msgpack; NULL when memory is short. */
--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -423,10 +423,13 @@
 	struct cordon_request r;
 	struct pool_report report;
 	struct endpoint to;
+	int within_ms;
 	bool self;
 
 	memset(&r, 0, sizeof(r));
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
+	r.coming = roster_coming(d->roster, pool, &within_ms);
+	r.within_ms = (uint64_t)within_ms;
 	roster_cordons(d->roster, pool, add_cordon, &r);
 	if (shards_cordon(s->shards, &r, &report) == 0) {
 		take_report(d, &report);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -528,6 +528,10 @@
 		ev.u.cordon.due = r->list[i].kind == CORDON_DUE;
 		shard_event(sh, &ev);
 	}
+	ev.kind = POOL_COMING;
+	ev.u.coming.count = (size_t)r->coming;
+	ev.u.coming.within_ms = (int)r->within_ms;
+	shard_event(sh, &ev);
 	memset(report, 0, sizeof(*report));
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
 	pool_demand(sh->pool, &demand);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -679,3 +679,56 @@
 	cr_expect_leq(ms, TASKS * MOVE_MS, "%d ms", ms);
 	expect_kept();
 }
+
+/*
+ * The load: a turn of demand begins in a pool of two workers, and twenty more
+ * work two seconds later.  The backlog was counted by the two: callers were
+ * told to come back after up to ten seconds, with most of the room idle then.
+ */
+Test(pool, a_turn_is_not_refused_while_its_workers_are_on_their_way)
+{
+	struct pool_demand d;
+	int i, k;
+
+	world = world_of(22);
+	for (i = 2; i < 22; i++)
+		jobs_world_list_worker(world, i, false);
+	jobs_world_run(world, 8000);
+	for (k = 0; k < 40; k++) { /* 2 s, 4 core-seconds each */
+		if (k % 4 == 0) {
+			pool_demand(jobs_world_pool(world), &d);
+			jobs_world_coming(world, 20, 2000);
+		}
+		submit(1, 8, 1000, 500, NULL);
+		jobs_world_run(world, 50);
+	}
+	cr_expect_eq(jobs_world_refused(world), 0);
+	for (i = 2; i < 22; i++)
+		jobs_world_list_worker(world, i, true);
+	jobs_world_run(world, 2000);
+	cr_expect_eq(jobs_world_accepted(world), 40);
+	for (k = 0, i = 0; i < 22; i++)
+		k += (int)jobs_world_tasks_on(world, i);
+	cr_expect_eq(k, 0, "%d tasks left", k);
+	expect_kept();
+}
+
+/* What the keeper said holds for a second: then only what is there counts. */
+Test(pool, workers_that_do_not_come_are_not_counted_on)
+{
+	struct pool_demand d;
+	int k;
+
+	world = world_of(2);
+	jobs_world_run(world, 1000);
+	pool_demand(jobs_world_pool(world), &d);
+	jobs_world_coming(world, 20, 2000);
+	jobs_world_run(world, 1500);
+	for (k = 0; k < 40; k++) {
+		submit(1, 8, 1000, 500, NULL);
+		jobs_world_run(world, 10);
+	}
+	cr_expect_gt(jobs_world_refused(world), 0);
+	jobs_world_run(world, 20000);
+	expect_kept();
+}
