roster: few machines of a pool at a time wait for their lasting tasks

Ruled out: duties (none missed before or after). Change: four of a pool at a time, unless time presses. Test: machines::few_machines_at_a_time_wait_for_lasting_tasks, failing first (8).

--- a/src/roster/roster_waves.c
+++ b/src/roster/roster_waves.c
@@ -7,6 +7,8 @@
 
 #define ROUND_SPARE_MS 1500 /* a machine's way to its upkeep and back */
 #define PRESSURE 1.6 /* times the rounds that are left, to begin forcing */
+/* Machines of a pool whose lasting tasks move at a time: the others work on. */
+#define LASTING_AT_ONCE 4
 #define POOL_SHARE 4 /* one in so many of a pool's machines at once */
 
 static struct wave *
@@ -232,16 +234,32 @@
 	TURN_ANY
 };
 
+static size_t
+pool_moves_lasting(const struct roster *f, const char *pool)
+{
+	const struct machine *m;
+	size_t n = 0;
+
+	for (m = f->machines; m != NULL; m = m->hh.next)
+		n += m->order == ORDER_UPKEEP && m->lasting > 0 &&
+		    strcmp(m->report.pool, pool) == 0;
+	return n;
+}
+
 static bool
-has_turn(const struct roster *f, const struct machine *m, enum wave_turn t)
+has_turn(const struct roster *f, const struct machine *m, enum wave_turn t,
+    bool presses)
 {
 	switch (t) {
 	case TURN_LASTING:
-		return m->lasting > 0;
+		return m->lasting > 0 &&
+		    (presses ||
+			pool_moves_lasting(f, m->report.pool) <
+			    LASTING_AT_ONCE);
 	case TURN_IDLE:
 		return machine_idle(f, m);
 	case TURN_ANY:
-		return true;
+		return m->lasting == 0;
 	}
 	return false;
 }
@@ -257,7 +275,7 @@
 		if (w->list[i].begun)
 			continue;
 		m = roster_find_machine(f, w->list[i].machine);
-		if (m == NULL || !has_turn(f, m, t) ||
+		if (m == NULL || !has_turn(f, m, t, presses) ||
 		    !may_begin(f, m, presses))
 			continue;
 		begin_upkeep(f, w, m);
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -629,3 +629,27 @@
 	run(3000);
 	cr_expect_eq(in_pool("blue"), 7);
 }
+
+/*
+ * They leave one after the other anyway: a pool in its turn of demand had
+ * twelve machines that took no new tasks for up to ten seconds.
+ */
+Test(
+    machines, few_machines_at_a_time_wait_for_lasting_tasks, .init = setup_idle)
+{
+	int i, k, n;
+
+	for (i = 0; i < 21; i++)
+		tasks[i] = lasting[i] = 1;
+	lasting_every_ms = 2000;
+	floors[0] = 21;
+	wanted[0] = 180000;
+	run(4000);
+	ask_wave_of(2, 62, 27000);
+	for (k = 0; k < 5; k++) {
+		run(1000);
+		for (n = 0, i = 0; i < machine_count; i++)
+			n += emptied[i] && lasting[i] > 0;
+		cr_expect_leq(n, 4, "%d", n);
+	}
+}
