--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -4,6 +4,7 @@
 
 #include "pool.h"
 
+#define SILENT_MISSES 2 /* a worker with so many gets no new tasks */
 #define RUNS_OF_A_TERM 1000 /* run numbers that a term may hand out */
 /* Worker's clocks are at most 2 % slow. */
 #define CLOCK_SLOW 0.98
@@ -170,10 +171,6 @@
 struct placed_worker *pool_find_worker(const struct pool *p, const char *id);
 void pool_worker_entry(struct pool *p, const struct worker_report *r);
 void pool_worker_gone(struct pool *p, const char *id);
-void pool_held(struct pool *p, const struct pool_event *ev);
-void pool_hold_due(struct pool *p, const struct pool_event *ev);
-/* When the next hold is due; "latest_us" where none is earlier. */
-int64_t pool_next_hold_us(const struct pool *p, int64_t latest_us);
 void pool_cordon(struct pool *p, const struct pool_event *ev);
 /* The worker runs nothing any more that it was told to run. */
 void pool_worker_lost(struct pool *p, struct placed_worker *w, const char *why);
@@ -186,6 +183,20 @@
 /* All tasks of earlier terms are known or have ended. */
 bool pool_settled(const struct pool *p);
 
+/* Is listed, or may be again. */
+bool worker_known(const struct pool *p, const struct placed_worker *w);
+/* What the topic says of it is not what is believed any more. */
+void worker_record_again(struct pool *p, struct placed_worker *w);
+/* Another life under the same id: it knows nothing of before. */
+void worker_reborn(struct pool *p, struct placed_worker *w);
+void worker_free(struct pool *p, struct placed_worker *w);
+
+/* pool_holds.c */
+void pool_held(struct pool *p, const struct pool_event *ev);
+void pool_hold_due(struct pool *p, const struct pool_event *ev);
+/* When the next hold is due; "latest_us" where none is earlier. */
+int64_t pool_next_hold_us(const struct pool *p, int64_t latest_us);
+
 /* pool_worker_records.c */
 /* Writes the workers that are not recorded as they are. */
 void pool_record_workers(struct pool *p);
