--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -13,8 +13,7 @@
  */
 #define LAG_REFUSE_MS 300
 #define LAG_RETRY_MS 1000 /* told to callers then */
-#define COMING_FRESH_MS 1000 /* five looks of the keeper: what it said holds \
-			      */
+#define COMING_FRESH_MS 1000 /* five looks of the keeper */
 #define RETRY_MIN_MS 200
 #define RETRY_MAX_MS 10000
 
