http_client: only orders for machines are reset when given up

Change: a caller of the client says that a call must not arrive late; the keeper of machines does for its orders, whose answers nobody else waits for. Test: shell_http::what_is_given_up_does_not_arrive_later.

--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -47,6 +47,7 @@
 	size_t written; /* of head and body together */
 	bool sent;
 	bool repeatable;
+	bool drop_late;
 	bool retried;
 	bool ended; /* "end" is final; on_end is due */
 	enum http_end end;
@@ -217,10 +218,10 @@
 		LIST_INSERT_HEAD(&conn->pool->idle, conn, entries);
 		return;
 	}
-	if (call->ended && call->end == HTTP_WHOLE)
-		conn_close(conn);
-	else
+	if (call->drop_late && !(call->ended && call->end == HTTP_WHOLE))
 		conn_abort(conn);
+	else
+		conn_close(conn);
 }
 
 /*
@@ -432,6 +433,7 @@
 	call->context = opts->context;
 	call->pool = opts->pool;
 	call->repeatable = opts->repeatable;
+	call->drop_late = opts->drop_late;
 	snprintf(call->addr, sizeof(call->addr), "%s", opts->addr);
 	call->port = opts->port;
 	snprintf(call->method, sizeof(call->method), "%s", opts->method);
--- a/tests/unit/test_shell_http.c
+++ b/tests/unit/test_shell_http.c
@@ -96,6 +96,8 @@
 	waitpid(s->pid, NULL, 0);
 }
 
+static bool drop_late; /* of calls from now on */
+
 static enum http_end
 call(int port, const char *method, int timeout_ms, struct answer **answer)
 {
@@ -106,6 +108,7 @@
 	    .method = method,
 	    .path = "/x?a=b",
 	    .keep_headers = keep,
+	    .drop_late = drop_late,
 	    .timeout_ms = timeout_ms,
 	    .max_bytes = 1000};
 	enum http_end end = HTTP_UNSENT;
@@ -251,6 +254,7 @@
 	if (pid == 0)
 		_exit(end_after_request(accept(fd, NULL, NULL)));
 	close(fd);
+	drop_late = true;
 	cr_expect_eq(call(port, "POST", STALL_TIMEOUT_MS, &a), HTTP_TIMED_OUT);
 	waitpid(pid, &status, 0);
 	cr_expect(WIFEXITED(status) && WEXITSTATUS(status) == ECONNRESET, "%d",
