--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -198,7 +198,6 @@
 	    .port = b->machines.port,
 	    .method = "POST",
 	    .headers = &headers,
-	    .drop_late = true, /* a successor may have ordered by then */
 	    .timeout_ms = CALL_TIMEOUT_MS,
 	    .on_end = order_ended,
 	};
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -1,15 +1,12 @@
 #include "http_client.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/queue.h>
-#include <sys/socket.h>
 
 #include "bounds.h"
-#include "daemon_log.h"
 #include "http_answer.h"
 
 #define WRITE_BYTES 16384 /* of a request, in one write */
@@ -47,7 +44,6 @@
 	size_t written; /* of head and body together */
 	bool sent;
 	bool repeatable;
-	bool drop_late;
 	bool retried;
 	bool ended; /* "end" is final; on_end is due */
 	enum http_end end;
@@ -107,25 +103,6 @@
 	conn_free(conn);
 }
 
-/*
- * The same for one whose request was given up: what has not reached the peer is
- * dropped, or an order would be carried out once the network is back.
- */
-static void
-conn_abort(struct client_conn *conn)
-{
-	const struct linger drop = {.l_onoff = 1, .l_linger = 0};
-	int fd = conn->wsi != NULL ? lws_get_socket_fd(conn->wsi) : -1;
-
-	if (fd != -1 &&
-	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop)) == -1)
-		daemon_log(LOG_LEVEL_WARN, "http",
-		    "msg=\"a request that was given up may still arrive\" "
-		    "errno=%d",
-		    errno);
-	conn_close(conn);
-}
-
 static void
 pool_close_idle(struct http_pool *pool, lws_usec_t before)
 {
@@ -218,10 +195,7 @@
 		LIST_INSERT_HEAD(&conn->pool->idle, conn, entries);
 		return;
 	}
-	if (call->drop_late && !(call->ended && call->end == HTTP_WHOLE))
-		conn_abort(conn);
-	else
-		conn_close(conn);
+	conn_close(conn);
 }
 
 /*
@@ -433,7 +407,6 @@
 	call->context = opts->context;
 	call->pool = opts->pool;
 	call->repeatable = opts->repeatable;
-	call->drop_late = opts->drop_late;
 	snprintf(call->addr, sizeof(call->addr), "%s", opts->addr);
 	call->port = opts->port;
 	snprintf(call->method, sizeof(call->method), "%s", opts->method);
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -48,11 +48,6 @@
 	 * fresh one, though the request may have been sent on it.
 	 */
 	bool repeatable;
-	/*
-	 * Once given up, it must not arrive later: the connection is reset.
-	 * What a slow peer has not begun with by then, it may drop.
-	 */
-	bool drop_late;
 	const char *addr; /* numeric IP */
 	int port;
 	const char *method;
