--- a/src/roster/roster_waves.c
+++ b/src/roster/roster_waves.c
@@ -23,11 +23,14 @@
 	return NULL;
 }
 
+/* Found or added; NULL when memory is short. */
 static struct wave *
-wave_new(struct roster *f, int64_t number)
+wave_of(struct roster *f, int64_t number)
 {
-	struct wave *w;
+	struct wave *w = find_wave(f, number);
 
+	if (w != NULL)
+		return w;
 	w = calloc(1, sizeof(*w));
 	if (w == NULL)
 		return NULL;
@@ -68,11 +71,9 @@
 void
 roster_take_wave(struct roster *f, const struct roster_event *ev)
 {
-	struct wave *w = find_wave(f, ev->u.wave.wave);
+	struct wave *w = wave_of(f, ev->u.wave.wave);
 	size_t i;
 
-	if (w == NULL)
-		w = wave_new(f, ev->u.wave.wave);
 	if (w == NULL || w->cap > 0 || w->completed)
 		return;
 	w->cap = ev->u.wave.cap > 0 ? ev->u.wave.cap : 1;
@@ -94,10 +95,8 @@
 void
 roster_take_since(struct roster *f, const struct roster_event *ev)
 {
-	struct wave *w = find_wave(f, ev->u.since.wave);
+	struct wave *w = wave_of(f, ev->u.since.wave);
 
-	if (w == NULL)
-		w = wave_new(f, ev->u.since.wave);
 	if (w != NULL && w->since_us == 0)
 		w->since_us = f->now_us - ev->u.since.ago_ms * US_PER_MS;
 }
@@ -106,11 +105,9 @@
 void
 roster_take_known(struct roster *f, const struct roster_event *ev)
 {
-	struct wave *w = find_wave(f, ev->u.known.wave);
+	struct wave *w = wave_of(f, ev->u.known.wave);
 	struct wave_machine *e;
 
-	if (w == NULL)
-		w = wave_new(f, ev->u.known.wave);
 	if (w == NULL)
 		return;
 	w->completed |= ev->u.known.completed;
