--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -88,8 +88,7 @@
 			char id[NAME_BYTES];
 			bool empty; /* its tasks are to go elsewhere */
 			bool gone; /* its machine was taken away */
-			bool
-			    due; /* no cordon yet: its machine's upkeep comes */
+			bool due; /* only told: upkeep is to come */
 		} cordon;
 		struct {
 			size_t count;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -127,8 +127,7 @@
 	uint64_t serial; /* newest write */
 	uint64_t written; /* newest that is stored */
 	STAILQ_HEAD(pending_list, pending_answer) pending;
-	/* The most room of each kind on any worker, in one look at what waits.
-	 */
+	/* The most room on any worker, in one look at what waits. */
 	struct {
 		bool known; /* since the last task was placed */
 		int64_t cpu, memory_mb, accelerators;
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -90,21 +90,21 @@
 log_stays(struct pool *p, const struct placed_worker *w, const struct task *t,
     unsigned away, const struct task *last)
 {
+	const struct placed_worker *on = last != NULL ? last->worker : NULL;
+
 	if (p->now_us - p->stays_logged_us < US_PER_S)
 		return;
 	p->stays_logged_us = p->now_us;
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"lasting task stays for now\" job=%s task=%u.%u worker=%s "
-	    "emptied_ms_ago=%lld away=%u may_miss=%d one_away=%u on=%s "
+	    "emptied_ms_ago=%lld away=%u may_miss=%u one_away=%u on=%s "
 	    "percent=%d silent=%d",
 	    t->step->occurrence->job->id, t->step->number, t->index,
 	    w->report.id,
 	    (long long)((p->now_us - w->emptied_since_us) / US_PER_MS), away,
 	    t->step->order->may_miss, last != NULL ? last->index : 0,
-	    last != NULL && last->worker != NULL ? last->worker->report.id
-						 : "none",
-	    last != NULL ? last->percent : 0,
-	    last != NULL && last->worker != NULL ? last->worker->misses : 0);
+	    on != NULL ? on->report.id : "none",
+	    last != NULL ? last->percent : 0, on != NULL ? on->misses : 0);
 }
 
 /* Where it has none, the pool asks for a machine first. */
@@ -137,6 +137,13 @@
 	return false;
 }
 
+/* Its machine is to go into upkeep, and the order is in force. */
+static bool
+worker_emptied(const struct pool *p, const struct placed_worker *w)
+{
+	return w->emptied_since_us != 0 && p->now_us < w->cordon_until_us;
+}
+
 /*
  * A worker whose machine is to go into upkeep: lasting tasks move one after
  * the other, work that lasts longer than it can wait for is stopped.
@@ -146,8 +153,7 @@
 {
 	int64_t waited_ms;
 
-	if (p->now_us >= w->cordon_until_us || w->emptied_since_us == 0 ||
-	    t->place != PLACE_RUNNING)
+	if (!worker_emptied(p, w) || t->place != PLACE_RUNNING)
 		return false;
 	if (t->step->order->lasting) {
 		p->moves_until_us = p->now_us + MOVES_MS * US_PER_MS;
@@ -213,11 +219,10 @@
 void
 pool_watch_emptied(struct pool *p)
 {
-	struct placed_worker *w, *next;
+	struct placed_worker *w;
 
-	HASH_ITER(hh, p->workers, w, next)
-	{
-		if (w->emptied_since_us != 0 && p->now_us < w->cordon_until_us)
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (worker_emptied(p, w))
 			pool_watch_tasks(p, w);
 	}
 }
