duty: notes are put in one place

write_note() and note_time() had the same four lines. The one difference is mended: a wave's note without memory was dropped without a word, and ends the process now as the others do.

--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -222,20 +222,28 @@
 	buf_unref(o.body);
 }
 
+static void
+put_note(struct duty *d, const char *key, const char *text)
+{
+	struct buf *value = buf_from(text, strlen(text));
+
+	if (value == NULL)
+		abort(); /* memory has run out: the reducer waits for it */
+	store_writer_put(d->notes, key, value, ++d->serial);
+	buf_unref(value);
+}
+
 static void
 write_note(struct duty *d, int64_t wave, const char *machine)
 {
 	char key[STORE_KEY_MAX];
-	struct buf *value = buf_from("1", 1);
 
 	if (machine != NULL)
 		snprintf(
 		    key, sizeof(key), "wave/%" PRId64 "/%s", wave, machine);
 	else
 		snprintf(key, sizeof(key), "wave/%" PRId64, wave);
-	if (value != NULL)
-		store_writer_put(d->notes, key, value, ++d->serial);
-	buf_unref(value);
+	put_note(d, key, "1");
 }
 
 /* The present Unix time under a key. */
@@ -243,14 +251,9 @@
 note_time(struct duty *d, const char *key)
 {
 	char text[24];
-	struct buf *value;
 
 	snprintf(text, sizeof(text), "%" PRId64, sched_now_ms());
-	value = buf_from(text, strlen(text));
-	if (value == NULL)
-		abort(); /* memory has run out: the reducer waits for it */
-	store_writer_put(d->notes, key, value, ++d->serial);
-	buf_unref(value);
+	put_note(d, key, text);
 }
 
 static void
