owners: the group is left in one place

step_back() and owners_leave() sent the same call; its end is left_ended() for both, so that join_ended() need not know of leaving: a join under way is cancelled before.

--- a/src/scheduler/candidacy.h
+++ b/src/scheduler/candidacy.h
@@ -21,9 +21,7 @@
 struct candidacy {
 	bool able; /* to own a pool whatever its size */
 	bool stands; /* in the group */
-	/* No able member was seen since then; 0: one was, or nothing is known.
-	 */
-	int64_t none_since_us;
+	int64_t none_since_us; /* no able member seen; 0: one was, or unknown */
 };
 
 void candidacy_init(struct candidacy *c, const struct machine_size *size);
--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -127,8 +127,6 @@
 
 	(void)sent;
 	o->join_op = NULL;
-	if (o->leaving)
-		return;
 	if (status != 200 || store_join_parse(&shares, body, len) == -1) {
 		daemon_log(LOG_LEVEL_WARN, "owners",
 		    "msg=\"the group does not answer\" status=%d", status);
@@ -160,12 +158,20 @@
 	o->join_op = NULL;
 }
 
-/* Gives the pools up, and then the place in the group. */
 static void
-step_back(struct owners *o)
+send_leave(struct owners *o)
 {
 	struct store_call c;
 
+	store_leave_call(&c, GROUP, o->scheduler->member);
+	o->join_op =
+	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, left_ended, o);
+}
+
+/* Gives the pools up, and then the place in the group. */
+static void
+step_back(struct owners *o)
+{
 	duty_assign(o->scheduler->duty, false, 0);
 	shards_give_up_all(o->scheduler->shards, false);
 	if (!shards_none(o->scheduler->shards)) {
@@ -174,9 +180,7 @@
 	}
 	o->joined = false;
 	o->generation = 0;
-	store_leave_call(&c, GROUP, o->scheduler->member);
-	o->join_op =
-	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, left_ended, o);
+	send_leave(o);
 }
 
 static void
@@ -312,8 +316,6 @@
 void
 owners_leave(struct owners *o)
 {
-	struct store_call c;
-
 	if (o->leaving)
 		return;
 	o->leaving = true;
@@ -322,9 +324,7 @@
 	o->join_op = NULL;
 	if (!o->joined)
 		return;
-	store_leave_call(&c, GROUP, o->scheduler->member);
-	o->join_op =
-	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, o);
+	send_leave(o);
 }
 
 struct owners *
