--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1400,12 +1400,10 @@
 void
 jobs_world_take_worker(struct jobs_world *w, int worker)
 {
-	struct pool_event ev = {.kind = POOL_CORDON};
+	struct pool_event ev = {.u.cordon.gone = true};
 
 	jobs_world_crash_worker(w, worker);
-	snprintf(ev.u.cordon.id, NAME_BYTES, "%s", w->workers[worker].id);
-	ev.u.cordon.gone = true;
-	step(w, w->owner, &ev);
+	send_cordon(w, worker, &ev);
 }
 
 void
