--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -48,6 +48,8 @@
 	char id[NAME_BYTES];
 	int64_t born_ms;
 	bool up, cut, listed, draining;
+	bool is_over; /* its life; its address answers … */
+	enum order_end ended_as; /* … so */
 	int side; /* 1 and more: only this owner, from 1, reaches it; 0: all */
 	int64_t fence, lease_end_ms;
 	LIST_HEAD(sim_runs, sim_run) runs;
@@ -582,6 +584,24 @@
 	return true;
 }
 
+static void
+answer_for_ended(struct jobs_world *w, const struct message *m)
+{
+	enum order_end end = w->workers[m->worker].ended_as;
+	struct message *a;
+
+	if (m->kind != MESSAGE_HOLD) { /* the scheduler probes holds only */
+		answer_order(
+		    w, m, end == ORDER_END_NOBODY ? ORDER_END_UNSENT : end);
+		return;
+	}
+	a = message_new(w, MESSAGE_HELD, w->ms + w->opts.link_ms);
+	a->owner = m->owner;
+	a->worker = m->worker;
+	a->asked_us = m->asked_us;
+	a->end = end;
+}
+
 static bool
 deliver_order(struct jobs_world *w, struct message *m)
 {
@@ -589,6 +609,8 @@
 	int64_t fence = w->owners[m->owner].fence;
 	enum order_end end;
 
+	if (s->is_over && !out_of_reach(s, m->owner))
+		answer_for_ended(w, m);
 	if (!s->up || out_of_reach(s, m->owner) || s->born_ms != m->born_ms)
 		return true; /* nobody there: no answer */
 	if (fence < s->fence) {
@@ -1318,6 +1340,14 @@
 	w->workers[worker].up = false;
 }
 
+void
+jobs_world_end_worker(struct jobs_world *w, int worker, enum order_end end)
+{
+	jobs_world_crash_worker(w, worker);
+	w->workers[worker].is_over = true;
+	w->workers[worker].ended_as = end;
+}
+
 void
 jobs_world_restart_worker(struct jobs_world *w, int worker)
 {
@@ -1325,6 +1355,7 @@
 
 	worker_forget(s);
 	s->up = true;
+	s->is_over = false;
 	s->born_ms = w->ms;
 	if (s->listed)
 		feed_worker(w, w->owner, worker);
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -85,6 +85,12 @@
 /* Only the owner with this number, from 1, reaches it; 0: all do. */
 void jobs_world_side(struct jobs_world *w, int worker, int side);
 void jobs_world_crash_worker(struct jobs_world *w, int worker);
+/*
+ * Its process has ended, and orders hear so from its address: nobody listens
+ * (ORDER_END_NOBODY) or it is another's by now (ORDER_END_OTHER_LIFE).
+ */
+void jobs_world_end_worker(
+    struct jobs_world *w, int worker, enum order_end end);
 void jobs_world_restart_worker(struct jobs_world *w, int worker);
 void jobs_world_drain_worker(struct jobs_world *w, int worker, int ms);
 /* The entry in the store comes and goes. */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -159,10 +159,7 @@
 	dispatch(p, ev);
 	if (!p->loaded)
 		return;
-	if (!p->settled && pool_settled(p)) {
-		p->settled = true;
-		p->place_due = true;
-	}
+	pool_settle(p);
 	if (p->now_ms >= p->next_due_ms)
 		p->place_due = true;
 	if (p->place_due && p->now_us >= p->place_after_us) {
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -191,7 +191,8 @@
 	int64_t pause = HOLD_RETRY_MS;
 
 	w->misses++;
-	if (w->telling_end > 0 && end != ORDER_END_UNSENT)
+	if (w->telling_end > 0 && end != ORDER_END_UNSENT &&
+	    end != ORDER_END_NOBODY)
 		w->late_until_us = p->now_us + LATE_ORDER_MS * US_PER_MS;
 	if (w->misses == SILENT_MISSES)
 		fx_log(p, LOG_LEVEL_WARN,
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -97,6 +97,7 @@
 	bool loaded;
 	bool settled; /* seen to be, so that waiting tasks are looked at */
 	int64_t settle_until_us; /* silent workers may run tasks until then */
+	int64_t unsettled_logged_us;
 	struct job *jobs; /* all, by id */
 	TAILQ_HEAD(job_list, job) active, finished;
 	struct refused_job *refused; /* the oldest first */
@@ -181,6 +182,8 @@
     struct pool *p, const struct worker_report *r);
 /* All tasks of earlier terms are known or have ended. */
 bool pool_settled(const struct pool *p);
+/* Notes, and says, when they are. */
+void pool_settle(struct pool *p);
 
 /* Is listed, or may be again. */
 bool worker_known(const struct pool *p, const struct placed_worker *w);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -78,6 +78,51 @@
 	return p->workers != NULL;
 }
 
+/* One line a second: whom inherited jobs wait for, and how long at most. */
+static void
+log_unsettled(struct pool *p)
+{
+	const struct placed_worker *w, *first = NULL;
+	size_t n = 0;
+
+	if (p->now_us - p->unsettled_logged_us < US_PER_S)
+		return;
+	p->unsettled_logged_us = p->now_us;
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (worker_settled(p, w))
+			continue;
+		first = first != NULL ? first : w;
+		n++;
+	}
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"starts nothing of earlier terms again yet\" workers=%zu "
+	    "first=%s misses=%d silent_ms_left=%lld for_ms=%lld ms_left=%lld",
+	    n, first != NULL ? first->report.id : "none",
+	    first != NULL ? first->misses : 0,
+	    first != NULL ? (long long)(first->silent_until_ms - p->now_ms) : 0,
+	    (long long)((p->now_us - p->opts.now_us) / US_PER_MS),
+	    (long long)((p->settle_until_us - p->now_us) / US_PER_MS));
+}
+
+void
+pool_settle(struct pool *p)
+{
+	if (p->settled)
+		return;
+	p->settled = pool_settled(p);
+	if (!p->settled) {
+		log_unsettled(p);
+		return;
+	}
+	p->place_due = true;
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"what earlier terms ordered is known or has ended\" "
+	    "workers=%u active=%zu after_ms=%lld by_time=%d",
+	    HASH_COUNT(p->workers), p->active_count,
+	    (long long)((p->now_us - p->opts.now_us) / US_PER_MS),
+	    p->now_us >= p->settle_until_us);
+}
+
 /* The next owner is to know what this one believes of the worker. */
 void
 worker_record_again(struct pool *p, struct placed_worker *w)
