tests: lasting tasks idle after hand-overs, four tests that fail

Each fails on this code: - a successor waits 7.5 s, from its own take-over on, for a worker whose host refuses connections, and starts no task of the pool; - the same for one whose address another worker answers at (421); - each of five owners in a row waits anew for one silent worker; - a task whose start order had no answer stays on a worker that began anew under its id and then died.

--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -732,3 +732,74 @@
 	jobs_world_run(world, 20000);
 	expect_kept();
 }
+
+#define AT_WORK_MS 2000 /* a lasting task, after a loss (issue 18, item 5) */
+#define SETTLE_MS 7500 /* the wait for a worker that is silent */
+
+static void
+submit_lasting_and_run(int workers)
+{
+	world = world_of(workers);
+	submit_lasting((unsigned)workers, 100, 1, NULL);
+	jobs_world_run(world, 500);
+	cr_assert_eq(tasks_everywhere(workers), (size_t)workers);
+}
+
+/* Machines that had moved held back every task of their pool for 7.5 s. */
+Test(pool, a_new_owner_does_not_wait_for_a_worker_that_nobody_listens_for)
+{
+	submit_lasting_and_run(3);
+	jobs_world_end_worker(world, 0, ORDER_END_NOBODY);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, AT_WORK_MS);
+	cr_expect_eq(tasks_everywhere(3), 3);
+	expect_kept();
+}
+
+Test(pool, a_new_owner_does_not_wait_for_a_worker_whose_address_is_anothers)
+{
+	submit_lasting_and_run(3);
+	jobs_world_end_worker(world, 0, ORDER_END_OTHER_LIFE);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, AT_WORK_MS);
+	cr_expect_eq(tasks_everywhere(3), 3);
+	expect_kept();
+}
+
+Test(pool, owners_in_a_row_do_not_each_wait_anew_for_a_silent_worker)
+{
+	int i;
+
+	submit_lasting_and_run(3);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_list_worker(world, 0, false);
+	for (i = 0; i < 5; i++) {
+		jobs_world_take_over(world, 0);
+		jobs_world_run(world, 1000);
+	}
+	jobs_world_run(world, SETTLE_MS - 5000 + 1000);
+	cr_expect_eq(
+	    jobs_world_tasks_on(world, 1) + jobs_world_tasks_on(world, 2), 3);
+	expect_kept();
+}
+
+/* A start without an answer stayed there for good, and with it its task. */
+Test(pool, a_task_leaves_a_worker_that_began_anew_and_then_died)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 5000);
+	submit_lasting(1, 100, 1, NULL);
+	jobs_world_run(world, 5); /* stored, and ordered */
+	jobs_world_restart_worker(world, 0);
+	jobs_world_crash_worker(world, 0);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, SETTLE_MS + AT_WORK_MS);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_kept();
+}
