pool: a task leaves a worker that began anew and does not answer

What callers saw: an accepted job that never ends, or a lasting task that is not at work (LOST), until its pool has another owner. Cause: worker_reborn() keeps tasks whose start or stop had no answer, since the order may yet arrive at the new life, and forgets the lease. worker_check_lease() passed over workers that are not held, so if the new life never answered no path took them off again: no hold is answered, the worker is not freed while it has tasks. Evidence: the trace of the failing test (the task is placed on w-0 at 5,105 ms, begins anew at 5,106, "does not answer" at 7,309, and nothing after that). Change: the lease that an order under way may grant counts from the new life's clock, and ends for it as for any other.

--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -94,7 +94,7 @@
 static void
 worker_check_lease(struct pool *p, struct placed_worker *w)
 {
-	if (w->misses == 0 || w->task_count == 0 || !w->held)
+	if (w->misses == 0 || w->task_count == 0)
 		return;
 	if (worker_lease_over(w, p->confirmed_us)) {
 		w->silent_until_ms = p->now_ms;
@@ -333,7 +333,7 @@
 	if (r->born_ms != 0 && w->report.born_ms != 0 &&
 	    r->born_ms != w->report.born_ms) {
 		if (r->born_ms > w->report.born_ms) {
-			worker_reborn(p, w);
+			worker_reborn(p, w, r->clock_ms);
 			w->report.born_ms = r->born_ms;
 		}
 		w->hold_due_us = p->now_us;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -166,7 +166,7 @@
  * orders that were not answered may yet arrive at the new life.
  */
 void
-worker_reborn(struct pool *p, struct placed_worker *w)
+worker_reborn(struct pool *p, struct placed_worker *w, int64_t clock_ms)
 {
 	struct task *t, *next;
 
@@ -191,7 +191,10 @@
 	w->seen_end = w->acked_end = w->pending_end = w->told_end = 0;
 	/* nothing runs there while an old hold could acknowledge its ends */
 	w->shunned_until_us = w->late_until_us;
-	w->lease_end_ms = 0;
+	w->report.clock_ms = clock_ms;
+	w->clock_us = p->now_us;
+	/* what an order that was not answered may grant there */
+	w->lease_end_ms = clock_ms + p->opts.lease_ms;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
 	w->hold_due_us = p->now_us;
@@ -240,14 +243,12 @@
 		return; /* an entry that has not lapsed yet */
 	w->left = false;
 	drained = w->report.draining;
-	clock_ms = w->report.clock_ms;
 	if (r->born_ms != w->report.born_ms && r->born_ms != 0 &&
 	    w->report.born_ms != 0) {
-		worker_reborn(p, w);
-		clock_ms = r->clock_ms;
-		w->clock_us = p->now_us;
+		worker_reborn(p, w, r->clock_ms);
 		drained = false;
 	}
+	clock_ms = w->report.clock_ms;
 	if (!w->listed)
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld",
