--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -86,8 +86,8 @@
 void jobs_world_side(struct jobs_world *w, int worker, int side);
 void jobs_world_crash_worker(struct jobs_world *w, int worker);
 /*
- * Its process has ended, and orders hear so from its address: nobody listens
- * (ORDER_END_NOBODY) or it is another's by now (ORDER_END_OTHER_LIFE).
+ * Its process has ended.  Its address refuses connections (ORDER_END_UNSENT)
+ * or is another's by now (ORDER_END_OTHER_LIFE).
  */
 void jobs_world_end_worker(
     struct jobs_world *w, int worker, enum order_end end);
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -40,8 +40,6 @@
 enum order_end {
 	ORDER_END_TAKEN,
 	ORDER_END_UNSENT, /* the worker has not got it */
-	/* … since nobody listens at its address: that life has ended */
-	ORDER_END_NOBODY,
 	ORDER_END_LOST, /* it may have got it, or may get it later */
 	ORDER_END_FENCED, /* a later owner commands the worker */
 	ORDER_END_OLD, /* that run has ended there */
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -123,8 +123,7 @@
 {
 	worker_check_lease(p, w);
 	if (!worker_known(p, w) && !w->left && w->task_count == 0 &&
-	    !w->hold_out &&
-	    (w->held || !w->inherited || p->now_us >= p->settle_until_us)) {
+	    !w->hold_out && (w->held || p->now_us >= p->settle_until_us)) {
 		worker_free(p, w);
 		return;
 	}
@@ -186,38 +185,13 @@
 	}
 }
 
-/*
- * Its process has ended, and with it all that ran there: nobody listens at its
- * address, twice in a row, or the address is another's by now.
- */
-static bool
-life_is_over(const struct placed_worker *w, enum order_end end)
-{
-	return end == ORDER_END_OTHER_LIFE ||
-	    (end == ORDER_END_NOBODY && w->misses >= SILENT_MISSES);
-}
-
-static void
-worker_ended(struct pool *p, struct placed_worker *w, const char *why)
-{
-	pool_worker_lost(p, w, why);
-	w->inherited = false; /* nor does anything of earlier terms run there */
-	if (w->silent_until_ms == 0 || w->silent_until_ms > p->now_ms) {
-		w->silent_until_ms = p->now_ms;
-		worker_record_again(p, w);
-	}
-	w->hold_due_us = p->now_us + HOLD_RETRY_MAX_MS * US_PER_MS;
-	p->place_due = true;
-}
-
 static void
 hold_failed(struct pool *p, struct placed_worker *w, enum order_end end)
 {
 	int64_t pause = HOLD_RETRY_MS;
 
 	w->misses++;
-	if (w->telling_end > 0 && end != ORDER_END_UNSENT &&
-	    end != ORDER_END_NOBODY)
+	if (w->telling_end > 0 && end != ORDER_END_UNSENT)
 		w->late_until_us = p->now_us + LATE_ORDER_MS * US_PER_MS;
 	if (w->misses == SILENT_MISSES)
 		fx_log(p, LOG_LEVEL_WARN,
@@ -233,9 +207,10 @@
 	if (pause > HOLD_RETRY_MAX_MS)
 		pause = HOLD_RETRY_MAX_MS;
 	w->hold_due_us = p->now_us + pause * US_PER_MS;
-	if (life_is_over(w, end))
-		worker_ended(p, w,
-		    end == ORDER_END_NOBODY ? "nobody-listens" : "other-life");
+	if (end == ORDER_END_OTHER_LIFE) {
+		pool_worker_lost(p, w, "other-life");
+		w->hold_due_us = p->now_us + HOLD_RETRY_MAX_MS * US_PER_MS;
+	}
 }
 
 /* A run that the worker lists and that the pool did not know there. */
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -340,7 +340,6 @@
 		pool_worker_lost(p, t->worker, "other-life");
 		return;
 	case ORDER_END_UNSENT:
-	case ORDER_END_NOBODY:
 	case ORDER_END_FENCED:
 	case ORDER_END_OLD:
 	case ORDER_END_NO_ROOM:
@@ -376,7 +375,6 @@
 		pool_worker_lost(p, t->worker, "other-life");
 		return;
 	case ORDER_END_UNSENT:
-	case ORDER_END_NOBODY:
 	case ORDER_END_LOST:
 	case ORDER_END_FENCED:
 	case ORDER_END_NO_ROOM:
--- a/src/scheduler/shard_orders.c
+++ b/src/scheduler/shard_orders.c
@@ -5,26 +5,21 @@
 
 #include "advice_wire.h"
 #include "shard.h"
-#include "tcp_probe.h"
 #include "worker_wire.h"
 
 #define ORDER_TIMEOUT_MS 400 /* two data centres' round trips and a margin */
 #define HOLD_TIMEOUT_MS 600 /* beyond its wait */
 #define ADVICE_TIMEOUT_MS 1200 /* one question at a time is answered */
-#define PROBE_TIMEOUT_MS 200 /* a round trip between data centres and back */
 #define LISTS_MAX_BYTES (1024 * 1024) /* of a worker, in one answer */
 
 struct shard_order {
 	struct shard *shard;
 	enum pool_effect_kind kind;
 	char worker[NAME_BYTES];
-	char addr[ADDR_BYTES]; /* of the worker; "" the policy's service */
-	int port;
 	struct task_name task;
 	int64_t run;
 	int64_t asked_us;
-	struct http_call *call; /* under way … */
-	struct tcp_probe *probe; /* … or why it could not be made */
+	struct http_call *call;
 	LIST_ENTRY(shard_order) entries;
 };
 
@@ -134,41 +129,6 @@
 	shard_event(sh, &ev);
 }
 
-static void
-on_probed(void *arg, enum tcp_probe_end probed)
-{
-	struct shard_order *o = arg;
-
-	LIST_REMOVE(o, entries);
-	hold_ended(o->shard, o,
-	    probed == TCP_PROBE_REFUSED ? ORDER_END_NOBODY : ORDER_END_UNSENT,
-	    NULL);
-	free(o);
-}
-
-/*
- * A connection that fails before its time is up was refused, or could not be
- * made here: only the first says something of the worker.
- */
-static bool
-probe_worker(struct shard_order *o)
-{
-	struct tcp_probe_opts p = {
-	    .context = o->shard->scheduler->context,
-	    .addr = o->addr,
-	    .port = o->port,
-	    .timeout_ms = PROBE_TIMEOUT_MS,
-	    .on_end = on_probed,
-	    .arg = o,
-	};
-
-	if (sched_now_us() - o->asked_us >= HOLD_TIMEOUT_MS * US_PER_MS)
-		return false;
-	o->call = NULL;
-	o->probe = tcp_probe_start(&p);
-	return o->probe != NULL;
-}
-
 static void
 order_ended(void *arg, enum http_end http_end, struct answer *a)
 {
@@ -176,11 +136,9 @@
 	struct shard *sh = o->shard;
 	enum order_end end = order_end_of(http_end, a);
 
+	LIST_REMOVE(o, entries);
 	if (http_end != HTTP_WHOLE)
 		sh->scheduler->counts.worker_unanswered++;
-	if (o->kind == POOL_HOLD && end == ORDER_END_UNSENT && probe_worker(o))
-		return;
-	LIST_REMOVE(o, entries);
 	switch (o->kind) {
 	case POOL_HOLD:
 		hold_ended(sh, o, end, a);
@@ -233,11 +191,8 @@
 	};
 
 	headers_add(&headers, "content-type", "application/json");
-	if (m->worker != NULL) {
+	if (m->worker != NULL)
 		headers_add(&headers, WORKER_HEADER_ID, m->worker->id);
-		snprintf(o->addr, sizeof(o->addr), "%s", m->worker->addr);
-		o->port = m->worker->port;
-	}
 	o->asked_us = sched_now_us();
 	sh->scheduler->counts.worker_orders++;
 	LIST_INSERT_HEAD(&sh->orders, o, entries);
@@ -388,9 +343,7 @@
 
 	while ((o = LIST_FIRST(&sh->orders)) != NULL) {
 		LIST_REMOVE(o, entries);
-		if (o->call != NULL)
-			http_call_cancel(o->call);
-		tcp_probe_cancel(o->probe);
+		http_call_cancel(o->call);
 		free(o);
 	}
 }
