pool: a new owner does not wait for a worker whose address is another's

What callers saw: after a hand-over nothing of a pool's accepted jobs runs for up to 7.5 s (LOST where it lasts, SHORT in a turn). Cause: a 421 says that the worker's life has ended, and hold_failed() took its tasks off, but left the worker among those that an owner before may have ordered to: the take-over waited for it all the same, and so did the one after.

--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -123,7 +123,8 @@
 {
 	worker_check_lease(p, w);
 	if (!worker_known(p, w) && !w->left && w->task_count == 0 &&
-	    !w->hold_out && (w->held || p->now_us >= p->settle_until_us)) {
+	    !w->hold_out &&
+	    (w->held || !w->inherited || p->now_us >= p->settle_until_us)) {
 		worker_free(p, w);
 		return;
 	}
@@ -185,6 +186,19 @@
 	}
 }
 
+void
+worker_ended(struct pool *p, struct placed_worker *w, const char *why)
+{
+	pool_worker_lost(p, w, why);
+	w->inherited = false; /* nor does anything of earlier terms run there */
+	if (w->silent_until_ms == 0 || w->silent_until_ms > p->now_ms) {
+		w->silent_until_ms = p->now_ms;
+		worker_record_again(p, w);
+	}
+	w->hold_due_us = p->now_us + HOLD_RETRY_MAX_MS * US_PER_MS;
+	p->place_due = true;
+}
+
 static void
 hold_failed(struct pool *p, struct placed_worker *w, enum order_end end)
 {
@@ -207,10 +221,8 @@
 	if (pause > HOLD_RETRY_MAX_MS)
 		pause = HOLD_RETRY_MAX_MS;
 	w->hold_due_us = p->now_us + pause * US_PER_MS;
-	if (end == ORDER_END_OTHER_LIFE) {
-		pool_worker_lost(p, w, "other-life");
-		w->hold_due_us = p->now_us + HOLD_RETRY_MAX_MS * US_PER_MS;
-	}
+	if (end == ORDER_END_OTHER_LIFE)
+		worker_ended(p, w, "other-life");
 }
 
 /* A run that the worker lists and that the pool did not know there. */
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -196,6 +196,8 @@
 /* pool_holds.c */
 void pool_held(struct pool *p, const struct pool_event *ev);
 void pool_hold_due(struct pool *p, const struct pool_event *ev);
+/* Its life is over, and with it all that ran there: the next owner is told. */
+void worker_ended(struct pool *p, struct placed_worker *w, const char *why);
 /* When the next hold is due; "latest_us" where none is earlier. */
 int64_t pool_next_hold_us(const struct pool *p, int64_t latest_us);
 
