pool: the next owner knows of a silent worker after its first miss

Change: the first miss is enough: the worker gets no lease before it has answered and that is stored, so nothing is granted that the record does not know of.

--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -214,8 +214,12 @@
 		    "heard_ms_ago=%lld end=%d",
 		    w->report.id,
 		    (long long)((p->now_us - w->heard_us) / US_PER_MS), end);
-	/* a next owner need not wait for it as long again */
-	if (w->misses == SILENT_MISSES && w->silent_until_ms != 0 &&
+	/*
+	 * A next owner need not wait for it as long again: it has had no lease
+	 * of this term, and gets none before it has answered and that is
+	 * stored.
+	 */
+	if (w->silent_until_ms != 0 &&
 	    w->silent_until_ms != w->recorded_silent_ms)
 		worker_record_again(p, w);
 	pause *= w->misses;
