pool: a list of machines says nothing of a worker that was heard of after it was asked for

Found by reading: a list that was made while a worker was down may arrive after the worker has begun anew under its id. Two of them in a row would end its new life for this owner.

--- a/src/jobs/pool_census.c
+++ b/src/jobs/pool_census.c
@@ -57,7 +57,8 @@
 	if (!ev->u.census.whole)
 		return;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!worker_in_doubt(p, w) ||
+		/* heard of, or anew, since the list was asked for */
+		if (!worker_in_doubt(p, w) || w->clock_us >= p->census_us ||
 		    bsearch(w->report.id, ev->u.census.sorted_ids,
 			ev->u.census.count, NAME_BYTES, compare_ids) != NULL) {
 			w->census_missing = 0;
