pool: an order that a new life may have taken is waited for as long as it may run there

The order carried a lease by the old life's clock; the new one's starts anew, so that it grants the most that workers grant, and an order may arrive 12 s late. A caller's task ran twice at once (24,303 ms: two runs at once, in the test).

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -12,6 +12,7 @@
 
 #define START_MS 1000000 /* Unix time at the beginning */
 #define LEASE_MS 4000
+#define LEASE_MAX_MS 6000 /* workers cut a longer one */
 #define GIVE_UP_MS 3000 /* of an owner that the store does not confirm */
 #define SETTLE_MS 7500 /* both and a margin, as the scheduler counts */
 #define ORDER_TIMEOUT_MS 400
@@ -422,6 +423,8 @@
 		return ORDER_END_OLD;
 	if (m->lease_end_ms <= clock_ms(w, s))
 		return ORDER_END_REFUSED;
+	if (m->lease_end_ms > clock_ms(w, s) + LEASE_MAX_MS)
+		m->lease_end_ms = clock_ms(w, s) + LEASE_MAX_MS;
 	if (m->lease_end_ms > s->lease_end_ms)
 		s->lease_end_ms = m->lease_end_ms;
 	if (!has_room(w, s, step)) {
@@ -1386,6 +1389,12 @@
 	w->workers[worker].ended_as = end;
 }
 
+void
+jobs_world_lose(struct jobs_world *w, double lose)
+{
+	w->opts.lose = lose;
+}
+
 void
 jobs_world_refuse_worker(struct jobs_world *w, int worker, bool refuse)
 {
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -14,6 +14,7 @@
 #define LATE_ORDER_MS                                          \
 	12000 /* an order without an answer may arrive so late \
 	       */
+#define LEASE_MAX_MS 6000 /* that a worker grants, by the platform's bounds */
 #define WORKERS_EVERY_MS 20 /* leases and entries that end by time */
 #define ENDS_OF_A_REPORT 500 /* a full list may hide further ends */
 
@@ -86,6 +87,17 @@
 	}
 }
 
+/*
+ * An order that was not answered may arrive at a new life, whose clock starts
+ * anew: its lease is cut to the most that workers grant, from then on.
+ */
+static bool
+unheard_lease_over(const struct pool *p, const struct placed_worker *w)
+{
+	return p->confirmed_us - w->clock_us >
+	    (LATE_ORDER_MS + LEASE_MAX_MS) * US_PER_MS;
+}
+
 /*
  * A successor that reaches the worker goes on with what runs there.  There was
  * none yet while this owner was confirmed: a lease that was over by then has
@@ -96,7 +108,8 @@
 {
 	if (w->misses == 0 || w->task_count == 0)
 		return;
-	if (worker_lease_over(w, p->confirmed_us)) {
+	if (w->held ? worker_lease_over(w, p->confirmed_us)
+		    : unheard_lease_over(p, w)) {
 		w->silent_until_ms = p->now_ms;
 		worker_record_again(p, w);
 		pool_worker_lost(p, w, "lease-over");
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -192,8 +192,7 @@
 	w->shunned_until_us = w->late_until_us;
 	w->report.clock_ms = clock_ms;
 	w->clock_us = p->now_us;
-	/* what an order that was not answered may grant there */
-	w->lease_end_ms = clock_ms + p->opts.lease_ms;
+	w->lease_end_ms = 0;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
 	w->hold_due_us = p->now_us;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -855,3 +855,26 @@
 	cr_expect_eq(tasks_everywhere(3), 3);
 	expect_kept();
 }
+
+/* Its clock is not the old life's, by which the order was given its lease. */
+Test(pool, an_order_that_a_new_life_took_is_not_over_when_its_old_lease_is)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 20000);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 0); /* unheard of as yet */
+	jobs_world_run(world, 1);
+	jobs_world_lose(world, 1.0);
+	submit_lasting(1, 100, 1, NULL);
+	jobs_world_run(world, 7);
+	jobs_world_lose(world, 0);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, 10000);
+	expect_kept();
+}
