pool: a worker that missed one hold keeps its leases while the store is away

With the partition of the pool away for some seconds all that ran there lapsed (LOST, work thrown away). Cause: the wait of a next owner was taken for zero, where the record says until when it lasts.

--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -38,11 +38,30 @@
 	return wait_ms;
 }
 
+/*
+ * What a hold may grant.  While the store does not say yet that a worker has
+ * answered, a lease must be over when a next owner stops waiting for it.
+ */
+static int64_t
+grant_ms(const struct pool *p, const struct placed_worker *w)
+{
+	int64_t left_ms;
+
+	/* its clock is not known yet; or what it may run must end some time */
+	if (!w->held || w->misses > 0)
+		return 0;
+	if (w->recorded && w->record_serial <= p->written)
+		return p->opts.lease_ms;
+	left_ms =
+	    (int64_t)((double)(w->told_silent_ms - p->now_ms) * CLOCK_SLOW);
+	return left_ms < p->opts.lease_ms ? left_ms : p->opts.lease_ms;
+}
+
 static void
 hold_send(struct pool *p, struct placed_worker *w)
 {
 	struct pool_effect *x = fx_add(p, POOL_HOLD);
-	int64_t end_ms;
+	int64_t end_ms, granted_ms = grant_ms(p, w);
 
 	fx_target(&x->u.hold.worker, w);
 	/*
@@ -53,17 +72,12 @@
 	    w->misses == 0 && w->acked_end > w->told_end ? w->acked_end : 0;
 	x->u.hold.acked_end = w->telling_end;
 	w->hold_out = true;
-	/*
-	 * Its clock is not known yet; or it does not answer, and what it may
-	 * run must end some time: a lease that is never extended.
-	 */
-	if (!w->held || w->misses > 0 || !w->recorded ||
-	    w->record_serial > p->written)
+	if (granted_ms <= 0)
 		return;
-	end_ms = worker_clock_ms(w, p->now_us) + p->opts.lease_ms;
+	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
-	x->u.hold.lease_end_ms = w->lease_end_ms;
+	x->u.hold.lease_end_ms = end_ms;
 	if (w->seen_end > w->acked_end)
 		return;
 	x->u.hold.wait_ms = hold_wait_ms(p, w);
@@ -381,8 +395,10 @@
 	w->misses = w->census_missing = 0;
 	if (w->silent_until_ms != 0) { /* before it gets leases again */
 		w->silent_until_ms = 0;
-		if (w->recorded_silent_ms != 0)
+		if (w->recorded_silent_ms != 0) {
+			w->told_silent_ms = w->recorded_silent_ms;
 			worker_record_again(p, w);
+		}
 	}
 	if (w->telling_end > 0)
 		w->told_end = w->telling_end;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -26,6 +26,8 @@
 	bool recorded; /* … that says what is believed of it … */
 	uint64_t record_serial; /* … once this is written */
 	int64_t recorded_silent_ms; /* "silent_until_ms" of the record */
+	/* Unix time until which a next owner waits for it all the same. */
+	int64_t told_silent_ms;
 	int64_t clock_us; /* when report.clock_ms was observed */
 	int64_t lease_end_ms; /* latest that was sent, on its clock */
 	int64_t heard_us;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -193,6 +193,7 @@
 	w->report.clock_ms = clock_ms;
 	w->clock_us = p->now_us;
 	w->lease_end_ms = 0;
+	w->told_silent_ms = 0;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
 	w->hold_due_us = p->now_us;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -878,3 +878,22 @@
 	jobs_world_run(world, 10000);
 	expect_kept();
 }
+
+/* It got no lease until the store knew that it had answered. */
+Test(pool, tasks_go_on_where_one_hold_was_missed_and_the_store_is_away)
+{
+	int w;
+
+	w = run_three_lasting();
+	jobs_world_run(world, 3000);
+	jobs_world_cut_worker(world, w, true);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 620);
+	jobs_world_cut_worker(world, w, false);
+	jobs_world_store(world, true);
+	jobs_world_run(world, 5000);
+	cr_expect_eq(jobs_world_tasks_on(world, w), 3);
+	jobs_world_store(world, false);
+	jobs_world_run(world, 3000);
+	expect_kept();
+}
