--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -283,6 +283,7 @@
 	pool_worker_lost(p, w, "machine-taken-away");
 	w->left = true;
 	w->listed = false;
+	w->gone_us = 0; /* it will not be back */
 	w->silent_until_ms = p->now_ms;
 	worker_record_again(p, w);
 	p->place_due = true;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -897,3 +897,26 @@
 	jobs_world_run(world, 3000);
 	expect_kept();
 }
+
+Test(pool, a_worker_that_has_left_gets_no_tasks_while_its_entry_is_away)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 5000);
+	submit(1, 1, 1000, 300, NULL);
+	jobs_world_run(world, 100);
+	jobs_world_store(world, true);
+	jobs_world_run(world, 300); /* its end is seen, not stored */
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_take_worker(world, 0);
+	jobs_world_store(world, false);
+	jobs_world_run(world, 10);
+	submit_lasting(1, 100, 1, NULL);
+	jobs_world_run(world, 300);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, AT_WORK_MS);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_kept();
+}
