--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -218,6 +218,7 @@
 worker_ended(struct pool *p, struct placed_worker *w, const char *why)
 {
 	pool_worker_lost(p, w, why);
+	w->held = false;
 	w->inherited = false; /* nor does anything of earlier terms run there */
 	if (w->silent_until_ms == 0 || w->silent_until_ms > p->now_ms) {
 		w->silent_until_ms = p->now_ms;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -337,7 +337,7 @@
 		}
 		return;
 	case ORDER_END_OTHER_LIFE:
-		pool_worker_lost(p, t->worker, "other-life");
+		worker_ended(p, t->worker, "other-life");
 		return;
 	case ORDER_END_UNSENT:
 	case ORDER_END_FENCED:
@@ -372,7 +372,7 @@
 		p->next_hold_us = p->now_us;
 		return;
 	case ORDER_END_OTHER_LIFE:
-		pool_worker_lost(p, t->worker, "other-life");
+		worker_ended(p, t->worker, "other-life");
 		return;
 	case ORDER_END_UNSENT:
 	case ORDER_END_LOST:
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -920,3 +920,22 @@
 	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
 	expect_kept();
 }
+
+/* Starts went out every 4 ms to an address that answered each with 421. */
+Test(pool, starts_are_not_sent_over_and_over_to_an_address_that_is_anothers)
+{
+	struct pool_stats st;
+	uint64_t before;
+	int w;
+
+	w = run_three_lasting();
+	submit_lasting(6, 7000, 6, NULL);
+	jobs_world_run(world, 100);
+	pool_stats(jobs_world_pool(world), &st);
+	before = st.starts;
+	jobs_world_end_worker(world, w, ORDER_END_OTHER_LIFE);
+	jobs_world_run(world, 900);
+	pool_stats(jobs_world_pool(world), &st);
+	cr_expect_leq(st.starts - before, 20); /* nine tasks, twice */
+	jobs_world_free(world);
+}
