pool: a run that a new life of a worker took is not given up when its entry comes

Change: a task ordered since the new life was born, by its own word and half a second for clocks, stays until the worker's lists tell.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -529,7 +529,7 @@
 
 	memset(r, 0, sizeof(*r));
 	r->clock_ms = clock_ms(w, s);
-	r->born_ms = s->born_ms;
+	r->born_ms = START_MS + s->born_ms;
 	LIST_FOREACH(run, &s->runs, entries)
 		n++;
 	r->running = calloc(n + 1, sizeof(*r->running));
@@ -966,7 +966,7 @@
 	snprintf(r.pool, sizeof(r.pool), "pool");
 	snprintf(r.addr, sizeof(r.addr), "10.0.0.%d", i + 1);
 	r.port = 80;
-	r.born_ms = s->born_ms;
+	r.born_ms = START_MS + s->born_ms;
 	r.cpu = w->opts.cpu;
 	r.memory_mb = w->opts.memory_mb;
 	r.accelerators = w->opts.accelerators;
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -377,7 +377,7 @@
 	if (r->born_ms != 0 && w->report.born_ms != 0 &&
 	    r->born_ms != w->report.born_ms) {
 		if (r->born_ms > w->report.born_ms) {
-			worker_reborn(p, w, r->clock_ms);
+			worker_reborn(p, w, r->clock_ms, r->born_ms);
 			w->report.born_ms = r->born_ms;
 		}
 		w->hold_due_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -197,7 +197,8 @@
 /* What the topic says of it is not what is believed any more. */
 void worker_record_again(struct pool *p, struct placed_worker *w);
 /* Another life under the same id: it knows nothing of before. */
-void worker_reborn(struct pool *p, struct placed_worker *w, int64_t clock_ms);
+void worker_reborn(
+    struct pool *p, struct placed_worker *w, int64_t clock_ms, int64_t born_ms);
 void worker_free(struct pool *p, struct placed_worker *w);
 
 /* pool_holds.c */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -165,8 +165,10 @@
  * orders that were not answered may yet arrive at the new life.
  */
 void
-worker_reborn(struct pool *p, struct placed_worker *w, int64_t clock_ms)
+worker_reborn(
+    struct pool *p, struct placed_worker *w, int64_t clock_ms, int64_t born_ms)
 {
+	int64_t age_ms = p->now_ms - born_ms + CLOCKS_APART_MS;
 	struct task *t, *next;
 
 	fx_log(p, LOG_LEVEL_INFO,
@@ -177,6 +179,10 @@
 		if (t->place == PLACE_STARTING || t->place == PLACE_UNSURE) {
 			t->place = PLACE_UNSURE;
 			t->answered_us = 0;
+		} else if (p->now_us - t->ordered_us < age_ms * US_PER_MS) {
+			/* the new life may have taken it: its lists will tell
+			 */
+			t->answered_us = p->now_us;
 		} else {
 			task_detach(p, t);
 		}
@@ -244,7 +250,7 @@
 	drained = w->report.draining;
 	if (r->born_ms != w->report.born_ms && r->born_ms != 0 &&
 	    w->report.born_ms != 0) {
-		worker_reborn(p, w, r->clock_ms);
+		worker_reborn(p, w, r->clock_ms, r->born_ms);
 		drained = false;
 	}
 	clock_ms = w->report.clock_ms;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -939,3 +939,23 @@
 	cr_expect_leq(st.starts - before, 20); /* nine tasks, twice */
 	jobs_world_free(world);
 }
+
+/* Its entry came after a start that it had taken already. */
+Test(pool, a_run_that_a_new_life_took_before_its_entry_came_is_not_run_twice)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 20000);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 0); /* unheard of as yet */
+	submit_lasting(1, 100, 1, NULL);
+	jobs_world_run(world, 20);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, 100);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 5000);
+	expect_kept();
+}
