pool: a new owner uses workers that answer before it has read their entries

What callers saw: while the partition with workers' entries is away, a new owner places nothing, though the workers that its predecessor recorded answer it, and tells the keeper that its jobs need no machine (wanted 0, in a turn). Cause: what is not known taken for zero: a recorded worker had no room until its entry came, and none counted as known. Change: a worker's record has its room and labels, some 60 bytes more; a recorded worker counts as one whose entry is to come, for the 2.5 s that entries may take, while it answers.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -114,7 +114,7 @@
 	double n = 0, cpu = 0, memory_mb = 0, accelerators = 0;
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!w->listed)
+		if (!worker_known(p, w) || w->report.cpu == 0)
 			continue;
 		n++;
 		cpu += (double)w->report.cpu;
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -9,20 +9,36 @@
 #include "pool_state.h"
 #include "wire.h"
 
-#define WORKER_FIELDS 4 /* birth, address, port, silent until */
+#define WORKER_FIELDS 7 /* birth, address, port, silent until, its room */
+
+#define LABEL_KEY_BYTES 32
+
+/* Labels keep their order: "label0" is the kind, "label1" the rack. */
+static const char *
+label_key(char key[LABEL_KEY_BYTES], size_t i)
+{
+	snprintf(key, LABEL_KEY_BYTES, "label%zu", i);
+	return key;
+}
 
 static void
 record_worker(struct pool *p, struct placed_worker *w)
 {
-	char key[JOB_KEY_BYTES];
+	char key[JOB_KEY_BYTES], label[LABEL_KEY_BYTES];
 	struct wire_writer out;
+	size_t i;
 
 	wire_writer_init(&out);
-	wire_map(&out, WORKER_FIELDS);
+	wire_map(&out, WORKER_FIELDS + (uint32_t)w->report.label_count);
 	wire_i64(&out, "born", w->report.born_ms);
 	wire_str(&out, "addr", w->report.addr);
 	wire_u64(&out, "port", (uint64_t)w->report.port);
 	wire_i64(&out, "silent", w->silent_until_ms);
+	wire_i64(&out, "cpu", w->report.cpu);
+	wire_i64(&out, "memory", w->report.memory_mb);
+	wire_i64(&out, "accelerators", w->report.accelerators);
+	for (i = 0; i < w->report.label_count; i++)
+		wire_str(&out, label_key(label, i), w->report.labels[i]);
 	worker_record_key(key, w->report.id);
 	fx_write(p, key, wire_writer_take(&out));
 	w->record_serial = p->serial;
@@ -47,6 +63,23 @@
 	p->workers_listed = false;
 }
 
+/* A record of an earlier version has no room: its entry tells it. */
+static void
+load_room(struct worker_report *r, const msgpack_object *map)
+{
+	char key[LABEL_KEY_BYTES];
+	size_t i;
+
+	if (!wire_get_i64(map, "cpu", &r->cpu) ||
+	    !wire_get_i64(map, "memory", &r->memory_mb) ||
+	    !wire_get_i64(map, "accelerators", &r->accelerators))
+		return;
+	for (i = 0; i < WORKER_LABELS_MAX &&
+	     wire_get_str(map, label_key(key, i), r->labels[i], NAME_BYTES);
+	     i++)
+		r->label_count++;
+}
+
 /* NULL where a field is missing. */
 static struct placed_worker *
 load_worker(struct pool *p, const char *id, const msgpack_object *map)
@@ -63,6 +96,7 @@
 	    !wire_get_u64(map, "port", &port))
 		return NULL;
 	r.port = (int)port;
+	load_room(&r, map);
 	if (wire_get_i64(map, "silent", &silent_ms) && silent_ms != 0 &&
 	    silent_ms < until_ms)
 		until_ms = silent_ms;
@@ -73,6 +107,7 @@
 	if (w == NULL)
 		abort(); /* it may run tasks that would be started again */
 	w->inherited = true;
+	w->gone_us = p->now_us; /* until its entry has been read */
 	if (until_ms > w->silent_until_ms)
 		w->silent_until_ms = until_ms;
 	w->recorded_silent_ms = silent_ms;
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -959,3 +959,38 @@
 	jobs_world_run(world, 5000);
 	expect_kept();
 }
+
+Test(pool, a_new_owner_uses_workers_that_answer_while_entries_are_away)
+{
+	world = world_of(1);
+	jobs_world_run(world, 500);
+	jobs_world_list_worker(world, 0, false);
+	submit(1, 2, 1000, 5000, NULL);
+	jobs_world_run(world, 100);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 100);
+	submit(1, 2, 1000, 100, NULL);
+	jobs_world_run(world, 1500);
+	cr_expect_eq(jobs_world_starts(world), 4);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 5000);
+	expect_kept();
+}
+
+Test(pool, a_new_owner_knows_what_its_jobs_need_while_entries_are_away)
+{
+	struct pool_demand d;
+	int i;
+
+	world = world_of(2);
+	for (i = 0; i < 10; i++)
+		submit(1, 8, 1000, 3000, NULL);
+	jobs_world_run(world, 100);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 200);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.wanted_milli, 10000);
+	jobs_world_free(world);
+}
