store_client: what is known of the store is kept by topic

Cause: one flag for the whole store, flipped by each call.

A line for each change, with age and failed calls. A front gives up at once where the group, the pool's topic or the whole store is lost. The call says what it is about (store_wire).

--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -67,12 +67,20 @@
 	return len > 0 ? buf_append(b, value, len) : 0;
 }
 
+static void
+call_init(struct store_call *c, const char *method, const char *topic)
+{
+	c->method = method;
+	c->body = NULL;
+	snprintf(c->topic, sizeof(c->topic), "%s", topic);
+}
+
 void
 store_append_call(struct store_call *c, const struct append_opts *o)
 {
 	int n;
 
-	c->method = "POST";
+	call_init(c, "POST", o->topic);
 	n = snprintf(
 	    c->path, sizeof(c->path), "/log-append?topic=%s&part=0", o->topic);
 	if (o->at >= 0)
@@ -89,8 +97,7 @@
 store_read_call(
     struct store_call *c, const char *topic, int64_t from, int wait_ms)
 {
-	c->method = "GET";
-	c->body = NULL;
+	call_init(c, "GET", topic);
 	snprintf(c->path, sizeof(c->path),
 	    "/log-read?topic=%s&part=0&from=%" PRId64 "&maxKb=%d&waitMs=%d",
 	    topic, from, READ_KB, wait_ms);
@@ -120,8 +127,7 @@
 {
 	char key[STORE_PATH_BYTES / 2];
 
-	c->method = "GET";
-	c->body = NULL;
+	call_init(c, "GET", topic);
 	if (after == NULL) {
 		snprintf(c->path, sizeof(c->path),
 		    "/log-newest?topic=%s&part=0", topic);
@@ -149,7 +155,7 @@
 	json_object_object_add(root, "ttlMs", json_object_new_int(o->ttl_ms));
 	json_object_object_add(
 	    root, "generation", json_object_new_int64(o->generation));
-	c->method = "POST";
+	call_init(c, "POST", o->group);
 	snprintf(c->path, sizeof(c->path), "/log-join");
 	c->body = json_body(root);
 }
@@ -161,7 +167,7 @@
 
 	json_object_object_add(root, "group", json_object_new_string(group));
 	json_object_object_add(root, "member", json_object_new_string(member));
-	c->method = "POST";
+	call_init(c, "POST", group);
 	snprintf(c->path, sizeof(c->path), "/log-leave");
 	c->body = json_body(root);
 }
@@ -169,8 +175,7 @@
 void
 store_owners_call(struct store_call *c, const char *group)
 {
-	c->method = "GET";
-	c->body = NULL;
+	call_init(c, "GET", group);
 	snprintf(c->path, sizeof(c->path), "/log-owners?group=%s", group);
 }
 
--- a/src/platform/store_wire.h
+++ b/src/platform/store_wire.h
@@ -21,6 +21,7 @@
 
 struct store_call {
 	const char *method;
+	char topic[TOPIC_BYTES]; /* or group, that it is about */
 	char path[STORE_PATH_BYTES];
 	struct buf *body; /* NULL: none */
 };
--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -88,7 +88,7 @@
 front_ready(const struct scheduler *s)
 {
 	return !s->stopping && s->config != NULL &&
-	    reach_ready(&s->reach, sched_now_us(), s->store_heard_us);
+	    reach_ready(&s->reach, sched_now_us(), s->store.heard_us);
 }
 
 static void
@@ -207,19 +207,25 @@
 	front_try(c);
 }
 
-/* "gone": nobody has answered for the pool for longer than a take-over. */
+static bool
+no_owner_soon(const struct front_call *c, const struct owner_gate *g)
+{
+	bool stuck = owners_stuck(c->front->scheduler->owners, c->request.pool);
+
+	return stuck || (g != NULL && peer_gate_gone(&g->gate, sched_now_us()));
+}
+
+/* "g": of the owner that was tried; NULL: none is known. */
 static void
-retry_later(struct front_call *c, bool gone)
+retry_later(struct front_call *c, const struct owner_gate *g)
 {
 	int64_t now = sched_now_us(), until = c->until_us;
-	bool lost = c->front->scheduler->store_lost;
 
 	owners_refresh(c->front->scheduler->owners);
 	if (!c->unsure && c->begun_us + TAKEOVER_MS * US_PER_MS < until)
 		until = c->begun_us + TAKEOVER_MS * US_PER_MS;
-	/* without the store no owner can take over: known at once */
-	if (now + RETRY_MS * US_PER_MS >= until || (lost && !c->unsure) ||
-	    (gone && !c->unsure)) {
+	if (now + RETRY_MS * US_PER_MS >= until ||
+	    (!c->unsure && no_owner_soon(c, g))) {
 		give_up(c);
 		return;
 	}
@@ -237,7 +243,8 @@
 	    "msg=\"%s not stored in time\" job=%s queue=%s status=504 "
 	    "store_heard_ms_ago=%lld",
 	    job_op_name(c->request.op), c->request.id, c->request.terms.name,
-	    (long long)((sched_now_us() - c->front->scheduler->store_heard_us) /
+	    (long long)(store_health_silent_us(
+			    &c->front->scheduler->store, sched_now_us()) /
 		US_PER_MS));
 	c->front->scheduler->counts.unknown_outcome++;
 	c->answered = true;
@@ -248,6 +255,7 @@
 on_reply(void *arg, const struct job_reply *r)
 {
 	struct front_call *c = arg;
+	struct owner_gate *tried = c->sent_to;
 
 	c->peer = NULL;
 	if (c->sent_to != NULL)
@@ -274,7 +282,7 @@
 	case REPLY_NOT_TAKEN:
 		break;
 	}
-	retry_later(c, false);
+	retry_later(c, tried);
 }
 
 /* Owners come and go: forgets one that nothing is under way to. */
@@ -327,13 +335,13 @@
 	int64_t now = sched_now_us();
 
 	if (g == NULL) {
-		retry_later(c, false);
+		retry_later(c, NULL);
 		return;
 	}
 	c->verdict = peer_gate_ask(&g->gate, now, gate_kind_of(c), c->unsure);
 	if (c->verdict == GATE_WAIT) {
 		s->counts.held_back++;
-		retry_later(c, peer_gate_gone(&g->gate, now));
+		retry_later(c, g);
 		return;
 	}
 	c->tries++;
@@ -343,7 +351,7 @@
 		return;
 	c->sent_to = NULL;
 	peer_gate_ended(&g->gate, now, gate_kind_of(c), c->verdict, false);
-	retry_later(c, false);
+	retry_later(c, g);
 }
 
 static void
@@ -365,10 +373,11 @@
 	}
 	if (!owners_of(s->owners, c->request.pool, &to, &self) || self ||
 	    left_ms <= 0) {
-		retry_later(c, false);
+		retry_later(c, NULL);
 		return;
 	}
-	if (s->store_lost && reach_lost(&s->reach, sched_now_us()))
+	if (owners_stuck(s->owners, c->request.pool) &&
+	    reach_lost(&s->reach, sched_now_us()))
 		timeout_ms = TRY_TIMEOUT_LOST_MS;
 	if (left_ms < timeout_ms)
 		timeout_ms = (int)left_ms;
@@ -497,7 +506,8 @@
 		    "msg=\"%s\" store_heard_ms_ago=%lld served=%.1f "
 		    "unserved=%.1f",
 		    ready ? "callers may come" : "callers should go elsewhere",
-		    (long long)((sched_now_us() - s->store_heard_us) /
+		    (long long)(store_health_silent_us(
+				    &s->store, sched_now_us()) /
 			US_PER_MS),
 		    s->reach.served, s->reach.unserved);
 	f->told_ready = ready;
--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -295,6 +295,19 @@
 	    member, to->addr, sizeof(to->addr), &to->port, NULL);
 }
 
+bool
+owners_stuck(const struct owners *o, const char *pool)
+{
+	const struct store_health *h = &o->scheduler->store;
+	int64_t now = sched_now_us();
+	char topic[TOPIC_BYTES];
+
+	store_jobs_topic(topic, sizeof(topic), pool);
+	return store_health_lost(h, now) ||
+	    store_health_topic_lost(h, GROUP, now) ||
+	    store_health_topic_lost(h, topic, now);
+}
+
 void
 owners_refresh(struct owners *o)
 {
--- a/src/scheduler/owners.h
+++ b/src/scheduler/owners.h
@@ -18,6 +18,11 @@
  */
 bool owners_of(
     const struct owners *o, const char *pool, struct endpoint *to, bool *self);
+/*
+ * Nobody can be dealt the pool or take it over now, as far as is known here:
+ * the group or the pool's topic is away.
+ */
+bool owners_stuck(const struct owners *o, const char *pool);
 /* The owner did not answer, or is none: asks the store again soon. */
 void owners_refresh(struct owners *o);
 /* A new configuration may have other pools. */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -263,7 +263,7 @@
 	    s->settings_path, sizeof(s->settings_path), "%s", settings_path);
 	if (boot_load(&s->boot, settings_path, e) == -1)
 		return -1;
-	s->store_heard_us = sched_now_us();
+	store_health_init(&s->store, sched_now_us());
 	loop.last_boot_us = sched_boot_us();
 	daemon_log_open("info", s->boot.name);
 	daemon_log_to_stdout(LOG_LINES_PER_S);
@@ -348,7 +348,7 @@
 	metric_gauge(out, "config_version", "version in force", "",
 	    s->config != NULL ? s->config->version : -1);
 	metric_gauge(out, "store_heard_ms_ago", "age of its newest answer", "",
-	    (sched_now_us() - s->store_heard_us) / US_PER_MS);
+	    store_health_silent_us(&s->store, sched_now_us()) / US_PER_MS);
 	write_histogram(n, out);
 	shards_metrics(s->shards, out);
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -17,6 +17,7 @@
 #include "http_listener.h"
 #include "reach.h"
 #include "repeat_timer.h"
+#include "store_health.h"
 #include "store_wire.h"
 
 struct duty;
@@ -52,8 +53,7 @@
 	struct peer_server *peers;
 	char member[MEMBER_BYTES]; /* own name in the group: "IP:PORT" */
 	bool stopping; /* SIGTERM has come */
-	int64_t store_heard_us; /* newest answer of the store */
-	bool store_lost; /* as logged */
+	struct store_health store; /* as its answers tell */
 	struct repeat_timer append_timer;
 	struct reach reach; /* of owners, by callers' requests */
 	struct scheduler_counts counts;
--- a/src/scheduler/store_client.c
+++ b/src/scheduler/store_client.c
@@ -1,5 +1,6 @@
 #include "store_client.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,28 +9,45 @@
 struct store_op {
 	struct scheduler *scheduler;
 	struct http_call *call;
+	char topic[TOPIC_BYTES];
+	int64_t sent_us;
 	store_end *end;
 	void *arg;
 };
 
 static void
-note_answer(struct scheduler *s, bool heard)
+log_change(const char *topic, const struct store_change *c)
 {
-	if (heard) {
-		s->store_heard_us = sched_now_us();
-		if (s->store_lost)
-			daemon_log(LOG_LEVEL_INFO, "store",
-			    "msg=\"store answers again\"");
-		s->store_lost = false;
-		return;
-	}
-	s->counts.store_failed++;
-	if (!s->store_lost)
+	long long ms = c->silent_us >= 0 ? c->silent_us / US_PER_MS : -1;
+
+	if (c->kind == STORE_LOST)
 		daemon_log(LOG_LEVEL_WARN, "store",
-		    "msg=\"store does not answer\" heard_ms_ago=%lld",
-		    (long long)((sched_now_us() - s->store_heard_us) /
-			US_PER_MS));
-	s->store_lost = true;
+		    "msg=\"store does not answer\" topic=%s heard_ms_ago=%lld "
+		    "failed=%d",
+		    topic, ms, c->failed);
+	else if (c->kind == STORE_REGAINED)
+		daemon_log(LOG_LEVEL_INFO, "store",
+		    "msg=\"store answers again\" topic=%s away_ms=%lld "
+		    "failed=%d",
+		    topic, ms, c->failed);
+}
+
+static void
+note_end(const struct store_op *op, bool heard)
+{
+	struct scheduler *s = op->scheduler;
+	struct store_call_end end = {
+	    .topic = op->topic,
+	    .sent_us = op->sent_us,
+	    .heard = heard,
+	};
+	struct store_change topic, all;
+
+	if (!heard)
+		s->counts.store_failed++;
+	store_health_note(&s->store, sched_now_us(), &end, &topic, &all);
+	log_change(op->topic, &topic);
+	log_change("any", &all);
 }
 
 /* The store turns a daemon away with 429 or 503 as long as it likes. */
@@ -46,7 +64,7 @@
 	bool whole = end == HTTP_WHOLE;
 	const struct buf *body = whole ? answer->body : NULL;
 
-	note_answer(op->scheduler, whole && served(answer->status));
+	note_end(op, whole && served(answer->status));
 	op->end(op->arg, whole ? answer->status : 0, end != HTTP_UNSENT,
 	    body != NULL ? body->data : NULL, body != NULL ? body->len : 0);
 	free(op);
@@ -74,6 +92,8 @@
 	op = calloc(1, sizeof(*op));
 	if (op != NULL) {
 		op->scheduler = s;
+		op->sent_us = sched_now_us();
+		snprintf(op->topic, sizeof(op->topic), "%s", c->topic);
 		op->end = end;
 		op->arg = arg;
 		o.arg = op;
