peer_gate: a busy owner is not taken for none while the store is away

A caller whose request had to wait because 32 of its front's requests were under way at the owner, or whose first try got no answer, was refused with 503 no-owner at once if the store was lost to the front, though the owner answered others at that time.

Now only an owner that is silent (three requests in a row) is given up at once, and only where no other daemon can take over; a busy one is tried again after 60 ms as at other times.

Test: a_busy_owner_is_waited_for_though_none_can_take_over; with the rule as it was (given up where the store is lost) it failed.

--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -212,7 +212,8 @@
 {
 	bool stuck = owners_stuck(c->front->scheduler->owners, c->request.pool);
 
-	return stuck || (g != NULL && peer_gate_gone(&g->gate, sched_now_us()));
+	return g != NULL ? peer_gate_hopeless(&g->gate, sched_now_us(), stuck)
+			 : stuck;
 }
 
 /* "g": of the owner that was tried; NULL: none is known. */
--- a/src/scheduler/peer_gate.c
+++ b/src/scheduler/peer_gate.c
@@ -35,6 +35,12 @@
 	    now_us - g->silent_since_us > GONE_MS * US_PER_MS;
 }
 
+bool
+peer_gate_hopeless(const struct peer_gate *g, int64_t now_us, bool stuck)
+{
+	return gate_silent(g) && (stuck || peer_gate_gone(g, now_us));
+}
+
 static void
 refill(struct peer_gate *g, int64_t now_us)
 {
--- a/src/scheduler/peer_gate.h
+++ b/src/scheduler/peer_gate.h
@@ -50,5 +50,10 @@
  * waiting.
  */
 bool peer_gate_gone(const struct peer_gate *g, int64_t now_us);
+/*
+ * Neither the owner nor another one will answer soon.  "stuck": no other daemon
+ * can take over.  An owner that is only busy is waited for all the same.
+ */
+bool peer_gate_hopeless(const struct peer_gate *g, int64_t now_us, bool stuck);
 
 #endif
--- a/tests/unit/test_peer_gate.c
+++ b/tests/unit/test_peer_gate.c
@@ -209,3 +209,24 @@
 	/* 20 at first, 10 a second, a tenth of what is answered */
 	cr_expect_leq(sent, (20 + 100) * 10 / 9, "%d", sent);
 }
+
+/* An owner that was busy was taken for none while the store was away. */
+Test(peer_gate, a_busy_owner_is_waited_for_though_none_can_take_over)
+{
+	struct peer_gate g = {.prng = 1};
+	int64_t now_us = US_PER_S;
+	enum gate_verdict v;
+	int i;
+
+	while (
+	    (v = peer_gate_ask(&g, now_us, GATE_HAND_IN, false)) == GATE_SEND)
+		cr_assert_leq(g.under_way[GATE_HAND_IN], CALLS_MAX);
+	cr_assert_eq(v, GATE_WAIT);
+	cr_expect_not(peer_gate_hopeless(&g, now_us, true));
+	for (i = 0; i < 3; i++)
+		peer_gate_ended(&g, now_us, GATE_HAND_IN, GATE_SEND, false);
+	cr_expect(peer_gate_hopeless(&g, now_us, true));
+	cr_expect_not(peer_gate_hopeless(&g, now_us, false));
+	now_us += 3 * US_PER_S;
+	cr_expect(peer_gate_hopeless(&g, now_us, false));
+}
