reach: a daemon that is cut off sends callers elsewhere, and keeps them there

Cause: an owner behind the same cut answers for jobs that it knows (looks, repeats) and refuses what is new, as it cannot store it. Looks were counted against refused hand-ins, refusals by an owner not at all, and what was counted faded within a second, so that a daemon without callers was ready again. A request counted only when it ended, up to 2.5 s late.

Change: hand-ins are counted apart from requests about jobs. Without the store for 1.2 s a daemon is away when a hand-in was in vain since and none was served for 1.2 s; it stays away until the store is heard, or two hand-ins were served. A request counts when its owner proves silent. A daemon that only the store turns away stays ready as before.

Test: reach/*: four new ones failed with the rule as it was (answers_for_known_jobs_do_not_hide_refused_hand_ins, one_refused_hand_in_counts_where_none_is_served, a_daemon_that_is_cut_off_is_not_ready_again_for_want_of_callers, an_owner_that_refuses_everything_may_be_cut_off_too); a_refused_hand_in_among_served_ones_is_no_cut guards the other side. The assertions of the old tests are as they were; reach_note() takes the kind of a request and its outcome.

--- a/src/scheduler/front.c
+++ b/src/scheduler/front.c
@@ -44,6 +44,7 @@
 	int64_t until_us; /* the answer is due */
 	int tries;
 	bool unsure; /* an earlier try may have been taken */
+	bool unserved; /* as counted */
 	bool local; /* waits for a pool of this daemon */
 	bool answered; /* too late for the caller: freed at the reply */
 	struct peer_call *peer; /* under way … */
@@ -85,7 +86,7 @@
 }
 
 static bool
-front_ready(const struct scheduler *s)
+front_ready(struct scheduler *s)
 {
 	return !s->stopping && s->config != NULL &&
 	    reach_ready(&s->reach, sched_now_us(), s->store.heard_us);
@@ -130,6 +131,16 @@
 	n->handin_count++;
 }
 
+/* Once for a request, as soon as its owner proves silent. */
+static void
+note_unserved(struct front_call *c)
+{
+	if (!c->unserved)
+		reach_note(&c->front->scheduler->reach, sched_now_us(),
+		    gate_kind_of(c), REACH_UNSERVED);
+	c->unserved = true;
+}
+
 /* The final answer, and the one log line that says why. */
 static void
 finish(struct front_call *c, int status, struct buf *body, int retry_after_ms,
@@ -150,7 +161,7 @@
 	else if (status == 504)
 		f->scheduler->counts.unknown_outcome++;
 	if (status == 503 || status == 504)
-		reach_note(&f->scheduler->reach, sched_now_us(), false);
+		note_unserved(c);
 	answer(f, c->id, status, body, retry_after_ms);
 	call_free(c);
 }
@@ -158,9 +169,8 @@
 static void
 finish_owner(struct front_call *c, const struct job_reply *r)
 {
-	/* an owner refuses also when it is cut off itself */
-	if (r->answer != POOL_OVERLOADED)
-		reach_note(&c->front->scheduler->reach, sched_now_us(), true);
+	reach_note(&c->front->scheduler->reach, sched_now_us(), gate_kind_of(c),
+	    r->answer != POOL_OVERLOADED ? REACH_SERVED : REACH_REFUSED);
 	switch (r->answer) {
 	case POOL_ACCEPTED:
 		count_handin(c);
@@ -230,6 +240,8 @@
 		give_up(c);
 		return;
 	}
+	if (g != NULL && peer_gate_silent(&g->gate))
+		note_unserved(c);
 	lws_sul_schedule(c->front->scheduler->context, 0, &c->retry, on_retry,
 	    RETRY_MS * US_PER_MS);
 }
@@ -510,7 +522,8 @@
 		    (long long)(store_health_silent_us(
 				    &s->store, sched_now_us()) /
 			US_PER_MS),
-		    s->reach.served, s->reach.unserved);
+		    s->reach.shares[GATE_HAND_IN].served,
+		    s->reach.shares[GATE_HAND_IN].unserved);
 	f->told_ready = ready;
 	reply.status = ready && strcmp(r->path, PATH_READY) == 0 ? 200 : 503;
 	http_listener_answer(f->readiness, id, &reply);
--- a/src/scheduler/peer_gate.c
+++ b/src/scheduler/peer_gate.c
@@ -21,9 +21,8 @@
 	    g->under_way[GATE_ABOUT_JOB] == 0;
 }
 
-/* No answer came to the newest requests. */
-static bool
-gate_silent(const struct peer_gate *g)
+bool
+peer_gate_silent(const struct peer_gate *g)
 {
 	return g->unanswered >= SILENT_AFTER;
 }
@@ -31,14 +30,14 @@
 bool
 peer_gate_gone(const struct peer_gate *g, int64_t now_us)
 {
-	return gate_silent(g) &&
+	return peer_gate_silent(g) &&
 	    now_us - g->silent_since_us > GONE_MS * US_PER_MS;
 }
 
 bool
 peer_gate_hopeless(const struct peer_gate *g, int64_t now_us, bool stuck)
 {
-	return gate_silent(g) && (stuck || peer_gate_gone(g, now_us));
+	return peer_gate_silent(g) && (stuck || peer_gate_gone(g, now_us));
 }
 
 static void
@@ -59,7 +58,7 @@
     struct peer_gate *g, int64_t now_us, enum gate_kind kind, bool again)
 {
 	refill(g, now_us);
-	if (gate_silent(g)) {
+	if (peer_gate_silent(g)) {
 		if (g->probing || now_us < g->probe_us)
 			return GATE_WAIT;
 		g->probing = true;
@@ -106,7 +105,7 @@
 		return;
 	}
 	/* of those sent before it fell silent, only the first few count */
-	if (sent == GATE_PROBE || !gate_silent(g)) {
+	if (sent == GATE_PROBE || !peer_gate_silent(g)) {
 		if (++g->unanswered == SILENT_AFTER)
 			g->silent_since_us = now_us;
 		g->probe_us = now_us + probe_pause_us(g);
--- a/src/scheduler/peer_gate.h
+++ b/src/scheduler/peer_gate.h
@@ -45,6 +45,8 @@
     enum gate_verdict sent, bool answered);
 /* Nothing is under way. */
 bool peer_gate_idle(const struct peer_gate *g);
+/* No answer came to the newest requests. */
+bool peer_gate_silent(const struct peer_gate *g);
 /*
  * No answer has come for longer than a take-over takes: callers are not kept
  * waiting.
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -26,7 +26,8 @@
 		now_us += STEP_MS * US_PER_MS;
 		if (store)
 			store_heard_us = now_us;
-		reach_note(&reach, now_us, owners);
+		reach_note(&reach, now_us, GATE_HAND_IN,
+		    owners ? REACH_SERVED : REACH_UNSERVED);
 	}
 }
 
@@ -67,3 +68,85 @@
 	play(2000, true, false);
 	cr_expect(reach_ready(&reach, now_us, store_heard_us));
 }
+
+/*
+ * An owner behind the same cut answered looks at its jobs, and fronts there
+ * stayed ready for 3.7 s while none took a hand-in.
+ */
+Test(reach, answers_for_known_jobs_do_not_hide_refused_hand_ins)
+{
+	int ms;
+
+	play(2000, true, true);
+	for (ms = 0; ms < 1500; ms += STEP_MS) {
+		now_us += STEP_MS * US_PER_MS;
+		reach_note(&reach, now_us, GATE_ABOUT_JOB, REACH_SERVED);
+		reach_note(&reach, now_us, GATE_ABOUT_JOB, REACH_SERVED);
+		if (ms % (4 * STEP_MS) == 0)
+			reach_note(
+			    &reach, now_us, GATE_HAND_IN, REACH_UNSERVED);
+	}
+	cr_expect_not(reach_ready(&reach, now_us, store_heard_us));
+}
+
+/* Daemons with few callers kept a zone in rotation that was cut off. */
+Test(reach, one_refused_hand_in_counts_where_none_is_served)
+{
+	play(2000, true, true);
+	now_us += 300 * US_PER_MS;
+	reach_note(&reach, now_us, GATE_HAND_IN, REACH_UNSERVED);
+	now_us += 1000 * US_PER_MS;
+	cr_expect_not(reach_ready(&reach, now_us, store_heard_us));
+	now_us += 1000 * US_PER_MS;
+	cr_expect_not(reach_ready(&reach, now_us, store_heard_us));
+	play(200, false, true);
+	cr_expect(reach_ready(&reach, now_us, store_heard_us));
+}
+
+/* The store turns this daemon away, and one of many owners has died. */
+Test(reach, a_refused_hand_in_among_served_ones_is_no_cut)
+{
+	int i;
+
+	play(2000, true, true);
+	for (i = 0; i < 40; i++) {
+		play(200, false, true);
+		reach_note(&reach, now_us, GATE_HAND_IN, REACH_UNSERVED);
+		cr_expect(reach_ready(&reach, now_us, store_heard_us));
+	}
+}
+
+/*
+ * Callers came back to a zone that was cut off, as soon as one daemon there had
+ * had none for a second.
+ */
+Test(reach, a_daemon_that_is_cut_off_is_not_ready_again_for_want_of_callers)
+{
+	int ms;
+
+	play(2000, true, true);
+	play(2000, false, false);
+	for (ms = 0; ms < 5000; ms += STEP_MS) {
+		now_us += STEP_MS * US_PER_MS;
+		reach_note(&reach, now_us, GATE_ABOUT_JOB, REACH_SERVED);
+		/* of a job that an owner behind the same cut knows */
+		if (ms == 2500)
+			reach_note(&reach, now_us, GATE_HAND_IN, REACH_SERVED);
+		cr_expect_not(reach_ready(&reach, now_us, store_heard_us));
+	}
+}
+
+/* An owner in the same zone refused for 3 s what others had taken over. */
+Test(reach, an_owner_that_refuses_everything_may_be_cut_off_too)
+{
+	int ms;
+
+	play(2000, true, true);
+	for (ms = 0; ms < 1500; ms += STEP_MS) {
+		now_us += STEP_MS * US_PER_MS;
+		reach_note(&reach, now_us, GATE_HAND_IN, REACH_REFUSED);
+	}
+	cr_expect_not(reach_ready(&reach, now_us, store_heard_us));
+	store_heard_us = now_us;
+	cr_expect(reach_ready(&reach, now_us, store_heard_us));
+}
