owners: a join without an answer is sent again, so that members are back together

Members come back to the group one by one: a join that was sent into the outage ended by its time-out of 900 ms, and a pause of 250 ms followed.

Change: a join is repeated as appends are, by the answer times that were measured (50 ms to 200 ms while the store answers in 10 ms), up to four tries under way, on connections of their own; the first answer ends the others. Joins can be repeated: a member that is in stays in. A term counts from the sending of the try that was answered. A member that steps back waits until no join is under way before it leaves, as it did. "the group does not answer" is logged once for an outage, not four times a second.

Price: five joins a second and member while the store is away, half a call; before four where calls fail at once, one where they are silent.

Weighed, not played: giving up a join as soon as any other call is answered. Members that stand in the group ask for little else in an outage, and a store that is slow would never answer a join.

Test: join_pace/*, a play in virtual time: eight members around an outage of 6.5 s. With time-out and pause as they were members_are_back_before_the_first_has_taken_pools_over fails: 427 ms between the first and the last, the last 897 ms late (bound: a take-over, 150 ms, and 50 ms; 250 ms late). Process tests jobs/*: 15 passed.

--- a/src/scheduler/owners.c
+++ b/src/scheduler/owners.c
@@ -6,27 +6,38 @@
 
 #include "candidacy.h"
 #include "duty.h"
+#include "join_pace.h"
 #include "shards.h"
 #include "store_client.h"
 
 #define GROUP "schedulers"
 #define GROUP_TOPIC "pools" /* its partitions stand for pools */
-#define JOIN_EVERY_MS 500
 #define MEMBER_TTL_MS 2000 /* four joins: one or two may be lost */
 #define JOIN_TIMEOUT_MS 900
+#define JOIN_TRIES_MAX 4 /* under way; the oldest is given up for a fifth */
+#define OWNERS_FIRST_MS 500 /* the members have joined by then */
 #define OWNERS_EVERY_MS 5000 /* at least; at once when the group changes */
 #define STANDBY_EVERY_MS 1000 /* where the group's changes are not heard */
 #define OWNERS_PAUSE_MS 200 /* between two that were asked for */
 #define STEP_BACK_EVERY_MS 50 /* until what is owned has been written */
 #define PARTS_MAX 64
 
+struct join_try {
+	struct owners *owners;
+	struct store_op *op; /* NULL once it has ended */
+	int64_t sent_us;
+	int64_t sent_boot_us;
+};
+
 struct owners {
 	struct scheduler *scheduler;
 	struct candidacy candidacy;
 	bool joined; /* or may be, by a join without an answer */
 	int64_t generation;
-	int64_t join_boot_us; /* when the join under way was sent */
-	struct store_op *join_op;
+	struct join_pace pace;
+	struct join_try tries[JOIN_TRIES_MAX];
+	bool unanswered; /* the newest join that has ended */
+	struct store_op *leave_op;
 	struct store_op *owners_op;
 	lws_sorted_usec_list_t join_due;
 	lws_sorted_usec_list_t owners_due;
@@ -60,10 +71,33 @@
 static void owners_due(lws_sorted_usec_list_t *sul);
 
 static void
-schedule_join(struct owners *o, int ms)
+schedule_join(struct owners *o, int64_t us)
 {
-	lws_sul_schedule(o->scheduler->context, 0, &o->join_due, join_due,
-	    ms > 0 ? ms * US_PER_MS : 1);
+	lws_sul_schedule(
+	    o->scheduler->context, 0, &o->join_due, join_due, us > 0 ? us : 1);
+}
+
+static bool
+join_under_way(const struct owners *o)
+{
+	int i;
+
+	for (i = 0; i < JOIN_TRIES_MAX; i++) {
+		if (o->tries[i].op != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void
+cancel_joins(struct owners *o)
+{
+	int i;
+
+	for (i = 0; i < JOIN_TRIES_MAX; i++) {
+		store_op_cancel(o->tries[i].op);
+		o->tries[i].op = NULL;
+	}
 }
 
 static void
@@ -86,9 +120,10 @@
 	return false;
 }
 
-/* Pools whose partition the group dealt to this daemon. */
+/* Pools whose partition the group dealt to this daemon, when it was asked. */
 static void
-assign(struct owners *o, const struct store_shares *shares)
+assign(
+    struct owners *o, const struct store_shares *shares, int64_t asked_boot_us)
 {
 	const struct config *c = o->scheduler->config;
 	size_t i, before = o->held_count;
@@ -109,40 +144,45 @@
 	duty_assign(o->scheduler->duty,
 	    !o->scheduler->stopping &&
 		part_held(shares, (int)(c->pool_count % (size_t)parts_of(o))),
-	    o->join_boot_us);
+	    asked_boot_us);
 	if (o->held_count != before)
 		daemon_log(LOG_LEVEL_INFO, "owners",
 		    "msg=\"the group deals pools\" generation=%lld pools=%zu "
 		    "before=%zu",
 		    (long long)shares->generation, o->held_count, before);
 	shards_assign(o->scheduler->shards, (const char(*)[NAME_BYTES])o->held,
-	    o->held_count, o->join_boot_us);
+	    o->held_count, asked_boot_us);
 }
 
 static void
 join_ended(void *arg, int status, bool sent, const void *body, size_t len)
 {
-	struct owners *o = arg;
+	struct join_try *t = arg;
+	struct owners *o = t->owners;
 	struct store_shares shares;
+	bool changed;
 
 	(void)sent;
-	o->join_op = NULL;
+	t->op = NULL;
 	if (status != 200 || store_join_parse(&shares, body, len) == -1) {
-		daemon_log(LOG_LEVEL_WARN, "owners",
-		    "msg=\"the group does not answer\" status=%d", status);
-		schedule_join(o, JOIN_EVERY_MS / 2);
-		return;
+		if (!o->unanswered)
+			daemon_log(LOG_LEVEL_WARN, "owners",
+			    "msg=\"the group does not answer\" status=%d",
+			    status);
+		o->unanswered = true;
+		return; /* the next try is due */
 	}
+	o->unanswered = false;
+	cancel_joins(o);
 	if (o->scheduler->config != NULL)
-		assign(o, &shares);
-	if (shares.generation != o->generation) {
-		o->generation = shares.generation;
-		/* what is not ours any more goes on with this join */
-		schedule_join(o, 1);
+		assign(o, &shares, t->sent_boot_us);
+	changed = shares.generation != o->generation;
+	o->generation = shares.generation;
+	/* what is not ours any more goes on with the next join */
+	schedule_join(o,
+	    join_pace_answered(&o->pace, sched_now_us() - t->sent_us, changed));
+	if (changed)
 		schedule_owners(o, 0);
-	} else {
-		schedule_join(o, JOIN_EVERY_MS);
-	}
 	store_shares_uninit(&shares);
 }
 
@@ -155,7 +195,7 @@
 	(void)sent;
 	(void)body;
 	(void)len;
-	o->join_op = NULL;
+	o->leave_op = NULL;
 }
 
 static void
@@ -164,7 +204,8 @@
 	struct store_call c;
 
 	store_leave_call(&c, GROUP, o->scheduler->member);
-	o->join_op =
+	store_op_cancel(o->leave_op);
+	o->leave_op =
 	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, left_ended, o);
 }
 
@@ -174,8 +215,9 @@
 {
 	duty_assign(o->scheduler->duty, false, 0);
 	shards_give_up_all(o->scheduler->shards, false);
-	if (!shards_none(o->scheduler->shards)) {
-		schedule_join(o, STEP_BACK_EVERY_MS);
+	/* a join that is carried out late would undo the leave */
+	if (!shards_none(o->scheduler->shards) || join_under_way(o)) {
+		schedule_join(o, STEP_BACK_EVERY_MS * US_PER_MS);
 		return;
 	}
 	o->joined = false;
@@ -197,9 +239,10 @@
 	    .ttl_ms = MEMBER_TTL_MS > ttl_min_ms ? MEMBER_TTL_MS : ttl_min_ms,
 	    .generation = o->generation,
 	};
+	struct join_try *t = &o->tries[o->pace.tries % JOIN_TRIES_MAX];
 	struct store_call c;
 
-	if (o->leaving || o->join_op != NULL)
+	if (o->leaving)
 		return;
 	if (!candidacy_stands(&o->candidacy, sched_now_us())) {
 		if (o->joined)
@@ -207,12 +250,13 @@
 		return;
 	}
 	o->joined = true;
-	o->join_boot_us = sched_boot_us();
+	store_op_cancel(t->op); /* its answer is taken for lost */
+	t->owners = o;
+	t->sent_us = sched_now_us();
+	t->sent_boot_us = sched_boot_us();
 	store_join_call(&c, &j);
-	o->join_op =
-	    store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, o);
-	if (o->join_op == NULL)
-		schedule_join(o, JOIN_EVERY_MS);
+	t->op = store_send(o->scheduler, &c, JOIN_TIMEOUT_MS, join_ended, t);
+	schedule_join(o, join_pace_sent(&o->pace));
 }
 
 /* Small machines own pools only while no larger one does. */
@@ -229,7 +273,7 @@
 	    "msg=\"%s\" cores=%.2f link_mbps=%.0f able_seen=%d",
 	    stands ? "no able member: stands in" : "steps back",
 	    o->scheduler->boot.cores, o->scheduler->boot.link_mbps, able_seen);
-	if (o->join_op == NULL)
+	if (!join_under_way(o))
 		schedule_join(o, 0); /* or when its answer is here */
 }
 
@@ -322,7 +366,7 @@
 void
 owners_config_changed(struct owners *o)
 {
-	if (o->join_op == NULL && !o->leaving)
+	if (!join_under_way(o) && !o->leaving)
 		schedule_join(o, 0);
 }
 
@@ -333,8 +377,7 @@
 		return;
 	o->leaving = true;
 	lws_sul_cancel(&o->join_due);
-	store_op_cancel(o->join_op);
-	o->join_op = NULL;
+	cancel_joins(o);
 	if (!o->joined)
 		return;
 	send_leave(o);
@@ -357,7 +400,7 @@
 	member_format(
 	    s->member, s->boot.ip, s->boot.peer_port, o->candidacy.able);
 	schedule_join(o, 0);
-	schedule_owners(o, JOIN_EVERY_MS);
+	schedule_owners(o, OWNERS_FIRST_MS);
 	return o;
 }
 
@@ -368,7 +411,8 @@
 		return;
 	lws_sul_cancel(&o->join_due);
 	lws_sul_cancel(&o->owners_due);
-	store_op_cancel(o->join_op);
+	cancel_joins(o);
+	store_op_cancel(o->leave_op);
 	store_op_cancel(o->owners_op);
 	free(o->held);
 	free(o);
