join_pace: members join every 100 ms while the group changes

What callers saw: whenever a member came, went or was back after an outage, pools had no owner for 0.3 to 0.6 s beside their take-over. A pool moves on only when its holder has joined again, and its new owner hears of it at its own next join: two pauses of up to 500 ms each.

Change: a member that hears of another generation joins every 100 ms for a second (ten joins, each priced as a tenth of a call), then every 500 ms as before.

Test: a_pool_on_the_move_is_without_a_holder_only_briefly plays the group's dealing in virtual time; with joins every 500 ms a pool is nobody's for 399 ms (bound: a take-over, 150 ms).

--- a/src/scheduler/join_pace.h
+++ b/src/scheduler/join_pace.h
@@ -1,7 +1,8 @@
 /*
  * When a member of the group sends its joins.  Answers a store that was away:
- * members that are back one by one have the pools dealt over and over.  No I/O
- * and no clock.
+ * members that are back one by one have the pools dealt over and over; and
+ * pools on the move: one member's join lets go of a pool, another's is dealt
+ * it.  No I/O and no clock.
  */
 #ifndef JOIN_PACE_H
 #define JOIN_PACE_H
@@ -15,6 +16,7 @@
 struct join_pace {
 	struct repeat_timer timer;
 	int tries; /* since the newest answer */
+	int soon; /* joins to come while the group is in motion */
 };
 
 /* One was sent; how long to wait for an answer until the next, in us. */
--- a/tests/unit/test_join_pace.c
+++ b/tests/unit/test_join_pace.c
@@ -7,6 +7,7 @@
 #include "join_pace.h"
 
 #define MEMBERS 8
+#define PARTS 8
 #define ANSWER_MS 10
 #define OUTAGE_MS 6500
 #define TAKEOVER_MS 150 /* of a pool of some hundred jobs */
@@ -107,3 +108,98 @@
 	cr_expect_leq(
 	    join_pace_answered(&p, ANSWER_MS * US_PER_MS, true), US_PER_MS);
 }
+
+/* As the store deals: a part moves on when its holder has joined again. */
+struct group {
+	bool in[MEMBERS];
+	int holder[PARTS]; /* -1: nobody */
+	int wanted[PARTS];
+	int64_t generation;
+	int64_t seen[MEMBERS];
+	bool held[MEMBERS][PARTS]; /* as the members know */
+};
+
+static struct group group;
+
+static void
+deal(void)
+{
+	int part, m = -1;
+
+	for (part = 0; part < PARTS; part++) {
+		do
+			m = (m + 1) % MEMBERS;
+		while (!group.in[m]);
+		group.wanted[part] = m;
+	}
+	group.generation++;
+}
+
+/* Returns whether the generation is new to the member. */
+static bool
+join(int m)
+{
+	bool changed;
+	int part;
+
+	if (!group.in[m]) {
+		group.in[m] = true;
+		deal();
+	}
+	changed = group.seen[m] != group.generation;
+	for (part = 0; part < PARTS; part++) {
+		if (group.holder[part] == m && group.wanted[part] != m &&
+		    !changed)
+			group.holder[part] = -1;
+		if (group.holder[part] == -1 && group.wanted[part] == m)
+			group.holder[part] = m;
+		group.held[m][part] =
+		    group.holder[part] == m && group.wanted[part] == m;
+	}
+	group.seen[m] = group.generation;
+	return changed;
+}
+
+static bool
+owned(int part)
+{
+	int m;
+
+	for (m = 0; m < MEMBERS; m++) {
+		if (group.held[m][part])
+			return true;
+	}
+	return false;
+}
+
+/* Each time a member came, pools were nobody's for up to half a second. */
+Test(join_pace, a_pool_on_the_move_is_without_a_holder_only_briefly)
+{
+	int without_ms[PARTS] = {0}, joins = 0, m, part;
+	int64_t ms;
+
+	play(ANSWER_MS, 0, 0, 1);
+	memset(&group, 0, sizeof(group));
+	for (part = 0; part < PARTS; part++)
+		group.holder[part] = -1;
+	for (m = 0; m < MEMBERS; m++)
+		members[m].due_ms = m < MEMBERS - 1 ? 61 * m : 5000;
+	for (ms = 0; ms < 8000; ms++) {
+		for (m = 0; m < MEMBERS; m++) {
+			if (members[m].due_ms != ms)
+				continue;
+			joins += ms >= 5000;
+			join_pace_sent(&members[m].pace);
+			members[m].due_ms = ms + ANSWER_MS +
+			    whole_ms(join_pace_answered(&members[m].pace,
+				ANSWER_MS * US_PER_MS, join(m)));
+		}
+		for (part = 0; part < PARTS && ms >= 5000; part++)
+			without_ms[part] += !owned(part);
+	}
+	for (part = 0; part < PARTS; part++)
+		cr_expect_leq(
+		    without_ms[part], TAKEOVER_MS, "%d", without_ms[part]);
+	/* joins of the three seconds: a tenth of a call each */
+	cr_expect_leq(joins, MEMBERS * (6 + 2 * 10), "%d", joins);
+}
