--- a/src/scheduler/peer_gate.h
+++ b/src/scheduler/peer_gate.h
@@ -45,10 +45,17 @@
     enum gate_verdict sent, bool answered);
 /* Nothing is under way. */
 bool peer_gate_idle(const struct peer_gate *g);
+/* No answer came to the newest requests. */
+bool peer_gate_silent(const struct peer_gate *g);
 /*
  * No answer has come for longer than a take-over takes: callers are not kept
  * waiting.
  */
 bool peer_gate_gone(const struct peer_gate *g, int64_t now_us);
+/*
+ * Neither the owner nor another one will answer soon.  "stuck": no other daemon
+ * can take over.  An owner that is only busy is waited for all the same.
+ */
+bool peer_gate_hopeless(const struct peer_gate *g, int64_t now_us, bool stuck);
 
 #endif
