roster: the pools' line says what is not known, and how old a report is

A new owner of a pool reported its need before its workers had answered, and the keeper's line showed it like any other.

A demand has a state of its own, and a report the age of its owner's view of the workers' entries. Both cross the wire; the owner of the version before says neither and is taken as before. Moves are decided as before.

Tests: machines/a_report_says_what_its_owner_does_not_know, machines/a_report_of_the_version_before_is_taken_as_known, pool/a_new_owner_says_that_it_does_not_know_its_need_yet, pool/a_worker_that_does_not_answer_keeps_no_need_unknown. They test what is new here and could not be built before.

--- /dev/null
+++ b/src/jobs/demand.h
@@ -0,0 +1,23 @@
+/* How many workers a pool could use: told by its owner to the keeper. */
+#ifndef JOBS_DEMAND_H
+#define JOBS_DEMAND_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* What the figures of a demand stand for; where less is known, "at least". */
+enum demand_known {
+	DEMAND_UNKNOWN, /* workers have yet to answer to a new owner */
+	DEMAND_QUEUED, /* what waits and runs is known … */
+	DEMAND_KNOWN /* … and how fast more arrives, too */
+};
+
+struct pool_demand {
+	enum demand_known known;
+	int64_t wanted_milli; /* thousandths of a worker that jobs could use */
+	int64_t offered_milli; /* … and that jobs arriving as of late will */
+	size_t floor; /* workers that lasting tasks need: others give way */
+	size_t least; /* workers at least, by what fits nowhere now */
+};
+
+#endif
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -163,6 +163,7 @@
 		p->settled = true;
 		p->place_due = true;
 	}
+	pool_note_answered(p);
 	if (p->now_ms >= p->next_due_ms)
 		p->place_due = true;
 	if (p->place_due && p->now_us >= p->place_after_us) {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "demand.h"
 #include "effect.h"
 #include "job.h"
 #include "job_record.h"
@@ -245,13 +246,6 @@
 /* The same and each unfinished job and worker, as JSON text. */
 void pool_dump(const struct pool *p, struct buf *out);
 
-struct pool_demand {
-	int64_t wanted_milli; /* thousandths of a worker that jobs could use */
-	int64_t offered_milli; /* … and that jobs arriving as of late will */
-	size_t floor; /* workers that lasting tasks need: others give way */
-	size_t least; /* workers at least, by what fits nowhere now */
-};
-
 /* What is known of a worker that has answered. */
 struct pool_worker_view {
 	const char *id;
--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -185,6 +185,37 @@
 	return since_us != 0 && p->now_us - since_us > ms * US_PER_MS;
 }
 
+/* Those that earlier owners commanded have answered, or are silent. */
+static bool
+workers_answered(const struct pool *p)
+{
+	const struct placed_worker *w;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (w->listed && w->inherited && !w->held && w->misses == 0)
+			return false;
+	}
+	return p->loaded;
+}
+
+void
+pool_note_answered(struct pool *p)
+{
+	if (p->answered_us == 0 && workers_answered(p))
+		p->answered_us = p->now_us;
+}
+
+static enum demand_known
+demand_known(const struct pool *p)
+{
+	/* jobs are counted in workers: it takes one to know their size */
+	if (p->answered_us == 0 || (p->typical_cpu <= 0 && p->active_count > 0))
+		return DEMAND_UNKNOWN;
+	return goes_on_for(p, p->answered_us, (int)offered_ms[OFFERED_MIDDLE])
+	    ? DEMAND_KNOWN
+	    : DEMAND_QUEUED;
+}
+
 void
 pool_demand(struct pool *p, struct pool_demand *d)
 {
@@ -195,6 +226,7 @@
 
 	memset(d, 0, sizeof(*d));
 	typical_room(p);
+	d->known = demand_known(p);
 	TAILQ_FOREACH(j, &p->active, entries) {
 		if (job_final(j))
 			continue;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -121,6 +121,7 @@
 	 */
 	struct room offered[OFFERED_SPANS];
 	int64_t offered_us;
+	int64_t answered_us; /* all workers had answered then; 0: not yet */
 	bool workers_changed; /* one is not recorded as it is */
 	bool workers_listed; /* an earlier version's record of all is stored */
 	struct learned *learned; /* by queue */
@@ -252,6 +253,8 @@
 /* pool_demand.c */
 void pool_note_offered(struct pool *p, const struct order *o,
     const struct queue_terms *t, int64_t ago_ms);
+/* Sees when all workers have answered to this owner. */
+void pool_note_answered(struct pool *p);
 
 /* pool_watch.c */
 void pool_watch_tasks(struct pool *p, struct placed_worker *w);
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -296,10 +296,8 @@
 
 	if (p == NULL)
 		return;
-	p->wanted_milli = r->wanted_milli;
-	p->offered_milli = r->offered_milli;
-	p->floor = r->floor;
-	p->least = r->least;
+	p->demand = r->demand;
+	p->view_us = f->now_us - r->view_age_ms * US_PER_MS;
 	p->told_us = f->now_us;
 	for (i = 0; i < r->worker_count; i++) {
 		m = machine_of_worker(f, r->workers[i].worker);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "bounds.h"
+#include "demand.h"
 #include "effect.h"
 
 struct roster;
@@ -48,10 +49,8 @@
 
 struct pool_report {
 	char pool[NAME_BYTES];
-	int64_t wanted_milli; /* thousandths of a machine it could use now */
-	int64_t offered_milli; /* … and that arriving work takes up in time */
-	size_t floor; /* workers that its lasting tasks need */
-	size_t least; /* workers at least, by what fits nowhere now */
+	struct pool_demand demand;
+	int64_t view_age_ms; /* since its owner read the list of workers */
 	struct pool_worker_report *workers;
 	size_t worker_count;
 };
@@ -126,7 +125,7 @@
 	ROSTER_LOG
 };
 
-#define ROSTER_LOG_BYTES 256
+#define ROSTER_LOG_BYTES 448
 
 struct roster_effect {
 	enum roster_effect_kind kind;
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -39,10 +39,10 @@
 {
 	size_t n = (size_t)(milli / 1000 + 0.99);
 
-	if (n < p->floor)
-		n = p->floor;
-	if (n < p->least)
-		n = p->least;
+	if (n < p->demand.floor)
+		n = p->demand.floor;
+	if (n < p->demand.least)
+		n = p->demand.least;
 	return n < POOL_MIN ? POOL_MIN : n;
 }
 
@@ -51,8 +51,9 @@
 {
 	if (!pool_fresh(f, p))
 		return;
-	p->need = machines_for(p, (double)p->wanted_milli * HEADROOM);
-	p->foreseen = machines_for(p, (double)p->offered_milli * FORESEEN);
+	p->need = machines_for(p, (double)p->demand.wanted_milli * HEADROOM);
+	p->foreseen =
+	    machines_for(p, (double)p->demand.offered_milli * FORESEEN);
 	if (p->foreseen < p->need)
 		p->foreseen = p->need;
 	if (p->foreseen >= p->peak ||
@@ -143,7 +144,7 @@
 	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
 	    "foreseen=%zu wanted_milli=%lld report_age_ms=%lld",
 	    m->report.machine, m->report.pool, to->name, to->need, to->foreseen,
-	    (long long)to->wanted_milli,
+	    (long long)to->demand.wanted_milli,
 	    (long long)((f->now_us - to->told_us) / US_PER_MS));
 }
 
@@ -186,7 +187,7 @@
 	if (may_move(f, m) &&
 	    from->have > (g == GROW_FORESEEN ? from->foreseen : from->need))
 		return SOURCE_SURPLUS;
-	if (g != GROW_FLOOR || from->have <= from->floor ||
+	if (g != GROW_FLOOR || from->have <= from->demand.floor ||
 	    from->have <= POOL_MIN)
 		return SOURCE_NONE;
 	if (may_move(f, m))
@@ -217,7 +218,7 @@
 {
 	switch (g) {
 	case GROW_FLOOR:
-		return p->floor;
+		return p->demand.floor;
 	case GROW_NEED:
 		return p->need;
 	case GROW_FORESEEN:
@@ -310,6 +311,12 @@
 	}
 }
 
+static const char *const known_names[] = {
+    [DEMAND_UNKNOWN] = "unknown",
+    [DEMAND_QUEUED] = "queued",
+    [DEMAND_KNOWN] = "known",
+};
+
 /* One line a second: what moves are decided by. */
 static void
 log_pools(struct roster *f)
@@ -321,15 +328,26 @@
 	if (f->now_us - f->pools_logged_us < US_PER_S)
 		return;
 	f->pools_logged_us = f->now_us;
-	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
+	for (i = 0; i < f->pool_count && n < sizeof(text) - 100; i++) {
 		p = &f->pools[i];
+		if (p->spare || p->told_us == 0) {
+			n += (size_t)snprintf(text + n, sizeof(text) - n,
+			    " %s=%zu/%s", p->name, p->have,
+			    p->spare ? "spare" : "unknown");
+			continue;
+		}
 		n += (size_t)snprintf(text + n, sizeof(text) - n,
-		    " %s=%zu/%zu/%zu/%zu/%lld/%lld", p->name, p->have, p->need,
-		    p->foreseen, p->peak, (long long)p->wanted_milli,
-		    (long long)p->offered_milli);
+		    " %s=%zu/%zu/%zu/%zu/%lld/%lld/%s/%lld/%lld", p->name,
+		    p->have, p->need, p->foreseen, p->peak,
+		    (long long)p->demand.wanted_milli,
+		    (long long)p->demand.offered_milli,
+		    known_names[p->demand.known],
+		    (long long)((f->now_us - p->told_us) / US_PER_MS),
+		    (long long)((f->now_us - p->view_us) / US_PER_MS));
 	}
 	roster_log(f,
-	    "msg=\"pools: have/need/foreseen/peak/wanted/offered milli\"%s",
+	    "msg=\"pools: have/need/foreseen/peak/wanted/offered milli/known/"
+	    "report ms ago/view of workers ms ago\"%s",
 	    text);
 }
 
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -63,10 +63,9 @@
 struct roster_pool {
 	char name[NAME_BYTES];
 	bool spare;
-	int64_t wanted_milli;
-	int64_t offered_milli;
-	size_t floor, least; /* see struct pool_report */
+	struct pool_demand demand; /* DEMAND_UNKNOWN before the first report */
 	int64_t told_us; /* newest report; 0 never */
+	int64_t view_us; /* its owner's newest view of the list of workers */
 	size_t have; /* machines it has or is about to have, at this look */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
--- a/src/scheduler/cordon_call.c
+++ b/src/scheduler/cordon_call.c
@@ -75,12 +75,14 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 6);
+	wire_map(&w, 8);
 	wire_str(&w, "pool", r->pool);
-	wire_i64(&w, "wanted", r->wanted_milli);
-	wire_i64(&w, "offered", r->offered_milli);
-	wire_u64(&w, "floor", r->floor);
-	wire_u64(&w, "least", r->least);
+	wire_u64(&w, "known", r->demand.known);
+	wire_i64(&w, "view", r->view_age_ms);
+	wire_i64(&w, "wanted", r->demand.wanted_milli);
+	wire_i64(&w, "offered", r->demand.offered_milli);
+	wire_u64(&w, "floor", r->demand.floor);
+	wire_u64(&w, "least", r->demand.least);
 	wire_array(&w, "workers", (uint32_t)r->worker_count);
 	for (i = 0; i < r->worker_count; i++)
 		codec_write(
@@ -92,18 +94,23 @@
 read_report(struct pool_report *r, const msgpack_object *root)
 {
 	const msgpack_object_array *list;
-	uint64_t floor, least;
+	uint64_t floor, least, known = DEMAND_KNOWN;
 	uint32_t i;
 
+	/* an owner of the version before says neither */
+	wire_get_u64(root, "known", &known);
+	wire_get_i64(root, "view", &r->view_age_ms);
 	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
-	    !wire_get_i64(root, "wanted", &r->wanted_milli) ||
-	    !wire_get_i64(root, "offered", &r->offered_milli) ||
+	    !wire_get_i64(root, "wanted", &r->demand.wanted_milli) ||
+	    !wire_get_i64(root, "offered", &r->demand.offered_milli) ||
 	    !wire_get_u64(root, "floor", &floor) ||
 	    !wire_get_u64(root, "least", &least) ||
 	    !wire_get_array(root, "workers", &list))
 		return false;
-	r->floor = (size_t)floor;
-	r->least = (size_t)least;
+	r->demand.known =
+	    known <= DEMAND_KNOWN ? (enum demand_known)known : DEMAND_UNKNOWN;
+	r->demand.floor = (size_t)floor;
+	r->demand.least = (size_t)least;
 	r->workers = calloc(list->size + 1, sizeof(*r->workers));
 	for (i = 0; r->workers != NULL && i < list->size; i++) {
 		if (codec_read(&list->ptr[i], worker_fields,
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -515,7 +515,6 @@
 {
 	struct shard *sh = find_shard(all, r->pool);
 	struct pool_event ev = {.kind = POOL_CORDON};
-	struct pool_demand demand;
 	size_t i;
 
 	if (sh == NULL || sh->state != SHARD_OWNING || sh->lost ||
@@ -534,11 +533,9 @@
 	shard_event(sh, &ev);
 	memset(report, 0, sizeof(*report));
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
-	pool_demand(sh->pool, &demand);
-	report->wanted_milli = demand.wanted_milli;
-	report->offered_milli = demand.offered_milli;
-	report->floor = demand.floor;
-	report->least = demand.least;
+	pool_demand(sh->pool, &report->demand);
+	report->view_age_ms =
+	    watch_workers_age_us(sh->scheduler->watch) / US_PER_MS;
 	pool_each_worker(sh->pool, report_worker, report);
 	return 0;
 }
--- a/src/scheduler/watch.c
+++ b/src/scheduler/watch.c
@@ -23,6 +23,7 @@
 	int pause_ms;
 	bool active;
 	bool known; /* all newest records have been read */
+	int64_t read_boot_us; /* when the topic was read to its end last */
 	int64_t next; /* offset to read from; -1: newest first */
 	int64_t page_end; /* of the first page of newest records */
 	bool first_page;
@@ -96,6 +97,7 @@
 	f->next = f->page_end;
 	f->first_page = true;
 	f->known = true;
+	f->read_boot_us = sched_boot_us();
 	f->whole(f->watch);
 	follower_schedule(f, f->pause_ms);
 }
@@ -137,8 +139,10 @@
 		return;
 	}
 	bad = store_read_each(body, len, f->next, &next, each_record, f);
-	if (bad >= 0)
+	if (bad >= 0) {
 		f->next = next;
+		f->read_boot_us = sched_boot_us();
+	}
 	if (bad != 0)
 		daemon_log(LOG_LEVEL_WARN, "watch",
 		    "msg=\"records cannot be read: passed over\" topic=%s "
@@ -354,6 +358,12 @@
 	return w->workers.known;
 }
 
+int64_t
+watch_workers_age_us(const struct watch *w)
+{
+	return sched_boot_us() - w->workers.read_boot_us;
+}
+
 void
 watch_each_worker(const struct watch *w, const char *pool,
     void (*each)(void *arg, const struct worker_report *r), void *arg)
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -6,6 +6,7 @@
 
 #include "cordon_call.h"
 #include "roster.h"
+#include "wire.h"
 
 #define MACHINES 12
 #define MACHINES_MAX 371 /* of the largest deployment */
@@ -19,6 +20,7 @@
 static struct machine_report machines[MACHINES_MAX];
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static int64_t offered[2]; /* that arriving work takes up in the long run */
+static enum demand_known known[2]; /* to their owners */
 static size_t floors[2]; /* machines that lasting tasks need */
 static size_t tasks[MACHINES_MAX]; /* of its worker */
 static size_t lasting[MACHINES_MAX]; /* of them */
@@ -172,9 +174,10 @@
 {
 	struct pool_worker_report list[MACHINES_MAX];
 	struct roster_event ev = {.kind = ROSTER_REPORT};
-	struct pool_report r = {.wanted_milli = wanted[k],
-	    .offered_milli = offered[k],
-	    .floor = floors[k],
+	struct pool_report r = {.demand = {.known = known[k],
+				    .wanted_milli = wanted[k],
+				    .offered_milli = offered[k],
+				    .floor = floors[k]},
 	    .workers = list};
 	int i;
 
@@ -274,6 +277,7 @@
 			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
 		machines[i].cpu = 8000;
 	}
+	known[0] = known[1] = DEMAND_KNOWN;
 	wanted[0] = 4400;
 	wanted[1] = 3400;
 }
@@ -546,6 +550,51 @@
 	buf_unref(b);
 }
 
+static struct pool_report
+sent_and_read(struct buf *sent)
+{
+	struct pool_report r;
+	struct err e;
+
+	cr_assert_not_null(sent);
+	cr_assert_eq(pool_report_decode(&r, sent->data, sent->len, &e), 0);
+	buf_unref(sent);
+	return r;
+}
+
+Test(machines, a_report_says_what_its_owner_does_not_know)
+{
+	struct pool_report r = {
+	    .demand = {.wanted_milli = 1200}, .view_age_ms = 6500};
+
+	r = sent_and_read(pool_report_encode(&r));
+	cr_expect_eq(r.demand.known, DEMAND_UNKNOWN);
+	cr_expect_eq(r.demand.wanted_milli, 1200);
+	cr_expect_eq(r.view_age_ms, 6500);
+	pool_report_uninit(&r);
+}
+
+/* Daemons of two versions run beside each other while one is replaced. */
+Test(machines, a_report_of_the_version_before_is_taken_as_known)
+{
+	struct pool_report r;
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 6);
+	wire_str(&w, "pool", "blue");
+	wire_i64(&w, "wanted", 1200);
+	wire_i64(&w, "offered", 800);
+	wire_u64(&w, "floor", 2);
+	wire_u64(&w, "least", 3);
+	wire_array(&w, "workers", 0);
+	r = sent_and_read(wire_writer_take(&w));
+	cr_expect_eq(r.demand.known, DEMAND_KNOWN);
+	cr_expect_eq(r.demand.floor, 2);
+	cr_expect_eq(r.view_age_ms, 0);
+	pool_report_uninit(&r);
+}
+
 static void
 setup_idle(void)
 {
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -196,6 +196,45 @@
 	expect_kept();
 }
 
+Test(pool, a_new_owner_says_that_it_does_not_know_its_need_yet)
+{
+	struct pool_demand d;
+
+	world = world_of(2);
+	submit(1, 2, 4000, 3000, NULL);
+	jobs_world_run(world, 1500);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.known, DEMAND_KNOWN);
+	jobs_world_take_over(world, 0);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.known, DEMAND_UNKNOWN);
+	jobs_world_run(world, 100);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.known, DEMAND_QUEUED);
+	jobs_world_run(world, 1000);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.known, DEMAND_KNOWN);
+	jobs_world_run(world, 5000);
+	expect_kept();
+}
+
+/* A silent worker is one that is known to be silent. */
+Test(pool, a_worker_that_does_not_answer_keeps_no_need_unknown)
+{
+	struct pool_demand d;
+
+	world = world_of(2);
+	submit(1, 2, 4000, 3000, NULL);
+	jobs_world_run(world, 500);
+	jobs_world_cut_worker(world, 1, true);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 2500);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_eq(d.known, DEMAND_KNOWN);
+	jobs_world_run(world, 15000);
+	expect_kept();
+}
+
 /*
  * The load: a queue's turn begins.  Jobs of 4 core-seconds, ten a second, take
  * up 5 workers of 8 cores once as many end as arrive; the pool says so while a
