roster: a pool whose need is not known gives no machine away

The keeper and four of five pools had a new owner at 23 s; owners report before they know, and the keeper had no need of any pool. It took what it was told for all there is and turned 306 machines off within two seconds ("pools: have ... jeye68e=306" at 25.2 s), while the pool whose turn it was, its owner not heard of yet, had 35 to 40.

What is not known was taken for zero. Now a pool whose owner has yet to hear its workers grows by what it is told and gives nothing away. What its owner before knew stands in for 3 s, so that a planned hand-over holds no other pool's turn up. Machines are turned off only where arrivals are known too, and a pool that becomes known keeps what it has for 3 s. One line a second says which pools' machines were withheld.

Tests in tests/unit/test_machines.c, all five failing before: a_pool_whose_owner_is_new_gives_no_machine_away, nothing_is_turned_off_until_it_is_known_what_arrives, a_pool_that_is_handed_over_gives_what_it_did_not_need_before, a_new_keeper_turns_nothing_off_that_was_needed_of_late, a_new_owner_turns_nothing_off_that_was_needed_of_late.

--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -46,6 +46,53 @@
 	return n < POOL_MIN ? POOL_MIN : n;
 }
 
+static size_t
+larger(size_t a, size_t b)
+{
+	return a > b ? a : b;
+}
+
+/* A new owner does not know all at once; what was known before stands in. */
+static void
+update_keeps(struct roster *f, struct roster_pool *p)
+{
+	bool lasts =
+	    p->known_us != 0 && f->now_us - p->known_us < PEAK_MS * US_PER_MS;
+
+	if (p->demand.known == DEMAND_KNOWN) {
+		p->known_need = p->need;
+		p->known_foreseen = p->foreseen;
+		p->known_us = f->now_us;
+	}
+	p->known = lasts ? DEMAND_KNOWN : p->demand.known;
+	p->keeps = p->need;
+	p->keeps_foreseen = p->foreseen;
+	if (lasts && p->demand.known == DEMAND_UNKNOWN)
+		p->keeps = larger(p->need, p->known_need);
+	if (lasts)
+		p->keeps_foreseen = larger(p->foreseen, p->known_foreseen);
+}
+
+static void
+update_peak(struct roster *f, struct roster_pool *p)
+{
+	bool was_known = p->peak_known;
+
+	p->peak_known = p->known == DEMAND_KNOWN;
+	if (!p->peak_known)
+		return;
+	if (!was_known) {
+		/* what it has was needed, as far as anybody knew */
+		p->peak = larger(p->have, p->peak);
+		p->peak_us = f->now_us;
+	}
+	if (p->keeps_foreseen >= p->peak ||
+	    f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
+		p->peak = p->keeps_foreseen;
+		p->peak_us = f->now_us;
+	}
+}
+
 static void
 update_need(struct roster *f, struct roster_pool *p)
 {
@@ -54,13 +101,9 @@
 	p->need = machines_for(p, (double)p->demand.wanted_milli * HEADROOM);
 	p->foreseen =
 	    machines_for(p, (double)p->demand.offered_milli * FORESEEN);
-	if (p->foreseen < p->need)
-		p->foreseen = p->need;
-	if (p->foreseen >= p->peak ||
-	    f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
-		p->peak = p->foreseen;
-		p->peak_us = f->now_us;
-	}
+	p->foreseen = larger(p->foreseen, p->need);
+	update_keeps(f, p);
+	update_peak(f, p);
 }
 
 static struct roster_pool *
@@ -185,8 +228,12 @@
 	if (from->spare || !pool_fresh(f, from))
 		return SOURCE_NONE;
 	if (may_move(f, m) &&
-	    from->have > (g == GROW_FORESEEN ? from->foreseen : from->need))
-		return SOURCE_SURPLUS;
+	    from->have >
+		(g == GROW_FORESEEN ? from->keeps_foreseen : from->keeps)) {
+		if (from->known != DEMAND_UNKNOWN)
+			return SOURCE_SURPLUS;
+		from->withheld = WITHHELD_UNKNOWN;
+	}
 	if (g != GROW_FLOOR || from->have <= from->demand.floor ||
 	    from->have <= POOL_MIN)
 		return SOURCE_NONE;
@@ -305,12 +352,45 @@
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || from->have <= from->peak)
 			continue;
+		if (!from->peak_known) {
+			from->withheld = WITHHELD_UNKNOWN;
+			continue;
+		}
 		if (under_way++ >= most)
 			return;
 		begin_move(f, m, spare);
 	}
 }
 
+static const char *const withheld_names[] = {
+    [WITHHELD_NONE] = "",
+    [WITHHELD_UNKNOWN] = "need-unknown",
+};
+
+/* Pools whose machines, or machines for which, have been withheld of late. */
+static void
+log_withheld(struct roster *f)
+{
+	char text[ROSTER_LOG_BYTES] = "";
+	struct roster_pool *p;
+	size_t i, n = 0;
+
+	if (f->now_us - f->withheld_logged_us < US_PER_S)
+		return;
+	for (i = 0; i < f->pool_count && n < sizeof(text) - 100; i++) {
+		p = &f->pools[i];
+		if (p->withheld == WITHHELD_NONE)
+			continue;
+		n += (size_t)snprintf(text + n, sizeof(text) - n, " %s=%s/%zu",
+		    p->name, withheld_names[p->withheld], p->have);
+		p->withheld = WITHHELD_NONE;
+	}
+	if (n == 0)
+		return;
+	f->withheld_logged_us = f->now_us;
+	roster_log(f, "msg=\"moves withheld: why/have\"%s", text);
+}
+
 static const char *const known_names[] = {
     [DEMAND_UNKNOWN] = "unknown",
     [DEMAND_QUEUED] = "queued",
@@ -364,4 +444,5 @@
 	grow(f, GROW_NEED);
 	grow(f, GROW_FORESEEN);
 	shrink(f);
+	log_withheld(f);
 }
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -60,6 +60,12 @@
 	LIST_ENTRY(wave) entries;
 };
 
+/* Why machines of a pool stay that its need, as told, would let go. */
+enum withheld {
+	WITHHELD_NONE,
+	WITHHELD_UNKNOWN /* what it needs is not known */
+};
+
 struct roster_pool {
 	char name[NAME_BYTES];
 	bool spare;
@@ -69,8 +75,18 @@
 	size_t have; /* machines it has or is about to have, at this look */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
+	/*
+	 * What it gives no machine below: the same, and what was known before
+	 * where its owner does not know yet.
+	 */
+	enum demand_known known;
+	size_t keeps, keeps_foreseen;
+	size_t known_need, known_foreseen; /* when they were known last … */
+	int64_t known_us; /* … which was then; 0 never */
 	size_t peak; /* highest need of late … */
 	int64_t peak_us; /* … seen then */
+	bool peak_known; /* by what owners have known since then */
+	enum withheld withheld; /* seen since the last line of the log */
 	bool no_source; /* no machine is to be had for it at this look */
 };
 
@@ -91,6 +107,7 @@
 	bool listing;
 	bool list_wanted; /* sooner than it would be due */
 	int64_t pools_logged_us;
+	int64_t withheld_logged_us;
 	int64_t list_us; /* when it was asked for */
 	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -525,6 +525,83 @@
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
 }
 
+/*
+ * A hand-over in the middle of a turn: the new owner had yet to hear of most of
+ * what its workers run, and they went to another pool.
+ */
+Test(machines, a_pool_whose_owner_is_new_gives_no_machine_away,
+    .init = setup_large)
+{
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	wanted[1] = offered[1] = 300000;
+	run(2000);
+	cr_expect_eq(moves, 60, "what is off: %d", moves);
+	known[0] = DEMAND_KNOWN;
+	run(4000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
+/*
+ * An outage of the store has ended: nothing has arrived for its length, which
+ * says nothing of what arrives from now on. 306 machines were turned off within
+ * a second, and were back after three.
+ */
+Test(machines, nothing_is_turned_off_until_it_is_known_what_arrives,
+    .init = setup_large)
+{
+	known[0] = known[1] = DEMAND_QUEUED;
+	wanted[0] = wanted[1] = 20000;
+	run(6000);
+	cr_expect_eq(moves, 0, "%d", moves);
+	known[0] = known[1] = DEMAND_KNOWN;
+	run(8000);
+	cr_expect_geq(in_pool("spare"), 371 - 2 * 23);
+}
+
+/* What is known of a pool lasts over a hand-over: a turn elsewhere waits not.
+ */
+Test(machines, a_pool_that_is_handed_over_gives_what_it_did_not_need_before,
+    .init = setup_large)
+{
+	wanted[0] = 60000;
+	run(1000);
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	wanted[1] = offered[1] = 300000;
+	run(1000);
+	cr_expect_eq(moves, 60 + 160 - 66, "%d", moves);
+}
+
+/* A new keeper knew no need of any pool, and turned 284 machines off. */
+Test(machines, a_new_keeper_turns_nothing_off_that_was_needed_of_late,
+    .init = setup_large)
+{
+	wanted[0] = wanted[1] = 30000;
+	run(2600);
+	cr_expect_eq(in_pool("spare"), 60);
+	run(4600);
+	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
+}
+
+/* The same where a pool has changed its owner under one keeper. */
+Test(machines, a_new_owner_turns_nothing_off_that_was_needed_of_late,
+    .init = setup_large)
+{
+	wanted[0] = 140000;
+	wanted[1] = 130000;
+	run(8000);
+	cr_assert_eq(in_pool("spare"), 371 - 154 - 143);
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	run(4000);
+	known[0] = DEMAND_KNOWN;
+	run(2000);
+	cr_expect_eq(in_pool("blue"), 154);
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
 /*
  * A pool of 326 workers from which 210 had been moved within six seconds: what
  * went beyond 256 was cut off without a word.
