roster: a machine whose worker cannot be heard of yet is on its way

The partition of the store with workers' entries was away from 31.0 to 38.5 s, in that queue's turn: no owner heard of a new worker ("worker listed": none). The keeper counted the machines that it had moved as absent 2.5 s later (have 134, 99, with 91 and 59 in pools that needed 17 and 14), moved more, and turned machines off that could not have been had back.

The keeper knew whether a report was new, not how old its owner's view of workers' entries was, and took a worker that could not be known for one that is not there. The report's view age decides now: with a view over 1.5 s old a machine that came since is on its way, and counts as absent 2.5 s after the view is new again; one whose worker was known is absent as before. Such a pool turns nothing off, gets machines after pools that can use them at once, and none is emptied for its lasting tasks. What another pool does not need still goes there: it works as soon as the list can be read.

Tests in tests/unit/test_machines.c, failing before: machines_that_their_owner_cannot_hear_of_are_coming, none_is_emptied_for_lasting_tasks_that_could_not_go_there, nothing_is_turned_off_while_no_list_can_be_read, what_is_off_goes_where_it_is_heard_of. The fifth, a_worker_that_is_lost_while_no_list_can_be_read_is_replaced, holds before and after.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -8,6 +8,8 @@
 #include "roster_state.h"
 
 #define REPORT_FRESH_MS 600 /* a report may be so old to act on it */
+/* An owner reads workers' entries each 0.2 s, or fails after 0.9 s. */
+#define VIEW_FRESH_MS 1500
 #define LIST_EVERY_MS 4000 /* read the list of machines at least … */
 #define LIST_BUSY_MS 500 /* … and while machines are away */
 #define LIST_TIMEOUT_MS 1500
@@ -298,6 +300,10 @@
 		return;
 	p->demand = r->demand;
 	p->view_us = f->now_us - r->view_age_ms * US_PER_MS;
+	if (r->view_age_ms > VIEW_FRESH_MS)
+		p->sighted_us = 0;
+	else if (p->sighted_us == 0)
+		p->sighted_us = f->now_us;
 	p->told_us = f->now_us;
 	for (i = 0; i < r->worker_count; i++) {
 		m = machine_of_worker(f, r->workers[i].worker);
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -34,6 +34,13 @@
 	    f->now_us - p->told_us < NEED_FRESH_MS * US_PER_MS;
 }
 
+/* Its owner does not hear of workers that are new. */
+static bool
+pool_blind(const struct roster_pool *p)
+{
+	return p->told_us != 0 && p->sighted_us == 0;
+}
+
 static size_t
 machines_for(const struct roster_pool *p, double milli)
 {
@@ -129,6 +136,10 @@
 	int64_t since_us =
 	    m->told_us > m->worker_us ? m->told_us : m->worker_us;
 
+	if (m->told_us == 0 && pool_blind(p))
+		return false; /* its owner could not have heard of it yet */
+	if (m->told_us == 0 && p->sighted_us > since_us)
+		since_us = p->sighted_us;
 	return m->order == ORDER_NONE && !p->spare && pool_fresh(f, p) &&
 	    f->now_us - since_us > ABSENT_MS * US_PER_MS;
 }
@@ -216,8 +227,8 @@
 };
 
 static enum source
-source_of(struct roster *f, struct machine *m, const struct roster_pool *to,
-    enum growth g)
+source_of(
+    struct roster *f, struct machine *m, struct roster_pool *to, enum growth g)
 {
 	struct roster_pool *from = pool_of(f, m);
 
@@ -237,6 +248,10 @@
 	if (g != GROW_FLOOR || from->have <= from->demand.floor ||
 	    from->have <= POOL_MIN)
 		return SOURCE_NONE;
+	if (pool_blind(to)) {
+		to->withheld = WITHHELD_BLIND;
+		return SOURCE_NONE;
+	}
 	if (may_move(f, m))
 		return SOURCE_IDLE;
 	return may_be_emptied(f, m) ? SOURCE_BUSY : SOURCE_NONE;
@@ -244,7 +259,7 @@
 
 /* The one that suits best; of these the one that runs least. */
 static struct machine *
-find_source(struct roster *f, const struct roster_pool *to, enum growth g)
+find_source(struct roster *f, struct roster_pool *to, enum growth g)
 {
 	enum source source, best_source = SOURCE_NONE;
 	struct machine *m, *best = NULL;
@@ -274,6 +289,16 @@
 	return 0;
 }
 
+/* Where it can be used at once goes before where more is lacking. */
+static bool
+goes_before(const struct roster_pool *p, size_t lacks,
+    const struct roster_pool *other, size_t other_lacks)
+{
+	if (other != NULL && pool_blind(p) != pool_blind(other))
+		return pool_blind(other);
+	return lacks > other_lacks;
+}
+
 /* The pool that lacks most and that a machine may be found for. */
 static struct roster_pool *
 find_lacking(struct roster *f, enum growth g)
@@ -286,7 +311,8 @@
 		if (p->spare || p->no_source || !pool_fresh(f, p))
 			continue;
 		want = pool_wants(p, g);
-		if (want > p->have && want - p->have > most) {
+		if (want > p->have &&
+		    goes_before(p, want - p->have, worst, most)) {
 			most = want - p->have;
 			worst = p;
 		}
@@ -352,8 +378,9 @@
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || from->have <= from->peak)
 			continue;
-		if (!from->peak_known) {
-			from->withheld = WITHHELD_UNKNOWN;
+		if (!from->peak_known || pool_blind(from)) {
+			from->withheld = from->peak_known ? WITHHELD_BLIND
+							  : WITHHELD_UNKNOWN;
 			continue;
 		}
 		if (under_way++ >= most)
@@ -365,6 +392,7 @@
 static const char *const withheld_names[] = {
     [WITHHELD_NONE] = "",
     [WITHHELD_UNKNOWN] = "need-unknown",
+    [WITHHELD_BLIND] = "owner-reads-no-list",
 };
 
 /* Pools whose machines, or machines for which, have been withheld of late. */
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -60,10 +60,11 @@
 	LIST_ENTRY(wave) entries;
 };
 
-/* Why machines of a pool stay that its need, as told, would let go. */
+/* Why a pool does not give machines away, or get them. */
 enum withheld {
 	WITHHELD_NONE,
-	WITHHELD_UNKNOWN /* what it needs is not known */
+	WITHHELD_UNKNOWN, /* what it needs is not known */
+	WITHHELD_BLIND /* its owner does not hear of new workers */
 };
 
 struct roster_pool {
@@ -71,7 +72,8 @@
 	bool spare;
 	struct pool_demand demand; /* DEMAND_UNKNOWN before the first report */
 	int64_t told_us; /* newest report; 0 never */
-	int64_t view_us; /* its owner's newest view of the list of workers */
+	int64_t view_us; /* its owner's newest view of the list of workers … */
+	int64_t sighted_us; /* … which is new since then; 0: it is old */
 	size_t have; /* machines it has or is about to have, at this look */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -21,6 +21,7 @@
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static int64_t offered[2]; /* that arriving work takes up in the long run */
 static enum demand_known known[2]; /* to their owners */
+static int64_t view_age_ms[2]; /* of their owners' list of workers */
 static size_t floors[2]; /* machines that lasting tasks need */
 static size_t tasks[MACHINES_MAX]; /* of its worker */
 static size_t lasting[MACHINES_MAX]; /* of them */
@@ -178,6 +179,7 @@
 				    .wanted_milli = wanted[k],
 				    .offered_milli = offered[k],
 				    .floor = floors[k]},
+	    .view_age_ms = view_age_ms[k],
 	    .workers = list};
 	int i;
 
@@ -602,6 +604,89 @@
 	cr_expect_eq(in_pool("blue"), 2);
 }
 
+/*
+ * The load: a turn of demand while the partition of the store that holds
+ * workers' entries is away. Its owner heard of none of 133 machines that were
+ * moved there; they were counted as absent after 2.5 s, and more were moved.
+ */
+Test(machines, machines_that_their_owner_cannot_hear_of_are_coming,
+    .init = setup_large)
+{
+	int i;
+
+	run(600);
+	view_age_ms[0] = 6000;
+	for (i = 311; i < machine_count; i++)
+		silent[i] = true;
+	wanted[0] = 180000;
+	wanted[1] = 137000;
+	run(7000);
+	cr_expect_eq(moves, 38, "%d", moves);
+	view_age_ms[0] = 200;
+	run(1000);
+	memset(silent, 0, sizeof(silent));
+	run(3000);
+	cr_expect_eq(in_pool("blue"), 198);
+}
+
+/* A task that lasts would not have run there either. */
+Test(machines, none_is_emptied_for_lasting_tasks_that_could_not_go_there)
+{
+	int i;
+
+	for (i = 0; i < 9; i++)
+		tasks[i] = 2;
+	tasks_end = true;
+	wanted[0] = 30000;
+	run(4000);
+	for (i = 9; i < machine_count; i++)
+		tasks[i] = 2;
+	floors[1] = 5;
+	view_age_ms[1] = 6000;
+	run(4000);
+	cr_expect_eq(in_pool("green"), 4);
+	view_age_ms[1] = 200;
+	run(4000);
+	cr_expect_geq(in_pool("green"), 5);
+}
+
+/* One that was heard of before, and is not any more, is absent. */
+Test(machines, a_worker_that_is_lost_while_no_list_can_be_read_is_replaced)
+{
+	floors[0] = 5;
+	run(3000);
+	view_age_ms[0] = 6000;
+	silent[0] = silent[1] = true;
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 7);
+}
+
+/* What is off could not be had back before its worker is heard of again. */
+Test(machines, nothing_is_turned_off_while_no_list_can_be_read,
+    .init = setup_large)
+{
+	wanted[0] = wanted[1] = 140000;
+	run(1000);
+	view_age_ms[0] = 6000;
+	wanted[0] = 0;
+	run(8000);
+	cr_expect_eq(in_pool("blue"), 160);
+	view_age_ms[0] = 200;
+	run(8000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
+/* A pool whose owner can use them goes first. */
+Test(machines, what_is_off_goes_where_it_is_heard_of)
+{
+	run(600);
+	view_age_ms[0] = 6000;
+	wanted[0] = 20000;
+	wanted[1] = 6000;
+	run(3000);
+	cr_expect_eq(in_pool("green"), 7);
+}
+
 /*
  * A pool of 326 workers from which 210 had been moved within six seconds: what
  * went beyond 256 was cut off without a word.
