--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -163,6 +163,7 @@
 	if (!p->loaded)
 		return;
 	pool_settle(p);
+	pool_note_answered(p);
 	if (p->now_ms >= p->next_due_ms)
 		p->place_due = true;
 	if (p->place_due && p->now_us >= p->place_after_us) {
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -34,34 +34,85 @@
 	    f->now_us - p->told_us < NEED_FRESH_MS * US_PER_MS;
 }
 
+/* Its owner does not hear of workers that are new. */
+static bool
+pool_blind(const struct roster_pool *p)
+{
+	return p->told_us != 0 && p->sighted_us == 0;
+}
+
 static size_t
 machines_for(const struct roster_pool *p, double milli)
 {
 	size_t n = (size_t)(milli / 1000 + 0.99);
 
-	if (n < p->floor)
-		n = p->floor;
-	if (n < p->least)
-		n = p->least;
+	if (n < p->demand.floor)
+		n = p->demand.floor;
+	if (n < p->demand.least)
+		n = p->demand.least;
 	return n < POOL_MIN ? POOL_MIN : n;
 }
 
+static size_t
+larger(size_t a, size_t b)
+{
+	return a > b ? a : b;
+}
+
+/* A new owner does not know all at once; what was known before stands in. */
 static void
-update_need(struct roster *f, struct roster_pool *p)
+update_keeps(struct roster *f, struct roster_pool *p)
 {
-	if (!pool_fresh(f, p))
+	bool lasts =
+	    p->known_us != 0 && f->now_us - p->known_us < PEAK_MS * US_PER_MS;
+
+	if (p->demand.known == DEMAND_KNOWN) {
+		p->known_need = p->need;
+		p->known_foreseen = p->foreseen;
+		p->known_us = f->now_us;
+	}
+	p->known = lasts ? DEMAND_KNOWN : p->demand.known;
+	p->keeps = p->need;
+	p->keeps_foreseen = p->foreseen;
+	if (lasts && p->demand.known == DEMAND_UNKNOWN)
+		p->keeps = larger(p->need, p->known_need);
+	if (lasts)
+		p->keeps_foreseen = larger(p->foreseen, p->known_foreseen);
+}
+
+static void
+update_peak(struct roster *f, struct roster_pool *p)
+{
+	bool was_known = p->peak_known;
+
+	p->peak_known = p->known == DEMAND_KNOWN;
+	if (!p->peak_known)
 		return;
-	p->need = machines_for(p, (double)p->wanted_milli * HEADROOM);
-	p->foreseen = machines_for(p, (double)p->offered_milli * FORESEEN);
-	if (p->foreseen < p->need)
-		p->foreseen = p->need;
-	if (p->foreseen >= p->peak ||
+	if (!was_known) {
+		/* what it has was needed, as far as anybody knew */
+		p->peak = larger(p->have, p->peak);
+		p->peak_us = f->now_us;
+	}
+	if (p->keeps_foreseen >= p->peak ||
 	    f->now_us - p->peak_us > PEAK_MS * US_PER_MS) {
-		p->peak = p->foreseen;
+		p->peak = p->keeps_foreseen;
 		p->peak_us = f->now_us;
 	}
 }
 
+static void
+update_need(struct roster *f, struct roster_pool *p)
+{
+	if (!pool_fresh(f, p))
+		return;
+	p->need = machines_for(p, (double)p->demand.wanted_milli * HEADROOM);
+	p->foreseen =
+	    machines_for(p, (double)p->demand.offered_milli * FORESEEN);
+	p->foreseen = larger(p->foreseen, p->need);
+	update_keeps(f, p);
+	update_peak(f, p);
+}
+
 static struct roster_pool *
 pool_of(struct roster *f, const struct machine *m)
 {
@@ -85,6 +136,10 @@
 	int64_t since_us =
 	    m->told_us > m->worker_us ? m->told_us : m->worker_us;
 
+	if (m->told_us == 0 && pool_blind(p))
+		return false; /* its owner could not have heard of it yet */
+	if (m->told_us == 0 && p->sighted_us > since_us)
+		since_us = p->sighted_us;
 	return m->order == ORDER_NONE && !p->spare && pool_fresh(f, p) &&
 	    f->now_us - since_us > ABSENT_MS * US_PER_MS;
 }
@@ -143,7 +198,7 @@
 	    "msg=\"machine is to move\" machine=%s pool=%s to=%s need=%zu "
 	    "foreseen=%zu wanted_milli=%lld report_age_ms=%lld",
 	    m->report.machine, m->report.pool, to->name, to->need, to->foreseen,
-	    (long long)to->wanted_milli,
+	    (long long)to->demand.wanted_milli,
 	    (long long)((f->now_us - to->told_us) / US_PER_MS));
 }
 
@@ -172,8 +227,8 @@
 };
 
 static enum source
-source_of(struct roster *f, struct machine *m, const struct roster_pool *to,
-    enum growth g)
+source_of(
+    struct roster *f, struct machine *m, struct roster_pool *to, enum growth g)
 {
 	struct roster_pool *from = pool_of(f, m);
 
@@ -184,11 +239,19 @@
 	if (from->spare || !pool_fresh(f, from))
 		return SOURCE_NONE;
 	if (may_move(f, m) &&
-	    from->have > (g == GROW_FORESEEN ? from->foreseen : from->need))
-		return SOURCE_SURPLUS;
-	if (g != GROW_FLOOR || from->have <= from->floor ||
+	    from->have >
+		(g == GROW_FORESEEN ? from->keeps_foreseen : from->keeps)) {
+		if (from->known != DEMAND_UNKNOWN)
+			return SOURCE_SURPLUS;
+		from->withheld = WITHHELD_UNKNOWN;
+	}
+	if (g != GROW_FLOOR || from->have <= from->demand.floor ||
 	    from->have <= POOL_MIN)
 		return SOURCE_NONE;
+	if (pool_blind(to)) {
+		to->withheld = WITHHELD_BLIND;
+		return SOURCE_NONE;
+	}
 	if (may_move(f, m))
 		return SOURCE_IDLE;
 	return may_be_emptied(f, m) ? SOURCE_BUSY : SOURCE_NONE;
@@ -196,7 +259,7 @@
 
 /* The one that suits best; of these the one that runs least. */
 static struct machine *
-find_source(struct roster *f, const struct roster_pool *to, enum growth g)
+find_source(struct roster *f, struct roster_pool *to, enum growth g)
 {
 	enum source source, best_source = SOURCE_NONE;
 	struct machine *m, *best = NULL;
@@ -217,7 +280,7 @@
 {
 	switch (g) {
 	case GROW_FLOOR:
-		return p->floor;
+		return p->demand.floor;
 	case GROW_NEED:
 		return p->need;
 	case GROW_FORESEEN:
@@ -226,6 +289,16 @@
 	return 0;
 }
 
+/* Where it can be used at once goes before where more is lacking. */
+static bool
+goes_before(const struct roster_pool *p, size_t lacks,
+    const struct roster_pool *other, size_t other_lacks)
+{
+	if (other != NULL && pool_blind(p) != pool_blind(other))
+		return pool_blind(other);
+	return lacks > other_lacks;
+}
+
 /* The pool that lacks most and that a machine may be found for. */
 static struct roster_pool *
 find_lacking(struct roster *f, enum growth g)
@@ -238,7 +311,8 @@
 		if (p->spare || p->no_source || !pool_fresh(f, p))
 			continue;
 		want = pool_wants(p, g);
-		if (want > p->have && want - p->have > most) {
+		if (want > p->have &&
+		    goes_before(p, want - p->have, worst, most)) {
 			most = want - p->have;
 			worst = p;
 		}
@@ -304,12 +378,53 @@
 		if (from == NULL || from->spare || !pool_fresh(f, from) ||
 		    !may_move(f, m) || from->have <= from->peak)
 			continue;
+		if (!from->peak_known || pool_blind(from)) {
+			from->withheld = from->peak_known ? WITHHELD_BLIND
+							  : WITHHELD_UNKNOWN;
+			continue;
+		}
 		if (under_way++ >= most)
 			return;
 		begin_move(f, m, spare);
 	}
 }
 
+static const char *const withheld_names[] = {
+    [WITHHELD_NONE] = "",
+    [WITHHELD_UNKNOWN] = "need-unknown",
+    [WITHHELD_BLIND] = "owner-reads-no-list",
+};
+
+/* Pools whose machines, or machines for which, have been withheld of late. */
+static void
+log_withheld(struct roster *f)
+{
+	char text[ROSTER_LOG_BYTES] = "";
+	struct roster_pool *p;
+	size_t i, n = 0;
+
+	if (f->now_us - f->withheld_logged_us < US_PER_S)
+		return;
+	for (i = 0; i < f->pool_count && n < sizeof(text) - 100; i++) {
+		p = &f->pools[i];
+		if (p->withheld == WITHHELD_NONE)
+			continue;
+		n += (size_t)snprintf(text + n, sizeof(text) - n, " %s=%s/%zu",
+		    p->name, withheld_names[p->withheld], p->have);
+		p->withheld = WITHHELD_NONE;
+	}
+	if (n == 0)
+		return;
+	f->withheld_logged_us = f->now_us;
+	roster_log(f, "msg=\"moves withheld: why/have\"%s", text);
+}
+
+static const char *const known_names[] = {
+    [DEMAND_UNKNOWN] = "unknown",
+    [DEMAND_QUEUED] = "queued",
+    [DEMAND_KNOWN] = "known",
+};
+
 /* One line a second: what moves are decided by. */
 static void
 log_pools(struct roster *f)
@@ -321,15 +436,26 @@
 	if (f->now_us - f->pools_logged_us < US_PER_S)
 		return;
 	f->pools_logged_us = f->now_us;
-	for (i = 0; i < f->pool_count && n < sizeof(text) - 60; i++) {
+	for (i = 0; i < f->pool_count && n < sizeof(text) - 100; i++) {
 		p = &f->pools[i];
+		if (p->spare || p->told_us == 0) {
+			n += (size_t)snprintf(text + n, sizeof(text) - n,
+			    " %s=%zu/%s", p->name, p->have,
+			    p->spare ? "spare" : "unknown");
+			continue;
+		}
 		n += (size_t)snprintf(text + n, sizeof(text) - n,
-		    " %s=%zu/%zu/%zu/%zu/%lld/%lld", p->name, p->have, p->need,
-		    p->foreseen, p->peak, (long long)p->wanted_milli,
-		    (long long)p->offered_milli);
+		    " %s=%zu/%zu/%zu/%zu/%lld/%lld/%s/%lld/%lld", p->name,
+		    p->have, p->need, p->foreseen, p->peak,
+		    (long long)p->demand.wanted_milli,
+		    (long long)p->demand.offered_milli,
+		    known_names[p->demand.known],
+		    (long long)((f->now_us - p->told_us) / US_PER_MS),
+		    (long long)((f->now_us - p->view_us) / US_PER_MS));
 	}
 	roster_log(f,
-	    "msg=\"pools: have/need/foreseen/peak/wanted/offered milli\"%s",
+	    "msg=\"pools: have/need/foreseen/peak/wanted/offered milli/known/"
+	    "report ms ago/view of workers ms ago\"%s",
 	    text);
 }
 
@@ -346,4 +472,5 @@
 	grow(f, GROW_NEED);
 	grow(f, GROW_FORESEEN);
 	shrink(f);
+	log_withheld(f);
 }
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -60,18 +60,35 @@
 	LIST_ENTRY(wave) entries;
 };
 
+/* Why a pool does not give machines away, or get them. */
+enum withheld {
+	WITHHELD_NONE,
+	WITHHELD_UNKNOWN, /* what it needs is not known */
+	WITHHELD_BLIND /* its owner does not hear of new workers */
+};
+
 struct roster_pool {
 	char name[NAME_BYTES];
 	bool spare;
-	int64_t wanted_milli;
-	int64_t offered_milli;
-	size_t floor, least; /* see struct pool_report */
+	struct pool_demand demand; /* DEMAND_UNKNOWN before the first report */
 	int64_t told_us; /* newest report; 0 never */
+	int64_t view_us; /* its owner's newest view of the list of workers … */
+	int64_t sighted_us; /* … which is new since then; 0: it is old */
 	size_t have; /* machines it has or is about to have, at this look */
 	size_t need; /* machines, now … */
 	size_t foreseen; /* … and by the time a moved one can work */
+	/*
+	 * What it gives no machine below: the same, and what was known before
+	 * where its owner does not know yet.
+	 */
+	enum demand_known known;
+	size_t keeps, keeps_foreseen;
+	size_t known_need, known_foreseen; /* when they were known last … */
+	int64_t known_us; /* … which was then; 0 never */
 	size_t peak; /* highest need of late … */
 	int64_t peak_us; /* … seen then */
+	bool peak_known; /* by what owners have known since then */
+	enum withheld withheld; /* seen since the last line of the log */
 	bool no_source; /* no machine is to be had for it at this look */
 };
 
@@ -92,6 +109,7 @@
 	bool listing;
 	bool list_wanted; /* sooner than it would be due */
 	int64_t pools_logged_us;
+	int64_t withheld_logged_us;
 	int64_t list_us; /* when it was asked for */
 	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -6,6 +6,7 @@
 
 #include "cordon_call.h"
 #include "roster.h"
+#include "wire.h"
 
 #define MACHINES 12
 #define MACHINES_MAX 371 /* of the largest deployment */
@@ -19,6 +20,8 @@
 static struct machine_report machines[MACHINES_MAX];
 static int64_t wanted[2]; /* thousandths of a machine: blue, green */
 static int64_t offered[2]; /* that arriving work takes up in the long run */
+static enum demand_known known[2]; /* to their owners */
+static int64_t view_age_ms[2]; /* of their owners' list of workers */
 static size_t floors[2]; /* machines that lasting tasks need */
 static size_t tasks[MACHINES_MAX]; /* of its worker */
 static size_t lasting[MACHINES_MAX]; /* of them */
@@ -172,9 +175,11 @@
 {
 	struct pool_worker_report list[MACHINES_MAX];
 	struct roster_event ev = {.kind = ROSTER_REPORT};
-	struct pool_report r = {.wanted_milli = wanted[k],
-	    .offered_milli = offered[k],
-	    .floor = floors[k],
+	struct pool_report r = {.demand = {.known = known[k],
+				    .wanted_milli = wanted[k],
+				    .offered_milli = offered[k],
+				    .floor = floors[k]},
+	    .view_age_ms = view_age_ms[k],
 	    .workers = list};
 	int i;
 
@@ -274,6 +279,7 @@
 			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
 		machines[i].cpu = 8000;
 	}
+	known[0] = known[1] = DEMAND_KNOWN;
 	wanted[0] = 4400;
 	wanted[1] = 3400;
 }
@@ -521,6 +527,166 @@
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
 }
 
+/*
+ * A hand-over in the middle of a turn: the new owner had yet to hear of most of
+ * what its workers run, and they went to another pool.
+ */
+Test(machines, a_pool_whose_owner_is_new_gives_no_machine_away,
+    .init = setup_large)
+{
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	wanted[1] = offered[1] = 300000;
+	run(2000);
+	cr_expect_eq(moves, 60, "what is off: %d", moves);
+	known[0] = DEMAND_KNOWN;
+	run(4000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
+/*
+ * An outage of the store has ended: nothing has arrived for its length, which
+ * says nothing of what arrives from now on. 306 machines were turned off within
+ * a second, and were back after three.
+ */
+Test(machines, nothing_is_turned_off_until_it_is_known_what_arrives,
+    .init = setup_large)
+{
+	known[0] = known[1] = DEMAND_QUEUED;
+	wanted[0] = wanted[1] = 20000;
+	run(6000);
+	cr_expect_eq(moves, 0, "%d", moves);
+	known[0] = known[1] = DEMAND_KNOWN;
+	run(8000);
+	cr_expect_geq(in_pool("spare"), 371 - 2 * 23);
+}
+
+/* What is known of a pool lasts over a hand-over: a turn elsewhere waits not.
+ */
+Test(machines, a_pool_that_is_handed_over_gives_what_it_did_not_need_before,
+    .init = setup_large)
+{
+	wanted[0] = 60000;
+	run(1000);
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	wanted[1] = offered[1] = 300000;
+	run(1000);
+	cr_expect_eq(moves, 60 + 160 - 66, "%d", moves);
+}
+
+/* A new keeper knew no need of any pool, and turned 284 machines off. */
+Test(machines, a_new_keeper_turns_nothing_off_that_was_needed_of_late,
+    .init = setup_large)
+{
+	wanted[0] = wanted[1] = 30000;
+	run(2600);
+	cr_expect_eq(in_pool("spare"), 60);
+	run(4600);
+	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
+}
+
+/* The same where a pool has changed its owner under one keeper. */
+Test(machines, a_new_owner_turns_nothing_off_that_was_needed_of_late,
+    .init = setup_large)
+{
+	wanted[0] = 140000;
+	wanted[1] = 130000;
+	run(8000);
+	cr_assert_eq(in_pool("spare"), 371 - 154 - 143);
+	known[0] = DEMAND_UNKNOWN;
+	wanted[0] = 0;
+	run(4000);
+	known[0] = DEMAND_KNOWN;
+	run(2000);
+	cr_expect_eq(in_pool("blue"), 154);
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
+/*
+ * The load: a turn of demand while the partition of the store that holds
+ * workers' entries is away. Its owner heard of none of 133 machines that were
+ * moved there; they were counted as absent after 2.5 s, and more were moved.
+ */
+Test(machines, machines_that_their_owner_cannot_hear_of_are_coming,
+    .init = setup_large)
+{
+	int i;
+
+	run(600);
+	view_age_ms[0] = 6000;
+	for (i = 311; i < machine_count; i++)
+		silent[i] = true;
+	wanted[0] = 180000;
+	wanted[1] = 137000;
+	run(7000);
+	cr_expect_eq(moves, 38, "%d", moves);
+	view_age_ms[0] = 200;
+	run(1000);
+	memset(silent, 0, sizeof(silent));
+	run(3000);
+	cr_expect_eq(in_pool("blue"), 198);
+}
+
+/* A task that lasts would not have run there either. */
+Test(machines, none_is_emptied_for_lasting_tasks_that_could_not_go_there)
+{
+	int i;
+
+	for (i = 0; i < 9; i++)
+		tasks[i] = 2;
+	tasks_end = true;
+	wanted[0] = 30000;
+	run(4000);
+	for (i = 9; i < machine_count; i++)
+		tasks[i] = 2;
+	floors[1] = 5;
+	view_age_ms[1] = 6000;
+	run(4000);
+	cr_expect_eq(in_pool("green"), 4);
+	view_age_ms[1] = 200;
+	run(4000);
+	cr_expect_geq(in_pool("green"), 5);
+}
+
+/* One that was heard of before, and is not any more, is absent. */
+Test(machines, a_worker_that_is_lost_while_no_list_can_be_read_is_replaced)
+{
+	floors[0] = 5;
+	run(3000);
+	view_age_ms[0] = 6000;
+	silent[0] = silent[1] = true;
+	run(6000);
+	cr_expect_eq(in_pool("blue"), 7);
+}
+
+/* What is off could not be had back before its worker is heard of again. */
+Test(machines, nothing_is_turned_off_while_no_list_can_be_read,
+    .init = setup_large)
+{
+	wanted[0] = wanted[1] = 140000;
+	run(1000);
+	view_age_ms[0] = 6000;
+	wanted[0] = 0;
+	run(8000);
+	cr_expect_eq(in_pool("blue"), 160);
+	view_age_ms[0] = 200;
+	run(8000);
+	cr_expect_eq(in_pool("blue"), 2);
+}
+
+/* A pool whose owner can use them goes first. */
+Test(machines, what_is_off_goes_where_it_is_heard_of)
+{
+	run(600);
+	view_age_ms[0] = 6000;
+	wanted[0] = 20000;
+	wanted[1] = 6000;
+	run(3000);
+	cr_expect_eq(in_pool("green"), 7);
+}
+
 /*
  * A pool of 326 workers from which 210 had been moved within six seconds: what
  * went beyond 256 was cut off without a word.
@@ -546,6 +712,51 @@
 	buf_unref(b);
 }
 
+static struct pool_report
+sent_and_read(struct buf *sent)
+{
+	struct pool_report r;
+	struct err e;
+
+	cr_assert_not_null(sent);
+	cr_assert_eq(pool_report_decode(&r, sent->data, sent->len, &e), 0);
+	buf_unref(sent);
+	return r;
+}
+
+Test(machines, a_report_says_what_its_owner_does_not_know)
+{
+	struct pool_report r = {
+	    .demand = {.wanted_milli = 1200}, .view_age_ms = 6500};
+
+	r = sent_and_read(pool_report_encode(&r));
+	cr_expect_eq(r.demand.known, DEMAND_UNKNOWN);
+	cr_expect_eq(r.demand.wanted_milli, 1200);
+	cr_expect_eq(r.view_age_ms, 6500);
+	pool_report_uninit(&r);
+}
+
+/* Daemons of two versions run beside each other while one is replaced. */
+Test(machines, a_report_of_the_version_before_is_taken_as_known)
+{
+	struct pool_report r;
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 6);
+	wire_str(&w, "pool", "blue");
+	wire_i64(&w, "wanted", 1200);
+	wire_i64(&w, "offered", 800);
+	wire_u64(&w, "floor", 2);
+	wire_u64(&w, "least", 3);
+	wire_array(&w, "workers", 0);
+	r = sent_and_read(wire_writer_take(&w));
+	cr_expect_eq(r.demand.known, DEMAND_KNOWN);
+	cr_expect_eq(r.demand.floor, 2);
+	cr_expect_eq(r.view_age_ms, 0);
+	pool_report_uninit(&r);
+}
+
 static void
 setup_idle(void)
 {
