http_client: an order that is given up unsent is dropped

Cause: a call that is given up while its daemon is cut off lies in the socket. The system goes on sending it after the close, and it arrives once the cut ends. Change: orders for machines are marked never_late. When such a call is given up and its peer has not acknowledged all of it, the connection is reset; else it is closed as before. Tests: shell_http::what_is_given_up_unsent_does_not_arrive_later, failing first; shell_http::a_slow_peer_keeps_what_has_arrived, which passes before too and fails where every call is reset.

--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -198,6 +198,7 @@
 	    .port = b->machines.port,
 	    .method = "POST",
 	    .headers = &headers,
+	    .never_late = true, /* a successor may have ordered by then */
 	    .timeout_ms = CALL_TIMEOUT_MS,
 	    .on_end = order_ended,
 	};
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -1,12 +1,17 @@
 #include "http_client.h"
 
+#include <errno.h>
+#include <linux/sockios.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 #include "bounds.h"
+#include "daemon_log.h"
 #include "http_answer.h"
 
 #define WRITE_BYTES 16384 /* of a request, in one write */
@@ -44,6 +49,7 @@
 	size_t written; /* of head and body together */
 	bool sent;
 	bool repeatable;
+	bool never_late;
 	bool retried;
 	bool ended; /* "end" is final; on_end is due */
 	enum http_end end;
@@ -103,6 +109,36 @@
 	conn_free(conn);
 }
 
+/* True unless the peer's system has acknowledged all that was written. */
+static bool
+conn_unacknowledged(const struct client_conn *conn)
+{
+	int bytes;
+
+	if (ioctl(lws_get_socket_fd(conn->wsi), SIOCOUTQ, &bytes) == -1)
+		return true;
+	return bytes > 0;
+}
+
+/*
+ * Has the close drop what is unsent: the system would go on sending it, and
+ * it would arrive once a cut network is back.
+ */
+static void
+conn_drop_unsent(struct client_conn *conn)
+{
+	static const struct linger drop = {.l_onoff = 1, .l_linger = 0};
+
+	if (conn->wsi == NULL || !conn_unacknowledged(conn))
+		return;
+	if (setsockopt(lws_get_socket_fd(conn->wsi), SOL_SOCKET, SO_LINGER,
+		&drop, sizeof(drop)) == -1)
+		daemon_log(LOG_LEVEL_WARN, "http",
+		    "msg=\"a request that was given up may still arrive\" "
+		    "errno=%d",
+		    errno);
+}
+
 static void
 pool_close_idle(struct http_pool *pool, lws_usec_t before)
 {
@@ -195,6 +231,9 @@
 		LIST_INSERT_HEAD(&conn->pool->idle, conn, entries);
 		return;
 	}
+	if (call->never_late && call->sent &&
+	    !(call->ended && call->end == HTTP_WHOLE))
+		conn_drop_unsent(conn);
 	conn_close(conn);
 }
 
@@ -407,6 +446,7 @@
 	call->context = opts->context;
 	call->pool = opts->pool;
 	call->repeatable = opts->repeatable;
+	call->never_late = opts->never_late;
 	snprintf(call->addr, sizeof(call->addr), "%s", opts->addr);
 	call->port = opts->port;
 	snprintf(call->method, sizeof(call->method), "%s", opts->method);
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -48,6 +48,11 @@
 	 * fresh one, though the request may have been sent on it.
 	 */
 	bool repeatable;
+	/*
+	 * Given up while its peer has not got all of it, it is dropped, so
+	 * that nothing of it arrives later.
+	 */
+	bool never_late;
 	const char *addr; /* numeric IP */
 	int port;
 	const char *method;
--- a/tests/unit/test_shell_http.c
+++ b/tests/unit/test_shell_http.c
@@ -1,4 +1,5 @@
 /* Ends of HTTP calls against a scripted server in a child process. */
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,6 +17,8 @@
 #define UPLOAD_BYTES (8 * 1024 * 1024) /* more than sockets buffer */
 #define CALL_TIMEOUT_MS 5000
 #define STALL_TIMEOUT_MS 300
+#define ORDER_BYTES 12000 /* in one write; more than a narrow peer takes */
+#define NARROW_BYTES 2048 /* receive buffer of a narrow peer */
 
 struct server {
 	pid_t pid;
@@ -216,6 +219,82 @@
 	    end_of(CHUNKED_HEAD "5\r\nhello\r\n", true), HTTP_TIMED_OUT);
 }
 
+enum arrival {
+	ARRIVED, /* all of the request, then an orderly end */
+	CUT_SHORT, /* an end before that */
+	ARRIVED_RESET /* all of the request, then a reset */
+};
+
+/* Sleeps until the call was given up, then reads what is there. */
+static enum arrival
+read_late(int fd)
+{
+	char in[4096];
+	size_t got = 0;
+	ssize_t r;
+
+	usleep(2 * STALL_TIMEOUT_MS * 1000);
+	while ((r = read(fd, in, sizeof(in))) > 0)
+		got += (size_t)r;
+	if (got < ORDER_BYTES)
+		return CUT_SHORT;
+	return r == 0 ? ARRIVED : ARRIVED_RESET;
+}
+
+/* What a peer gets that begins to read after the call was given up. */
+static enum arrival
+arrival_of_given_up(bool narrow)
+{
+	int port, status = 0, size = NARROW_BYTES, fd = listen_any(&port);
+	struct buf *body = buf_new(ORDER_BYTES);
+	struct http_call_opts o = {.addr = "127.0.0.1",
+	    .port = port,
+	    .method = "POST",
+	    .path = "/x",
+	    .body = body,
+	    .never_late = true,
+	    .timeout_ms = STALL_TIMEOUT_MS,
+	    .max_bytes = 1000};
+	enum http_end end = HTTP_UNSENT;
+	struct answer *a = NULL;
+	struct err e;
+	pid_t pid;
+
+	if (narrow) /* inherited by the connection */
+		cr_assert_eq(
+		    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size)),
+		    0);
+	fflush(NULL);
+	pid = fork();
+	cr_assert(pid >= 0);
+	if (pid == 0)
+		_exit(read_late(accept(fd, NULL, NULL)));
+	close(fd);
+	memset(body->data, 'x', ORDER_BYTES);
+	body->len = ORDER_BYTES;
+	http_sync(&o, &a, &end, &e);
+	cr_expect_eq(end, HTTP_TIMED_OUT, "end %d", end);
+	waitpid(pid, &status, 0);
+	buf_unref(body);
+	cr_assert(WIFEXITED(status));
+	return (enum arrival)WEXITSTATUS(status);
+}
+
+/*
+ * An order lay in its socket while the daemon was cut off.  It was given up,
+ * and carried out seconds later, after its successor's.
+ */
+Test(shell_http, what_is_given_up_unsent_does_not_arrive_later)
+{
+	cr_expect_eq(arrival_of_given_up(true), CUT_SHORT);
+}
+
+/* Resetting every given-up order dropped what a slow platform had taken. */
+Test(shell_http, a_slow_peer_keeps_what_has_arrived)
+{
+	cr_expect_eq(arrival_of_given_up(false), ARRIVED);
+}
+
 Test(shell_http, answers_without_a_body_need_no_length)
 {
 	static const char text[] =
