soak: randomized faults on real processes, promises judged from outside

'make soak SEED=N SECONDS=S DAEMONS=D' starts the stand-in of the platform, D daemons and eight clients as processes, each link between them (callers to a daemon, a daemon to the platform, daemons to a worker) through one proxy that delays, resets, cuts, silences, drips, drops answers and rejects. Signals, restarts, settings, configurations, workers and the store follow a plan that is drawn from the seed and printed first.

The stand-in's workers have lives of their own now: they die, return under their id, stand still, bar runs that were stopped or have ended, shorten leases to the maximum, and write down what they see. Its store is away for some topics and forgets history. job_fleet takes any number of daemons.

Clients and workers write down what they send and see; soak_judge.c judges these lines in the order of their times.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 bench_src := $(wildcard bench/*.c)
 unit_src := $(wildcard tests/unit/*.c)
 process_src := $(wildcard tests/process/*.c)
+soak_src := $(wildcard tests/soak/*.c)
 property_src := $(wildcard tests/properties/*.cc)
 scripts := $(wildcard tests/scripts/*.script)
 job_scripts := $(wildcard tests/jobs/*.script)
@@ -95,6 +96,9 @@
 $(BUILD)/process: $(call obj,$(process_src)) $(bench_lib) $(libs)
 	$(CC) $(LDFLAGS) -o $@ $^ -lcriterion $(SHELL_LIBS) -lm
 
+$(BUILD)/soak: $(call obj,$(soak_src)) $(bench_lib) $(libs)
+	$(CC) $(LDFLAGS) -o $@ $^ $(SHELL_LIBS) -lm -lpthread
+
 $(BUILD)/script: $(BUILD)/tests/scripts/script.o $(libs)
 	$(CC) $(LDFLAGS) -o $@ $^ $(SHELL_LIBS)
 
@@ -119,6 +123,14 @@
 	$(MAKE) -j8 all $(BUILD)/bench-demo
 	$(BUILD)/bench-demo
 
+# make soak SEED=N SECONDS=S DAEMONS=D; the plan is printed first.
+SEED ?= 1
+SECONDS ?= 60
+DAEMONS ?= 4
+soak: deps
+	$(MAKE) -j8 all $(BUILD)/soak
+	BUILD=$(BUILD) $(BUILD)/soak $(SEED) $(SECONDS) $(DAEMONS)
+
 bench: $(filter-out $(BUILD)/bench-demo,$(benches)) all
 	@for b in $(filter-out $(BUILD)/bench-demo,$(benches)); do \
 	    $$b || exit 1; done
@@ -133,7 +145,7 @@
 	@$(BUILD)/bench-$*
 
 c_files := $(core_src) $(shell_src) $(cli_src) $(standin_src) $(bench_src) \
-	src/main.c $(unit_src) $(process_src) $(wildcard tests/scripts/*.c tests/jobs/*.c)
+	src/main.c $(unit_src) $(process_src) $(soak_src) $(wildcard tests/scripts/*.c tests/jobs/*.c)
 h_files := $(wildcard src/*/*.h standin/*.h bench/*.h tests/*/*.h)
 
 lint: deps
@@ -153,7 +165,7 @@
 clean:
 	rm -rf build
 
-.PHONY: slopes all deps build test-programs check demo bench lint format clean
+.PHONY: slopes soak all deps build test-programs check demo bench lint format clean
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -30,7 +30,7 @@
     "{\"name\":\"r-green\",\"host\":\"jobs.example\","
     "\"pathPrefix\":\"/blue/green/\",\"service\":\"green\","
     "\"maxAttempts\":2,\"stretch\":2,\"targetLatencyMs\":600,"
-    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.1,\"validityMs\":3000}}],"
+    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.1,\"validityMs\":3000}}%s],"
     "\"services\":[{\"name\":\"blue\",\"admissionControl\":true},"
     "{\"name\":\"green\",\"admissionControl\":true}]}";
 
@@ -44,6 +44,15 @@
 	return http_json(f->platform_port, "POST", path, value, NULL);
 }
 
+int
+job_fleet_configure(const struct job_fleet *f, int version, const char *routes)
+{
+	char text[sizeof(config_format) + JOB_FLEET_ROUTES_BYTES];
+
+	snprintf(text, sizeof(text), config_format, version, routes);
+	return job_fleet_put(f, "keyed.op", "config", text);
+}
+
 static bool
 platform_answers(void *arg)
 {
@@ -55,25 +64,40 @@
 struct job_fleet *
 job_fleet_new(void)
 {
-	char listen[32], text[sizeof(config_format) + 16];
-	const char *argv[] = {
-	    "--listen", listen, "--workers", "4", "--task-ms", "60", NULL};
+	struct job_fleet_opts o = {
+	    .daemons = JOB_DAEMONS, .platform_port = free_port()};
+
+	return job_fleet_new_with(&o);
+}
+
+struct job_fleet *
+job_fleet_new_with(const struct job_fleet_opts *o)
+{
+	char listen[32];
+	const char *argv[PROC_ARGS_MAX] = {
+	    "--listen", listen, "--workers", "4", "--task-ms", "60"};
 	struct job_fleet *f;
-	int i;
+	int i, n = 6;
+
+	for (i = 0; o->platform_args != NULL && o->platform_args[i] != NULL &&
+	     n < PROC_ARGS_MAX - 1;
+	     i++)
+		argv[n++] = o->platform_args[i];
 
 	f = calloc(1, sizeof(*f));
 	if (f == NULL)
 		err(1, "no memory for the fleet");
-	f->procs = procs_new();
-	f->platform_port = free_port();
+	f->procs = o->procs != NULL ? o->procs : procs_new();
+	f->daemon_count = o->daemons;
+	f->platform_port = o->platform_port;
 	snprintf(listen, sizeof(listen), "127.0.0.1:%d", f->platform_port);
 	if (proc_start(f->procs, "platform", "standin-jobs", argv) == NULL ||
 	    !wait_until(platform_answers, f, START_LIMIT_MS))
 		errx(1, "the stand-in of the platform does not answer");
-	snprintf(text, sizeof(text), config_format, CONFIG_VERSION);
-	if (job_fleet_put(f, "keyed.op", "config", text) != 200)
+	if (job_fleet_configure(f, CONFIG_VERSION, "") != 200)
 		errx(1, "the stand-in does not take the configuration");
-	for (i = 0; i < JOB_DAEMONS; i++) {
+	for (i = 0; i < f->daemon_count; i++) {
+		f->store_port[i] = f->platform_port;
 		f->callers_port[i] = free_port();
 		f->ready_port[i] = free_port();
 		f->peer_port[i] = free_port();
@@ -91,16 +115,25 @@
 }
 
 void
-job_fleet_start(struct job_fleet *f, int i)
+job_fleet_settings(const struct job_fleet *f, int i)
 {
 	char name[32], path[160], text[2048];
-	const char *argv[] = {"schedule", "-c", path, NULL};
 
 	snprintf(text, sizeof(text), settings_format, i, f->callers_port[i],
 	    f->ready_port[i], f->peer_port[i], f->peer_port[i],
-	    f->platform_port, f->platform_port, f->platform_port);
+	    f->store_port[i], f->store_port[i], f->store_port[i]);
 	snprintf(name, sizeof(name), "boot-%d.json", i);
 	procs_write(f->procs, name, text, path, sizeof(path));
+}
+
+void
+job_fleet_start(struct job_fleet *f, int i)
+{
+	char name[32], path[160];
+	const char *argv[] = {"schedule", "-c", path, NULL};
+
+	job_fleet_settings(f, i);
+	snprintf(path, sizeof(path), "%s/boot-%d.json", f->procs->dir, i);
 	snprintf(name, sizeof(name), "daemon-%d", i);
 	f->daemons[i] = proc_start(f->procs, name, "mimosalead", argv);
 	if (f->daemons[i] == NULL)
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -13,17 +13,31 @@
 #include "proc.h"
 
 #define JOB_DAEMONS 2
+#define JOB_DAEMONS_MAX 48
+#define JOB_FLEET_ROUTES_BYTES 2048
 
 struct job_fleet {
 	struct procs *procs;
-	struct proc *daemons[JOB_DAEMONS]; /* NULL until started */
+	struct proc *daemons[JOB_DAEMONS_MAX]; /* NULL until started */
+	int daemon_count;
 	int platform_port;
-	int callers_port[JOB_DAEMONS], ready_port[JOB_DAEMONS];
-	int peer_port[JOB_DAEMONS];
+	int callers_port[JOB_DAEMONS_MAX], ready_port[JOB_DAEMONS_MAX];
+	int peer_port[JOB_DAEMONS_MAX];
+	int store_port[JOB_DAEMONS_MAX]; /* where a daemon finds the platform */
+};
+
+struct job_fleet_opts {
+	int daemons;
+	int platform_port;
+	struct procs *procs; /* of the fleet from now on; NULL: new ones */
+	const char *const *platform_args; /* more of them; ends with NULL */
 };
 
 /* The stand-in alone, with a configuration; exits where it does not start. */
 struct job_fleet *job_fleet_new(void);
+struct job_fleet *job_fleet_new_with(const struct job_fleet_opts *o);
+/* The settings of a daemon, as job_fleet_start() writes them. */
+void job_fleet_settings(const struct job_fleet *f, int daemon);
 void job_fleet_free(struct job_fleet *f);
 void job_fleet_start(struct job_fleet *f, int daemon);
 /* The daemon answers /readiness with 200. */
@@ -33,6 +47,9 @@
 /* A record of the operators'; the stand-in's status. */
 int job_fleet_put(const struct job_fleet *f, const char *topic, const char *key,
     const char *value);
+/* A configuration with more routes: "" or ",{..}"; the stand-in's status. */
+int job_fleet_configure(
+    const struct job_fleet *f, int version, const char *routes);
 /* One request of a caller; the status, or -1 where there was no answer. */
 int job_fleet_call(const struct job_fleet *f, int daemon, const char *method,
     const char *path, const char *body, char *out, size_t size);
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include <uthash.h>
+
 #include "bounds.h"
 #include "clock.h"
 
@@ -13,6 +15,7 @@
 #define REPEATS 5 /* newest appends whose repeats are answered alike */
 #define MEMBERS_MAX 64
 #define NAME_MAX_BYTES 128
+#define RECORD_KEY_BYTES 256
 #define RECORD_HEAD 4 /* bytes of a record's length */
 /* Larger ones are refused whole; the practice settings name the same. */
 #define RECORD_BYTES 8192
@@ -23,10 +26,19 @@
 	size_t len;
 };
 
+/* The newest record of a key. */
+struct key_head {
+	char key[RECORD_KEY_BYTES];
+	size_t at;
+	UT_hash_handle hh;
+};
+
 struct topic {
 	char name[NAME_MAX_BYTES];
 	struct record_bytes *list;
+	struct key_head *heads; /* of a keyed topic */
 	size_t count;
+	size_t first; /* reads from before it are told that it is gone */
 	int64_t epoch, seq; /* of the newest producer */
 	int64_t first_seq; /* of the epoch */
 	/* Of its newest appends, by number modulo REPEATS. */
@@ -68,9 +80,14 @@
 	int append_ms;
 	bool all; /* the group deals every partition to every member */
 	int refuse; /* status of every answer; 0: calls are served */
+	int refuse_of; /* one in so many topics, and which; 0: all */
+	int refuse_rest;
 	int lose; /* tries of each append that get no answer */
 	int unreadable; /* appends refused for good */
 	int garble; /* so many appends are refused as if they were */
+	int mutate_every; /* one in so many appends is treated wrongly */
+	enum job_store_mutation mutation;
+	int mutate_seen;
 };
 
 static int64_t
@@ -115,11 +132,34 @@
 	}
 }
 
+/* Keeps which record of a key is its newest. */
+static void
+note_key(struct topic *t, const uint8_t *data, size_t len)
+{
+	char key[RECORD_KEY_BYTES];
+	struct key_head *h;
+
+	if (len == 0 || len < (size_t)data[0] + 1)
+		return;
+	memcpy(key, data + 1, data[0]);
+	key[data[0]] = '\0';
+	HASH_FIND_STR(t->heads, key, h);
+	if (h == NULL) {
+		h = calloc(1, sizeof(*h));
+		snprintf(h->key, sizeof(h->key), "%s", key);
+		HASH_ADD_STR(t->heads, key, h);
+	}
+	h->at = t->count;
+}
+
 static void
 topic_add(struct topic *t, const uint8_t *data, size_t len)
 {
 	struct record_bytes *r;
 
+	if (strncmp(t->name, "keyed.", 6) == 0)
+		note_key(t, data, len);
+
 	t->list = realloc(t->list, (t->count + 1) * sizeof(*t->list));
 	r = &t->list[t->count++];
 	r->data = malloc(len + 1);
@@ -135,7 +175,7 @@
 	size_t i;
 
 	put_u64(head, t->count);
-	put_u64(head + 8, 0);
+	put_u64(head + 8, t->first);
 	buf_append(b, head, sizeof(head));
 	for (i = (size_t)from; i < t->count; i++) {
 		len[0] = (uint8_t)(t->list[i].len >> 24);
@@ -269,6 +309,15 @@
 	return pos == b->len;
 }
 
+/* A wrong store, so that a check of what is lost can be seen to fail. */
+static bool
+mutates(struct job_store *s, const struct topic *t)
+{
+	return s->mutation != JOB_STORE_SOUND &&
+	    strncmp(t->name, "keyed.job", 9) == 0 &&
+	    ++s->mutate_seen % s->mutate_every == 0;
+}
+
 static void
 append(struct job_store *s, struct exchange *x, struct topic *t)
 {
@@ -276,6 +325,7 @@
 	int64_t epoch = exchange_int(x, "epoch", -1);
 	int64_t seq = exchange_int(x, "seq", 0);
 	size_t offset = t->count, pos = 0;
+	bool mutate;
 	uint32_t len;
 
 	if (!readable(x->body) || (epoch >= 0 && s->garble > 0)) {
@@ -290,11 +340,17 @@
 		refuse_append(x, 412, "at", (int64_t)t->count);
 		return;
 	}
+	mutate = mutates(s, t);
 	while (pos + RECORD_HEAD <= x->body->len) {
 		len = get_u32(x->body->data + pos);
-		topic_add(t, x->body->data + pos + RECORD_HEAD, len);
+		if (!mutate || s->mutation != JOB_STORE_LOSES)
+			topic_add(t, x->body->data + pos + RECORD_HEAD, len);
 		pos += RECORD_HEAD + len;
 	}
+	if (mutate && s->mutation == JOB_STORE_DENIES) {
+		refuse_append(x, 400, "unreadable", (int64_t)t->count);
+		return;
+	}
 	if (epoch >= 0) {
 		if (epoch > t->epoch)
 			t->first_seq = seq;
@@ -325,6 +381,16 @@
 	STAILQ_INSERT_TAIL(&s->appends, a, entries);
 }
 
+static void
+answer_gone(struct exchange *x, const struct topic *t)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(
+	    o, "first", json_object_new_int64((int64_t)t->first));
+	exchange_json(x, 410, o, 1);
+}
+
 static void
 read_records(struct job_store *s, struct exchange *x, struct topic *t)
 {
@@ -332,6 +398,10 @@
 	int64_t wait = exchange_int(x, "waitMs", 0);
 	struct waiting_read *r;
 
+	if ((size_t)from < t->first) {
+		answer_gone(x, t);
+		return;
+	}
 	if ((size_t)from < t->count || wait == 0) {
 		answer_records(x, t, from);
 		return;
@@ -344,48 +414,32 @@
 	LIST_INSERT_HEAD(&s->reads, r, entries);
 }
 
-/* A later record of the same key stands in the topic. */
-static bool
-is_superseded(const struct topic *t, size_t i)
-{
-	const struct record_bytes *a = &t->list[i], *b;
-	size_t k;
-
-	for (k = i + 1; k < t->count; k++) {
-		b = &t->list[k];
-		if (b->len > b->data[0] && a->data[0] == b->data[0] &&
-		    memcmp(a->data + 1, b->data + 1, a->data[0]) == 0)
-			return true;
-	}
-	return false;
-}
-
 static void
 newest(struct exchange *x, const struct topic *t)
 {
 	struct json_object *root = json_object_new_object();
 	struct json_object *items = json_object_new_array(), *o;
 	const struct record_bytes *r;
-	char key[256], *text;
-	size_t i, value;
+	const struct key_head *h;
+	size_t value;
+	char *text;
 
-	for (i = 0; i < t->count; i++) {
-		r = &t->list[i];
+	for (h = t->heads; h != NULL; h = h->hh.next) {
+		r = &t->list[h->at];
 		value = (size_t)r->data[0] + 1;
-		if (r->len <= value || is_superseded(t, i))
+		if (r->len <= value)
 			continue;
-		memcpy(key, r->data + 1, r->data[0]);
-		key[r->data[0]] = '\0';
 		text = malloc((r->len - value) * 4 / 3 + 8);
 		lws_b64_encode_string((const char *)r->data + value,
 		    (int)(r->len - value), text,
 		    (int)((r->len - value) * 4 / 3 + 8));
 		o = json_object_new_object();
-		json_object_object_add(o, "key", json_object_new_string(key));
+		json_object_object_add(
+		    o, "key", json_object_new_string(h->key));
 		json_object_object_add(
 		    o, "value", json_object_new_string(text));
 		json_object_object_add(
-		    o, "offset", json_object_new_int64((int64_t)i));
+		    o, "offset", json_object_new_int64((int64_t)h->at));
 		json_object_array_add(items, o);
 		free(text);
 	}
@@ -517,6 +571,15 @@
 	exchange_json(x, 200, root, 1);
 }
 
+static bool
+is_refused(const struct job_store *s, const struct topic *t)
+{
+	if (s->refuse == 0 || s->refuse_of == 0)
+		return s->refuse != 0;
+	return t != NULL &&
+	    (int)(t - s->topics) % s->refuse_of == s->refuse_rest;
+}
+
 bool
 job_store_request(struct job_store *s, struct exchange *x)
 {
@@ -525,12 +588,12 @@
 
 	if (strncmp(x->path, "/log-", 5) != 0)
 		return false;
-	if (s->refuse != 0) {
+	if (exchange_str(x, "topic", name, sizeof(name)))
+		t = topic_of(s, name);
+	if (is_refused(s, t)) {
 		exchange_answer(x, s->refuse, NULL);
 		return true;
 	}
-	if (exchange_str(x, "topic", name, sizeof(name)))
-		t = topic_of(s, name);
 	if (strcmp(x->path, "/log-join") == 0)
 		join(s, x);
 	else if (strcmp(x->path, "/log-leave") == 0)
@@ -568,6 +631,31 @@
 job_store_refuse(struct job_store *s, int status)
 {
 	s->refuse = status;
+	s->refuse_of = 0;
+}
+
+void
+job_store_refuse_some(struct job_store *s, int status, int of, int rest)
+{
+	s->refuse = status;
+	s->refuse_of = of;
+	s->refuse_rest = rest;
+}
+
+void
+job_store_forget(struct job_store *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->topic_count; i++)
+		s->topics[i].first = s->topics[i].count;
+}
+
+void
+job_store_mutate(struct job_store *s, enum job_store_mutation m, int every)
+{
+	s->mutation = m;
+	s->mutate_every = every;
 }
 
 void
@@ -615,9 +703,15 @@
 void
 job_store_free(struct job_store *s)
 {
+	struct key_head *h, *next;
 	size_t i, k;
 
 	for (i = 0; i < s->topic_count; i++) {
+		HASH_ITER(hh, s->topics[i].heads, h, next)
+		{
+			HASH_DEL(s->topics[i].heads, h);
+			free(h);
+		}
 		for (k = 0; k < s->topics[i].count; k++)
 			free(s->topics[i].list[k].data);
 		free(s->topics[i].list);
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -12,6 +12,13 @@
 
 struct job_store;
 
+/* What a check of the soak has to find. */
+enum job_store_mutation {
+	JOB_STORE_SOUND,
+	JOB_STORE_LOSES, /* an append is acknowledged and not kept */
+	JOB_STORE_DENIES, /* an append is kept and refused */
+};
+
 struct job_store *job_store_new(void);
 void job_store_free(struct job_store *s);
 /* True where the path is the store's; the exchange is answered then. */
@@ -26,6 +33,12 @@
 /* Each call is answered with this status and nothing else; 0: they are served.
  */
 void job_store_refuse(struct job_store *s, int status);
+/* The same for one in "of" topics only. */
+void job_store_refuse_some(struct job_store *s, int status, int of, int rest);
+/* Reads from before this moment are told that their records are gone. */
+void job_store_forget(struct job_store *s);
+void job_store_mutate(
+    struct job_store *s, enum job_store_mutation m, int every);
 /* The group's word is wrong from now on: each member holds everything. */
 void job_store_deal_all(struct job_store *s);
 /* Each append is carried out so long after it has come. */
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -2,15 +2,19 @@
  * Stand-in of the users' platform for jobs: the store, workers that run tasks
  * under leases, machines, the policy.  All workers share the address and are
  * told apart by the header that names them.  It judges what it sees: runs of
- * one task at once or after its end are counted under /judge.
+ * one task at once or after its end are counted under /judge; with --log,
+ * what workers see is written down for the soak (tests/soak).
  */
 #include <argp.h>
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 
+#include <uthash.h>
+
 #include "bounds.h"
 #include "clock.h"
 #include "job_store.h"
@@ -20,10 +24,16 @@
 #define TICK_MS 2
 #define NAME_MAX_BYTES 80
 #define BEAT_MS 1000 /* between entries of a worker */
+#define SILENT_BEATS 3 /* an entry goes after so many without a beat */
+#define HOLD_MAX_MS 6000 /* longest lease, as in the settings */
+#define MUTATE_EVERY 10
+#define FLAKY_OF 4 /* one run in so many of a flaky task fails */
 
 struct run {
 	char task[NAME_MAX_BYTES];
 	int64_t number, begun_ms, ends_ms, stop_ms;
+	bool fails;
+	bool hidden; /* a wrong worker does not list it */
 	LIST_ENTRY(run) entries;
 };
 
@@ -33,9 +43,30 @@
 	const char *how;
 };
 
+/* The highest run of a task that was stopped or has ended here. */
+struct bar {
+	char task[NAME_MAX_BYTES];
+	int64_t run;
+	UT_hash_handle hh;
+};
+
+/* A request that came while its worker stood still. */
+struct late {
+	struct exchange *exchange; /* NULL: its caller has gone */
+	struct json_object *body;
+	char path[EXCHANGE_PATH_BYTES];
+	STAILQ_ENTRY(late) entries;
+};
+
 struct worker {
 	char id[NAME_MAX_BYTES];
 	char pool[NAME_MAX_BYTES];
+	int port; /* that its entry names */
+	int64_t born_ms, life; /* its clock counts from its birth */
+	int64_t dead_ms; /* since when it is dead, or 0 */
+	bool frozen, lapsed;
+	struct bar *bars;
+	STAILQ_HEAD(lates, late) lates;
 	int64_t fence, lease_end_ms, ends;
 	struct end *ended;
 	size_t ended_count;
@@ -55,6 +86,19 @@
 	LIST_ENTRY(done) entries;
 };
 
+/* Wrong workers, so that each check of the soak can be seen to fail. */
+enum mutation {
+	MUTATE_NOTHING,
+	MUTATE_HIDE, /* a run in some is not listed while it runs */
+	MUTATE_REDO, /* a task in some that is done is listed as stopped */
+	MUTATE_EARLY, /* done is listed where the task has failed */
+	MUTATE_EXCUSE, /* failed is listed as stopped */
+	MUTATE_FENCE, /* lower fences are obeyed */
+	MUTATE_PRETEND, /* lasting tasks are listed and do not run */
+	MUTATE_LOSE_STORE,
+	MUTATE_DENY_STORE
+};
+
 static struct {
 	struct http_server *server;
 	struct job_store *store;
@@ -68,6 +112,9 @@
 	LIST_HEAD(dones, done) dones;
 	lws_sorted_usec_list_t tick;
 	int64_t starts, twice, ended, upkeeps, moves, advised;
+	FILE *log;
+	const char *ports; /* of the workers' entries, with commas */
+	enum mutation mutation;
 } world;
 
 static int64_t
@@ -77,22 +124,48 @@
 }
 
 static int64_t
-clock_ms(void)
+clock_ms(const struct worker *w)
+{
+	return now_ms() - w->born_ms;
+}
+
+__attribute__((format(printf, 1, 2))) static void
+note(const char *format, ...)
 {
-	return now_ms() - world.began_ms;
+	va_list ap;
+
+	if (world.log == NULL)
+		return;
+	fprintf(world.log, "%" PRId64 " ", clock_read_us(CLOCK_MONOTONIC));
+	va_start(ap, format);
+	vfprintf(world.log, format, ap);
+	va_end(ap);
+	fputc('\n', world.log);
+	fflush(world.log);
 }
 
 static struct json_object *
-stamped_new(void)
+stamped_new(const struct worker *w)
 {
 	struct json_object *o = json_object_new_object();
 
-	json_object_object_add(o, "clockMs", json_object_new_int64(clock_ms()));
 	json_object_object_add(
-	    o, "born", json_object_new_int64(world.began_ms + 1));
+	    o, "clockMs", json_object_new_int64(clock_ms(w)));
+	json_object_object_add(
+	    o, "born", json_object_new_int64(w->born_ms + 1));
 	return o;
 }
 
+/* A caller that has gone gets no answer. */
+static void
+reply(struct exchange *x, int status, struct json_object *o)
+{
+	if (x != NULL)
+		exchange_json(x, status, o, 0);
+	else
+		json_object_put(o);
+}
+
 static int64_t
 number_of(struct json_object *o, const char *key)
 {
@@ -103,12 +176,36 @@
 }
 
 static void
-refuse(struct exchange *x, const char *reason)
+refuse(struct exchange *x, const struct worker *w, const char *reason)
 {
-	struct json_object *o = stamped_new();
+	struct json_object *o = stamped_new(w);
 
 	json_object_object_add(o, "reason", json_object_new_string(reason));
-	exchange_json(x, 409, o, 0);
+	reply(x, 409, o);
+}
+
+static int64_t
+barred(const struct worker *w, const char *task)
+{
+	struct bar *b;
+
+	HASH_FIND_STR(w->bars, task, b);
+	return b != NULL ? b->run : 0;
+}
+
+static void
+bar(struct worker *w, const char *task, int64_t run)
+{
+	struct bar *b;
+
+	HASH_FIND_STR(w->bars, task, b);
+	if (b == NULL) {
+		b = calloc(1, sizeof(*b));
+		snprintf(b->task, sizeof(b->task), "%s", task);
+		HASH_ADD_STR(w->bars, task, b);
+	}
+	if (run > b->run)
+		b->run = run;
 }
 
 static struct run *
@@ -135,6 +232,17 @@
 	e->run = r->number;
 	e->how = how;
 	snprintf(e->task, sizeof(e->task), "%s", r->task);
+	bar(w, r->task, r->number);
+	note("end %s %" PRId64 " %" PRId64 " %s %" PRId64 " %s", w->id, w->life,
+	    e->number, e->task, e->run,
+	    world.mutation == MUTATE_EARLY && w->ends % MUTATE_EVERY == 0
+		? "failed"
+		: how);
+	if (world.mutation == MUTATE_REDO && strcmp(how, "done") == 0 &&
+	    w->ends % MUTATE_EVERY == 0)
+		e->how = "stopped";
+	if (world.mutation == MUTATE_EXCUSE && strcmp(how, "failed") == 0)
+		e->how = "stopped";
 	if (strcmp(how, "done") == 0) {
 		d = calloc(1, sizeof(*d));
 		snprintf(d->task, sizeof(d->task), "%s", r->task);
@@ -162,6 +270,43 @@
 	world.starts++;
 }
 
+static void
+lengthen_lease(struct worker *w, struct json_object *in)
+{
+	int64_t until = number_of(in, "deadlineMs");
+
+	if (until > clock_ms(w) + HOLD_MAX_MS)
+		until = clock_ms(w) + HOLD_MAX_MS;
+	if (until > w->lease_end_ms)
+		w->lease_end_ms = until;
+	if (w->lease_end_ms > clock_ms(w))
+		w->lapsed = false;
+}
+
+/* "lasts", "takes:MS", "bad", "flaky", or a task of the usual time. */
+static struct run *
+run_new(struct worker *w, struct json_object *in)
+{
+	const char *spec = exchange_text(in, "taskSpec"), *ms;
+	struct run *r = calloc(1, sizeof(*r));
+
+	snprintf(r->task, sizeof(r->task), "%s", exchange_text(in, "task"));
+	r->number = number_of(in, "run");
+	r->begun_ms = now_ms();
+	ms = strstr(spec, "takes:");
+	r->ends_ms = strstr(spec, "lasts") != NULL ? INT64_MAX
+						   : now_ms() +
+		(ms != NULL ? strtol(ms + 6, NULL, 10) : world.task_ms);
+	r->fails = strncmp(spec, "bad", 3) == 0 ||
+	    (strncmp(spec, "flaky", 5) == 0 && world.starts % FLAKY_OF == 0);
+	r->hidden =
+	    world.mutation == MUTATE_HIDE && world.starts % MUTATE_EVERY == 0;
+	LIST_INSERT_HEAD(&w->runs, r, entries);
+	note("start %s %" PRId64 " %s %" PRId64 " %" PRId64 " %s", w->id,
+	    w->life, r->task, r->number, number_of(in, "fence"), spec);
+	return r;
+}
+
 static void
 start(struct exchange *x, struct worker *w, struct json_object *in)
 {
@@ -170,41 +315,39 @@
 	int64_t number = number_of(in, "run");
 
 	if (r != NULL && r->number == number) {
-		exchange_json(x, 200, stamped_new(), 0);
+		reply(x, 200, stamped_new(w));
 		return;
 	}
-	if (r != NULL) {
-		refuse(x, "old");
+	if (r != NULL || number <= barred(w, task)) {
+		lengthen_lease(w, in);
+		refuse(x, w, "old");
 		return;
 	}
-	if (number_of(in, "deadlineMs") <= clock_ms()) {
-		refuse(x, "late");
+	if (number_of(in, "deadlineMs") <= clock_ms(w)) {
+		refuse(x, w, "late");
 		return;
 	}
 	judge_start(task);
-	if (number_of(in, "deadlineMs") > w->lease_end_ms)
-		w->lease_end_ms = number_of(in, "deadlineMs");
-	r = calloc(1, sizeof(*r));
-	snprintf(r->task, sizeof(r->task), "%s", task);
-	r->number = number;
-	r->begun_ms = now_ms();
-	r->ends_ms = strstr(exchange_text(in, "taskSpec"), "lasts") != NULL
-	    ? INT64_MAX
-	    : now_ms() + world.task_ms;
-	LIST_INSERT_HEAD(&w->runs, r, entries);
-	exchange_json(x, 200, stamped_new(), 0);
+	lengthen_lease(w, in);
+	r = run_new(w, in);
+	if (world.mutation == MUTATE_PRETEND && r->ends_ms == INT64_MAX)
+		note("end %s %" PRId64 " 0 %s %" PRId64 " pretended", w->id,
+		    w->life, r->task, r->number);
+	reply(x, 200, stamped_new(w));
 }
 
 static void
 answer_hold(struct exchange *x, struct worker *w)
 {
-	struct json_object *o = stamped_new(), *row;
+	struct json_object *o = stamped_new(w), *row;
 	struct json_object *running = json_object_new_array();
 	struct json_object *ended = json_object_new_array();
 	struct run *r;
 	size_t i;
 
 	LIST_FOREACH(r, &w->runs, entries) {
+		if (r->hidden)
+			continue;
 		row = json_object_new_array();
 		json_object_array_add(row, json_object_new_string(r->task));
 		json_object_array_add(row, json_object_new_int64(r->number));
@@ -228,7 +371,7 @@
 	}
 	json_object_object_add(o, "running", running);
 	json_object_object_add(o, "ended", ended);
-	exchange_json(x, 200, o, 0);
+	reply(x, 200, o);
 }
 
 static void
@@ -239,14 +382,15 @@
 	size_t i, kept = 0;
 	struct hold *h;
 
-	if (number_of(in, "deadlineMs") > w->lease_end_ms)
-		w->lease_end_ms = number_of(in, "deadlineMs");
+	lengthen_lease(w, in);
 	for (i = 0; i < w->ended_count; i++) {
 		if (w->ended[i].number > acked)
 			w->ended[kept++] = w->ended[i];
 	}
+	if (kept < w->ended_count)
+		note("ack %s %" PRId64 " %" PRId64, w->id, w->life, acked);
 	w->ended_count = kept;
-	if (kept > 0 || wait == 0) {
+	if (kept > 0 || wait == 0 || x == NULL) {
 		answer_hold(x, w);
 		return;
 	}
@@ -262,9 +406,11 @@
 {
 	struct run *r = find_run(w, exchange_text(in, "task"));
 
-	if (r != NULL && r->number == number_of(in, "run"))
+	if (r != NULL && r->number <= number_of(in, "run"))
 		r->stop_ms = now_ms();
-	exchange_json(x, 200, stamped_new(), 0);
+	else
+		bar(w, exchange_text(in, "task"), number_of(in, "run"));
+	reply(x, 200, stamped_new(w));
 }
 
 static struct worker *
@@ -279,31 +425,140 @@
 	return NULL;
 }
 
+static void
+carry_out(struct worker *w, struct exchange *x, const char *path,
+    struct json_object *in)
+{
+	int64_t fence = number_of(in, "fence");
+
+	if (fence < w->fence && world.mutation != MUTATE_FENCE) {
+		refuse(x, w, "fence");
+		return;
+	}
+	if (fence > w->fence) {
+		w->fence = fence;
+		note("fence %s %" PRId64 " %" PRId64, w->id, w->life, fence);
+	}
+	if (strcmp(path, "/run-start") == 0)
+		start(x, w, in);
+	else if (strcmp(path, "/run-stop") == 0)
+		stop(x, w, in);
+	else if (strcmp(path, "/hold") == 0)
+		hold(x, w, in);
+	else
+		reply(x, 200, stamped_new(w));
+}
+
 static void
 worker_request(struct exchange *x)
 {
 	struct worker *w = worker_named(
 	    headers_get(&x->headers, "mimosalead-target-instance"));
 	struct json_object *in = exchange_body_json(x);
+	struct late *l;
 
 	if (w == NULL || in == NULL) {
 		exchange_answer(x, w == NULL ? 421 : 400, NULL);
-	} else if (number_of(in, "fence") < w->fence) {
-		refuse(x, "fence");
+	} else if (w->dead_ms != 0) {
+		exchange_drop(x);
+	} else if (w->frozen) {
+		l = calloc(1, sizeof(*l));
+		l->exchange = x;
+		l->body = json_object_get(in);
+		snprintf(l->path, sizeof(l->path), "%s", x->path);
+		STAILQ_INSERT_TAIL(&w->lates, l, entries);
 	} else {
-		w->fence = number_of(in, "fence");
-		if (strcmp(x->path, "/run-start") == 0)
-			start(x, w, in);
-		else if (strcmp(x->path, "/run-stop") == 0)
-			stop(x, w, in);
-		else if (strcmp(x->path, "/hold") == 0)
-			hold(x, w, in);
-		else
-			exchange_json(x, 200, stamped_new(), 0);
+		carry_out(w, x, x->path, in);
 	}
 	json_object_put(in);
 }
 
+/* Requests that waited are carried out; with "dead" they are lost. */
+static void
+thaw(struct worker *w, bool dead)
+{
+	struct late *l;
+
+	w->frozen = false;
+	while ((l = STAILQ_FIRST(&w->lates)) != NULL) {
+		STAILQ_REMOVE_HEAD(&w->lates, entries);
+		if (!dead)
+			carry_out(w, l->exchange, l->path, l->body);
+		else if (l->exchange != NULL)
+			exchange_drop(l->exchange);
+		json_object_put(l->body);
+		free(l);
+	}
+}
+
+static void
+worker_born(struct worker *w)
+{
+	w->dead_ms = 0;
+	w->born_ms = now_ms();
+	w->life++;
+	w->fence = w->lease_end_ms = w->ends = 0;
+	w->lapsed = false;
+	world.beat_ms = 0;
+	note("born %s %" PRId64, w->id, w->life);
+}
+
+/* What ran and what it knew is gone at once. */
+static void
+worker_dies(struct worker *w)
+{
+	struct bar *b, *next;
+	struct hold *h, *later;
+	struct run *r;
+
+	thaw(w, true);
+	note("gone %s %" PRId64, w->id, w->life);
+	while ((r = LIST_FIRST(&w->runs)) != NULL) {
+		LIST_REMOVE(r, entries);
+		free(r);
+	}
+	HASH_ITER(hh, w->bars, b, next)
+	{
+		HASH_DEL(w->bars, b);
+		free(b);
+	}
+	w->ended_count = 0;
+	w->dead_ms = now_ms();
+	for (h = LIST_FIRST(&world.holds); h != NULL; h = later) {
+		later = LIST_NEXT(h, entries);
+		if (h->worker != w)
+			continue;
+		LIST_REMOVE(h, entries);
+		exchange_drop(h->exchange);
+		free(h);
+	}
+}
+
+/* /worker?id=N&what=kill|return|freeze|thaw */
+static void
+worker_fault(struct exchange *x)
+{
+	int64_t i = exchange_int(x, "id", -1);
+	char what[16] = "";
+	struct worker *w;
+
+	if (i < 0 || i >= world.worker_count ||
+	    !exchange_str(x, "what", what, sizeof(what))) {
+		exchange_answer(x, 400, NULL);
+		return;
+	}
+	w = &world.workers[i];
+	if (strcmp(what, "kill") == 0 && w->dead_ms == 0)
+		worker_dies(w);
+	else if (strcmp(what, "return") == 0 && w->dead_ms != 0)
+		worker_born(w);
+	else if (strcmp(what, "freeze") == 0 && w->dead_ms == 0)
+		w->frozen = true;
+	else if (strcmp(what, "thaw") == 0)
+		thaw(w, false);
+	exchange_answer(x, 200, NULL);
+}
+
 static void
 machines(struct exchange *x)
 {
@@ -431,6 +686,16 @@
 		job_store_garble(
 		    world.store, (int)exchange_int(x, "appends", 0));
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-part") == 0) {
+		job_store_refuse_some(world.store, 503,
+		    (int)exchange_int(x, "of", 1),
+		    (int)exchange_int(x, "rest", 0));
+		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-forget") == 0) {
+		job_store_forget(world.store);
+		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/worker") == 0) {
+		worker_fault(x);
 	} else if (strcmp(x->path, "/store-up") == 0) {
 		job_store_refuse(world.store, 0);
 		exchange_answer(x, 200, NULL);
@@ -443,9 +708,17 @@
 on_end(void *arg, struct exchange *x)
 {
 	struct hold *h, *next;
+	struct late *l;
+	int i;
 
 	(void)arg;
 	job_store_ended(world.store, x);
+	for (i = 0; i < world.worker_count; i++) {
+		STAILQ_FOREACH(l, &world.workers[i].lates, entries) {
+			if (l->exchange == x)
+				l->exchange = NULL;
+		}
+	}
 	for (h = LIST_FIRST(&world.holds); h != NULL; h = next) {
 		next = LIST_NEXT(h, entries);
 		if (h->exchange != x)
@@ -461,14 +734,20 @@
 	struct run *r, *next;
 	int64_t now = now_ms();
 
+	if (clock_ms(w) > w->lease_end_ms && !w->lapsed && w->dead_ms == 0) {
+		w->lapsed = true;
+		note("lapse %s %" PRId64, w->id, w->life);
+	}
 	for (r = LIST_FIRST(&w->runs); r != NULL; r = next) {
 		next = LIST_NEXT(r, entries);
-		if (clock_ms() > w->lease_end_ms)
+		if (w->lapsed)
 			end_run(w, r, "lapsed");
+		else if (w->frozen)
+			continue;
 		else if (r->stop_ms != 0)
 			end_run(w, r, "stopped");
 		else if (now >= r->ends_ms)
-			end_run(w, r, "done");
+			end_run(w, r, r->fails ? "failed" : "done");
 	}
 }
 
@@ -476,17 +755,27 @@
 beat(void)
 {
 	char entry[512];
+	struct worker *w;
 	int i;
 
 	for (i = 0; i < world.worker_count; i++) {
+		w = &world.workers[i];
+		if (w->frozen)
+			continue;
+		if (w->dead_ms != 0) {
+			if (now_ms() - w->dead_ms > SILENT_BEATS * BEAT_MS)
+				job_store_put(
+				    world.store, "keyed.servers", w->id, "");
+			continue;
+		}
 		snprintf(entry, sizeof(entry),
 		    "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"z\","
 		    "\"state\":\"ready\",\"born\":%" PRId64
 		    ",\"clockMs\":%" PRId64
 		    ",\"capacity\":{\"cpu\":8000,\"memMb\":16000,\"gpu\":1},"
 		    "\"labels\":[\"a\",\"r-%d\"]}",
-		    world.workers[i].pool, world.listen.addr, world.listen.port,
-		    world.began_ms + 1, clock_ms(), i / 2);
+		    w->pool, world.listen.addr, w->port, w->born_ms + 1,
+		    clock_ms(w), i / 2);
 		job_store_put(
 		    world.store, "keyed.servers", world.workers[i].id, entry);
 	}
@@ -521,6 +810,9 @@
     LISTEN_OPTION,
     {"workers", 'w', "N", 0, "Workers of each pool", 0},
     {"task-ms", 't', "MS", 0, "Time of one task", 0},
+    {"log", 'L', "FILE", 0, "Write down what workers see", 0},
+    {"ports", 'P', "A,B", 0, "Ports that the workers' entries name", 0},
+    {"mutate", 'M', "N", OPTION_HIDDEN, "Be wrong", 0},
     {0},
 };
 
@@ -536,6 +828,15 @@
 	case 't':
 		world.task_ms = (int)strtol(arg, NULL, 10);
 		break;
+	case 'L':
+		world.log = fopen(arg, "ae");
+		break;
+	case 'P':
+		world.ports = arg;
+		break;
+	case 'M':
+		world.mutation = (enum mutation)strtol(arg, NULL, 10);
+		break;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -546,7 +847,9 @@
 make_workers(void)
 {
 	static const char *const pools[] = {"blue", "green"};
+	const char *ports = world.ports;
 	struct worker *w;
+	char *end;
 	size_t p;
 	int i;
 
@@ -558,6 +861,13 @@
 			snprintf(w->id, sizeof(w->id), "%s-%d", pools[p], i);
 			snprintf(w->pool, sizeof(w->pool), "%s", pools[p]);
 			LIST_INIT(&w->runs);
+			STAILQ_INIT(&w->lates);
+			w->port = world.listen.port;
+			if (ports != NULL && *ports != '\0') {
+				w->port = (int)strtol(ports, &end, 10);
+				ports = *end == ',' ? end + 1 : end;
+			}
+			worker_born(w);
 		}
 	}
 }
@@ -582,6 +892,10 @@
 	LIST_INIT(&world.dones);
 	world.began_ms = now_ms();
 	world.store = job_store_new();
+	if (world.mutation == MUTATE_LOSE_STORE)
+		job_store_mutate(world.store, JOB_STORE_LOSES, MUTATE_EVERY);
+	if (world.mutation == MUTATE_DENY_STORE)
+		job_store_mutate(world.store, JOB_STORE_DENIES, MUTATE_EVERY);
 	make_workers();
 	o.addr = world.listen.addr;
 	o.port = world.listen.port;
--- /dev/null
+++ b/tests/soak/soak_jobs.c
@@ -0,0 +1,67 @@
+#include "soak_jobs.h"
+
+#include <stdlib.h>
+
+const struct soak_kind soak_kinds[SOAK_KINDS] = {
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"work\",\"steps\":[{\"count\":3,\"cpu\":500,"
+		"\"estimateMs\":60}]}",
+	.steps = 1,
+	.step = {{.count = 3}},
+	.attempts = 3},
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"takes:300\",\"steps\":[{\"count\":2,"
+		"\"cpu\":500,\"estimateMs\":300},{\"count\":2,\"cpu\":500,"
+		"\"estimateMs\":300,\"after\":[0]},{\"count\":1,"
+		"\"estimateMs\":300,\"after\":[0,1]}]}",
+	.steps = 3,
+	.step = {{.count = 2}, {.count = 2, .after = 1},
+	    {.count = 1, .after = 3}},
+	.attempts = 3},
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"flaky\",\"steps\":[{\"count\":2,\"cpu\":300,"
+		"\"estimateMs\":60}]}",
+	.steps = 1,
+	.step = {{.count = 2}},
+	.attempts = 3},
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"bad\",\"steps\":[{\"count\":1,\"cpu\":300,"
+		"\"estimateMs\":60}]}",
+	.steps = 1,
+	.step = {{.count = 1}},
+	.attempts = 3,
+	.hopeless = true},
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":100,"
+		"\"longRunning\":true,\"mayMiss\":1}]}",
+	.steps = 1,
+	.step = {{.count = 2}},
+	.attempts = 3,
+	.lasting = true},
+    {.prefix = "/blue/green/",
+	.body = "{\"taskSpec\":\"work\",\"steps\":[{\"count\":4,\"cpu\":300,"
+		"\"memMb\":10,\"estimateMs\":60}]}",
+	.steps = 1,
+	.step = {{.count = 4}},
+	.attempts = 2},
+    {.prefix = "/blue/green/",
+	.body = "{\"taskSpec\":\"takes:1500\",\"steps\":[{\"count\":2,"
+		"\"cpu\":500,\"estimateMs\":1500}]}",
+	.steps = 1,
+	.step = {{.count = 2}},
+	.attempts = 2},
+    {.prefix = "/blue/",
+	.body = "{\"taskSpec\":\"takes:2500\",\"steps\":[{\"count\":1,"
+		"\"cpu\":500,\"estimateMs\":2500}]}",
+	.steps = 1,
+	.step = {{.count = 1}},
+	.attempts = 3},
+};
+
+const struct soak_kind *
+soak_kind_of(const char *id)
+{
+	char digit[2] = {id[0], '\0'};
+
+	return &soak_kinds[strtol(digit, NULL, 16) % SOAK_KINDS];
+}
