--- a/bench/http_json.c
+++ b/bench/http_json.c
@@ -1,7 +1,10 @@
 #include "http_json.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http_client.h"
 
@@ -60,6 +63,22 @@
 	return status;
 }
 
+int
+raw_connect(int port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)port),
+	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd != -1 &&
+	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
 struct json_object *
 json_at(struct json_object *o, const char *path)
 {
--- a/tests/process/fixture.c
+++ b/tests/process/fixture.c
@@ -1,6 +1,5 @@
 #include "fixture.h"
 
-#include <arpa/inet.h>
 #include <criterion/logging.h>
 #include <poll.h>
 #include <stdlib.h>
@@ -135,22 +134,6 @@
 	buf_unref(record);
 }
 
-int
-raw_connect(int port)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (fd != -1 &&
-	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 size_t
 raw_exchange(int port, const void *data, size_t len, char *out, size_t size,
     int limit_ms)
--- a/tests/process/fixture.h
+++ b/tests/process/fixture.h
@@ -30,8 +30,6 @@
 /* Appends bytes to the control stream; takes over the reference. */
 void fixture_append(const struct fleet *f, struct buf *record);
 
-/* A connection to 127.0.0.1, or -1. */
-int raw_connect(int port);
 /* Sends bytes; reads until the peer closes or limit_ms.  Returns bytes. */
 size_t raw_exchange(int port, const void *data, size_t len, char *out,
     size_t size, int limit_ms);
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -21,7 +21,7 @@
 #include "job_fleet.h"
 #include "soak_judge.h"
 #include "soak_plan.h"
-#include "soak_rng.h"
+#include "view.h"
 
 #define WORKERS 8 /* of the stand-in's two pools */
 #define CLIENTS 8
@@ -59,7 +59,7 @@
 	struct job_fleet *fleet;
 	struct soak_judge *judge;
 	struct soak_plan plan;
-	struct soak_rng rng;
+	uint64_t rng;
 	struct daemon_state d[JOB_DAEMONS_MAX];
 	struct proc *clients[CLIENTS];
 	int front_link[JOB_DAEMONS_MAX], front_port[JOB_DAEMONS_MAX];
@@ -110,7 +110,7 @@
 	int i, n = ++soak.config, newest;
 
 	newest = mutates("config") && n % 2 == 0 ? n - 3 : n;
-	soak.version += 1 + (int)soak_rng_below(&soak.rng, 3);
+	soak.version += 1 + (int)prng_below(&soak.rng, 3);
 	snprintf(text, sizeof(text), "%d\n", n);
 	note("config %d", n);
 	procs_write(soak.fleet->procs, "config", text, path, sizeof(path));
@@ -238,7 +238,7 @@
 		proc_signal(p, SIGSTOP);
 		break;
 	case ACT_HUP:
-		proc_signal(p, SIGHUP);
+		proc_signal(p, mutates("exit") ? SIGABRT : SIGHUP);
 		break;
 	case ACT_SETTINGS:
 		job_fleet_settings(soak.fleet, a->target);
@@ -372,7 +372,7 @@
 	if (soak.storm_left > 0 && now >= soak.storm_at_ms) {
 		soak.storm_left--;
 		soak.storm_at_ms =
-		    now + soak_rng_below(&soak.rng, 2 * STORM_GAP_MS);
+		    now + prng_below(&soak.rng, 2 * STORM_GAP_MS);
 		publish();
 	}
 	if (now - soak.read_ms > READ_EVERY_MS) {
@@ -429,6 +429,9 @@
 {
 	int i, fds, kb;
 
+	for (i = 0; mutates("level") && !first && i < 200; i++)
+		raw_connect(soak.fleet->callers_port[0]);
+
 	for (i = 0; i < soak.daemons; i++) {
 		fds = count_fds(soak.fleet->daemons[i]->pid);
 		kb = resident_kb(soak.fleet->daemons[i]->pid);
@@ -733,7 +736,7 @@
 	    getenv("SOAK_MUTATE") != NULL ? getenv("SOAK_MUTATE") : "";
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
-	soak_rng_init(&soak.rng, soak.seed + 1);
+	soak.rng = (soak.seed + 2) * SOAK_SEED_SPREAD;
 	o.seed = soak.seed;
 	o.seconds = soak.seconds;
 	o.daemons = soak.daemons;
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -2,7 +2,6 @@
  * One client: keeps a connection to each daemon, hands jobs in, repeats at
  * another daemon, cancels, reads states.  It writes down what it sent and saw.
  */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <poll.h>
@@ -15,9 +14,11 @@
 
 #include "bounds.h"
 #include "clock.h"
+#include "http_json.h"
 #include "job_fleet.h"
 #include "soak_jobs.h"
-#include "soak_rng.h"
+#include "soak_plan.h"
+#include "view.h"
 
 #define JOBS_MAX 4096
 #define ANSWER_BYTES 2048
@@ -36,7 +37,7 @@
 
 static struct {
 	int number, daemons, ports[JOB_DAEMONS_MAX], fds[JOB_DAEMONS_MAX];
-	struct soak_rng rng;
+	uint64_t rng;
 	char dir[256];
 	FILE *log;
 	struct job jobs[JOBS_MAX];
@@ -44,22 +45,6 @@
 	unsigned pause_ms;
 } me;
 
-static int
-dial(int port)
-{
-	struct sockaddr_in sin = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)port),
-	    .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	if (fd != -1 &&
-	    connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /* The status once the answer is whole; 0 while it is not. */
 static int
 whole_answer(const char *text, size_t len, const char **body)
@@ -129,7 +114,7 @@
 	    "Mimosalead-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
 	    method, path, SOAK_DEADLINE_MS, strlen(body), body);
 	if (me.fds[daemon] == -1)
-		me.fds[daemon] = dial(me.ports[daemon]);
+		me.fds[daemon] = raw_connect(me.ports[daemon]);
 	fprintf(me.log, "%" PRId64 " send %d %d %s %s\n",
 	    clock_read_us(CLOCK_MONOTONIC), me.number, daemon, method, what);
 	fflush(me.log);
@@ -149,10 +134,19 @@
 	return status;
 }
 
+/* A wrong client, so that a check can be seen to fail. */
+static bool
+mutates(const char *what)
+{
+	const char *set = getenv("SOAK_MUTATE");
+
+	return set != NULL && strcmp(set, what) == 0;
+}
+
 static int
 any_daemon(void)
 {
-	return (int)soak_rng_below(&me.rng, (uint32_t)me.daemons);
+	return (int)prng_below(&me.rng, (uint32_t)me.daemons);
 }
 
 static void
@@ -169,19 +163,20 @@
 
 	job_path(j, path);
 	j->tries++;
-	status =
-	    ask(any_daemon(), "POST", path, j->id, soak_kind_of(j->id)->body);
+	status = ask(any_daemon(), "POST", path,
+	    mutates("unasked") && me.job_count % 10 == 0 ? "nothing" : j->id,
+	    soak_kind_of(j->id)->body);
 	if (status == 200)
 		j->accepted = true;
 	j->open = !j->accepted && j->tries < TRIES_MAX &&
 	    (status < 0 || status == 502 || status == 504 ||
-		soak_rng_below(&me.rng, 2) == 0);
+		prng_below(&me.rng, 2) == 0);
 }
 
 static void
 new_job(void)
 {
-	uint32_t kind = soak_rng_below(&me.rng, SOAK_KINDS);
+	uint32_t kind = prng_below(&me.rng, SOAK_KINDS);
 	struct job *j = &me.jobs[me.job_count];
 
 	if (me.job_count == JOBS_MAX)
@@ -242,7 +237,7 @@
 static void
 probe(void)
 {
-	int n = newest_config() - (int)soak_rng_below(&me.rng, SOAK_PROBES / 2);
+	int n = newest_config() - (int)prng_below(&me.rng, SOAK_PROBES / 2);
 	char path[32], what[16];
 
 	if (n <= 0)
@@ -258,7 +253,7 @@
 {
 	int daemon = any_daemon();
 
-	switch (soak_rng_below(&me.rng, 3)) {
+	switch (prng_below(&me.rng, 3)) {
 	case 0:
 		ask(daemon, "GET", "/blue/", "count", "");
 		break;
@@ -266,7 +261,8 @@
 		ask(daemon, "GET", "/blue/fffffffffffffff0", "unknown", "");
 		break;
 	default:
-		ask(daemon, "GET", "/nowhere/", "nowhere", "");
+		ask(daemon, "GET", mutates("answer") ? "/blue/" : "/nowhere/",
+		    "nowhere", "");
 	}
 }
 
@@ -277,17 +273,16 @@
 
 	if (me.job_count == 0)
 		return NULL;
-	recent = me.job_count > 24 && soak_rng_below(&me.rng, 3) != 0
+	recent = me.job_count > 24 && prng_below(&me.rng, 3) != 0
 	    ? 24
 	    : (uint32_t)me.job_count;
-	return &me.jobs[me.job_count - 1 -
-	    (int)soak_rng_below(&me.rng, recent)];
+	return &me.jobs[me.job_count - 1 - (int)prng_below(&me.rng, recent)];
 }
 
 static void
 step(void)
 {
-	uint32_t n = soak_rng_below(&me.rng, 100);
+	uint32_t n = prng_below(&me.rng, 100);
 	struct job *j = some_job();
 	int i;
 
@@ -320,8 +315,8 @@
 	if (argc != 6)
 		return 2;
 	me.number = (int)strtol(argv[2], NULL, 10);
-	soak_rng_init(&me.rng,
-	    strtoull(argv[3], NULL, 10) * 1000003 + (uint64_t)me.number);
+	me.rng = (strtoull(argv[3], NULL, 10) + 3 + (uint64_t)me.number) *
+	    SOAK_SEED_SPREAD;
 	snprintf(me.dir, sizeof(me.dir), "%s", argv[4]);
 	for (p = argv[5]; *p != '\0' && me.daemons < JOB_DAEMONS_MAX;
 	     p += *p == ',')
@@ -336,7 +331,7 @@
 	snprintf(path, sizeof(path), "%s/stop", me.dir);
 	while (access(path, F_OK) == -1) {
 		step();
-		sleep_ms((int)soak_rng_below(&me.rng, 2 * PACE_MS));
+		sleep_ms((int)prng_below(&me.rng, 2 * PACE_MS));
 	}
 	fclose(me.log);
 	return 0;
--- a/tests/soak/soak_judge.c
+++ b/tests/soak/soak_judge.c
@@ -255,6 +255,20 @@
 	return true;
 }
 
+/* A task of it has failed as often as it may. */
+static bool
+job_failed(const struct soak_judge *j, const struct job *b)
+{
+	int s, i;
+
+	for (s = 0; s < b->kind->steps; s++)
+		for (i = 0; i < b->kind->step[s].count; i++)
+			if (ended_so(b->tasks[s][i], 'f', false, j->now_us) >=
+			    b->kind->attempts)
+				return true;
+	return false;
+}
+
 /* At a start, and again when an end before it is taken note of. */
 static void
 check_start(struct soak_judge *j, struct job *b, struct task *t)
@@ -458,8 +472,6 @@
 check_state(struct soak_judge *j, struct job *b, const struct request *r,
     int status, const char *word)
 {
-	int s, i, failed = 0;
-
 	if (status == 410) {
 		if (b->accepted_us != 0 && !b->cancel_sent &&
 		    r->sent_us > b->accepted_us + VISIBLE_US &&
@@ -475,11 +487,7 @@
 		soak_judge_broken(j, CHECK_EARLY,
 		    "job %s is shown as completed at daemon %d", b->id,
 		    r->daemon);
-	for (s = 0; s < b->kind->steps; s++)
-		for (i = 0; i < b->kind->step[s].count; i++)
-			failed += ended_so(b->tasks[s][i], 'f', false,
-				      j->now_us) >= b->kind->attempts;
-	if ((strcmp(word, "failed") == 0 && failed == 0) ||
+	if ((strcmp(word, "failed") == 0 && !job_failed(j, b)) ||
 	    (strcmp(word, "cancelled") == 0 && !b->cancel_sent))
 		soak_judge_broken(j, CHECK_EARLY,
 		    "job %s is shown as %s without cause at daemon %d", b->id,
@@ -704,6 +712,7 @@
 	for (i = n; i < j->line_count; i++)
 		j->lines[i - n] = j->lines[i];
 	j->line_count -= n;
+	j->now_us = until_us;
 }
 
 static int
@@ -728,7 +737,7 @@
 		if (b->accepted_us == 0 || b->cancel_sent || n == room)
 			continue;
 		/* its state may be forgotten by then */
-		if (job_done(j, b) &&
+		if ((job_done(j, b) || job_failed(j, b)) &&
 		    j->now_us > b->last_end_us + STATUS_KEEP_US)
 			continue;
 		snprintf(list[n].id, sizeof(list[n].id), "%s", b->id);
--- a/tests/soak/soak_plan.c
+++ b/tests/soak/soak_plan.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "soak_rng.h"
+#include "view.h"
 
 #define WARM_MS 3000 /* before the first fault */
 #define PLANNED_FROM_MS 4000 /* after contactMs without a disruption */
@@ -65,21 +65,21 @@
 }
 
 static enum soak_act
-draw_act(struct soak_rng *r)
+draw_act(uint64_t *r)
 {
 	unsigned sum = 0, n;
 	int i;
 
 	for (i = 0; i < SOAK_ACTS; i++)
 		sum += acts[i].weight;
-	n = soak_rng_below(r, sum);
+	n = prng_below(r, sum);
 	for (i = 0; n >= acts[i].weight; i++)
 		n -= acts[i].weight;
 	return (enum soak_act)i;
 }
 
 static void
-add(struct soak_plan *p, const struct soak_plan_opts *o, struct soak_rng *r,
+add(struct soak_plan *p, const struct soak_plan_opts *o, uint64_t *r,
     enum soak_act act, int at_ms, int until_ms)
 {
 	struct soak_action *a = &p->list[p->count];
@@ -93,48 +93,46 @@
 	a->at_ms = at_ms;
 	a->act = act;
 	a->ms = acts[act].least_ms +
-	    (int)soak_rng_below(
+	    (int)prng_below(
 		r, (uint32_t)(acts[act].most_ms - acts[act].least_ms));
 	if (at_ms + a->ms > until_ms)
 		a->ms = until_ms - at_ms;
 	a->amount = acts[act].least +
-	    (int)soak_rng_below(
-		r, (uint32_t)(acts[act].most - acts[act].least));
-	a->target = acts[act].target == TARGET_STORE
-	    ? -1
-	    : (int)soak_rng_below(r, targets);
+	    (int)prng_below(r, (uint32_t)(acts[act].most - acts[act].least));
+	a->target =
+	    acts[act].target == TARGET_STORE ? -1 : (int)prng_below(r, targets);
 	if (act == ACT_LINK_STORE || act == ACT_LINK_FRONT ||
 	    act == ACT_LINK_WORKER)
 		a->fault = (enum link_fault)(1 +
-		    soak_rng_below(r,
+		    prng_below(r,
 			act == ACT_LINK_STORE ? LINK_FAULTS - 1
 					      : LINK_FAULTS - 2));
 }
 
 static void
-draw_faults(struct soak_plan *p, const struct soak_plan_opts *o,
-    struct soak_rng *r, int from_ms, int until_ms)
+draw_faults(struct soak_plan *p, const struct soak_plan_opts *o, uint64_t *r,
+    int from_ms, int until_ms)
 {
 	int gap = GAP_SUM_MS / o->daemons, at = from_ms;
 
 	gap = gap < GAP_MIN_MS ? GAP_MIN_MS : gap;
 	gap = gap > GAP_MAX_MS ? GAP_MAX_MS : gap;
-	while ((at += (int)soak_rng_below(r, 2 * (uint32_t)gap)) < until_ms)
+	while ((at += (int)prng_below(r, 2 * (uint32_t)gap)) < until_ms)
 		add(p, o, r, draw_act(r), at, until_ms);
 }
 
 static void
-draw_planned(struct soak_plan *p, const struct soak_plan_opts *o,
-    struct soak_rng *r, int from_ms)
+draw_planned(struct soak_plan *p, const struct soak_plan_opts *o, uint64_t *r,
+    int from_ms)
 {
 	static const enum soak_act planned[] = {
 	    ACT_TERM, ACT_HUP, ACT_CONFIGS, ACT_TERM};
 	int at = from_ms;
 
 	while (at < from_ms + PLANNED_MS) {
-		add(p, o, r, planned[soak_rng_below(r, 4)], at,
+		add(p, o, r, planned[prng_below(r, 4)], at,
 		    from_ms + PLANNED_MS + 1000);
-		at += 1 + (int)soak_rng_below(r, 2 * PLANNED_GAP_MS);
+		at += 1 + (int)prng_below(r, 2 * PLANNED_GAP_MS);
 	}
 }
 
@@ -155,11 +153,11 @@
 void
 soak_plan_draw(struct soak_plan *p, const struct soak_plan_opts *o)
 {
-	struct soak_rng r;
+	uint64_t r;
 	int half;
 
 	memset(p, 0, sizeof(*p));
-	soak_rng_init(&r, o->seed);
+	r = (o->seed + 1) * SOAK_SEED_SPREAD;
 	p->end_ms = o->seconds * 1000;
 	if (p->end_ms < PLANNED_LEAST_MS) {
 		draw_faults(p, o, &r, WARM_MS, p->end_ms);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -9,6 +9,8 @@
 #include "soak_proxy.h"
 
 #define SOAK_ACTIONS_MAX 4096
+/* Seeds that are close begin far apart. */
+#define SOAK_SEED_SPREAD UINT64_C(0x9e3779b97f4a7c15)
 
 enum soak_act {
 	ACT_KILL,
