soak: faults come in series, cancelled jobs are started no more

A start 3 s (cancel_ms) after a cancelling was acknowledged, with nothing unplanned for 3 s, breaks 'unasked'; it was looked at in the end only.

--- a/tests/soak/soak_judge.c
+++ b/tests/soak/soak_judge.c
@@ -25,6 +25,7 @@
 #define APPLY_US (2000 * US_PER_MS)
 #define ROLLBACK_US (250 * US_PER_MS)
 #define ROLLBACK_SLOWED_US (8 * ROLLBACK_US)
+#define CANCEL_US (3000 * US_PER_MS)
 #define LOSS_SLACK_US (200 * US_PER_MS)
 #define GRACE_US (7000 * US_PER_MS) /* graceS and a second */
 #define STATUS_KEEP_US (55000 * US_PER_MS) /* status_s of 60, less a slack */
@@ -57,7 +58,8 @@
 	struct task *tasks[SOAK_STEPS_MAX][INDEX_MAX];
 	int attempts, refusals, starts;
 	int64_t accepted_us, last_end_us;
-	bool cancel_sent, cancelled;
+	int64_t cancelled_us; /* acknowledged; 0: not */
+	bool cancel_sent;
 	UT_hash_handle hh;
 };
 
@@ -322,6 +324,11 @@
 		    "%s run %" PRId64 " on %s, while run %" PRId64
 		    " is at work on %s",
 		    name, run, worker, t->live[0].run, t->live[0].worker);
+	if (b->cancelled_us != 0 && j->now_us > b->cancelled_us + CANCEL_US &&
+	    calm_since(&j->any, j->now_us))
+		soak_judge_broken(j, CHECK_UNASKED,
+		    "%s on %s, cancelled at %" PRId64 " us", name, worker,
+		    b->cancelled_us);
 	t->started_us = j->now_us;
 	check_start(j, b, t);
 	for (i = 0; i < step; i++) {
@@ -588,7 +595,8 @@
 	if (strcmp(r->method, "GET") == 0) {
 		check_state(j, b, r, status, word);
 	} else if (strcmp(r->method, "DELETE") == 0) {
-		b->cancelled |= status == 200;
+		if (status == 200 && b->cancelled_us == 0)
+			b->cancelled_us = j->now_us;
 	} else if (status == 200 && b->accepted_us == 0) {
 		b->accepted_us = j->now_us;
 		j->accepted++;
@@ -762,7 +770,7 @@
 			    "job %s has run, all of its %d hand-ins were "
 			    "refused",
 			    b->id, b->attempts);
-		if (b->cancelled && b->accepted_us != 0 && running(b) > 0)
+		if (b->cancelled_us != 0 && running(b) > 0)
 			soak_judge_broken(j, CHECK_UNASKED,
 			    "job %s was cancelled, %d tasks are at work", b->id,
 			    running(b));
--- a/tests/soak/soak_plan.c
+++ b/tests/soak/soak_plan.c
@@ -12,6 +12,9 @@
 #define GAP_SUM_MS 3000 /* mean time between faults of one daemon */
 #define GAP_MIN_MS 150
 #define GAP_MAX_MS 800
+#define SERIES_OF 4 /* one fault in so many comes in a series */
+#define SERIES_MOST 4 /* further ones */
+#define SERIES_GAP_MS 250 /* mean */
 
 enum target {
 	TARGET_DAEMON,
@@ -109,6 +112,21 @@
 					      : LINK_FAULTS - 2));
 }
 
+/* The same again, at other targets or the same one, while the first lasts. */
+static void
+draw_series(struct soak_plan *p, const struct soak_plan_opts *o, uint64_t *r,
+    enum soak_act act, int at, int until_ms)
+{
+	int n = 1;
+
+	if (prng_below(r, SERIES_OF) == 0)
+		n += 1 + (int)prng_below(r, SERIES_MOST);
+	for (; n > 0 && at < until_ms; n--) {
+		add(p, o, r, act, at, until_ms);
+		at += 1 + (int)prng_below(r, 2 * SERIES_GAP_MS);
+	}
+}
+
 static void
 draw_faults(struct soak_plan *p, const struct soak_plan_opts *o, uint64_t *r,
     int from_ms, int until_ms)
@@ -118,7 +136,7 @@
 	gap = gap < GAP_MIN_MS ? GAP_MIN_MS : gap;
 	gap = gap > GAP_MAX_MS ? GAP_MAX_MS : gap;
 	while ((at += (int)prng_below(r, 2 * (uint32_t)gap)) < until_ms)
-		add(p, o, r, draw_act(r), at, until_ms);
+		draw_series(p, o, r, draw_act(r), at, until_ms);
 }
 
 static void
