--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -26,6 +26,12 @@
 /* Each call is answered with this status and nothing else; 0: they are served.
  */
 void job_store_refuse(struct job_store *s, int status);
+/* The same for one in "of" topics only. */
+void job_store_refuse_some(struct job_store *s, int status, int of, int rest);
+/* Reads from before this moment are told that their records are gone. */
+void job_store_forget(struct job_store *s);
+/* One in so many appends of jobs is acknowledged and not kept. */
+void job_store_forget_appends(struct job_store *s, int every);
 /* The group's word is wrong from now on: each member holds everything. */
 void job_store_deal_all(struct job_store *s);
 /* Each append is carried out so long after it has come. */
