takeover: a new owner renews leases though workers' entries cannot be read

Cause: a term is claimed first, which fences the owner before, and then the take-over waited for workers' entries, as long as it took. Meanwhile nobody renews leases of 4 s, though the pool's records name each worker's address. Change: from 400 ms after the claim it goes on without entries; "pool taken over" says entries_known=. jobs::lasting_tasks_go_on_where_a_new_owner_cannot_read_entries (process test; the stand-in refuses one topic) failed with the wait without a limit, passes 3 of 3. pool_demand's "has yet to answer" counts workers whose entry is to come, too.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -192,7 +192,8 @@
 	const struct placed_worker *w;
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (w->listed && w->inherited && !w->held && w->misses == 0)
+		if (worker_known(p, w) && w->inherited && !w->held &&
+		    w->misses == 0)
 			return false;
 	}
 	return p->loaded;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -8,6 +8,12 @@
 #include "topic_claim.h"
 #include "watch.h"
 
+/*
+ * Once the term is claimed nobody renews leases until the pool is there: it
+ * goes on without workers' entries after two reads of them.
+ */
+#define ENTRIES_WAIT_MS 400
+
 /* What the store keeps of one job. */
 struct stored_job {
 	char id[JOB_ID_BYTES];
@@ -33,6 +39,7 @@
 	struct buf *list; /* of an earlier version's workers; NULL none */
 	int64_t list_offset;
 	bool claimed;
+	lws_sorted_usec_list_t entries_due;
 };
 
 static void
@@ -52,6 +59,7 @@
 
 	if (t == NULL)
 		return;
+	lws_sul_cancel(&t->entries_due);
 	topic_claim_free(t->claim);
 	buf_unref(t->list);
 	HASH_ITER(hh, t->workers, w, next_worker)
@@ -245,10 +253,11 @@
 	load_workers(t, sh->pool);
 	daemon_log(LOG_LEVEL_INFO, "takeover",
 	    "msg=\"pool taken over\" pool=%s fence=%lld jobs=%u workers=%u "
-	    "took_ms=%lld",
+	    "took_ms=%lld entries_known=%d",
 	    sh->pool_name, (long long)sh->fence, HASH_COUNT(t->jobs),
 	    HASH_COUNT(t->workers),
-	    (long long)((sched_now_us() - sh->began_us) / US_PER_MS));
+	    (long long)((sched_now_us() - sh->began_us) / US_PER_MS),
+	    watch_workers_known(sh->scheduler->watch));
 	takeover_cancel(sh);
 	shard_taken(sh);
 }
@@ -263,6 +272,12 @@
 		finish(t);
 }
 
+static void
+on_entries_due(lws_sorted_usec_list_t *sul)
+{
+	finish(lws_container_of(sul, struct takeover, entries_due));
+}
+
 static void
 on_claimed(void *arg, int64_t epoch, int64_t next_seq)
 {
@@ -271,6 +286,8 @@
 	t->claimed = true;
 	t->shard->fence = epoch;
 	t->shard->next_seq = next_seq;
+	lws_sul_schedule(t->shard->scheduler->context, 0, &t->entries_due,
+	    on_entries_due, ENTRIES_WAIT_MS * US_PER_MS);
 	takeover_go_on(t->shard);
 }
 
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -636,6 +636,13 @@
 	s->refuse_rest = rest;
 }
 
+void
+job_store_refuse_topic(struct job_store *s, int status, const char *name)
+{
+	job_store_refuse_some(
+	    s, status, TOPICS_MAX, (int)(topic_of(s, name) - s->topics));
+}
+
 void
 job_store_forget(struct job_store *s)
 {
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -28,6 +28,8 @@
 void job_store_refuse(struct job_store *s, int status);
 /* The same for one in "of" topics only. */
 void job_store_refuse_some(struct job_store *s, int status, int of, int rest);
+/* The same for the topic of this name only. */
+void job_store_refuse_topic(struct job_store *s, int status, const char *name);
 /* Reads from before this moment are told that their records are gone. */
 void job_store_forget(struct job_store *s);
 /* One in so many appends of jobs is acknowledged and not kept. */
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -651,6 +651,8 @@
 static void
 on_request(void *arg, struct exchange *x)
 {
+	char topic[64];
+
 	(void)arg;
 	if (job_store_request(world.store, x))
 		return;
@@ -686,9 +688,12 @@
 		    world.store, (int)exchange_int(x, "appends", 0));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-part") == 0) {
-		job_store_refuse_some(world.store, 503,
-		    (int)exchange_int(x, "of", 1),
-		    (int)exchange_int(x, "rest", 0));
+		if (exchange_str(x, "topic", topic, sizeof(topic)))
+			job_store_refuse_topic(world.store, 503, topic);
+		else
+			job_store_refuse_some(world.store, 503,
+			    (int)exchange_int(x, "of", 1),
+			    (int)exchange_int(x, "rest", 0));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-forget") == 0) {
 		job_store_forget(world.store);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -16,6 +16,8 @@
 #define JOBS_MAX 32
 #define PIPELINED_MS 300 /* both requests are read by then */
 
+#define LEASE_MS 4000 /* of tasks */
+
 static struct job_fleet *fleet;
 static char paths[JOBS_MAX][64];
 static size_t job_count;
@@ -435,6 +437,39 @@
 	    call(0, "DELETE", "/blue/00000000000000ab", NULL, NULL, 0), 410);
 }
 
+/* The term was claimed, and nobody renewed leases until entries were read. */
+Test(jobs, lasting_tasks_go_on_where_a_new_owner_cannot_read_entries)
+{
+	const char *away = "/store-part?topic=keyed.servers";
+	int64_t starts;
+	int i;
+
+	cr_assert_eq(call(0, "POST", "/blue/00000000000000ac",
+			 "{\"taskSpec\":\"lasts\",\"steps\":[{\"count\":3,"
+			 "\"cpu\":100,\"longRunning\":true,\"mayMiss\":1}]}",
+			 NULL, 0),
+	    200);
+	for (i = 0; judged("starts") < 3 && i < 100; i++)
+		sleep_ms(50);
+	starts = judged("starts");
+	cr_assert_geq(starts, 3);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", away, "", NULL), 200);
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		proc_signal(fleet->daemons[i], SIGKILL);
+		cr_assert_neq(proc_wait(fleet->daemons[i], LIMIT_MS), -1);
+		job_fleet_start(fleet, i);
+	}
+	sleep_ms(LEASE_MS + 2000);
+	cr_expect_eq(judged("starts"), starts);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", "/store-up", "", NULL),
+	    200);
+	sleep_ms(2000);
+	cr_expect_eq(judged("starts"), starts);
+	cr_expect_eq(judged("twice"), 0);
+}
+
 Test(jobs, a_wave_of_upkeep_is_carried_out)
 {
 	struct json_object *o = NULL;
