scheduler: signals are caught before settings are read

Cause: scheduler_run() read its settings first; until then SIGHUP has its default action. Change: signals are caught first of all; a read that a signal interrupts goes on. jobs::a_reload_signal_while_settings_are_read_ends_no_daemon failed before, passes.

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -73,6 +73,7 @@
 
 	memset(&sa, 0, sizeof(sa));
 	sigemptyset(&sa.sa_mask);
+	sa.sa_flags = SA_RESTART; /* settings are read whole; waits end */
 	sa.sa_handler = on_signal;
 	sigaction(SIGTERM, &sa, NULL);
 	sigaction(SIGINT, &sa, NULL);
@@ -258,6 +259,7 @@
 	int ret = -1;
 
 	memset(&loop, 0, sizeof(loop));
+	catch_signals();
 	lws_set_log_level(0, NULL);
 	snprintf(
 	    s->settings_path, sizeof(s->settings_path), "%s", settings_path);
@@ -267,7 +269,6 @@
 	loop.last_boot_us = sched_boot_us();
 	daemon_log_open("info", s->boot.name);
 	daemon_log_to_stdout(LOG_LINES_PER_S);
-	catch_signals();
 	if (open_all(s, e) == -1) {
 		daemon_log(LOG_LEVEL_ERROR, "scheduler",
 		    "msg=\"cannot start\" error=\"%s\" remedy=\"%s\"",
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -470,6 +471,25 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
+/* It came before the signal was caught, and ended the daemon. */
+Test(jobs, a_reload_signal_while_settings_are_read_ends_no_daemon)
+{
+	char path[256];
+	const char *argv[] = {"schedule", "-c", path, NULL};
+	struct proc *p;
+
+	snprintf(path, sizeof(path), "%s/slow-settings", fleet->procs->dir);
+	cr_assert_eq(mkfifo(path, 0600), 0); /* read when somebody writes */
+	p = proc_start(fleet->procs, "early", "mimosalead", argv);
+	cr_assert_not_null(p);
+	sleep_ms(300);
+	proc_signal(p, SIGHUP);
+	sleep_ms(300);
+	cr_expect(proc_running(p));
+	proc_signal(p, SIGKILL);
+	cr_expect_neq(proc_wait(p, LIMIT_MS), -1);
+}
+
 Test(jobs, a_wave_of_upkeep_is_carried_out)
 {
 	struct json_object *o = NULL;
