--- a/src/scheduler/duty.c
+++ b/src/scheduler/duty.c
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "cordon_call.h"
+#include "machine_read.h"
 #include "machine_wire.h"
 #include "owners.h"
 #include "peer_client.h"
@@ -44,7 +45,7 @@
 	STAILQ_HEAD(noted_orders, noted_order) noted;
 	struct store_writer *status; /* what operators read */
 	uint64_t status_serial; /* newest of it */
-	struct machine_list machines; /* pages read so far */
+	struct machine_read *reading; /* the list of machines */
 	LIST_HEAD(duty_calls, duty_call) calls;
 	lws_sorted_usec_list_t tick;
 	struct wave_order *kept; /* operators' waves */
@@ -112,53 +113,29 @@
 		abort(); /* memory has run out: the reducer waits for it */
 }
 
-static void list_page(struct duty *d);
-
 static void
-list_ended(void *arg, enum http_end end, struct answer *a)
+on_list(void *arg, const struct machine_list *list)
 {
 	struct roster_event ev = {.kind = ROSTER_MACHINES};
-	struct duty_call *c = arg;
-	struct duty *d = c->duty;
-	bool ok = end == HTTP_WHOLE && a->status == 200 && a->body != NULL &&
-	    machine_list_add(&d->machines, a->body->data, a->body->len) == 0;
+	struct duty *d = arg;
 
-	call_free(c);
-	if (ok && d->machines.next[0] != '\0') {
-		list_page(d);
-		return;
-	}
-	if (ok) {
-		ev.u.machines.list = d->machines.list;
-		ev.u.machines.count = d->machines.count;
-	} else {
-		daemon_log(LOG_LEVEL_WARN, "duty",
-		    "msg=\"list of machines cannot be read\" end=%d "
-		    "status=%d",
-		    end, end == HTTP_WHOLE ? a->status : 0);
+	d->reading = NULL;
+	if (list != NULL) {
+		ev.u.machines.list = list->list;
+		ev.u.machines.count = list->count;
 	}
 	duty_event(d, &ev);
-	machine_list_uninit(&d->machines);
 }
 
 static void
-list_page(struct duty *d)
+read_list(struct duty *d)
 {
-	const struct boot *b = &d->scheduler->boot;
-	char path[MACHINE_PATH_BYTES];
-	struct http_call_opts o = {
-	    .addr = b->machines.addr,
-	    .port = b->machines.port,
-	    .method = "GET",
-	    .path = path,
-	    .timeout_ms = CALL_TIMEOUT_MS,
-	    .on_end = list_ended,
-	};
-	struct duty_call *c = call_new(d, "");
+	struct roster_event ev = {.kind = ROSTER_MACHINES};
 
-	machine_list_path(path, d->machines.next);
-	if (c != NULL)
-		call_start(c, &o);
+	machine_read_cancel(d->reading); /* the reducer has given it up */
+	d->reading = machine_read_start(d->scheduler, on_list, d);
+	if (d->reading == NULL)
+		duty_event(d, &ev);
 }
 
 static void
@@ -304,8 +281,7 @@
 {
 	switch (x->kind) {
 	case ROSTER_LIST:
-		machine_list_uninit(&d->machines);
-		list_page(d);
+		read_list(d);
 		break;
 	case ROSTER_MOVE:
 	case ROSTER_UPKEEP:
@@ -668,7 +644,8 @@
 	d->notes = d->status = NULL;
 	roster_free(d->roster);
 	d->roster = NULL;
-	machine_list_uninit(&d->machines);
+	machine_read_cancel(d->reading);
+	d->reading = NULL;
 	free(d->known);
 	d->known = NULL;
 	d->known_count = 0;
