pool_place: as many starts are under way as are answered in time

Cause: when a take-over knows what earlier terms ordered, all that waits is placed in one look: some 2,000 starts at once on a quarter of a core. They and their answers keep the owner busy for longer than an order's time-out: 303 logged "start got no answer: bars the run" and as many stops, which go out too, and the confirmations of the term do not get through (given up why=not-confirmed confirmed_ms_ago=3068, three seconds after the take-over; taken over twice more until 46.5 s). The long wait of take-overs hid it. Change: at most 128 starts are unanswered at a time; the look goes on when one is answered, and says nothing of a lack of room meanwhile.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1595,3 +1595,12 @@
 	}
 	*v = w->verdict;
 }
+
+size_t
+jobs_world_unanswered(struct jobs_world *w)
+{
+	struct pool_stats st;
+
+	pool_stats(w->owners[w->owner].pool, &st);
+	return st.starting;
+}
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -122,6 +122,8 @@
  */
 void jobs_world_take_over(struct jobs_world *w, int zombie_ms);
 
+/* Starts that no worker has answered yet, as the present owner sees it. */
+size_t jobs_world_unanswered(struct jobs_world *w);
 size_t jobs_world_tasks_on(const struct jobs_world *w, int worker);
 struct pool *jobs_world_pool(struct jobs_world *w);
 /* Asks the owner for every job and closes the account. */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -200,6 +200,7 @@
 	*s = p->stats;
 	s->jobs = p->active_count;
 	s->jobs_finished = p->finished_count;
+	s->starting = p->starting;
 	TAILQ_FOREACH(j, &p->active, entries)
 		s->jobs_waiting += !j->begun;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -244,6 +244,7 @@
 struct pool_stats {
 	size_t jobs, jobs_waiting, jobs_finished, workers, workers_held;
 	size_t tasks_placed;
+	size_t starting; /* ordered, not answered yet */
 	uint64_t accepted, refused, completed, failed, cancelled;
 	uint64_t looks; /* at a worker, for a task's place */
 	uint64_t starts, starts_refused, ends_done, ends_failed, ends_other;
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -276,7 +276,7 @@
 		return;
 	}
 	task_attach(t, w);
-	t->place = PLACE_RUNNING;
+	task_set_place(p, t, PLACE_RUNNING);
 	t->adopted = true;
 	t->run = r->run > t->run ? r->run : t->run;
 	t->placed_us = t->answered_us = t->progress_us = p->now_us;
@@ -317,7 +317,7 @@
 				continue;
 		}
 		if (t->place == PLACE_STARTING)
-			t->place = PLACE_RUNNING;
+			task_set_place(p, t, PLACE_RUNNING);
 		if (t->percent != r->percent || t->progress_us == 0)
 			t->progress_us = p->now_us;
 		begun |= task_begins(t) && r->percent >= 100;
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -9,6 +9,11 @@
 
 #include "pool_state.h"
 
+/*
+ * Starts under way: an owner of a quarter of a core hands out and hears of so
+ * many well within an order's time-out of 400 ms.
+ */
+#define STARTS_MAX 128
 #define LATE_LIMIT 3.0 /* times its objective: a late job is worth nothing */
 /* A job must have this share of its time left to begin … */
 #define SPARE_SHARE 0.1
@@ -401,6 +406,11 @@
 
 	if (s->placed_count > 0) /* the run before is still ending */
 		return;
+	/* a larger one goes when no other start is under way */
+	if (p->starting > 0 && p->starting + order->count > STARTS_MAX) {
+		p->place_cut = true;
+		return;
+	}
 	for (n = 0; n < order->count; n++) {
 		w = p->now_us >= s->tasks[n].not_before_us
 		    ? choose(p, &s->tasks[n])
@@ -438,6 +448,10 @@
 		if (t->done || t->place != PLACE_NONE ||
 		    p->now_us < t->not_before_us)
 			continue;
+		if (p->starting >= STARTS_MAX) {
+			p->place_cut = true;
+			return;
+		}
 		w = choose(p, t);
 		if (w == NULL)
 			return; /* the others need as much */
@@ -488,8 +502,11 @@
 		return; /* short of memory: the next event tries again */
 	p->waiting = n;
 	p->widest.known = false;
+	p->place_cut = false;
 	for (i = 0; i < n; i++) {
 		place_occurrence(p, list[i].occurrence);
+		if (p->place_cut)
+			break; /* what waits may have room all the same */
 		if (list[i].class > RANK_IN_TIME ||
 		    !one_more_would_do(p, list[i].occurrence))
 			continue;
@@ -497,6 +514,8 @@
 		lasting_starved |= list[i].class == RANK_LASTING;
 	}
 	free(list);
+	if (p->place_cut)
+		return;
 	note_since(&p->starved_since_us, starved, p->now_us);
 	note_since(&p->lasting_starved_us, lasting_starved, p->now_us);
 }
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -18,6 +18,14 @@
 	return (t->run > base ? t->run : base) + 1;
 }
 
+void
+task_set_place(struct pool *p, struct task *t, enum placement place)
+{
+	p->starting -= t->place == PLACE_STARTING;
+	p->starting += place == PLACE_STARTING;
+	t->place = place;
+}
+
 void
 task_attach(struct task *t, struct placed_worker *w)
 {
@@ -49,7 +57,7 @@
 	if (--t->step->placed_count == 0)
 		t->step->rack[0] = '\0';
 	t->worker = NULL;
-	t->place = PLACE_NONE;
+	task_set_place(p, t, PLACE_NONE);
 	t->percent = 0;
 	t->pace = 100;
 	p->place_due = true;
@@ -63,7 +71,7 @@
 	const char *ticket;
 	struct pool_effect *x = fx_add(p, POOL_START);
 
-	t->place = PLACE_STARTING;
+	task_set_place(p, t, PLACE_STARTING);
 	t->adopted = false;
 	t->run = run;
 	t->placed_us = t->progress_us = t->ordered_us = p->now_us;
@@ -102,11 +110,11 @@
 		return;
 	case PLACE_STARTING:
 	case PLACE_UNSURE:
-		t->place = PLACE_UNSURE;
+		task_set_place(p, t, PLACE_UNSURE);
 		break;
 	case PLACE_RUNNING:
 	case PLACE_STOPPING:
-		t->place = PLACE_STOPPING;
+		task_set_place(p, t, PLACE_STOPPING);
 		break;
 	}
 	t->ordered_us = p->now_us;
@@ -309,11 +317,12 @@
 	if (t == NULL ||
 	    (t->place != PLACE_STARTING && t->place != PLACE_UNSURE))
 		return;
+	p->place_due |= p->place_cut;
 	j = t->step->occurrence->job;
 	switch (ev->u.order.end) {
 	case ORDER_END_TAKEN:
 		if (t->place == PLACE_STARTING) {
-			t->place = PLACE_RUNNING;
+			task_set_place(p, t, PLACE_RUNNING);
 			t->answered_us = p->now_us;
 		}
 		if (!j->begun)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -139,6 +139,8 @@
 		bool known; /* since the last task was placed */
 		int64_t cpu, memory_mb, accelerators;
 	} widest;
+	size_t starting; /* tasks in PLACE_STARTING */
+	bool place_cut; /* the last look ended with as many as may be */
 	bool place_due; /* room or work has changed */
 	int64_t place_after_us; /* … and is looked at then */
 	size_t waiting; /* occurrences that waited at the last look */
@@ -220,6 +222,7 @@
 void pool_record_workers(struct pool *p);
 
 /* pool_runs.c */
+void task_set_place(struct pool *p, struct task *t, enum placement place);
 void task_attach(struct task *t, struct placed_worker *w);
 void task_detach(struct pool *p, struct task *t);
 void task_start(struct pool *p, struct task *t, int64_t run);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -177,7 +177,7 @@
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
 		if (t->place == PLACE_STARTING || t->place == PLACE_UNSURE) {
-			t->place = PLACE_UNSURE;
+			task_set_place(p, t, PLACE_UNSURE);
 			t->answered_us = 0;
 		} else if (p->now_us - t->ordered_us < age_ms * US_PER_MS) {
 			/* the new life may have taken it: its lists will tell
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -1033,3 +1033,31 @@
 	cr_expect_eq(d.wanted_milli, 10000);
 	jobs_world_free(world);
 }
+
+/* A successor ordered 1,600 at once and was busy until its term had ended. */
+Test(pool, no_more_starts_are_under_way_than_are_answered_in_time)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = 100,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 20,
+	    .store_ms = 4,
+	};
+	size_t most = 0, n;
+	int i;
+
+	world = jobs_world_new(&o);
+	for (i = 0; i < 100; i++)
+		submit(1, 8, 1000, 1000, NULL);
+	for (i = 0; i < 1000; i++) {
+		jobs_world_run(world, 1);
+		n = jobs_world_unanswered(world);
+		most = n > most ? n : most;
+	}
+	cr_expect_leq(most, 128); /* a quarter of a second's, on half a core */
+	cr_expect_eq(jobs_world_starts(world), 800);
+	jobs_world_run(world, 3000);
+	expect_kept();
+}
