--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -133,6 +133,7 @@
 	int owner; /* the present one */
 	bool store_down;
 	bool census_unreadable;
+	int64_t step_ms; /* of owners' time of day */
 	int refuse_ms;
 	struct stored *records;
 	LIST_HEAD(message_list, message) messages;
@@ -942,7 +943,7 @@
 	ev->now_us = w->ms * US_PER_MS;
 	ev->lag_us = w->lag_us;
 	ev->confirmed_us = (o->cut_ms != 0 ? o->cut_ms : w->ms) * US_PER_MS;
-	ev->now_ms = START_MS + w->ms;
+	ev->now_ms = START_MS + w->ms + w->step_ms;
 	memset(&fx, 0, sizeof(fx));
 	if (w->opts.timed)
 		w->step_us -= cpu_us();
@@ -1389,6 +1390,12 @@
 	w->workers[worker].ended_as = end;
 }
 
+void
+jobs_world_clock_step(struct jobs_world *w, int64_t ms)
+{
+	w->step_ms = ms;
+}
+
 void
 jobs_world_lose(struct jobs_world *w, double lose)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -91,6 +91,8 @@
  */
 void jobs_world_end_worker(
     struct jobs_world *w, int worker, enum order_end end);
+/* Owners' time of day is off by so much from now on. */
+void jobs_world_clock_step(struct jobs_world *w, int64_t ms);
 /* The share of orders whose answer is lost from now on. */
 void jobs_world_lose(struct jobs_world *w, double lose);
 /* A cut before it refuses connections; it works on. */
--- a/src/jobs/pool_holds.c
+++ b/src/jobs/pool_holds.c
@@ -244,8 +244,8 @@
 		    (long long)((p->now_us - w->heard_us) / US_PER_MS), end);
 	/*
 	 * A next owner need not wait for it as long again: it has had no lease
-	 * of this term, and gets none before it has answered and that is
-	 * stored.
+	 * of this term, and gets none that lasts longer before it has answered
+	 * and that is stored.
 	 */
 	if (w->silent_until_ms != 0 &&
 	    w->silent_until_ms != w->recorded_silent_ms)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -8,6 +8,7 @@
 #define RUNS_OF_A_TERM 1000 /* run numbers that a term may hand out */
 /* Worker's clocks are at most 2 % slow. */
 #define CLOCK_SLOW 0.98
+#define CLOCKS_APART_MS 500 /* of daemons; "close to true time" */
 #define LEASE_SLACK_MS 100 /* beyond a lease's end: rounding and delivery */
 
 struct placed_worker {
@@ -22,6 +23,7 @@
 	 * it answers, or did of late.  A next owner is told.
 	 */
 	int64_t silent_until_ms;
+	int64_t settles_us; /* the same for this owner, where "inherited" */
 	bool stored; /* the topic has a record of it … */
 	bool recorded; /* … that says what is believed of it … */
 	uint64_t record_serial; /* … once this is written */
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -111,6 +111,9 @@
 	if (until_ms > w->silent_until_ms)
 		w->silent_until_ms = until_ms;
 	w->recorded_silent_ms = silent_ms;
+	/* on the steady clock: the time of day may jump */
+	w->settles_us = p->opts.now_us +
+	    (w->silent_until_ms - p->opts.now_ms + CLOCKS_APART_MS) * US_PER_MS;
 	return w;
 }
 
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -4,7 +4,6 @@
 #include "pool_state.h"
 
 #define ENTRY_BACK_MS 2500 /* an entry still missing then is gone for good */
-#define CLOCKS_APART_MS 500 /* of daemons; "close to true time" */
 #define CORDON_MS 2000 /* a cordon that is not renewed ends */
 
 struct placed_worker *
@@ -59,8 +58,7 @@
 bool
 worker_settled(const struct pool *p, const struct placed_worker *w)
 {
-	return w->held || !w->inherited ||
-	    p->now_ms > w->silent_until_ms + CLOCKS_APART_MS;
+	return w->held || !w->inherited || p->now_us > w->settles_us;
 }
 
 bool
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -1061,3 +1061,18 @@
 	jobs_world_run(world, 3000);
 	expect_kept();
 }
+
+Test(pool, a_clock_that_jumps_does_not_end_the_wait_for_a_silent_worker)
+{
+	int w;
+
+	w = run_three_lasting();
+	jobs_world_cut_worker(world, w, true);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 1000);
+	jobs_world_clock_step(world, 8000);
+	jobs_world_run(world, 1000);
+	jobs_world_clock_step(world, 0);
+	jobs_world_run(world, SETTLE_MS);
+	expect_kept();
+}
