jobs: compute expected run times once for each ranking

Expected times are kept in the steps, the model's line is fitted when a run ends, and the objective is computed once.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -250,15 +250,24 @@
 	t->checkpoint = copy;
 }
 
+void
+occurrence_expect(struct occurrence *o, const struct run_time_model *m)
+{
+	size_t i;
+
+	for (i = 0; i < o->job->spec->step_count; i++)
+		o->steps[i].expected_ms =
+		    run_time_expected_ms(m, o->steps[i].spec->estimate_ms);
+}
+
 /*
  * Time that a step still takes.  Once all its tasks are placed, the time since
  * the newest start is subtracted.
  */
 static double
-step_left_ms(
-    const struct job_step *s, const struct run_time_model *m, int64_t now_us)
+step_left_ms(const struct job_step *s, int64_t now_us)
 {
-	double left_ms = run_time_expected_ms(m, s->spec->estimate_ms), ran_ms;
+	double left_ms = s->expected_ms, ran_ms;
 	double since_start_ms = left_ms;
 	unsigned i;
 
@@ -277,9 +286,12 @@
 	return left_ms - since_start_ms;
 }
 
-double
-occurrence_critical_path_left_ms(
-    const struct occurrence *o, const struct run_time_model *m, int64_t now_us)
+/*
+ * Longest sum of times along the dependencies: of the whole steps, or of what
+ * is left of them.
+ */
+static double
+longest_path_ms(const struct occurrence *o, bool whole, int64_t now_us)
 {
 	const struct job_spec *spec = o->job->spec;
 	double ends[JOB_STEPS_MAX], longest = 0, begin;
@@ -291,7 +303,9 @@
 			if (ends[spec->steps[i].depends_on[k]] > begin)
 				begin = ends[spec->steps[i].depends_on[k]];
 		}
-		ends[i] = begin + step_left_ms(&o->steps[i], m, now_us);
+		ends[i] = begin +
+		    (whole ? o->steps[i].expected_ms
+			   : step_left_ms(&o->steps[i], now_us));
 		if (ends[i] > longest)
 			longest = ends[i];
 	}
@@ -299,7 +313,13 @@
 }
 
 double
-occurrence_work_left(const struct occurrence *o, const struct run_time_model *m)
+occurrence_critical_path_left_ms(const struct occurrence *o, int64_t now_us)
+{
+	return longest_path_ms(o, false, now_us);
+}
+
+double
+occurrence_work_left(const struct occurrence *o)
 {
 	const struct step_spec *s;
 	double work = 0;
@@ -308,28 +328,16 @@
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = o->steps[i].spec;
 		work += (double)(s->task_count - o->steps[i].done_count) *
-		    (double)s->cpu_milli *
-		    run_time_expected_ms(m, s->estimate_ms);
+		    (double)s->cpu_milli * o->steps[i].expected_ms;
 	}
 	return work;
 }
 
 int64_t
-occurrence_objective_span_ms(
-    const struct occurrence *o, const struct run_time_model *m)
+occurrence_objective_span_ms(const struct occurrence *o)
 {
 	const struct queue_settings *q = &o->job->queue;
 
-	return (int64_t)(q->stretch *
-		   job_spec_critical_path_ms(o->job->spec, m)) +
+	return (int64_t)(q->stretch * longest_path_ms(o, true, 0)) +
 	    q->target_latency_ms;
 }
-
-int64_t
-occurrence_objective_ms(
-    const struct occurrence *o, const struct run_time_model *m)
-{
-	int64_t from = o->due_ms > 0 ? o->due_ms : o->job->submitted_ms;
-
-	return from + occurrence_objective_span_ms(o, m);
-}
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -101,6 +101,7 @@
 	struct occurrence *occurrence;
 	const struct step_spec *spec;
 	unsigned number;
+	double expected_ms; /* run time, by occurrence_expect() */
 	struct task *tasks; /* spec->task_count of them */
 	unsigned done_count;
 	unsigned placed_count; /* tasks that are on a worker */
@@ -170,18 +171,17 @@
 /* Counts a failed run; false if the run was counted before. */
 bool task_count_failure(struct task *t, int64_t run);
 void task_set_checkpoint(struct task *t, const char *checkpoint);
-/* The next four take the model of the queue's run times. */
+/*
+ * Sets the expected run times of the steps by the model of the queue.  The next
+ * three use them.
+ */
+void occurrence_expect(struct occurrence *o, const struct run_time_model *m);
 /* Expected time of the remaining critical path in ms. */
 double occurrence_critical_path_left_ms(
-    const struct occurrence *o, const struct run_time_model *m, int64_t now_us);
+    const struct occurrence *o, int64_t now_us);
 /* Expected remaining work in thousandths of a core times ms. */
-double occurrence_work_left(
-    const struct occurrence *o, const struct run_time_model *m);
-/* Unix time by which an occurrence should be finished. */
-int64_t occurrence_objective_ms(
-    const struct occurrence *o, const struct run_time_model *m);
+double occurrence_work_left(const struct occurrence *o);
 /* Time that the objective allows from the due time on. */
-int64_t occurrence_objective_span_ms(
-    const struct occurrence *o, const struct run_time_model *m);
+int64_t occurrence_objective_span_ms(const struct occurrence *o);
 
 #endif
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -88,15 +88,17 @@
 backlog_ms(const struct pool *p)
 {
 	double work = 0;
-	const struct occurrence *o;
+	struct occurrence *o;
 	const struct job *j;
 
 	TAILQ_FOREACH(j, &p->active, entries) {
 		if (job_spec_long_running(j->spec))
 			continue;
-		LIST_FOREACH(o, &j->occurrences, entries)
-			work += occurrence_work_left(
+		LIST_FOREACH(o, &j->occurrences, entries) {
+			occurrence_expect(
 			    o, run_time_find(p->run_times, j->queue.name));
+			work += occurrence_work_left(o);
+		}
 	}
 	return work_duration_ms(p, work, usable_cpu_milli(p));
 }
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -60,17 +60,16 @@
     const struct pool *p, struct candidate *c, struct occurrence *o)
 {
 	const struct job *j = o->job;
-	const struct run_time_model *m =
-	    run_time_find(p->run_times, j->queue.name);
-	double left_ms, limit_ms;
+	double left_ms, span_ms;
+	int64_t from_ms;
 
 	c->occurrence = o;
 	c->priority = j->queue.priority;
-	left_ms = occurrence_critical_path_left_ms(o, m, p->now_us);
-	c->slack_ms =
-	    (double)(occurrence_objective_ms(o, m) - p->now_ms) - left_ms;
-	limit_ms =
-	    (LATENESS_MAX - 1) * (double)occurrence_objective_span_ms(o, m);
+	occurrence_expect(o, run_time_find(p->run_times, j->queue.name));
+	left_ms = occurrence_critical_path_left_ms(o, p->now_us);
+	span_ms = (double)occurrence_objective_span_ms(o);
+	from_ms = o->due_ms > 0 ? o->due_ms : j->submitted_ms;
+	c->slack_ms = (double)(from_ms - p->now_ms) + span_ms - left_ms;
 	if (job_spec_long_running(j->spec))
 		c->class = RANK_LONG_RUNNING;
 	else if (occurrence_started(o) && c->slack_ms >= 0)
@@ -78,7 +77,9 @@
 	else if (c->slack_ms >= left_ms * START_SLACK_SHARE + START_SLACK_MS)
 		c->class = RANK_ON_TIME;
 	else
-		c->class = c->slack_ms >= -limit_ms ? RANK_LATE : RANK_HOPELESS;
+		c->class = c->slack_ms >= -(LATENESS_MAX - 1) * span_ms
+		    ? RANK_LATE
+		    : RANK_HOPELESS;
 }
 
 static bool
--- a/src/jobs/run_time.c
+++ b/src/jobs/run_time.c
@@ -25,24 +25,32 @@
 double
 run_time_expected_ms(const struct run_time_model *m, int64_t estimate_ms)
 {
-	double xx, xy, yy, slope, mean_x, mean_y, variance, log_ms;
-
 	if (m == NULL)
 		return (double)estimate_ms;
-	mean_x = m->x / m->weight;
-	mean_y = (m->y + PRIOR_MEAN_WEIGHT * mean_x) /
+	if (estimate_ms <= 0)
+		return exp(m->log_mean_ms);
+	return exp(
+	    m->log_mean_ms + m->slope * (log((double)estimate_ms) - m->mean_x));
+}
+
+static void
+fit(struct run_time_model *m)
+{
+	double xx, xy, yy, slope, mean_y, variance;
+
+	m->mean_x = m->x / m->weight;
+	mean_y = (m->y + PRIOR_MEAN_WEIGHT * m->mean_x) /
 	    (m->weight + PRIOR_MEAN_WEIGHT);
-	xx = m->xx - m->x * mean_x;
-	xy = m->xy - m->y * mean_x;
+	xx = m->xx - m->x * m->mean_x;
+	xy = m->xy - m->y * m->mean_x;
 	yy = m->yy - m->y * m->y / m->weight;
 	slope = (xy + PRIOR_SLOPE_WEIGHT) / (xx + PRIOR_SLOPE_WEIGHT);
 	slope = fmin(fmax(slope, 0), 1);
 	variance = fmax(yy - 2 * slope * xy + slope * slope * xx, 0) /
 	    (m->weight + PRIOR_MEAN_WEIGHT);
-	log_ms = mean_y + fmin(variance, VARIANCE_MAX) / 2;
-	if (estimate_ms > 0)
-		log_ms += slope * (log((double)estimate_ms) - mean_x);
-	return exp(log_ms);
+	m->slope = slope;
+	/* mean of a log-normal distribution */
+	m->log_mean_ms = mean_y + fmin(variance, VARIANCE_MAX) / 2;
 }
 
 static struct run_time_model *
@@ -81,6 +89,7 @@
 	m->xx = m->xx * kept + weight * x * x;
 	m->xy = m->xy * kept + weight * x * y;
 	m->yy = m->yy * kept + weight * y * y;
+	fit(m);
 }
 
 void
--- a/src/jobs/run_time.h
+++ b/src/jobs/run_time.h
@@ -13,13 +13,17 @@
 
 #include "bounds.h"
 
-/*
- * Linear regression of the logarithm of the run time on that of the estimate.
- * The sums are weighted, newer runs more.
+/* Linear regression of the logarithm of the run time on that of the estimate.
  */
 struct run_time_model {
 	char queue[NAME_BYTES];
-	double weight, x, y, xx, xy, yy; /* x: log estimate, y: log run time */
+	/* Weighted sums, newer runs more; x: log estimate, y: log run time. */
+	double weight, x, y, xx, xy, yy;
+	/*
+	 * Expected run time: log_mean_ms for an estimate of log mean_x, with
+	 * the slope for others.
+	 */
+	double mean_x, log_mean_ms, slope;
 	UT_hash_handle hh; /* by queue */
 };
 
