roster, jobs: machines with late work go where fresh work arrives

Change: of a late job only a share counts, also of what runs; what arrives is need, not only forecast; a pool that needs more drains busy machines of a pool that has more than it needs (no new tasks, the running ones end).

Tests: machines/late_work_does_not_keep_machines_from_fresh_work and pool/late_work_is_reported_at_a_share fail before.

--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -13,7 +13,7 @@
 #define MOVE_BLOCKED_MS 1000
 /* A surge has begun when the short average is this many times the long one. */
 #define SURGE_FACTOR 2.0
-#define LATE_WORK_SHARE 0.2 /* of a late job's waiting work that counts */
+#define LATE_WORK_SHARE 0.2 /* of a late job's work that counts */
 
 static void
 resources_add(struct resources *r, const struct step_spec *s, double count)
@@ -24,8 +24,9 @@
 }
 
 /*
- * Adds what an occurrence could use now.  Of a late occurrence's waiting work
- * only a share counts: it uses capacity that other work leaves.
+ * Adds what an occurrence could use now.  Of a late occurrence only a share
+ * counts, also of what runs: it uses capacity that other work leaves, in this
+ * pool or in another.
  */
 static void
 add_wanted_resources(
@@ -33,21 +34,17 @@
 {
 	const struct job_step *s;
 	struct candidate c;
-	double waiting;
+	double share, tasks;
 	size_t i;
 
 	pool_rank_occurrence(p, &c, o);
+	share = c.class > RANK_ON_TIME ? LATE_WORK_SHARE : 1;
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = &o->steps[i];
-		resources_add(r, s->spec, s->placed_count);
-		if (s->open_dependency_count > 0)
-			continue;
-		waiting = (double)s->spec->task_count - (double)s->done_count -
-		    (double)s->placed_count;
-		if (waiting > 0)
-			resources_add(r, s->spec,
-			    c.class > RANK_ON_TIME ? waiting * LATE_WORK_SHARE
-						   : waiting);
+		tasks = s->open_dependency_count > 0
+		    ? s->placed_count
+		    : (double)s->spec->task_count - (double)s->done_count;
+		resources_add(r, s->spec, tasks * share);
 	}
 }
 
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -4,6 +4,7 @@
  * machines.  It returns machines to the spare pool when it has not needed them
  * for longer than two moves take.
  */
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -115,8 +116,9 @@
 {
 	if (!pool_demand_is_fresh(r, p))
 		return;
-	p->need = machines_for_demand(
-	    p, (double)p->demand.wanted_workers_milli * NEED_HEADROOM_FACTOR);
+	p->need = machines_for_demand(p,
+	    fmax((double)p->demand.wanted_workers_milli * NEED_HEADROOM_FACTOR,
+		(double)p->demand.arriving_workers_milli));
 	p->forecast = machines_for_demand(
 	    p, (double)p->demand.arriving_workers_milli * FORECAST_FACTOR);
 	p->forecast = size_max(p->forecast, p->need);
@@ -226,7 +228,8 @@
 enum growth_reason {
 	/* long-running tasks lack capacity: takes machines that others need */
 	GROW_LONG_RUNNING,
-	GROW_NEED, /* takes machines that others do not need now */
+	/* takes machines that others do not need now, also busy ones */
+	GROW_NEED,
 	GROW_FORECAST /* takes machines that others will not need either */
 };
 
@@ -268,6 +271,11 @@
 			return SOURCE_SURPLUS;
 		from->withhold_reason = WITHHOLD_NEED_UNKNOWN;
 	}
+	/* its tasks are late work, which does not count as need */
+	if (g == GROW_NEED && from->machine_count > from->retained_need &&
+	    from->demand_coverage != DEMAND_UNKNOWN &&
+	    !worker_list_is_stale(to) && can_drain(r, m))
+		return SOURCE_BUSY;
 	if (g != GROW_LONG_RUNNING ||
 	    from->machine_count <= from->demand.long_running_workers ||
 	    from->machine_count <= POOL_MIN_MACHINES)
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -83,7 +83,7 @@
 	int64_t worker_list_fresh_since_us;
 	/* assigned or moving to the pool, recomputed at each tick */
 	size_t machine_count;
-	size_t need; /* machines needed now */
+	size_t need; /* machines needed for present and arriving work */
 	/* machines needed by the time that one moved now can run tasks */
 	size_t forecast;
 	/*
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -516,6 +516,29 @@
 	cr_expect_geq(in_pool("green"), 7);
 }
 
+/*
+ * The load: blue's turn has ended and left late work on all its machines, which
+ * it reports at a share; green's turn begins.  None of blue's machines became
+ * idle, so that green's fresh work waited until blue's late work was done.
+ */
+Test(machines, late_work_does_not_keep_machines_from_fresh_work)
+{
+	int i;
+
+	wanted[0] = 9000;
+	run(4000);
+	cr_assert_geq(in_pool("blue"), 8);
+	for (i = 0; i < machine_count; i++)
+		tasks[i] = strcmp(machines[i].pool, "blue") == 0 ? 3 : 0;
+	tasks_end = true;
+	wanted[0] = 2000;
+	wanted[1] = 1000;
+	offered[1] = 7000; /* arrives, and has not queued up yet */
+	run(2500);
+	cr_expect_geq(in_pool("green"), 7);
+	cr_expect_geq(in_pool("blue"), 3);
+}
+
 /*
  * The load: a turn that used nearly all of 311 machines has ended. Twelve at a
  * time went off, 235 were still on after six seconds: as long as a turn.
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -422,6 +422,30 @@
 	expect_kept();
 }
 
+/*
+ * The same load, once no job can be in time any more: the pool does not report
+ * that it needs all its machines, on which another pool's jobs could be in
+ * time.
+ */
+Test(pool, late_work_is_reported_at_a_share)
+{
+	struct pool_demand d;
+	int k;
+
+	world = world_of(4);
+	for (k = 0; k < 60; k++) {
+		submit(2, 4, 1000, 500, NULL);
+		jobs_world_run(world, 33);
+	}
+	jobs_world_run(world, 3000);
+	pool_demand(jobs_world_pool(world), &d);
+	cr_expect_leq(d.wanted_workers_milli, 4000, "%lld",
+	    (long long)d.wanted_workers_milli);
+	cr_expect_gt(d.wanted_workers_milli, 0);
+	jobs_world_run(world, 12000);
+	expect_kept();
+}
+
 /* Each new owner waited anew for a worker that had been dark all the time. */
 Test(pool, a_silent_worker_is_waited_for_once_not_by_each_owner)
 {
