--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -22,8 +22,7 @@
 #define ATTEMPT_TIMEOUT_MS 700 /* of one forwarded attempt */
 /* While owners are unreachable: ten times the usual answer time. */
 #define ATTEMPT_TIMEOUT_UNREACHABLE_MS 150
-/* If no owner suggests a delay, and the store answers. */
-#define DEFAULT_RETRY_AFTER_MS 1000
+#define DEFAULT_RETRY_AFTER_MS 1000 /* if no owner suggests a delay */
 #define READINESS_PATH "/readiness"
 #define HEADER_LINES_BYTES 128
 #define BREAKERS_MAX 512 /* above, idle breakers are evicted */
@@ -209,29 +208,13 @@
 	}
 }
 
-/*
- * Pools get new owners only once the store is back.  A cancellation may be
- * retried soon: it has a deadline of its own.
- */
-static int
-unserved_retry_ms(const struct caller_request *c)
-{
-	const struct store_health *h = &c->frontend->scheduler->store_state;
-	int64_t now_us = sched_monotonic_us();
-
-	if (c->request.op != JOB_SUBMIT || !store_health_unreachable(h, now_us))
-		return DEFAULT_RETRY_AFTER_MS;
-	return store_health_retry_ms(
-	    store_health_answer_age_us(h, now_us) / US_PER_MS);
-}
-
 static void
 finish_unserved(struct caller_request *c)
 {
 	if (c->outcome_unknown)
 		finish(c, 504, NULL, 0, "owner-silent");
 	else
-		finish(c, 503, NULL, unserved_retry_ms(c), "no-owner");
+		finish(c, 503, NULL, DEFAULT_RETRY_AFTER_MS, "no-owner");
 }
 
 static void
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -13,6 +13,7 @@
 
 /* Jobs are refused once a write has waited this long for the store. */
 #define STORE_STALL_LIMIT_MS 400
+#define STORE_STALL_RETRY_MS 1000 /* delay given to refused callers */
 #define LAG_EWMA_DIVISOR 4 /* the newest tick has a weight of 1/4 */
 /* Upper bound of what a job's record holds besides the caller's text. */
 #define JOB_RECORD_OVERHEAD_BYTES 1024
@@ -433,7 +434,6 @@
 	struct job_reply invalid = {.kind = REPLY_INVALID};
 	struct job_spec *job_spec = NULL;
 	struct pending_request *req;
-	int64_t stalled_ms;
 
 	if (r->body == NULL || r->body->len > job_body_max_bytes(sh))
 		err_set(&invalid.error, ERR_LIMIT, 0,
@@ -457,9 +457,8 @@
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", r->id);
 	ev.u.submit.queue = &r->settings;
 	ev.u.submit.spec = job_spec;
-	stalled_ms = store_writer_stalled_ms(sh->writer);
-	if (stalled_ms >= STORE_STALL_LIMIT_MS)
-		ev.u.submit.refuse_ms = store_health_retry_ms(stalled_ms);
+	if (store_writer_stalled_ms(sh->writer) >= STORE_STALL_LIMIT_MS)
+		ev.u.submit.refuse_ms = STORE_STALL_RETRY_MS;
 	shard_handle_event(sh, &ev);
 	job_spec_unref(job_spec);
 }
--- a/src/scheduler/store_health.c
+++ b/src/scheduler/store_health.c
@@ -3,9 +3,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Bounds of the retry time that callers are given. */
-#define RETRY_MIN_MS 1000
-#define RETRY_MAX_MS 4000
 #define UNREACHABLE_MIN_FAILURES 2 /* a single answer can get lost */
 /* Failures must span this time; equals the interval of group joins. */
 #define UNREACHABLE_AFTER_MS 500
@@ -154,16 +151,3 @@
 {
 	return now_us - h->last_answer_us;
 }
-
-/*
- * An outage is expected to last as long again as it has lasted.  Callers retry
- * a few times only: at a fixed delay of a second they give up before a longer
- * outage is over, and with it their jobs are lost.
- */
-int
-store_health_retry_ms(int64_t silent_ms)
-{
-	if (silent_ms < RETRY_MIN_MS)
-		return RETRY_MIN_MS;
-	return silent_ms < RETRY_MAX_MS ? (int)silent_ms : RETRY_MAX_MS;
-}
--- a/src/scheduler/store_health.h
+++ b/src/scheduler/store_health.h
@@ -74,10 +74,5 @@
 /* Time since the last answer about any topic. */
 int64_t store_health_answer_age_us(
     const struct store_health *h, int64_t now_us);
-/*
- * Time in ms after which a caller may retry what needs the store, which has not
- * answered for "silent_ms".
- */
-int store_health_retry_ms(int64_t silent_ms);
 
 #endif
