--- a/src/jobs/run_time.h
+++ b/src/jobs/run_time.h
@@ -13,8 +13,7 @@
 
 #include "bounds.h"
 
-/* Linear regression of the logarithm of the run time on that of the estimate.
- */
+/* Linear regression of log run time on log estimate. */
 struct run_time_model {
 	char queue[NAME_BYTES];
 	/* Weighted sums, newer runs more; x: log estimate, y: log run time. */
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -1,4 +1,4 @@
-/* Waves of upkeep and moves of machines, from events alone. */
+/* Waves of maintenance and moves of machines, from events alone. */
 #include <stdio.h>
 #include <string.h>
 
@@ -11,29 +11,33 @@
 #define MACHINES 12
 #define MACHINES_MAX 371 /* of the largest deployment */
 #define TICK_US (200 * US_PER_MS)
-#define UPKEEP_MS 2000
+#define MAINTENANCE_MS 2000
 #define MOVE_MS 1500
 
 static struct roster *roster;
 static int64_t now_us;
 static int machine_count;
 static struct machine_report machines[MACHINES_MAX];
-static int64_t wanted[2]; /* thousandths of a machine: blue, green */
-static int64_t offered[2]; /* that arriving work takes up in the long run */
-static enum demand_coverage known[2]; /* to their owners */
-static int64_t view_age_ms[2]; /* of their owners' list of workers */
-static size_t floors[2]; /* machines that lasting tasks need */
-static size_t tasks[MACHINES_MAX]; /* of its worker */
-static size_t lasting[MACHINES_MAX]; /* of them */
-static bool silent[MACHINES_MAX]; /* its worker does not answer its owner */
-static bool tasks_end; /* those of a cordoned worker, by themselves */
-static int lasting_every_ms; /* one of a pool leaves in each; 0: at once */
-static int64_t lasting_left_us[2]; /* when one did last */
-static bool emptied[MACHINES_MAX];
+/* What the owners of the pools blue and green report. */
+static int64_t wanted_milli[2]; /* thousandths of a machine */
+static int64_t arriving_milli[2]; /* that arriving work uses */
+static enum demand_coverage coverage[2];
+static int64_t worker_list_age_ms[2];
+static size_t long_running_workers[2]; /* that long-running tasks need */
+/* Of each machine's worker. */
+static size_t tasks[MACHINES_MAX];
+static size_t long_running[MACHINES_MAX]; /* tasks among them */
+static bool silent[MACHINES_MAX]; /* does not answer its owner */
+static bool tasks_end; /* tasks of a cordoned worker end by themselves */
+/* Interval in which a pool moves one long-running task; 0: all at once. */
+static int long_running_move_ms;
+static int64_t long_running_moved_us[2]; /* newest such move */
+static bool evacuating[MACHINES_MAX];
 static int64_t away_until_us[MACHINES_MAX];
 static char back_in[MACHINES_MAX][NAME_BYTES];
-static int upkeeps, moves, most_down, statuses_completed, waves_noted;
-static bool upkept[MACHINES_MAX];
+static int maintenance_starts, moves, max_down, completed_statuses,
+    recorded_wave_requests;
+static bool maintenance_started[MACHINES_MAX];
 
 static void event(struct roster_event *ev);
 
@@ -44,7 +48,7 @@
 }
 
 static void
-call_end(const char *machine, enum roster_command_result end)
+command_result(const char *machine, enum roster_command_result end)
 {
 	struct roster_event ev = {.kind = ROSTER_EVENT_COMMAND_RESULT};
 
@@ -64,7 +68,7 @@
 }
 
 static void
-take_away(int i, enum machine_state state, int ms, const char *pool)
+take_machine_down(int i, enum machine_state state, int ms, const char *pool)
 {
 	cr_expect_eq(tasks[i], 0, "m-%d runs tasks", i);
 	cr_expect_eq(machines[i].state, MACHINE_UP);
@@ -88,22 +92,23 @@
 		break;
 	case ROSTER_EFFECT_MOVE:
 		moves++;
-		take_away(i, MACHINE_MOVING, MOVE_MS, x->to_pool);
-		call_end(x->machine, ROSTER_COMMAND_DONE);
+		take_machine_down(i, MACHINE_MOVING, MOVE_MS, x->to_pool);
+		command_result(x->machine, ROSTER_COMMAND_DONE);
 		break;
 	case ROSTER_EFFECT_MAINTENANCE:
-		upkeeps++;
-		upkept[i] = true;
-		take_away(i, MACHINE_MAINTENANCE, UPKEEP_MS, machines[i].pool);
-		if (count_down() > most_down)
-			most_down = count_down();
-		call_end(x->machine, ROSTER_COMMAND_DONE);
+		maintenance_starts++;
+		maintenance_started[i] = true;
+		take_machine_down(
+		    i, MACHINE_MAINTENANCE, MAINTENANCE_MS, machines[i].pool);
+		if (count_down() > max_down)
+			max_down = count_down();
+		command_result(x->machine, ROSTER_COMMAND_DONE);
 		break;
 	case ROSTER_EFFECT_WAVE_STATUS:
-		statuses_completed += x->completed;
+		completed_statuses += x->completed;
 		break;
 	case ROSTER_EFFECT_RECORD_WAVE_REQUEST:
-		waves_noted++;
+		recorded_wave_requests++;
 		break;
 	case ROSTER_EFFECT_RECORD_MAINTENANCE:
 	case ROSTER_EFFECT_LOG:
@@ -126,7 +131,7 @@
 }
 
 static bool cordoned[MACHINES_MAX];
-static bool due[MACHINES_MAX]; /* its upkeep is to come */
+static bool maintenance_pending[MACHINES_MAX]; /* its maintenance is to come */
 
 static void
 cordon(void *arg, const char *worker, enum cordon_kind kind)
@@ -134,41 +139,42 @@
 	int i = atoi(worker + 2);
 
 	(void)arg;
-	due[i] = kind == CORDON_MAINTENANCE_PENDING;
-	emptied[i] = kind == CORDON_EVACUATE;
+	maintenance_pending[i] = kind == CORDON_MAINTENANCE_PENDING;
+	evacuating[i] = kind == CORDON_EVACUATE;
 	if (kind != CORDON_MACHINE_REMOVED &&
 	    kind != CORDON_MAINTENANCE_PENDING)
 		cordoned[i] = true;
 	if (kind == CORDON_EVACUATE) /* its owner sends them elsewhere */
-		tasks[i] = lasting_every_ms > 0 ? lasting[i] : 0;
+		tasks[i] = long_running_move_ms > 0 ? long_running[i] : 0;
 	if (kind == CORDON_NO_NEW_TASKS && tasks_end)
-		tasks[i] = lasting[i];
+		tasks[i] = long_running[i];
 }
 
-/* Lasting tasks leave one after the other, to a machine that stays. */
+/* Long-running tasks move one after the other, to a machine that stays. */
 static void
-move_lasting(const char *pool, int k)
+move_long_running(const char *pool, int k)
 {
 	int i, to = -1, from = -1;
 
-	if (lasting_every_ms == 0 ||
-	    now_us - lasting_left_us[k] < lasting_every_ms * US_PER_MS)
+	if (long_running_move_ms == 0 ||
+	    now_us - long_running_moved_us[k] <
+		long_running_move_ms * US_PER_MS)
 		return;
 	for (i = 0; i < machine_count; i++) {
 		if (machines[i].worker[0] == '\0' ||
 		    strcmp(machines[i].pool, pool) != 0)
 			continue;
-		if (emptied[i] && lasting[i] > 0)
+		if (evacuating[i] && long_running[i] > 0)
 			from = i;
-		else if (!cordoned[i] && !due[i])
+		else if (!cordoned[i] && !maintenance_pending[i])
 			to = i;
 	}
 	if (from == -1 || to == -1)
 		return;
-	tasks[from] = --lasting[from];
+	tasks[from] = --long_running[from];
 	tasks[to]++;
-	lasting[to]++;
-	lasting_left_us[k] = now_us;
+	long_running[to]++;
+	long_running_moved_us[k] = now_us;
 }
 
 static void
@@ -176,18 +182,19 @@
 {
 	struct pool_worker_report list[MACHINES_MAX];
 	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_REPORT};
-	struct pool_report r = {.demand = {.coverage = known[k],
-				    .wanted_workers_milli = wanted[k],
-				    .arriving_workers_milli = offered[k],
-				    .long_running_workers = floors[k]},
-	    .worker_list_age_ms = view_age_ms[k],
+	struct pool_report r = {
+	    .demand = {.coverage = coverage[k],
+		.wanted_workers_milli = wanted_milli[k],
+		.arriving_workers_milli = arriving_milli[k],
+		.long_running_workers = long_running_workers[k]},
+	    .worker_list_age_ms = worker_list_age_ms[k],
 	    .workers = list};
 	int i;
 
 	memset(list, 0, sizeof(list));
 	memset(cordoned, 0, sizeof(cordoned));
 	roster_each_cordon(roster, pool, cordon, NULL);
-	move_lasting(pool, k);
+	move_long_running(pool, k);
 	snprintf(r.pool, sizeof(r.pool), "%s", pool);
 	for (i = 0; i < machine_count; i++) {
 		if (machines[i].worker[0] == '\0' || silent[i] ||
@@ -196,7 +203,7 @@
 		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
 		    machines[i].worker);
 		list[r.worker_count].task_count = tasks[i];
-		list[r.worker_count].long_running_count = lasting[i];
+		list[r.worker_count].long_running_count = long_running[i];
 		list[r.worker_count++].cordoned = cordoned[i];
 	}
 	ev.u.report = &r;
@@ -260,7 +267,7 @@
 {
 	struct roster_opts o = {.now_us = 1,
 	    .command_holdoff_ms = 3000,
-	    .maintenance_ms = UPKEEP_MS,
+	    .maintenance_ms = MAINTENANCE_MS,
 	    .move_ms = MOVE_MS};
 	int i;
 
@@ -280,9 +287,9 @@
 			snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
 		machines[i].cpu_milli = 8000;
 	}
-	known[0] = known[1] = DEMAND_COMPLETE;
-	wanted[0] = 4400;
-	wanted[1] = 3400;
+	coverage[0] = coverage[1] = DEMAND_COMPLETE;
+	wanted_milli[0] = 4400;
+	wanted_milli[1] = 3400;
 }
 
 static void
@@ -339,9 +346,9 @@
 	ask_wave(3, 27000);
 	run(27000);
 	for (i = 0; i < machine_count; i++)
-		cr_expect(upkept[i], "m-%d", i);
-	cr_expect_leq(most_down, 3);
-	cr_expect_eq(statuses_completed, 1);
+		cr_expect(maintenance_started[i], "m-%d", i);
+	cr_expect_leq(max_down, 3);
+	cr_expect_eq(completed_statuses, 1);
 }
 
 Test(machines, a_successor_goes_on_where_a_wave_was_left)
@@ -359,13 +366,13 @@
 	}
 	ask_wave(4, 20000);
 	run(20000);
-	cr_expect_eq(upkeeps, MACHINES - 6);
-	cr_expect_eq(statuses_completed, 1);
+	cr_expect_eq(maintenance_starts, MACHINES - 6);
+	cr_expect_eq(completed_statuses, 1);
 }
 
 /*
- * Each of three keepers that followed each other took the whole time from its
- * own beginning: the wave did not press, and 11 of 164 machines were left.
+ * Each of three controllers that followed each other took the whole time from
+ * its own beginning: the wave did not press, and 11 of 164 machines were left.
  */
 Test(machines, a_successor_knows_how_long_a_wave_has_been_asked_for)
 {
@@ -380,8 +387,8 @@
 	ask_wave(12, 24000);
 	run(1000);
 	/* off, and half of five and of four: not one in four of each */
-	cr_expect_geq(upkeeps, 3 + 3 + 2);
-	cr_expect_eq(waves_noted, 0, "as the predecessor noted it");
+	cr_expect_geq(maintenance_starts, 3 + 3 + 2);
+	cr_expect_eq(recorded_wave_requests, 0, "as the predecessor noted it");
 }
 
 /*
@@ -393,11 +400,11 @@
 	int i, n = 0;
 
 	for (i = 0; i < machine_count; i++)
-		tasks[i] = lasting[i] = i < 9;
+		tasks[i] = long_running[i] = i < 9;
 	ask_wave(1, 60000);
 	run(600);
 	for (i = 0; i < 9; i++)
-		n += due[i];
+		n += maintenance_pending[i];
 	cr_expect_geq(n, 8, "%d due", n);
 }
 
@@ -405,7 +412,7 @@
 {
 	ask_wave(4, 20000);
 	run(1000);
-	cr_expect_eq(waves_noted, 1);
+	cr_expect_eq(recorded_wave_requests, 1);
 }
 
 Test(machines, a_machine_ordered_of_late_by_another_holder_is_left_alone)
@@ -420,21 +427,21 @@
 	}
 	ask_wave(4, 20000);
 	run(2200);
-	cr_expect_eq(upkeeps + moves, 0);
+	cr_expect_eq(maintenance_starts + moves, 0);
 	run(2000);
-	cr_expect_gt(upkeeps, 0);
+	cr_expect_gt(maintenance_starts, 0);
 }
 
 Test(machines, a_turn_of_demand_is_met_from_the_spare_pool_and_from_others)
 {
 	run(1000);
 	cr_expect_eq(in_pool("spare"), 3);
-	wanted[0] = 8000;
-	wanted[1] = 800;
+	wanted_milli[0] = 8000;
+	wanted_milli[1] = 800;
 	run(4000);
 	cr_expect_geq(in_pool("blue"), 9);
 	cr_expect_geq(in_pool("green"), 2);
-	wanted[0] = 500;
+	wanted_milli[0] = 500;
 	run(8000);
 	cr_expect_eq(in_pool("blue"), 2);
 	cr_expect_eq(in_pool("spare"), 8);
@@ -446,8 +453,8 @@
 
 	for (i = 0; i < machine_count; i++)
 		tasks[i] = i < 9 ? 1 : 0;
-	wanted[0] = 400;
-	wanted[1] = 9000;
+	wanted_milli[0] = 400;
+	wanted_milli[1] = 9000;
 	run(6000);
 	cr_expect_eq(in_pool("blue"), 5);
 	cr_expect_eq(in_pool("spare"), 0);
@@ -458,9 +465,9 @@
 {
 	int i;
 
-	offered[0] = 2000;
+	arriving_milli[0] = 2000;
 	for (i = 0; i < 10; i++) {
-		wanted[0] = i % 2 == 0 ? 3000 : 4500;
+		wanted_milli[0] = i % 2 == 0 ? 3000 : 4500;
 		run(600);
 		cr_expect_leq(in_pool("blue"), 5);
 	}
@@ -470,14 +477,14 @@
 /* Work that arrives faster is followed before it has queued up. */
 Test(machines, a_pool_grows_for_what_arrives)
 {
-	offered[0] = 6000;
+	arriving_milli[0] = 6000;
 	run(2500);
 	cr_expect_geq(in_pool("blue"), 7);
 }
 
 /*
  * A pool whose surge held every machine was served first for ten seconds,
- * while a lasting task of another had no room.
+ * while a long-running task of another had no room.
  */
 Test(machines, a_pool_whose_lasting_tasks_lack_room_gets_a_machine_at_once)
 {
@@ -485,18 +492,18 @@
 
 	for (i = 0; i < 9; i++)
 		tasks[i] = 2;
-	lasting[0] = lasting[1] = 1;
+	long_running[0] = long_running[1] = 1;
 	tasks_end = true;
-	wanted[0] = 30000;
+	wanted_milli[0] = 30000;
 	run(4000);
 	cr_expect_eq(in_pool("blue"), 8);
 	cr_expect_eq(in_pool("green"), 4);
 	for (i = 9; i < machine_count; i++)
 		tasks[i] = 2;
-	floors[1] = 5;
+	long_running_workers[1] = 5;
 	run(4000);
 	cr_expect_geq(in_pool("green"), 5);
-	/* those that lasting tasks run on stay */
+	/* those that long-running tasks run on stay */
 	cr_expect_str_eq(machines[0].pool, "blue");
 	cr_expect_str_eq(machines[1].pool, "blue");
 }
@@ -507,11 +514,11 @@
  */
 Test(machines, what_one_pool_will_not_need_goes_to_one_that_grows)
 {
-	offered[0] = 6000;
+	arriving_milli[0] = 6000;
 	run(2500);
 	cr_assert_eq(in_pool("spare"), 0);
-	wanted[0] = offered[0] = 1000;
-	offered[1] = 6000;
+	wanted_milli[0] = arriving_milli[0] = 1000;
+	arriving_milli[1] = 6000;
 	run(2500);
 	cr_expect_geq(in_pool("green"), 7);
 }
@@ -525,15 +532,15 @@
 {
 	int i;
 
-	wanted[0] = 9000;
+	wanted_milli[0] = 9000;
 	run(4000);
 	cr_assert_geq(in_pool("blue"), 8);
 	for (i = 0; i < machine_count; i++)
 		tasks[i] = strcmp(machines[i].pool, "blue") == 0 ? 3 : 0;
 	tasks_end = true;
-	wanted[0] = 2000;
-	wanted[1] = 1000;
-	offered[1] = 7000; /* arrives, and has not queued up yet */
+	wanted_milli[0] = 2000;
+	wanted_milli[1] = 1000;
+	arriving_milli[1] = 7000; /* arrives, and has not queued up yet */
 	run(2500);
 	cr_expect_geq(in_pool("green"), 7);
 	cr_expect_geq(in_pool("blue"), 3);
@@ -545,25 +552,25 @@
  */
 Test(machines, hundreds_that_are_not_needed_are_soon_off, .init = setup_large)
 {
-	wanted[0] = wanted[1] = 30000;
+	wanted_milli[0] = wanted_milli[1] = 30000;
 	run(3200); /* they were needed until now, as far as is known */
 	run(4000);
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
 }
 
 /*
- * A hand-over in the middle of a turn: the new owner had yet to hear of most of
+ * A hand-over in the middle of a turn: the new owner had yet to see most of
  * what its workers run, and they went to another pool.
  */
 Test(machines, a_pool_whose_owner_is_new_gives_no_machine_away,
     .init = setup_large)
 {
-	known[0] = DEMAND_UNKNOWN;
-	wanted[0] = 0;
-	wanted[1] = offered[1] = 300000;
+	coverage[0] = DEMAND_UNKNOWN;
+	wanted_milli[0] = 0;
+	wanted_milli[1] = arriving_milli[1] = 300000;
 	run(2000);
 	cr_expect_eq(moves, 60, "what is off: %d", moves);
-	known[0] = DEMAND_COMPLETE;
+	coverage[0] = DEMAND_COMPLETE;
 	run(4000);
 	cr_expect_eq(in_pool("blue"), 2);
 }
@@ -576,11 +583,11 @@
 Test(machines, nothing_is_turned_off_until_it_is_known_what_arrives,
     .init = setup_large)
 {
-	known[0] = known[1] = DEMAND_BACKLOG;
-	wanted[0] = wanted[1] = 20000;
+	coverage[0] = coverage[1] = DEMAND_BACKLOG;
+	wanted_milli[0] = wanted_milli[1] = 20000;
 	run(6000);
 	cr_expect_eq(moves, 0, "%d", moves);
-	known[0] = known[1] = DEMAND_COMPLETE;
+	coverage[0] = coverage[1] = DEMAND_COMPLETE;
 	run(8000);
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 23);
 }
@@ -590,38 +597,38 @@
 Test(machines, a_pool_that_is_handed_over_gives_what_it_did_not_need_before,
     .init = setup_large)
 {
-	wanted[0] = 60000;
+	wanted_milli[0] = 60000;
 	run(1000);
-	known[0] = DEMAND_UNKNOWN;
-	wanted[0] = 0;
-	wanted[1] = offered[1] = 300000;
+	coverage[0] = DEMAND_UNKNOWN;
+	wanted_milli[0] = 0;
+	wanted_milli[1] = arriving_milli[1] = 300000;
 	run(1000);
 	cr_expect_eq(moves, 60 + 160 - 66, "%d", moves);
 }
 
-/* A new keeper knew no need of any pool, and turned 284 machines off. */
+/* A new controller knew no need of any pool, and turned 284 machines off. */
 Test(machines, a_new_keeper_turns_nothing_off_that_was_needed_of_late,
     .init = setup_large)
 {
-	wanted[0] = wanted[1] = 30000;
+	wanted_milli[0] = wanted_milli[1] = 30000;
 	run(2600);
 	cr_expect_eq(in_pool("spare"), 60);
 	run(4600);
 	cr_expect_geq(in_pool("spare"), 371 - 2 * 34);
 }
 
-/* The same where a pool has changed its owner under one keeper. */
+/* The same where a pool has changed its owner under one controller. */
 Test(machines, a_new_owner_turns_nothing_off_that_was_needed_of_late,
     .init = setup_large)
 {
-	wanted[0] = 140000;
-	wanted[1] = 130000;
+	wanted_milli[0] = 140000;
+	wanted_milli[1] = 130000;
 	run(8000);
 	cr_assert_eq(in_pool("spare"), 371 - 154 - 143);
-	known[0] = DEMAND_UNKNOWN;
-	wanted[0] = 0;
+	coverage[0] = DEMAND_UNKNOWN;
+	wanted_milli[0] = 0;
 	run(4000);
-	known[0] = DEMAND_COMPLETE;
+	coverage[0] = DEMAND_COMPLETE;
 	run(2000);
 	cr_expect_eq(in_pool("blue"), 154);
 	run(6000);
@@ -639,14 +646,14 @@
 	int i;
 
 	run(600);
-	view_age_ms[0] = 6000;
+	worker_list_age_ms[0] = 6000;
 	for (i = 311; i < machine_count; i++)
 		silent[i] = true;
-	wanted[0] = 180000;
-	wanted[1] = 137000;
+	wanted_milli[0] = 180000;
+	wanted_milli[1] = 137000;
 	run(7000);
 	cr_expect_eq(moves, 38, "%d", moves);
-	view_age_ms[0] = 200;
+	worker_list_age_ms[0] = 200;
 	run(1000);
 	memset(silent, 0, sizeof(silent));
 	run(3000);
@@ -661,15 +668,15 @@
 	for (i = 0; i < 9; i++)
 		tasks[i] = 2;
 	tasks_end = true;
-	wanted[0] = 30000;
+	wanted_milli[0] = 30000;
 	run(4000);
 	for (i = 9; i < machine_count; i++)
 		tasks[i] = 2;
-	floors[1] = 5;
-	view_age_ms[1] = 6000;
+	long_running_workers[1] = 5;
+	worker_list_age_ms[1] = 6000;
 	run(4000);
 	cr_expect_eq(in_pool("green"), 4);
-	view_age_ms[1] = 200;
+	worker_list_age_ms[1] = 200;
 	run(4000);
 	cr_expect_geq(in_pool("green"), 5);
 }
@@ -677,9 +684,9 @@
 /* One that was heard of before, and is not any more, is absent. */
 Test(machines, a_worker_that_is_lost_while_no_list_can_be_read_is_replaced)
 {
-	floors[0] = 5;
+	long_running_workers[0] = 5;
 	run(3000);
-	view_age_ms[0] = 6000;
+	worker_list_age_ms[0] = 6000;
 	silent[0] = silent[1] = true;
 	run(6000);
 	cr_expect_eq(in_pool("blue"), 7);
@@ -689,13 +696,13 @@
 Test(machines, nothing_is_turned_off_while_no_list_can_be_read,
     .init = setup_large)
 {
-	wanted[0] = wanted[1] = 140000;
+	wanted_milli[0] = wanted_milli[1] = 140000;
 	run(1000);
-	view_age_ms[0] = 6000;
-	wanted[0] = 0;
+	worker_list_age_ms[0] = 6000;
+	wanted_milli[0] = 0;
 	run(8000);
 	cr_expect_eq(in_pool("blue"), 160);
-	view_age_ms[0] = 200;
+	worker_list_age_ms[0] = 200;
 	run(8000);
 	cr_expect_eq(in_pool("blue"), 2);
 }
@@ -704,9 +711,9 @@
 Test(machines, what_is_off_goes_where_it_is_heard_of)
 {
 	run(600);
-	view_age_ms[0] = 6000;
-	wanted[0] = 20000;
-	wanted[1] = 6000;
+	worker_list_age_ms[0] = 6000;
+	wanted_milli[0] = 20000;
+	wanted_milli[1] = 6000;
 	run(3000);
 	cr_expect_eq(in_pool("green"), 7);
 }
@@ -799,31 +806,31 @@
 	int i;
 
 	for (i = 0; i < 42; i++)
-		tasks[i] = lasting[i] = 1;
-	lasting_every_ms = 2000;
-	floors[0] = floors[1] = 21;
-	wanted[0] = wanted[1] = 19000;
+		tasks[i] = long_running[i] = 1;
+	long_running_move_ms = 2000;
+	long_running_workers[0] = long_running_workers[1] = 21;
+	wanted_milli[0] = wanted_milli[1] = 19000;
 	run(600);
 	ask_wave_of(2, 62, 24000);
 	for (i = 0; i < 24; i++) {
-		wanted[0] = i % 9 < 3 ? 70000 : 19000;
-		wanted[1] = i % 9 == 5 ? 70000 : 19000;
+		wanted_milli[0] = i % 9 < 3 ? 70000 : 19000;
+		wanted_milli[1] = i % 9 == 5 ? 70000 : 19000;
 		run(1000);
 	}
 	for (i = 0; i < machine_count; i += 2)
-		cr_expect(upkept[i], "m-%d in %s, %zu last", i,
-		    machines[i].pool, lasting[i]);
-	cr_expect_leq(most_down, 62);
-	cr_expect_eq(statuses_completed, 1);
+		cr_expect(maintenance_started[i], "m-%d in %s, %zu last", i,
+		    machines[i].pool, long_running[i]);
+	cr_expect_leq(max_down, 62);
+	cr_expect_eq(completed_statuses, 1);
 }
 
 /*
  * A rack went dark: its machines were still listed as up, so that the pool had
- * all that its lasting tasks need, and one had no worker for ten seconds.
+ * all that its long-running tasks need, and one had no worker for ten seconds.
  */
 Test(machines, a_machine_whose_worker_is_gone_is_replaced)
 {
-	floors[0] = 5;
+	long_running_workers[0] = 5;
 	run(3000);
 	cr_assert_eq(in_pool("blue"), 5);
 	silent[0] = silent[1] = true;
@@ -839,7 +846,7 @@
 {
 	int i;
 
-	floors[0] = 5;
+	long_running_workers[0] = 5;
 	run(3000);
 	for (i = 0; i < 5; i++)
 		silent[i] = true;
@@ -851,14 +858,15 @@
 }
 
 /*
- * Lasting tasks need as many workers as before while some are emptied: one
+ * Lasting tasks need as many workers as before while some are evacuated: one
  * more came each time that a task had found no room, and the wave was late.
  */
 Test(machines, machines_in_upkeep_are_replaced_where_lasting_tasks_need_them)
 {
-	floors[0] = 5;
-	lasting_every_ms = 60000; /* they do not leave before there is room */
-	tasks[0] = lasting[0] = tasks[1] = lasting[1] = 1;
+	long_running_workers[0] = 5;
+	long_running_move_ms =
+	    60000; /* they do not leave before there is room */
+	tasks[0] = long_running[0] = tasks[1] = long_running[1] = 1;
 	run(600);
 	ask_wave_of(1, 2, 27000);
 	run(3000);
@@ -875,16 +883,16 @@
 	int i, k, n;
 
 	for (i = 0; i < 21; i++)
-		tasks[i] = lasting[i] = 1;
-	lasting_every_ms = 2000;
-	floors[0] = 21;
-	wanted[0] = 180000;
+		tasks[i] = long_running[i] = 1;
+	long_running_move_ms = 2000;
+	long_running_workers[0] = 21;
+	wanted_milli[0] = 180000;
 	run(4000);
 	ask_wave_of(2, 62, 27000);
 	for (k = 0; k < 5; k++) {
 		run(1000);
 		for (n = 0, i = 0; i < machine_count; i++)
-			n += emptied[i] && lasting[i] > 0;
+			n += evacuating[i] && long_running[i] > 0;
 		cr_expect_leq(n, 4, "%d", n);
 	}
 }
