--- a/bench/ablation/play.sh
+++ b/bench/ablation/play.sh
@@ -19,7 +19,7 @@
 	git apply "$here/bench/ablation/$name.patch"
 	echo "without $name"
 	"$bench" score "$site" --no-cpu --jobs 2 --why "ablation: without $name" |
-	    grep -E '^(quiet|trouble|scale|GATE)' || true
+	    grep -E '^(quiet|trouble|scale|GATE)'
 	cp -n journal/*.json "$here/journal/"
 	cp -rn journal/blobs/. "$here/journal/blobs/"
 done
--- a/bench/plot_day.sh
+++ b/bench/plot_day.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Draws a day of one site: share of worth earned, and machines by pool beside
-# what each pool needs.
+# what each pool needs, up to half as many again as there are.
 # Usage: bench/plot_day.sh LOG OUT.svg, LOG printed by "run SITE DAY --log all".
 set -eu
 work=$(mktemp -d)
@@ -15,8 +15,12 @@
 		split($i, kv, "=")
 		if (split(kv[2], v, "/") > 3)
 			print t, v[1], v[2] >> (dir "/pool-" kv[1])
+		if (v[1] > most)
+			most = v[1]
 	}
-}' dir="$work" "$1"
+}
+END { print 1.5 * most >(dir "/most") }' dir="$work" "$1"
+most=$(cat "$work/most")
 {
 	echo "set terminal svg size 900,560"
 	echo "set output '$2'"
@@ -35,8 +39,8 @@
 		name=${pool##*/pool-}
 		printf "'%s' using 1:2 with steps linetype %d title '%s', " \
 		    "$pool" "$n" "$name"
-		printf "'%s' using 1:(\$3 > 60 ? 60 : \$3) with points linetype %d pointtype 7 pointsize 0.3 notitle, " \
-		    "$pool" "$n"
+		printf "'%s' using 1:(\$3 > %s ? %s : \$3) with points linetype %d pointtype 7 pointsize 0.3 notitle, " \
+		    "$pool" "$most" "$most" "$n"
 	done
 	echo
 } >"$work/plot.gp"
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -286,36 +286,16 @@
 	return left_ms - since_start_ms;
 }
 
-/*
- * Longest sum of times along the dependencies: of the whole steps, or of what
- * is left of them.
- */
-static double
-longest_path_ms(const struct occurrence *o, bool whole, int64_t now_us)
-{
-	const struct job_spec *spec = o->job->spec;
-	double ends[JOB_STEPS_MAX], longest = 0, begin;
-	size_t i, k;
-
-	for (i = 0; i < spec->step_count; i++) {
-		begin = 0;
-		for (k = 0; k < spec->steps[i].depends_on_count; k++) {
-			if (ends[spec->steps[i].depends_on[k]] > begin)
-				begin = ends[spec->steps[i].depends_on[k]];
-		}
-		ends[i] = begin +
-		    (whole ? o->steps[i].expected_ms
-			   : step_left_ms(&o->steps[i], now_us));
-		if (ends[i] > longest)
-			longest = ends[i];
-	}
-	return longest;
-}
-
 double
 occurrence_critical_path_left_ms(const struct occurrence *o, int64_t now_us)
 {
-	return longest_path_ms(o, false, now_us);
+	const struct job_spec *spec = o->job->spec;
+	double step_ms[JOB_STEPS_MAX];
+	size_t i;
+
+	for (i = 0; i < spec->step_count && i < JOB_STEPS_MAX; i++)
+		step_ms[i] = step_left_ms(&o->steps[i], now_us);
+	return job_spec_longest_path_ms(spec, step_ms);
 }
 
 double
@@ -337,7 +317,12 @@
 occurrence_objective_span_ms(const struct occurrence *o)
 {
 	const struct queue_settings *q = &o->job->queue;
+	const struct job_spec *spec = o->job->spec;
+	double step_ms[JOB_STEPS_MAX];
+	size_t i;
 
-	return (int64_t)(q->stretch * longest_path_ms(o, true, 0)) +
+	for (i = 0; i < spec->step_count && i < JOB_STEPS_MAX; i++)
+		step_ms[i] = o->steps[i].expected_ms;
+	return (int64_t)(q->stretch * job_spec_longest_path_ms(spec, step_ms)) +
 	    q->target_latency_ms;
 }
--- a/src/jobs/job_spec.c
+++ b/src/jobs/job_spec.c
@@ -65,8 +65,7 @@
 }
 
 double
-job_spec_critical_path_ms(
-    const struct job_spec *s, const struct run_time_model *m)
+job_spec_longest_path_ms(const struct job_spec *s, const double *step_ms)
 {
 	double ends[JOB_STEPS_MAX], longest = 0, begin;
 	size_t i, j;
@@ -77,14 +76,25 @@
 			if (ends[s->steps[i].depends_on[j]] > begin)
 				begin = ends[s->steps[i].depends_on[j]];
 		}
-		ends[i] =
-		    begin + run_time_expected_ms(m, s->steps[i].estimate_ms);
+		ends[i] = begin + step_ms[i];
 		if (ends[i] > longest)
 			longest = ends[i];
 	}
 	return longest;
 }
 
+double
+job_spec_critical_path_ms(
+    const struct job_spec *s, const struct run_time_model *m)
+{
+	double step_ms[JOB_STEPS_MAX];
+	size_t i;
+
+	for (i = 0; i < s->step_count && i < JOB_STEPS_MAX; i++)
+		step_ms[i] = run_time_expected_ms(m, s->steps[i].estimate_ms);
+	return job_spec_longest_path_ms(s, step_ms);
+}
+
 bool
 job_spec_long_running(const struct job_spec *s)
 {
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -66,6 +66,12 @@
  * best-effort task.
  */
 int64_t step_spec_reserved_cpu_milli(const struct step_spec *s);
+/*
+ * Longest sum of times along the steps' dependencies; "step_ms" has the time of
+ * each step.
+ */
+double job_spec_longest_path_ms(
+    const struct job_spec *s, const double *step_ms);
 /* Expected time of the steps' critical path in ms. */
 double job_spec_critical_path_ms(
     const struct job_spec *s, const struct run_time_model *m);
--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -91,7 +91,7 @@
 {
 	const struct run_time_model *m = run_time_find(p->run_times, q->name);
 	const struct step_spec *s;
-	double weight;
+	double weight, run_ms; /* of all tasks of a step */
 	size_t i;
 	int k;
 
@@ -100,12 +100,12 @@
 	decay_arrivals(p);
 	for (i = 0; i < spec->step_count; i++) {
 		s = &spec->steps[i];
+		run_ms = (double)s->task_count *
+		    run_time_expected_ms(m, s->estimate_ms);
 		for (k = 0; k < ARRIVAL_SPANS; k++) {
 			weight = exp(-(double)ago_ms / arrival_span_ms[k]);
 			resources_add(&p->arrivals[k], s,
-			    (double)s->task_count *
-				run_time_expected_ms(m, s->estimate_ms) *
-				weight / arrival_span_ms[k]);
+			    run_ms * weight / arrival_span_ms[k]);
 		}
 	}
 }
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -87,6 +87,7 @@
 static double
 backlog_ms(const struct pool *p)
 {
+	const struct run_time_model *m;
 	double work = 0;
 	struct occurrence *o;
 	const struct job *j;
@@ -94,9 +95,9 @@
 	TAILQ_FOREACH(j, &p->active, entries) {
 		if (job_spec_long_running(j->spec))
 			continue;
+		m = run_time_find(p->run_times, j->queue.name);
 		LIST_FOREACH(o, &j->occurrences, entries) {
-			occurrence_expect(
-			    o, run_time_find(p->run_times, j->queue.name));
+			occurrence_expect(o, m);
 			work += occurrence_work_left(o);
 		}
 	}
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -264,18 +264,17 @@
 		return SOURCE_SPARE;
 	if (from->spare || !pool_demand_is_fresh(r, from))
 		return SOURCE_NONE;
-	if (can_move(r, m) &&
-	    from->machine_count > (g == GROW_FORECAST ? from->retained_forecast
+	if (from->machine_count > (g == GROW_FORECAST ? from->retained_forecast
 						      : from->retained_need)) {
-		if (from->demand_coverage != DEMAND_UNKNOWN)
+		if (from->demand_coverage == DEMAND_UNKNOWN) {
+			if (can_move(r, m))
+				from->withhold_reason = WITHHOLD_NEED_UNKNOWN;
+		} else if (can_move(r, m))
 			return SOURCE_SURPLUS;
-		from->withhold_reason = WITHHOLD_NEED_UNKNOWN;
+		else if (g == GROW_NEED && !worker_list_is_stale(to) &&
+		    can_drain(r, m))
+			return SOURCE_BUSY; /* its tasks are late work */
 	}
-	/* its tasks are late work, which does not count as need */
-	if (g == GROW_NEED && from->machine_count > from->retained_need &&
-	    from->demand_coverage != DEMAND_UNKNOWN &&
-	    !worker_list_is_stale(to) && can_drain(r, m))
-		return SOURCE_BUSY;
 	if (g != GROW_LONG_RUNNING ||
 	    from->machine_count <= from->demand.long_running_workers ||
 	    from->machine_count <= POOL_MIN_MACHINES)
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -8,10 +8,10 @@
 
 static struct jobs_world *world;
 
-static struct jobs_world *
-world_of(int workers)
+static struct jobs_world_opts
+usual_opts(int workers)
 {
-	struct jobs_world_opts o = {
+	return (struct jobs_world_opts){
 	    .seed = 20261204,
 	    .workers = workers,
 	    .cpu = 8000,
@@ -19,6 +19,12 @@
 	    .link_ms = 2,
 	    .store_ms = 4,
 	};
+}
+
+static struct jobs_world *
+world_of(int workers)
+{
+	struct jobs_world_opts o = usual_opts(workers);
 
 	return jobs_world_new(&o);
 }
@@ -281,18 +287,11 @@
  */
 Test(pool, work_is_foreseen_by_run_times_where_estimates_are_wrong)
 {
-	struct jobs_world_opts o = {
-	    .seed = 20261204,
-	    .workers = 8,
-	    .cpu = 8000,
-	    .memory_mb = 16000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .run_ms = 500,
-	};
+	struct jobs_world_opts o = usual_opts(8);
 	struct pool_demand d;
 	int i;
 
+	o.run_ms = 500;
 	world = jobs_world_new(&o);
 	for (i = 0; i < 80; i++) { /* 40 tasks of half a second a second */
 		submit(1, 4, 1000, i % 2 == 0 ? 200 : 1250, NULL);
@@ -527,17 +526,10 @@
  */
 Test(pool, a_policy_is_asked_until_a_worker_is_found)
 {
-	struct jobs_world_opts o = {
-	    .seed = 20261204,
-	    .workers = 64,
-	    .cpu = 8000,
-	    .memory_mb = 16000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .allowed_from = 62,
-	    .policy_ms = 40,
-	};
+	struct jobs_world_opts o = usual_opts(64);
 
+	o.allowed_from = 62;
+	o.policy_ms = 40;
 	world = jobs_world_new(&o);
 	submit(1, 12, 1000, 500, NULL);
 	jobs_world_run(world, 300);
