jobs, shell: log the runs that end with their worker

Cause: the line on a worker's end had a count and no tasks, and info lines of module pool stand at their bound in a surge, so no log told which task lay under a crash, how long it had run, or whether the end was an expected one.

Change: a line for each such run with the time that the worker outlived its start by its last answer (survived_ms); at level warn below 100 ms, and warnings of module pool may use the whole limit of lines.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -238,6 +238,7 @@
 void
 worker_ended(struct pool *p, struct pool_worker *w, const char *why)
 {
+	worker_log_lost_runs(p, w);
 	worker_detach_tasks(p, w, why);
 	w->fence_confirmed = false;
 	w->inherited = false; /* runs of earlier terms have ended, too */
@@ -435,7 +436,7 @@
 	}
 	if (w->in_flight_ack_end > 0)
 		w->delivered_ack_end = w->in_flight_ack_end;
-	w->last_reply_us = p->now_us;
+	w->last_reply_us = w->alive_us = p->now_us;
 	w->report.clock_ms = r->clock_ms;
 	w->clock_read_us = p->now_us;
 	w->report_count++;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -52,6 +52,7 @@
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
 	int64_t last_reply_us; /* last answer to a renewal */
+	int64_t alive_us; /* last answer to a renewal, start or stop */
 	int missed_renewals; /* renewals in a row without an answer */
 	/* Platform lists in a row that lack the worker. */
 	int missing_from_lists;
@@ -277,6 +278,13 @@
 void pool_check_liveness(struct pool *p);
 void pool_apply_liveness_list(struct pool *p, const struct pool_event *ev);
 
+/* pool_crashes.c */
+/*
+ * The worker's process has ended: logs the runs that have ended with it, those
+ * that may have caused it at level "warn".
+ */
+void worker_log_lost_runs(struct pool *p, const struct pool_worker *w);
+
 /* pool_worker_records.c */
 /* Writes the records that are not current. */
 void pool_write_worker_records(struct pool *p);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -175,6 +175,7 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"worker restarted\" worker=%s tasks=%zu", w->report.id,
 	    w->task_count);
+	worker_log_lost_runs(p, w);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
 		if (t->place == PLACE_STARTING ||
--- a/src/shell/daemon_log.c
+++ b/src/shell/daemon_log.c
@@ -72,16 +72,17 @@
 
 /*
  * Counts a line against the limit of the current second. Returns false if it is
- * to be dropped. Module "pool" logs each run, so it may use only three quarters
- * of the limit; the rest is reserved for lines on owners, workers and stores.
+ * to be dropped. Module "pool" logs each run, so its lines without a warning
+ * may use only three quarters of the limit; the rest is reserved for warnings
+ * and for lines on owners, workers and stores.
  */
 static bool
-rate_limit_admit(const char *module)
+rate_limit_admit(enum log_level level, const char *module)
 {
 	time_t now = time(NULL);
 	int limit = rate_limit.lines_per_s;
 
-	if (strcmp(module, "pool") == 0)
+	if (strcmp(module, "pool") == 0 && level >= LOG_LEVEL_INFO)
 		limit -= limit / 4;
 
 	if (now != rate_limit.second) {
@@ -196,7 +197,7 @@
 	 * Check the limit before formatting: during a surge most lines are
 	 * dropped.
 	 */
-	if (rate_limit.lines_per_s > 0 && !rate_limit_admit(module))
+	if (rate_limit.lines_per_s > 0 && !rate_limit_admit(level, module))
 		return;
 	n = snprintf(text, sizeof(text), "module=%s ", module);
 	va_start(ap, fmt);
