tests, bench: a task that crashes each worker that starts it, known red

The world of a pool's tests gets tasks that crash their worker so long after their start; the worker comes back under another id. The test fails on this code: the task is started without a bound, and its job is never shown as failed.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -25,6 +25,10 @@
 #define STATUS_KEEP_MS 120000
 #define OWNERS_MAX 32
 #define LOOK_MS 20 /* between two looks at what has been completed */
+/* Crashes under a task after which its further starts are counted. */
+#define CRASHES_COUNTED 3
+#define STARTS_AFTER_CRASHES_MAX 2
+#define ENTRY_EXPIRY_MS 4500 /* three heartbeats after a crash */
 
 struct sim_run {
 	struct task_name task;
@@ -36,6 +40,7 @@
 	int pace; /* percent, of a task that fills */
 	bool fails;
 	int64_t stop_ms; /* ends stopped then; 0: not told to */
+	int64_t crash_ms; /* crashes its worker then; 0: it does not */
 	LIST_ENTRY(sim_run) entries;
 };
 
@@ -53,6 +58,11 @@
 	bool refuses; /* … or a cut before it does */
 	enum command_result
 	    ended_as; /* what its address answers once it is over */
+	int64_t
+	    revive_ms; /* comes back then under another id; 0: it does not */
+	unsigned lives; /* ids that it has had before */
+	char old_id[NAME_BYTES]; /* its entry … */
+	int64_t old_entry_end_ms; /* … expires then; 0: there is none */
 	int side; /* 1 and more: only this owner, from 1, reaches it; 0: all */
 	int64_t fence, lease_end_ms;
 	LIST_HEAD(sim_runs, sim_run) runs;
@@ -113,6 +123,8 @@
 	bool done; /* a run has ended so */
 	bool done_noted; /* … and the owner has taken note */
 	int failed;
+	bool deadly; /* crashes each worker that starts it */
+	int crashes, starts_after_crashes;
 	UT_hash_handle hh;
 };
 
@@ -121,6 +133,7 @@
 	struct job_spec *spec;
 	bool accepted;
 	int64_t first_ms, done_ms, cancel_ms;
+	bool deadly; /* one of its tasks is */
 	UT_hash_handle hh;
 };
 
@@ -380,6 +393,10 @@
 	if (t->failed >= w->terms.max_attempts)
 		blame(w, &w->verdict.over_budget, "%s run %lld", t->name,
 		    (long long)m->run);
+	if (t->crashes >= CRASHES_COUNTED &&
+	    ++t->starts_after_crashes > STARTS_AFTER_CRASHES_MAX)
+		blame(w, &w->verdict.over_budget, "%s after %d crashes",
+		    t->name, t->crashes);
 	if (j != NULL && j->cancel_ms != 0 && w->ms > j->cancel_ms + CANCEL_MS)
 		blame(w, &w->verdict.unasked, "%s run %lld", t->name,
 		    (long long)m->run);
@@ -456,6 +473,8 @@
 	    ? INT64_MAX
 	    : w->ms + 1 + (int64_t)(true_ms * spread);
 	r->fails = chance(w) < w->opts.fail;
+	if (known_task(w, &m->task)->deadly)
+		r->crash_ms = w->ms + 1 + w->opts.crash_after_ms;
 	LIST_INSERT_HEAD(&s->runs, r, entries);
 	trace(w, "%s starts %s run %lld%s%s%s%s", s->id, short_name(&m->task),
 	    (long long)m->run, m->saved[0] != '\0' ? " from " : "", m->saved,
@@ -661,6 +680,48 @@
 	return true;
 }
 
+static void feed_worker(struct jobs_world *w, int owner, int i);
+static void unlist_worker(struct jobs_world *w, const char *id);
+
+/* A task crashes its worker, which comes back under another id. */
+static bool
+worker_crashes(struct jobs_world *w, int i)
+{
+	struct sim_worker *s = &w->workers[i];
+	struct sim_run *r;
+
+	LIST_FOREACH(r, &s->runs, entries) {
+		if (r->crash_ms != 0 && w->ms >= r->crash_ms)
+			break;
+	}
+	if (r == NULL)
+		return false;
+	trace(w, "%s crashes under %s run %lld", s->id, short_name(&r->task),
+	    (long long)r->run);
+	known_task(w, &r->task)->crashes++;
+	if (w->opts.crash_dark)
+		jobs_world_crash_worker(w, i);
+	else
+		jobs_world_end_worker(w, i, COMMAND_UNSENT);
+	s->revive_ms = w->ms + w->opts.revive_ms;
+	memcpy(s->old_id, s->id, sizeof(s->old_id));
+	s->old_entry_end_ms = w->ms + ENTRY_EXPIRY_MS;
+	return true;
+}
+
+static void
+worker_revives(struct jobs_world *w, int i)
+{
+	struct sim_worker *s = &w->workers[i];
+
+	s->revive_ms = 0;
+	snprintf(s->id, sizeof(s->id), "w-%d.%u", i, ++s->lives);
+	s->up = s->listed = true;
+	s->is_over = false;
+	s->born_ms = w->ms;
+	feed_worker(w, w->owner, i);
+}
+
 static void
 run_workers(struct jobs_world *w)
 {
@@ -670,7 +731,13 @@
 
 	for (i = 0; i < w->opts.workers; i++) {
 		s = &w->workers[i];
-		if (!s->up)
+		if (s->old_entry_end_ms != 0 && w->ms >= s->old_entry_end_ms) {
+			s->old_entry_end_ms = 0;
+			unlist_worker(w, s->old_id);
+		}
+		if (s->revive_ms != 0 && w->ms >= s->revive_ms)
+			worker_revives(w, i);
+		if (!s->up || worker_crashes(w, i))
 			continue;
 		for (r = LIST_FIRST(&s->runs); r != NULL; r = next) {
 			next = LIST_NEXT(r, entries);
@@ -1444,18 +1511,44 @@
 	feed_worker(w, w->owner, worker);
 }
 
-void
-jobs_world_list_worker(struct jobs_world *w, int worker, bool listed)
+static void
+unlist_worker(struct jobs_world *w, const char *id)
 {
 	struct pool_event ev = {.kind = POOL_WORKER_UNLISTED};
 
+	snprintf(ev.u.unlisted.id, NAME_BYTES, "%s", id);
+	step(w, w->owner, &ev);
+}
+
+void
+jobs_world_list_worker(struct jobs_world *w, int worker, bool listed)
+{
 	w->workers[worker].listed = listed;
-	if (listed) {
+	if (listed)
 		feed_worker(w, w->owner, worker);
-		return;
-	}
-	snprintf(ev.u.unlisted.id, NAME_BYTES, "%s", w->workers[worker].id);
-	step(w, w->owner, &ev);
+	else
+		unlist_worker(w, w->workers[worker].id);
+}
+
+void
+jobs_world_deadly(
+    struct jobs_world *w, const char *id, unsigned step, unsigned index)
+{
+	struct task_name n = {.step = step, .index = index};
+
+	memcpy(n.job, id, JOB_ID_BYTES);
+	known_task(w, &n)->deadly = true;
+	known_job(w, id)->deadly = true;
+}
+
+int
+jobs_world_crashes(
+    struct jobs_world *w, const char *id, unsigned step, unsigned index)
+{
+	struct task_name n = {.step = step, .index = index};
+
+	memcpy(n.job, id, JOB_ID_BYTES);
+	return known_task(w, &n)->crashes;
 }
 
 static void
@@ -1602,7 +1695,7 @@
 		else if (state == JOB_CANCELLED && j->cancel_ms == 0)
 			blame(w, &w->verdict.lost, "job %s cancelled by nobody",
 			    j->id);
-		else if (state == JOB_FAILED && w->opts.fail == 0)
+		else if (state == JOB_FAILED && w->opts.fail == 0 && !j->deadly)
 			blame(w, &w->verdict.lost,
 			    "job %s failed without cause", j->id);
 		else if (state < JOB_COMPLETED &&
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -30,6 +30,10 @@
 	double fail; /* share of runs that fail */
 	double estimate_spread; /* true time: estimate times 1 ± this */
 	int run_ms; /* replaces the estimate in the true time; 0: it does not */
+	int crash_after_ms; /* a deadly task crashes its worker so long after …
+			     */
+	int revive_ms; /* … its start; so long after it, the worker is back */
+	bool crash_dark; /* the crashed worker's address does not answer */
 	bool guarded; /* workers refuse what does not fit */
 	int allowed_from; /* the policy allows workers from this on; 0: none
 			     asked */
@@ -46,7 +50,8 @@
 	int ran_twice; /* two runs of a task at once, or after its end */
 	int out_of_order; /* a start before the steps before it were done */
 	int over_room; /* a worker over its room */
-	int over_budget; /* a start after the last attempt had failed */
+	/* A start after the last attempt had failed, or too many crashes. */
+	int over_budget;
 	int unasked; /* a start of a job that was cancelled long before */
 	int lost; /* accepted, and unknown or without cause not completed */
 	int unfinished; /* accepted, and not ended when asked */
@@ -83,6 +88,12 @@
 
 /* Faults. */
 void jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut);
+/* A task of step "step" crashes each worker that starts it. */
+void jobs_world_deadly(
+    struct jobs_world *w, const char *id, unsigned step, unsigned index);
+/* Workers that have crashed under the task. */
+int jobs_world_crashes(
+    struct jobs_world *w, const char *id, unsigned step, unsigned index);
 /* Only the owner with this number, from 1, reaches it; 0: all do. */
 void jobs_world_side(struct jobs_world *w, int worker, int side);
 void jobs_world_crash_worker(struct jobs_world *w, int worker);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -1128,3 +1128,41 @@
 	jobs_world_run(world, SETTLE_MS);
 	expect_kept();
 }
+
+static struct jobs_world *
+world_of_deadly(int workers, int crash_after_ms, bool dark)
+{
+	struct jobs_world_opts o = usual_opts(workers);
+
+	o.crash_after_ms = crash_after_ms;
+	o.crash_dark = dark;
+	o.revive_ms = 3000;
+	return jobs_world_new(&o);
+}
+
+/* Submits jobs beside a deadly one; none of the others may fail. */
+static void
+run_beside_deadly(int ms, char *id)
+{
+	char beside[JOB_ID_BYTES];
+	int i;
+
+	submit(1, 4, 1000, 400, id);
+	jobs_world_deadly(world, id, 0, 1);
+	for (i = 0; i < ms / 100; i++) {
+		submit(1, 3, 1000, 600, beside);
+		jobs_world_run(world, 100);
+	}
+	jobs_world_run(world, 6000);
+}
+
+Test(pool, a_task_that_crashes_its_workers_is_given_up)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of_deadly(8, 10, false);
+	run_beside_deadly(10000, id);
+	cr_expect_eq(jobs_world_state(world, id), JOB_FAILED);
+	cr_expect_eq(jobs_world_crashes(world, id, 0, 1), 2);
+	expect_kept();
+}
