jobs: bound the crashes of a task by running suspects on trial

Cause: the end of a worker was no outcome of a run. Its tasks went back to waiting as if they had never started; only ends that a worker lists as failed were counted, and a crash lists none. Ruled out by the log of lost runs: a count that is lost with its owner, starts taken for unsent.

Change: the unexpected end of a worker counts a crash for each of its tasks (pool_crashes.c). Those that the worker had outlived by less than 100 ms are suspects, and those under a second crash, too. A suspect starts again on trial (pool_trials.c): on a worker where all other runs are proven and none other starts, once the trial is stored, so that a next owner counts it. A worker that outlives the trial clears its task; a crash convicts it, unless other workers of the rack fell silent with it, and the job fails. An end of a worker that drains, whose machine was taken away, or that answered under a cordon is no crash.

--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -33,6 +33,7 @@
 	int crash_after_ms; /* a deadly task crashes its worker so long after …
 			     */
 	int revive_ms; /* … its start; so long after it, the worker is back */
+	bool revives_same_id; /* the worker keeps its id */
 	bool crash_dark; /* the crashed worker's address does not answer */
 	bool guarded; /* workers refuse what does not fit */
 	int allowed_from; /* the policy allows workers from this on; 0: none
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -27,8 +27,10 @@
 	struct step_verdict *v, *next;
 	unsigned i;
 
-	for (i = 0; s->tasks != NULL && i < s->spec->task_count; i++)
+	for (i = 0; s->tasks != NULL && i < s->spec->task_count; i++) {
 		free(s->tasks[i].checkpoint);
+		free(s->tasks[i].crashes);
+	}
 	free(s->tasks);
 	free(s->advice.queried);
 	HASH_ITER(hh, s->advice.verdicts, v, next)
@@ -250,6 +252,16 @@
 	t->checkpoint = copy;
 }
 
+struct task_crashes *
+task_get_crashes(struct task *t)
+{
+	if (t->crashes == NULL)
+		t->crashes = calloc(1, sizeof(*t->crashes));
+	if (t->crashes == NULL)
+		abort(); /* the task might crash workers without a limit */
+	return t->crashes;
+}
+
 void
 occurrence_expect(struct occurrence *o, const struct run_time_model *m)
 {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -44,6 +44,22 @@
 struct pool_worker; /* pool_state.h */
 struct job_step;
 
+/*
+ * Workers that crashed under a task.  The task may be the cause: then it starts
+ * again only on trial, where a crash convicts it.
+ */
+struct task_crashes {
+	int count;
+	bool suspect; /* starts only on trial */
+	bool on_trial; /* its present run is a trial */
+	int64_t trial_ms; /* a trial is passed once its worker outlives this */
+	/* Worker reserved for the trial, or running it; "": none. */
+	char worker[NAME_BYTES];
+	int64_t worker_started_ms; /* identifies its incarnation */
+	uint64_t trial_serial; /* write that stores the trial */
+	bool trial_inherited; /* the trial was begun by an earlier owner */
+};
+
 struct task {
 	struct job_step *step;
 	unsigned index;
@@ -57,6 +73,7 @@
 	int failed_attempts; /* runs that ended with a failure */
 	int64_t failed_runs[FAILED_RUNS_KEPT]; /* newest failed runs */
 	char *checkpoint; /* newest checkpoint; NULL: none */
+	struct task_crashes *crashes; /* NULL: no worker crashed under it */
 	char avoid_worker[NAME_BYTES]; /* of the last failed run; "": none */
 	int progress_percent; /* in the worker's last report */
 	int64_t usage; /* see struct run_report */
@@ -171,6 +188,8 @@
 /* Counts a failed run; false if the run was counted before. */
 bool task_count_failure(struct task *t, int64_t run);
 void task_set_checkpoint(struct task *t, const char *checkpoint);
+/* Its crashes, which are added with a count of 0 unless the task has some. */
+struct task_crashes *task_get_crashes(struct task *t);
 /*
  * Sets the expected run times of the steps by the model of the queue.  The next
  * three use them.
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -163,7 +163,9 @@
 static bool
 task_has_state(const struct task *t)
 {
-	return !t->done && (t->failed_attempts > 0 || t->checkpoint != NULL);
+	return !t->done &&
+	    (t->failed_attempts > 0 || t->checkpoint != NULL ||
+		t->crashes != NULL);
 }
 
 static void
@@ -180,9 +182,23 @@
 	}
 }
 
+/* [crashes, suspect, trial_ms, worker, its start] */
+static void
+write_crashes(struct wire_writer *w, const struct task_crashes *c)
+{
+	msgpack_pack_array(&w->pk, 5);
+	msgpack_pack_int(&w->pk, c->count);
+	msgpack_pack_int(&w->pk, c->suspect);
+	msgpack_pack_int64(&w->pk, c->trial_ms);
+	msgpack_pack_str(&w->pk, strlen(c->worker));
+	msgpack_pack_str_body(&w->pk, c->worker, strlen(c->worker));
+	msgpack_pack_int64(&w->pk, c->worker_started_ms);
+}
+
 /*
  * [index, failed attempts, failed runs, checkpoint] of each unfinished task
- * that has failed or has a checkpoint.
+ * that has failed, has a checkpoint or was under a crash; for the latter, the
+ * crashes follow.
  */
 static void
 write_task_states(struct wire_writer *w, const struct job_step *s,
@@ -202,12 +218,14 @@
 		    s->tasks[i].checkpoint != NULL && detail == PROGRESS_FULL
 		    ? s->tasks[i].checkpoint
 		    : "";
-		msgpack_pack_array(&w->pk, 4);
+		msgpack_pack_array(&w->pk, s->tasks[i].crashes != NULL ? 5 : 4);
 		msgpack_pack_unsigned_int(&w->pk, i);
 		msgpack_pack_int(&w->pk, s->tasks[i].failed_attempts);
 		write_failures(w, &s->tasks[i]);
 		msgpack_pack_str(&w->pk, strlen(checkpoint));
 		msgpack_pack_str_body(&w->pk, checkpoint, strlen(checkpoint));
+		if (s->tasks[i].crashes != NULL)
+			write_crashes(w, s->tasks[i].crashes);
 	}
 }
 
@@ -269,6 +287,25 @@
 	}
 }
 
+static void
+read_crashes(struct task *t, const msgpack_object *o)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	struct task_crashes *c;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 5 ||
+	    f[3].type != MSGPACK_OBJECT_STR || f[3].via.str.size >= NAME_BYTES)
+		return;
+	c = task_get_crashes(t);
+	c->count = (int)f[0].via.i64;
+	c->suspect = f[1].via.i64 != 0;
+	c->trial_ms = f[2].via.i64;
+	memcpy(c->worker, f[3].via.str.ptr, f[3].via.str.size);
+	c->worker[f[3].via.str.size] = '\0';
+	c->worker_started_ms = f[4].via.i64;
+	c->trial_inherited = c->worker[0] != '\0';
+}
+
 static void
 read_task_state(struct job_step *s, const msgpack_object *o)
 {
@@ -296,6 +333,8 @@
 	memcpy(checkpoint, f[3].via.str.ptr, f[3].via.str.size);
 	checkpoint[f[3].via.str.size] = '\0';
 	task_set_checkpoint(t, checkpoint);
+	if (o->via.array.size > 4)
+		read_crashes(t, &f[4]);
 }
 
 static void
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -276,6 +276,8 @@
 	uint64_t accepted, refused, completed, failed, cancelled;
 	uint64_t worker_scans; /* workers examined to place tasks */
 	uint64_t starts, starts_refused, ends_done, ends_failed, ends_other;
+	uint64_t crashes; /* unexpected ends of workers under tasks */
+	uint64_t trials, given_up; /* starts of suspects; jobs convicted */
 };
 
 void pool_stats(const struct pool *p, struct pool_stats *s);
--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -1,17 +1,31 @@
 /*
  * Crashes of workers.  A task may crash each worker that starts it, together
- * with all other tasks there.
+ * with all other tasks there.  All of them are suspects; those that had run for
+ * a while before the crash less so than those that had just started.  A suspect
+ * starts again on trial (pool_trials.c), where a crash convicts it alone.
  */
-#include "pool_state.h"
+#include <stdlib.h>
+#include <string.h>
 
-/* A run that its worker has outlived by this time has not crashed it. */
-#define TRIAL_MS 100
+#include "pool_state.h"
 
+/* Least time by which a worker must outlive a trial. */
+#define TRIAL_MIN_MS 200
+/* With so many crashes, a task is a suspect however long it ran. */
+#define CRASHES_SUSPECT 2
+/* A crash on trial convicts a task under which so many workers crashed, … */
+#define CRASHES_CONVICT 2
+/* … or so many if the crash may be the loss of a rack. */
+#define CRASHES_CONVICT_RACK 3
 /*
- * Time that the worker has outlived the start of the task's run, by its last
- * answer.
+ * A task is given up after so many crashes, on trial or not.  Some may have
+ * been concluded by an owner that has not seen them.
  */
-static int64_t
+#define CRASHES_MAX 5
+/* Workers that are lost with their rack fall silent within this time. */
+#define RACK_LOSS_MS 1000
+
+int64_t
 task_survived_ms(const struct task *t)
 {
 	int64_t us = t->worker->alive_us - t->placed_us;
@@ -19,31 +33,145 @@
 	return us > 0 ? us / US_PER_MS : 0;
 }
 
-/* The worker was about to leave: its end is no crash. */
+/*
+ * The worker was about to leave: its end is no crash.  A cordon counts only if
+ * the worker has answered since, as crashed workers are cordoned, too.
+ */
 static bool
 worker_end_expected(const struct pool *p, const struct pool_worker *w)
 {
 	return w->report.draining || w->machine_removed ||
-	    p->now_us < w->cordon_until_us;
+	    (p->now_us < w->cordon_until_us &&
+		w->cordoned_since_us <= w->alive_us);
+}
+
+/*
+ * Another worker of the rack fell silent at about the same time, and no trial
+ * explains that.
+ */
+static bool
+rack_may_be_lost(const struct pool *p, const struct pool_worker *w)
+{
+	const struct pool_worker *other;
+	int64_t apart_us;
+
+	if (worker_rack(w)[0] == '\0')
+		return false;
+	for (other = p->workers; other != NULL; other = other->hh.next) {
+		if (other == w || other->silent_since_us == 0 ||
+		    other->trial_count > 0 || other->crashed_on_trial ||
+		    strcmp(worker_rack(other), worker_rack(w)) != 0)
+			continue;
+		apart_us = other->silent_since_us - w->silent_since_us;
+		if (llabs(apart_us) < RACK_LOSS_MS * US_PER_MS)
+			return true;
+	}
+	return false;
+}
+
+static void
+log_lost_run(struct pool *p, const struct task *t, bool expected)
+{
+	const struct task_crashes *c = t->crashes;
+	const struct occurrence *o = t->step->occurrence;
+
+	fx_log(p,
+	    task_survived_ms(t) < YOUNG_RUN_MS || (c != NULL && c->suspect)
+		? LOG_LEVEL_WARN
+		: LOG_LEVEL_INFO,
+	    "msg=\"run has ended with its worker\" job=%s task=%u.%u.%u "
+	    "run=%lld worker=%s expected=%d survived_ms=%lld noticed_ms=%lld "
+	    "crashes=%d suspect=%d on_trial=%d",
+	    o->job->id, o->number, t->step->number, t->index, (long long)t->run,
+	    t->worker->report.id, expected, (long long)task_survived_ms(t),
+	    (long long)((p->now_us - t->placed_us) / US_PER_MS),
+	    c != NULL ? c->count : 0, c != NULL && c->suspect,
+	    c != NULL && c->on_trial);
+}
+
+/* Counts a crash of the task's worker; true if it convicts the task. */
+static bool
+count_crash(struct pool *p, struct task *t, bool rack_lost)
+{
+	struct task_crashes *c = task_get_crashes(t);
+	int64_t noticed_ms = (p->now_us - t->placed_us) / US_PER_MS;
+	bool young = task_survived_ms(t) < YOUNG_RUN_MS;
+
+	c->count++;
+	t->step->occurrence->job->progress_stale = true;
+	pool_mark_job_changed(p, t->step->occurrence->job);
+	if (c->on_trial)
+		return c->count >=
+		    (rack_lost ? CRASHES_CONVICT_RACK : CRASHES_CONVICT);
+	if (!young && c->count < CRASHES_SUSPECT)
+		return false;
+	c->suspect = true;
+	/* a run that was not young may have crashed it as late as that */
+	c->trial_ms =
+	    young || noticed_ms < TRIAL_MIN_MS ? TRIAL_MIN_MS : noticed_ms;
+	return c->count >= CRASHES_MAX;
+}
+
+static void
+give_up_task(struct pool *p, struct task *t)
+{
+	const struct task_crashes *c = t->crashes;
+
+	p->stats.given_up++;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"gives up a task that crashes its workers\" job=%s "
+	    "task=%u.%u.%u crashes=%d last_worker=%s",
+	    t->step->occurrence->job->id, t->step->occurrence->number,
+	    t->step->number, t->index, c->count, c->worker);
+	pool_fail_job(p, t->step->occurrence->job, t);
+}
+
+void
+worker_crashed(struct pool *p, struct pool_worker *w)
+{
+	bool expected = worker_end_expected(p, w), rack_lost;
+	struct task *t, *next;
+
+	if (w->task_count == 0)
+		return;
+	rack_lost = rack_may_be_lost(p, w);
+	TAILQ_FOREACH(t, &w->tasks, on_worker)
+		log_lost_run(p, t, expected);
+	if (expected)
+		return;
+	p->stats.crashes++;
+	w->crashed_on_trial = w->trial_count > 0;
+	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
+		next = TAILQ_NEXT(t, on_worker);
+		if (t->done || job_final(t->step->occurrence->job))
+			continue;
+		if (count_crash(p, t, rack_lost))
+			give_up_task(p, t);
+	}
+}
+
+void
+task_add_unseen_crash(struct pool *p, struct task *t)
+{
+	t->step->occurrence->job->progress_stale = true;
+	pool_mark_job_changed(p, t->step->occurrence->job);
+	if (++t->crashes->count >= CRASHES_MAX)
+		give_up_task(p, t);
 }
 
 void
-worker_log_lost_runs(struct pool *p, const struct pool_worker *w)
+worker_suspect_tasks(struct pool *p, struct pool_worker *w)
 {
-	bool expected = worker_end_expected(p, w);
-	const struct task *t;
-	int64_t survived_ms;
+	struct task_crashes *c;
+	struct task *t;
 
 	TAILQ_FOREACH(t, &w->tasks, on_worker) {
-		survived_ms = task_survived_ms(t);
-		fx_log(p,
-		    survived_ms < TRIAL_MS ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
-		    "msg=\"run has ended with its worker\" job=%s "
-		    "task=%u.%u.%u run=%lld worker=%s expected=%d "
-		    "survived_ms=%lld noticed_ms=%lld",
-		    t->step->occurrence->job->id, t->step->occurrence->number,
-		    t->step->number, t->index, (long long)t->run, w->report.id,
-		    expected, (long long)survived_ms,
-		    (long long)((p->now_us - t->placed_us) / US_PER_MS));
+		if (task_survived_ms(t) >= YOUNG_RUN_MS || task_suspect(t))
+			continue;
+		c = task_get_crashes(t);
+		c->suspect = true;
+		c->trial_ms = TRIAL_MIN_MS;
+		t->step->occurrence->job->progress_stale = true;
+		log_lost_run(p, t, false);
 	}
 }
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -260,10 +260,12 @@
 	if (job_final(j))
 		return;
 	fx_log(p, LOG_LEVEL_INFO,
-	    "msg=\"job has failed\" job=%s queue=%s task=%u.%u attempts=%d",
+	    "msg=\"job has failed\" job=%s queue=%s task=%u.%u attempts=%d "
+	    "crashes=%d",
 	    j->id, j->queue.name, t->step->number, t->index,
 	    t->step->spec->gang ? t->step->tasks[0].failed_attempts
-				: t->failed_attempts);
+				: t->failed_attempts,
+	    t->crashes != NULL ? t->crashes->count : 0);
 	end_job(p, j, JOB_FAILED);
 }
 
@@ -325,8 +327,8 @@
 	p->fx->list[p->fx->count - 1].u.answer.waiting = n;
 }
 
-static void
-write_progress(struct pool *p, struct job *j)
+void
+pool_write_progress(struct pool *p, struct job *j)
 {
 	struct buf *value = job_progress_encode(j, PROGRESS_FULL);
 	char key[JOB_KEY_BYTES];
@@ -380,7 +382,7 @@
 		TAILQ_REMOVE(&p->changed_jobs, j, changed_entries);
 		j->in_changed_list = false;
 		if (j->progress_stale)
-			write_progress(p, j);
+			pool_write_progress(p, j);
 		if (!job_final(j))
 			continue;
 		job_drop_finished(j);
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -161,13 +161,6 @@
 	return false;
 }
 
-/* A worker's labels are its kind and its rack, in this order. */
-static const char *
-worker_rack(const struct pool_worker *w)
-{
-	return w->report.label_count > 1 ? w->report.labels[1] : "";
-}
-
 bool
 worker_has_capacity(const struct pool_worker *w, const struct step_spec *s)
 {
@@ -227,13 +220,18 @@
 	return n;
 }
 
-static bool
-may_run(const struct pool *p, const struct pool_worker *w, const struct task *t)
+bool
+worker_may_run(
+    const struct pool *p, const struct pool_worker *w, const struct task *t)
 {
 	const struct step_spec *s = t->step->spec;
 
 	if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
-	    !worker_has_capacity(w, s))
+	    !worker_has_capacity(w, s) ||
+	    worker_on_trial(p, w, t->step->occurrence->job))
+		return false;
+	if (s->gang && task_suspect(t) &&
+	    !worker_runs_proven(w, t->step->occurrence->job))
 		return false;
 	if (s->label[0] != '\0' && !has_label(w, s->label))
 		return false;
@@ -326,7 +324,8 @@
 	p->max_free.valid = true;
 	p->stats.worker_scans += HASH_COUNT(p->workers);
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!worker_usable(p, w) || p->now_us < w->full_until_us)
+		if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
+		    worker_on_trial(p, w, NULL))
 			continue;
 		if (w->report.cpu_milli - w->cpu_milli > p->max_free.cpu_milli)
 			p->max_free.cpu_milli =
@@ -365,7 +364,7 @@
 		return NULL;
 	p->stats.worker_scans += HASH_COUNT(p->workers);
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!may_run(p, w, t))
+		if (!worker_may_run(p, w, t))
 			continue;
 		points = score(p, w, t);
 		if (best == NULL || points > best_points) {
@@ -384,7 +383,7 @@
 	struct pool_worker *w;
 
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (w != t->worker && may_run(p, w, t))
+		if (w != t->worker && worker_may_run(p, w, t))
 			return true;
 	}
 	return false;
@@ -397,7 +396,7 @@
 		snprintf(s->rack, sizeof(s->rack), "%s", worker_rack(w));
 }
 
-static void
+void
 place_task(struct pool *p, struct task *t, struct pool_worker *w)
 {
 	task_attach(t, w);
@@ -419,6 +418,8 @@
 
 	if (s->placed_count > 0) /* the previous run has not ended yet */
 		return;
+	if (!gang_store_trial(p, s))
+		return;
 	/* a gang above the limit starts when no other start is in flight */
 	if (p->starts_in_flight > 0 &&
 	    p->starts_in_flight + spec->task_count > STARTS_IN_FLIGHT_MAX) {
@@ -441,6 +442,8 @@
 	for (i = 0; i < spec->task_count; i++) {
 		if (checkpoint != NULL)
 			task_set_checkpoint(&s->tasks[i], checkpoint);
+		if (task_suspect(&s->tasks[i]))
+			task_begin_trial(&s->tasks[i]);
 		task_start(p, &s->tasks[i], run);
 	}
 	return;
@@ -466,6 +469,10 @@
 			p->start_limit_reached = true;
 			return;
 		}
+		if (task_suspect(t)) {
+			pool_place_on_trial(p, t);
+			continue;
+		}
 		w = choose_worker(p, t);
 		if (w == NULL)
 			return; /* the other tasks need as much capacity */
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -9,6 +9,7 @@
 /* The tail latencies next to a best-effort task are watched. */
 #define RENEWAL_WAIT_BEST_EFFORT_MS 400
 #define RENEWAL_WAIT_WARM_UP_MS 150 /* a long-running task is starting up */
+#define RENEWAL_WAIT_TRIAL_MS 50 /* a task is on trial */
 #define RENEWAL_WAIT_MOVES_MS 300 /* a task may move to the worker soon */
 #define RENEWAL_WAIT_IDLE_MS 2000 /* nothing runs; the longest allowed wait */
 /* After an unanswered renewal; grows with each one up to the maximum. */
@@ -33,6 +34,8 @@
 	int wait_ms = RENEWAL_WAIT_BUSY_MS;
 	const struct task *t;
 
+	if (w->trial_count > 0 || p->now_us < w->trial_reserved_until_us)
+		return RENEWAL_WAIT_TRIAL_MS;
 	if (w->task_count == 0)
 		return p->now_us < p->moves_until_us ? RENEWAL_WAIT_MOVES_MS
 						     : RENEWAL_WAIT_IDLE_MS;
@@ -142,6 +145,7 @@
 		: unconfirmed_lease_expired(p, w)) {
 		w->idle_by_ms = p->now_ms;
 		worker_mark_record_stale(p, w);
+		worker_suspect_tasks(p, w);
 		worker_detach_tasks(p, w, "lease-over");
 		p->placement_due = true;
 	}
@@ -238,7 +242,7 @@
 void
 worker_ended(struct pool *p, struct pool_worker *w, const char *why)
 {
-	worker_log_lost_runs(p, w);
+	worker_crashed(p, w);
 	worker_detach_tasks(p, w, why);
 	w->fence_confirmed = false;
 	w->inherited = false; /* runs of earlier terms have ended, too */
@@ -256,7 +260,8 @@
 {
 	int64_t pause_ms = RENEWAL_RETRY_MS;
 
-	w->missed_renewals++;
+	if (w->missed_renewals++ == 0)
+		w->silent_since_us = p->now_us;
 	if (w->in_flight_ack_end > 0 && result != COMMAND_UNSENT)
 		w->late_ack_until_us =
 		    p->now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
@@ -305,6 +310,8 @@
 	task_attach(t, w);
 	task_set_place(p, t, PLACE_RUNNING);
 	t->adopted = true;
+	if (task_suspect(t))
+		task_begin_trial(t);
 	t->run = r->run > t->run ? r->run : t->run;
 	t->placed_us = t->command_answered_us = t->progress_changed_us =
 	    p->now_us;
@@ -354,6 +361,9 @@
 		t->progress_percent = r->progress_percent;
 		t->usage = r->usage;
 		t->last_listed_in = w->report_count;
+		if (t->crashes != NULL && t->crashes->on_trial &&
+		    task_survived_ms(t) >= t->crashes->trial_ms)
+			task_pass_trial(p, t);
 		task_set_checkpoint(t, r->checkpoint);
 	}
 	return warmed_up;
@@ -427,6 +437,7 @@
 		w->lease_end_ms = r->clock_ms + p->opts.lease_ms;
 	w->fence_confirmed = true;
 	w->missed_renewals = w->missing_from_lists = 0;
+	w->silent_since_us = 0;
 	if (w->idle_by_ms != 0) { /* recorded before leases are renewed */
 		w->idle_by_ms = 0;
 		if (w->recorded_idle_by_ms != 0) {
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -54,6 +54,7 @@
 
 	if (w == NULL)
 		return;
+	task_abort_trial(t);
 	TAILQ_REMOVE(&w->tasks, t, on_worker);
 	w->task_count--;
 	w->cpu_milli -= step_spec_reserved_cpu_milli(s);
@@ -258,6 +259,9 @@
 	}
 	if (placed && r->outcome == RUN_DONE && !t->step->spec->long_running)
 		note_run_time(p, t);
+	if (placed && t->crashes != NULL && t->crashes->on_trial &&
+	    (r->outcome == RUN_DONE || r->outcome == RUN_FAILED))
+		task_pass_trial(p, t);
 	if (placed)
 		task_detach(p, t);
 	switch (r->outcome) {
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -10,6 +10,8 @@
 /* A worker that missed this many renewals in a row gets no new tasks. */
 #define SILENT_MISSED_RENEWALS 2
 #define RUNS_PER_TERM 1000 /* run numbers that one term may assign */
+/* Tasks whose start the worker has outlived by less may crash it. */
+#define YOUNG_RUN_MS 100
 /* Lowest rate of a worker's clock: clocks run at most 2 % slow. */
 #define CLOCK_RATE_MIN 0.98
 /* Largest difference between two daemons' clocks: all are near true time. */
@@ -53,6 +55,8 @@
 	int64_t lease_end_ms;
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_us; /* last answer to a renewal, start or stop */
+	/* First missed renewal since the last answer; 0: none was missed. */
+	int64_t silent_since_us;
 	int missed_renewals; /* renewals in a row without an answer */
 	/* Platform lists in a row that lack the worker. */
 	int missing_from_lists;
@@ -76,6 +80,11 @@
 	int64_t cpu_milli, memory_mb, accelerators;
 	TAILQ_HEAD(placed_list, task) tasks;
 	size_t task_count;
+	/* Tasks on trial there, all of job trial_job. */
+	size_t trial_count;
+	char trial_job[JOB_ID_BYTES];
+	int64_t trial_reserved_until_us; /* for a trial of trial_job */
+	bool crashed_on_trial; /* its newest crash ended a trial */
 	int fail_streak; /* tasks' first failures and stalls, in a row */
 	/*
 	 * No new tasks before this time: tasks fail on the worker, or a late
@@ -89,6 +98,7 @@
 	int64_t throttle_changed_us; /* newest change of a throttle */
 	/* No new tasks before this time: the worker is cordoned. */
 	int64_t cordon_until_us;
+	int64_t cordoned_since_us; /* beginning of the newest cordon */
 	/* An open maintenance wave may reach the worker until this time. */
 	int64_t maintenance_pending_until_us;
 	/* When evacuation was requested; 0: it was not. */
@@ -241,6 +251,8 @@
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
 bool worker_lease_expired(const struct pool_worker *w, int64_t now_us);
+/* Rack of the worker; "": unknown. */
+const char *worker_rack(const struct pool_worker *w);
 /* May be given new tasks. */
 bool worker_usable(const struct pool *p, const struct pool_worker *w);
 /* NULL when out of memory. */
@@ -280,10 +292,34 @@
 
 /* pool_crashes.c */
 /*
- * The worker's process has ended: logs the runs that have ended with it, those
- * that may have caused it at level "warn".
+ * The worker's process has ended with its runs.  Unless the end was expected,
+ * counts a crash for each of its tasks, and gives up the jobs of those that it
+ * convicts.
  */
-void worker_log_lost_runs(struct pool *p, const struct pool_worker *w);
+void worker_crashed(struct pool *p, struct pool_worker *w);
+/* The fate of a silent worker is unknown: those of its tasks are suspected. */
+void worker_suspect_tasks(struct pool *p, struct pool_worker *w);
+/* Time that the worker has outlived the start of the task's run, in ms. */
+int64_t task_survived_ms(const struct task *t);
+/* The trial is over, and tells nothing of the task. */
+void task_abort_trial(struct task *t);
+/* Ends the trial of a task that its worker has outlived. */
+void task_pass_trial(struct pool *p, struct task *t);
+/* Counts a crash that an earlier owner may have seen. */
+void task_add_unseen_crash(struct pool *p, struct task *t);
+
+/* pool_trials.c */
+bool task_suspect(const struct task *t);
+/* Trials of other jobs keep the job's tasks off the worker. */
+bool worker_on_trial(
+    const struct pool *p, const struct pool_worker *w, const struct job *j);
+/* All tasks on the worker, but those of the job on trial, have outlived it. */
+bool worker_runs_proven(const struct pool_worker *w, const struct job *j);
+/* Starts a suspect once a worker is reserved and the trial is stored. */
+void pool_place_on_trial(struct pool *p, struct task *t);
+/* Stores that all members of a suspect gang are on trial; true: it is stored */
+bool gang_store_trial(struct pool *p, struct job_step *s);
+void task_begin_trial(struct task *t);
 
 /* pool_worker_records.c */
 /* Writes the records that are not current. */
@@ -316,6 +352,8 @@
  * pool.finished.
  */
 void pool_flush_jobs(struct pool *p);
+/* Writes the job's progress at once. */
+void pool_write_progress(struct pool *p, struct job *j);
 /* Deletes finished jobs after opts.status_retention_ms. */
 void pool_drop_old_jobs(struct pool *p);
 
@@ -326,6 +364,10 @@
 void pool_refused_free(struct pool *p);
 
 /* pool_place.c */
+/* The worker has capacity for the task and may run it. */
+bool worker_may_run(
+    const struct pool *p, const struct pool_worker *w, const struct task *t);
+void place_task(struct pool *p, struct task *t, struct pool_worker *w);
 void pool_rank_occurrence(
     const struct pool *p, struct candidate *c, struct occurrence *o);
 /* A scheduling pass: starts the waiting tasks that find capacity. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -44,6 +44,13 @@
 		p->now_us - w->unlisted_us < ENTRY_RETURN_MAX_MS * US_PER_MS);
 }
 
+/* A worker's labels are its kind and its rack, in this order. */
+const char *
+worker_rack(const struct pool_worker *w)
+{
+	return w->report.label_count > 1 ? w->report.labels[1] : "";
+}
+
 bool
 worker_usable(const struct pool *p, const struct pool_worker *w)
 {
@@ -175,7 +182,7 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"worker restarted\" worker=%s tasks=%zu", w->report.id,
 	    w->task_count);
-	worker_log_lost_runs(p, w);
+	worker_crashed(p, w);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
 		if (t->place == PLACE_STARTING ||
@@ -320,8 +327,10 @@
 		    p->now_us + CORDON_VALID_MS * US_PER_MS;
 		return;
 	}
-	if (p->now_us >= w->cordon_until_us)
+	if (p->now_us >= w->cordon_until_us) {
+		w->cordoned_since_us = p->now_us;
 		w->evacuating_since_us = 0;
+	}
 	w->cordon_until_us = p->now_us + CORDON_VALID_MS * US_PER_MS;
 	if (ev->u.cordon.evacuate && w->evacuating_since_us == 0)
 		w->evacuating_since_us = p->now_us;
--- a/tests/jobs/job_script.c
+++ b/tests/jobs/job_script.c
@@ -56,6 +56,8 @@
 	    .store_ms = 4,
 	    .fail = (double)number(line, "fail", 0) / 100,
 	    .guarded = number(line, "guarded", 1) != 0,
+	    .crash_after_ms = 10,
+	    .revive_ms = 3000,
 	    .allowed_from = (int)number(line, "allowed_from", 0),
 	    .policy_ms = (int)number(line, "policy", 0),
 	    .trace = print_trace,
@@ -164,6 +166,8 @@
 		do_job(s, line + strlen("job "));
 	} else if (strcmp(word, "run") == 0) {
 		jobs_world_run(s->world, n);
+	} else if (strcmp(word, "deadly") == 0) {
+		jobs_world_deadly(s->world, job_id(s, n), 0, 0);
 	} else if (strcmp(word, "cancel") == 0) {
 		jobs_world_cancel(s->world, job_id(s, n));
 	} else if (strcmp(word, "state") == 0) {
