jobs, scheduler: starts on unguarded workers need entries that are not old

What could happen: a worker's capacity may shrink while it runs. Only its entry shows it; while the store (or its partition with the entries) is away, or after the entry was dropped, the owner went on with the capacity that it knew. A worker that refuses nothing was then given starts beyond its room (LIMIT).

Cause: the age of what is known of a worker was no input of a start, and whether a pool's workers refuse what does not fit was parsed and used nowhere.

Change: events carry when the entries were last read (when that read was sent) and whether the pool's workers guard their capacity. Unguarded workers get starts only while listed and while the read is no older than the users' time of calm (3 to 5 s): a worker writes each heartbeat, and a room that has shrunk counts that calm and one heartbeat later. The change of the belief is logged. Guarded workers are used as before.

Tests: the world's workers change their room, entries are read or not. pool::workers_whose_capacity_is_unknown_get_no_starts fails without the gate (a worker over its room at 8.7 s, starts on unknown capacity); the guarded case and the case with entries at hand pass with and without. The world of older tests tells its owner that workers guard, which is what those on a lapsed entry rely on, and still judges each start that does not fit, as before.

--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -36,6 +36,11 @@
 	bool revives_same_id; /* the worker keeps its id */
 	bool crash_dark; /* the crashed worker's address does not answer */
 	bool guarded; /* workers refuse what does not fit */
+	/*
+	 * The owner is told that they do.  A start that does not fit is judged
+	 * all the same.
+	 */
+	bool said_guarded;
 	int allowed_from; /* the policy allows workers from this on; 0: none
 			     asked */
 	int policy_ms; /* until it answers */
@@ -88,6 +93,10 @@
 double jobs_world_step_us(const struct jobs_world *w);
 
 /* Faults. */
+/* The owner reads workers' entries; false: the store does not answer. */
+void jobs_world_entries(struct jobs_world *w, bool read);
+/* The worker's room changes while it runs. */
+void jobs_world_room(struct jobs_world *w, int worker, int64_t cpu);
 void jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut);
 /* A task of step "step" crashes each worker that starts it. */
 void jobs_world_deadly(
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -152,6 +152,27 @@
 	}
 }
 
+/*
+ * A worker's capacity may shrink while it runs.  Workers that do not refuse
+ * what exceeds it get no starts while their entries are old.
+ */
+static void
+update_capacity_known(struct pool *p)
+{
+	int64_t age_ms = (p->now_us - p->entries_read_us) / US_PER_MS;
+	bool known = p->workers_guarded || age_ms <= p->opts.capacity_valid_ms;
+
+	if (known == p->capacity_known)
+		return;
+	p->capacity_known = known;
+	p->placement_due |= known;
+	fx_log(p, known ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+	    "msg=\"%s\" guarded=%d entries_age_ms=%lld most_ms=%d",
+	    known ? "capacity of workers is known"
+		  : "capacity of workers is unknown: starts wait",
+	    p->workers_guarded, (long long)age_ms, p->opts.capacity_valid_ms);
+}
+
 void
 pool_step(struct pool *p, const struct pool_event *ev, struct pool_effects *fx)
 {
@@ -159,7 +180,10 @@
 	p->now_ms = ev->now_ms;
 	p->loop_lag_us = ev->loop_lag_us;
 	p->ownership_confirmed_us = ev->ownership_confirmed_us;
+	p->entries_read_us = ev->entries_read_us;
+	p->workers_guarded = ev->workers_guarded;
 	p->fx = fx;
+	update_capacity_known(p);
 	dispatch(p, ev);
 	if (!p->loaded)
 		return;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -29,6 +29,8 @@
 	int reconcile_max_ms;
 	int status_retention_ms; /* finished jobs are kept this long */
 	int stop_max_ms; /* longest time that a worker takes to stop a run */
+	/* A worker's reported capacity is relied on this long. */
+	int capacity_valid_ms;
 	int restore_ms; /* time to start from a checkpoint */
 	/* Run time away from the data's rack, relative to that on it. */
 	double remote_factor;
@@ -82,6 +84,8 @@
 	int64_t loop_lag_us; /* recent delay of the daemon's event loop */
 	/* When this daemon was last confirmed to be the pool's owner. */
 	int64_t ownership_confirmed_us;
+	int64_t entries_read_us; /* when the workers' entries were last read */
+	bool workers_guarded; /* workers refuse tasks beyond their capacity */
 	union pool_event_data {
 		struct pool_event_queue_settings {
 			const struct queue_settings *settings;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -138,6 +138,9 @@
 	int64_t now_us, now_ms;
 	int64_t loop_lag_us;
 	int64_t ownership_confirmed_us;
+	int64_t entries_read_us;
+	bool workers_guarded;
+	bool capacity_known; /* the entries are not too old for starts */
 	struct pool_effects *fx; /* effects of that event */
 	bool loaded; /* POOL_LOADED has been processed */
 	/* pool_reconciled() has been true: inherited tasks may be placed. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -61,6 +61,8 @@
 		return false;
 	if (w->unwanted_run_count > 0) /* they use unknown resources */
 		return false;
+	if (!p->capacity_known || (!w->listed && !p->workers_guarded))
+		return false;
 	return p->now_us >= w->quarantined_until_us &&
 	    p->now_us >= w->cordon_until_us;
 }
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -115,6 +115,18 @@
 	return c;
 }
 
+bool
+config_pool_guarded(const struct config *c, const char *pool)
+{
+	size_t i;
+
+	for (i = 0; c != NULL && i < c->pool_count; i++) {
+		if (strcmp(c->pools[i].name, pool) == 0)
+			return c->pools[i].admission_control;
+	}
+	return false;
+}
+
 const struct config_queue *
 config_find_queue(const struct config *c, const char *host, const char *path)
 {
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -54,6 +54,9 @@
 const struct config_queue *config_find_queue(
     const struct config *c, const char *host, const char *path);
 
+/* The pool's workers refuse tasks beyond capacity; false if it is unknown. */
+bool config_pool_guarded(const struct config *c, const char *pool);
+
 #define WAVE_MACHINES_MAX 4096
 
 /* An operators' request for a maintenance wave. */
--- a/src/platform/platform_settings.c
+++ b/src/platform/platform_settings.c
@@ -69,6 +69,7 @@
 	struct json_object *o =
 	    json_get_member(root, "bounds", json_type_object);
 
+	s->calm_ms = (int)json_get_int(o, "contactMs", 3000);
 	s->lease_max_ms = (int)json_get_int(o, "holdMaxMs", 6000);
 	s->task_stop_timeout_ms = (int)json_get_int(o, "stopTimeoutMs", 1000);
 	s->gang_timeout_ms = (int)json_get_int(o, "gangTimeoutMs", 3000);
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -36,6 +36,9 @@
 	int machine_commands_per_s; /* limit for all daemons together */
 	struct endpoint advice_endpoint; /* policy service; optional */
 	int worker_heartbeat_ms;
+	/* Calm that the users require before they hold a daemon to its bounds.
+	 */
+	int calm_ms;
 	int lease_max_ms; /* longest lease that a worker grants */
 	int task_stop_timeout_ms;
 	int gang_timeout_ms;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -216,6 +216,7 @@
 	    .reconcile_max_ms = sh->fence > 1 ? RECONCILE_MAX_MS : 0,
 	    .status_retention_ms = settings->job_status_retention_ms,
 	    .stop_max_ms = settings->task_stop_timeout_ms,
+	    .capacity_valid_ms = settings->calm_ms,
 	    .restore_ms = settings->checkpoint_restore_ms,
 	    .remote_factor = settings->remote_data_factor,
 	    .record_max_bytes = (size_t)settings->store_record_max_bytes,
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -146,6 +146,10 @@
 	ev->loop_lag_us = sh->lag_us;
 	ev->ownership_confirmed_us =
 	    ev->now_us - (sched_boottime_us() - sh->confirmed_boot_us);
+	ev->entries_read_us =
+	    ev->now_us - store_watch_workers_age_us(sh->scheduler->watcher);
+	ev->workers_guarded =
+	    config_pool_guarded(sh->scheduler->config, sh->pool_name);
 	/* Effects may cause nested steps, so each step has its own list. */
 	fx = sh->effects;
 	memset(&sh->effects, 0, sizeof(sh->effects));
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -26,7 +26,9 @@
 	int poll_interval_ms;
 	bool active;
 	bool loaded; /* the newest records of all keys have been read */
-	int64_t last_read_boottime_us; /* when the end was last reached */
+	int64_t read_sent_boottime_us; /* of the read in flight */
+	/* When the newest read that reached the end was sent. */
+	int64_t last_read_boottime_us;
 	int64_t next_offset; /* -1: read the newest records first */
 	int64_t snapshot_end_offset; /* end of the topic at the first page */
 	bool first_page;
@@ -101,7 +103,7 @@
 	f->next_offset = f->snapshot_end_offset;
 	f->first_page = true;
 	f->loaded = true;
-	f->last_read_boottime_us = sched_boottime_us();
+	f->last_read_boottime_us = f->read_sent_boottime_us;
 	f->on_loaded(f->watcher);
 	follower_schedule(f, f->poll_interval_ms);
 }
@@ -111,8 +113,10 @@
 {
 	struct store_call c;
 
-	if (f->first_page)
+	if (f->first_page) {
 		f->scan++;
+		f->read_sent_boottime_us = sched_boottime_us();
+	}
 	store_newest_call(&c, f->topic, f->first_page ? NULL : f->last_key);
 	f->op = store_op_start(
 	    f->watcher->scheduler, &c, READ_TIMEOUT_MS, on_newest_done, f);
@@ -146,7 +150,7 @@
 	    body, len, f->next_offset, &next, forward_record, f);
 	if (bad >= 0) {
 		f->next_offset = next;
-		f->last_read_boottime_us = sched_boottime_us();
+		f->last_read_boottime_us = f->read_sent_boottime_us;
 	}
 	if (bad != 0)
 		daemon_log(LOG_LEVEL_WARN, "watch",
@@ -169,6 +173,7 @@
 		read_newest(f);
 		return;
 	}
+	f->read_sent_boottime_us = sched_boottime_us();
 	store_read_call(&c, f->topic, f->next_offset, f->long_poll_ms);
 	f->op = store_op_start(f->watcher->scheduler, &c,
 	    f->long_poll_ms + READ_TIMEOUT_MS, on_read_done, f);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -18,6 +18,7 @@
 	    .memory_mb = 16000,
 	    .link_ms = 2,
 	    .store_ms = 4,
+	    .said_guarded = true,
 	};
 }
 
@@ -1250,3 +1251,68 @@
 	jobs_world_run(world, 30000);
 	expect_kept();
 }
+
+/* Each worker has half of its room from some moment on, and all of it again. */
+static void
+expect_shrunk_room_kept(bool guarded, bool entries_away)
+{
+	struct jobs_world_opts o = usual_opts(3);
+	char id[JOB_ID_BYTES];
+	int i, w;
+
+	o.guarded = guarded;
+	o.said_guarded = false;
+	world = jobs_world_new(&o);
+	for (i = 0; i < 75; i++) {
+		submit(1, 2, 1000, 900, id);
+		if (i == 15 && entries_away)
+			jobs_world_entries(world, false);
+		for (w = 0; w < 3 && i == 20; w++)
+			jobs_world_room(world, w, w * 1000);
+		if (i == 60)
+			jobs_world_entries(world, true);
+		for (w = 0; w < 3 && i == 60; w++)
+			jobs_world_room(world, w, 8000);
+		jobs_world_run(world, 200);
+	}
+	jobs_world_run(world, 30000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
+
+Test(pool, workers_that_shrink_and_guard_nothing_are_not_overloaded)
+{
+	expect_shrunk_room_kept(false, false);
+}
+
+Test(pool, workers_whose_capacity_is_unknown_get_no_starts)
+{
+	uint64_t before;
+	struct jobs_world_opts o = usual_opts(2);
+
+	expect_shrunk_room_kept(false, true);
+	o.said_guarded = false;
+	world = jobs_world_new(&o);
+	jobs_world_entries(world, false);
+	jobs_world_run(world, 4000);
+	before = jobs_world_starts(world);
+	submit(1, 2, 1000, 100, NULL);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_starts(world), before);
+	jobs_world_entries(world, true);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_starts(world), before + 2);
+	expect_kept();
+}
+
+Test(pool, workers_that_guard_their_capacity_are_used_without_their_entries)
+{
+	expect_shrunk_room_kept(true, true);
+	world = world_of(2);
+	jobs_world_entries(world, false);
+	jobs_world_run(world, 4000);
+	submit(1, 2, 1000, 100, NULL);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_starts(world), 2);
+	expect_kept();
+}
