core: a request is sent to no more than three upstreams that break off under it

What callers saw: nothing yet; found while looking for the cause of the deadly tasks elsewhere. An idempotent request whose upstream broke off was sent to the next one for as long as its deadline and the service's retry budget lasted: one request could break upstream after upstream, and the budget of five retries is the service's, not its own.

Change: the request counts the attempts under which an upstream broke off; after three its caller gets the final answer (502, outcome unknown) at once. Other failures are retried as before.

--- a/src/core/path_attempt.c
+++ b/src/core/path_attempt.c
@@ -12,6 +12,8 @@
  * failure of the upstream.
  */
 #define TIMEOUT_FAILURE_FACTOR 3
+/* A request under which so many upstreams broke off may be what breaks them. */
+#define LOST_ATTEMPTS_MAX 3
 
 void
 path_release_slot(const struct path_ctx *x, struct path_request *r)
@@ -257,6 +259,9 @@
 	attempt_remove(x, r);
 	if (may_have_run)
 		r->may_have_run = true;
-	if (!attempt_try_retry(x, r, may_have_run))
+	if (failure == ATTEMPT_LOST || failure == ATTEMPT_TRUNCATED)
+		r->lost_attempt_count++;
+	if (r->lost_attempt_count >= LOST_ATTEMPTS_MAX ||
+	    !attempt_try_retry(x, r, may_have_run))
 		attempt_fail_request(x, r, failure);
 }
--- a/src/core/path_request.h
+++ b/src/core/path_request.h
@@ -63,6 +63,8 @@
 	 */
 	const char *idempotency_key;
 	unsigned attempt_count; /* sent so far */
+	/* Attempts under which the upstream broke off. */
+	unsigned lost_attempt_count;
 	uint64_t attempt_id; /* of the attempt in flight; 0: none */
 	int64_t attempt_started_us; /* when that attempt was sent */
 	struct upstream *upstream; /* holds a slot for this request, or NULL */
