jobs: liveness checks and deletions are not put off by events

What callers saw: tasks of a crashed worker waited for its lease to expire where the owner was busy or a caller asked for a job's state often.

Cause: both were done on ticks alone, and each event puts the next tick off by 50 ms: with an event every 50 ms there is none until a renewal is due. Found in a play of pool::a_task_whose_workers_stop_answering_is_given_up, where the list of workers was read at 16.027 s and 19.052 s, not each 0.5 s.

Change: done after any event once 50 ms have passed since the last time.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -201,8 +201,10 @@
 	pool_flush_jobs(p);
 	pool_write_worker_records(p);
 	pool_run_renewals(p, ev);
-	if (ev->kind != POOL_TICK)
+	/* events put ticks off, so that ticks alone would not do */
+	if (p->now_us - p->periodic_done_us < TICK_INTERVAL_MAX_US)
 		return;
+	p->periodic_done_us = p->now_us;
 	pool_check_liveness(p);
 	pool_drop_old_jobs(p);
 }
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -151,6 +151,7 @@
 	bool liveness_check_in_flight;
 	int64_t liveness_check_sent_us; /* newest liveness check */
 	struct job *jobs; /* all, by id */
+	int64_t periodic_done_us; /* newest liveness check and deletion */
 	TAILQ_HEAD(job_list, job) active, finished;
 	struct refused_job *refused; /* by id, oldest first */
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
