soak: jobs with a task that crashes its worker

One job in 64 has a first task that crashes each worker 10 ms after its start; the stand-in's worker is back under its id after 3 s. The check of the budget counts starts after three crashes; a job may be shown as failed once two workers have ended under one of its tasks.

--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -28,10 +28,13 @@
 #define HOLD_MAX_MS 6000 /* longest lease, as in the settings */
 #define MUTATE_EVERY 10
 #define FLAKY_OF 4 /* one run in so many of a flaky task fails */
+#define CRASH_AFTER_MS 10 /* a deadly task crashes its worker */
+#define CRASH_BACK_MS 3000 /* from a crash until the worker is back */
 
 struct run {
 	char task[NAME_MAX_BYTES];
 	int64_t number, begun_ms, ends_ms, stop_ms;
+	int64_t crash_ms; /* its worker crashes then, or 0 */
 	bool fails;
 	bool hidden; /* a wrong worker does not list it */
 	LIST_ENTRY(run) entries;
@@ -64,6 +67,7 @@
 	int port; /* that its entry names */
 	int64_t born_ms, life; /* its clock counts from its birth */
 	int64_t dead_ms; /* since when it is dead, or 0 */
+	int64_t back_ms; /* when it comes back from a crash, or 0 */
 	bool frozen, lapsed;
 	struct bar *bars;
 	STAILQ_HEAD(lates, late) lates;
@@ -282,7 +286,7 @@
 		w->lapsed = false;
 }
 
-/* "lasts", "takes:MS", "bad", "flaky", or a task of the usual time. */
+/* "lasts", "takes:MS", "bad", "flaky", "deadly", or one of the usual time. */
 static struct run *
 run_new(struct worker *w, struct json_object *in)
 {
@@ -298,6 +302,9 @@
 		(ms != NULL ? strtol(ms + 6, NULL, 10) : world.task_ms);
 	r->fails = strncmp(spec, "bad", 3) == 0 ||
 	    (strncmp(spec, "flaky", 5) == 0 && world.starts % FLAKY_OF == 0);
+	if (strncmp(spec, "deadly", 6) == 0 &&
+	    strstr(r->task, ".0.0.0") != NULL)
+		r->crash_ms = now_ms() + CRASH_AFTER_MS;
 	r->hidden =
 	    world.mutation == MUTATE_HIDE && world.starts % MUTATE_EVERY == 0;
 	LIST_INSERT_HEAD(&w->runs, r, entries);
@@ -493,7 +500,7 @@
 static void
 worker_born(struct worker *w)
 {
-	w->dead_ms = 0;
+	w->dead_ms = w->back_ms = 0;
 	w->born_ms = now_ms();
 	w->life++;
 	w->fence = w->lease_end_ms = w->ends = 0;
@@ -732,12 +739,34 @@
 	}
 }
 
+/* True if a deadly task ends the worker now. */
+static bool
+worker_crashes(struct worker *w)
+{
+	const struct run *r;
+
+	LIST_FOREACH(r, &w->runs, entries) {
+		if (r->crash_ms != 0 && now_ms() >= r->crash_ms)
+			break;
+	}
+	if (r == NULL || w->frozen)
+		return false;
+	note("crash %s %" PRId64 " %s", w->id, w->life, r->task);
+	worker_dies(w);
+	w->back_ms = now_ms() + CRASH_BACK_MS;
+	return true;
+}
+
 static void
 run_worker(struct worker *w)
 {
 	struct run *r, *next;
 	int64_t now = now_ms();
 
+	if (w->back_ms != 0 && now >= w->back_ms)
+		worker_born(w);
+	if (worker_crashes(w))
+		return;
 	if (clock_ms(w) > w->lease_end_ms && !w->lapsed && w->dead_ms == 0) {
 		w->lapsed = true;
 		note("lapse %s %" PRId64, w->id, w->life);
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -58,10 +58,28 @@
 	.attempts = 3},
 };
 
+/* The first task crashes each worker that starts it. */
+static const struct soak_kind deadly_kind = {
+    .prefix = "/blue/",
+    .body = "{\"taskSpec\":\"deadly\",\"steps\":[{\"count\":2,\"cpu\":300,"
+	    "\"estimateMs\":60}]}",
+    .steps = 1,
+    .step = {{.count = 2}},
+    .attempts = 3,
+};
+
+bool
+soak_job_deadly(unsigned long number)
+{
+	return number % SOAK_DEADLY_OF == SOAK_DEADLY_OF / 2;
+}
+
 const struct soak_kind *
 soak_kind_of(const char *id)
 {
 	char digit[2] = {id[0], '\0'};
 
+	if (soak_job_deadly(strtoul(id + SOAK_ID_LEN - 4, NULL, 16)))
+		return &deadly_kind;
 	return &soak_kinds[strtol(digit, NULL, 16) % SOAK_KINDS];
 }
--- a/tests/soak/soak_judge.c
+++ b/tests/soak/soak_judge.c
@@ -30,6 +30,11 @@
 #define GRACE_US (7000 * US_PER_MS) /* graceS and a second */
 #define STATUS_KEEP_US (55000 * US_PER_MS) /* status_s of 60, less a slack */
 
+/* Workers that may crash under a task, and starts of it after that. */
+#define CRASHES_MAX 3
+#define STARTS_AFTER_CRASHES_MAX 2
+#define LOST_WORKERS_GIVE_UP 2 /* the task may be given up */
+
 #define EVERY_DAEMON -1 /* a fault of the store */
 #define ELSEWHERE -2 /* of workers and their links */
 
@@ -48,6 +53,8 @@
 	struct live live[LIVE_MAX];
 	struct end ends[ENDS_MAX];
 	int live_count, end_count;
+	int lost_workers; /* that ended under a run of it */
+	int crashes, starts_after_crashes;
 	int64_t started_us;
 	bool reported; /* one broken promise of each task is enough */
 };
@@ -257,7 +264,7 @@
 	return true;
 }
 
-/* A task of it has failed as often as it may. */
+/* A task of it has failed, or lost its workers, as often as it may. */
 static bool
 job_failed(const struct soak_judge *j, const struct job *b)
 {
@@ -266,7 +273,10 @@
 	for (s = 0; s < b->kind->steps; s++)
 		for (i = 0; i < b->kind->step[s].count; i++)
 			if (ended_so(b->tasks[s][i], 'f', false, j->now_us) >=
-			    b->kind->attempts)
+				b->kind->attempts ||
+			    (b->tasks[s][i] != NULL &&
+				b->tasks[s][i]->lost_workers >=
+				    LOST_WORKERS_GIVE_UP))
 				return true;
 	return false;
 }
@@ -319,6 +329,11 @@
 		return;
 	}
 	b->starts++;
+	if (t->crashes >= CRASHES_MAX &&
+	    ++t->starts_after_crashes > STARTS_AFTER_CRASHES_MAX)
+		soak_judge_broken(j, CHECK_BUDGET,
+		    "%s run %" PRId64 " on %s, after %d crashes", name, run,
+		    worker, t->crashes);
 	if (t->live_count > 0)
 		soak_judge_broken(j, CHECK_TWICE,
 		    "%s run %" PRId64 " on %s, while run %" PRId64
@@ -344,16 +359,20 @@
 	}
 }
 
-static void
+/* Returns the number of runs that were live. */
+static int
 not_live(struct task *t, const char *worker, int64_t run)
 {
-	int i;
+	int i, n = 0;
 
 	for (i = 0; i < t->live_count; i++) {
 		if (strcmp(t->live[i].worker, worker) == 0 &&
-		    (run == 0 || t->live[i].run == run))
+		    (run == 0 || t->live[i].run == run)) {
 			t->live[i--] = t->live[--t->live_count];
+			n++;
+		}
 	}
+	return n;
 }
 
 static void
@@ -428,7 +447,24 @@
 		for (s = 0; s < SOAK_STEPS_MAX; s++)
 			for (i = 0; i < INDEX_MAX; i++)
 				if (b->tasks[s][i] != NULL)
-					not_live(b->tasks[s][i], worker, 0);
+					b->tasks[s][i]->lost_workers +=
+					    not_live(b->tasks[s][i], worker, 0);
+}
+
+/* Before the worker is said to be gone. */
+static void
+on_crash(struct soak_judge *j, const char *args)
+{
+	char name[TASK_BYTES];
+	struct job *b;
+	struct task *t;
+	int step;
+
+	if (sscanf(args, "%*s %*s %47s", name) != 1)
+		return;
+	t = task_of(j, name, &b, &step);
+	if (t != NULL)
+		t->crashes++;
 }
 
 static void
@@ -445,6 +481,8 @@
 		on_ack(j, args);
 	else if (strcmp(what, "gone") == 0)
 		on_gone(j, args);
+	else if (strcmp(what, "crash") == 0)
+		on_crash(j, args);
 	if (sscanf(args, "%31s %" SCNd64 " %" SCNd64, worker, &life, &fence) <
 	    1)
 		return;
