jobs: a crash right after the start outweighs a longer run before

What could happen: answers that an owner reads late, after a freeze or behind a lag, make a run seem outlived for longer than it was. The next crashes of a deadly task, 10 ms after their starts, were then taken for others' until ten in all.

Change: a crash of a begun run within 0.2 s of its start, whose time is an upper bound, is counted in any case and lowers what the task was outlived by. Also: the time of a trial of a run that was not young exceeds the earlier crash's by 0.2 s, so that it can clear the task; a worker that came back under its id has its end's notice as the time to compare with its rack; trials of gangs are counted.

No test of its own: the world of the tests reads answers in time.

--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -58,6 +58,20 @@
 		w->cordoned_since_us <= w->alive_us);
 }
 
+/* Latest time at which the worker, which has ended, can have done so. */
+static int64_t
+worker_end_us(const struct pool *p, const struct pool_worker *w)
+{
+	return w->silent_since_us != 0 ? w->silent_since_us : p->now_us;
+}
+
+/* Upper bound of the time that the task had run when its worker crashed. */
+static int64_t
+task_ran_ms(const struct pool *p, const struct task *t)
+{
+	return (worker_end_us(p, t->worker) - t->placed_us) / US_PER_MS;
+}
+
 /*
  * Another worker of the rack fell silent at about the same time, and no trial
  * explains that.  The crash came up to "ran_ms" after the start of the task.
@@ -76,7 +90,7 @@
 		    other->trial_count > 0 || other->crashed_on_trial ||
 		    strcmp(worker_rack(other), worker_rack(w)) != 0)
 			continue;
-		apart_us = other->silent_since_us - w->silent_since_us;
+		apart_us = other->silent_since_us - worker_end_us(p, w);
 		if (llabs(apart_us) < most_ms * US_PER_MS)
 			return true;
 	}
@@ -103,17 +117,6 @@
 	    c != NULL && c->on_trial);
 }
 
-/* Upper bound of the time that the task had run when its worker crashed. */
-static int64_t
-task_ran_ms(const struct pool *p, const struct task *t)
-{
-	const struct pool_worker *w = t->worker;
-	int64_t end_us =
-	    w->silent_since_us != 0 ? w->silent_since_us : p->now_us;
-
-	return (end_us - t->placed_us) / US_PER_MS;
-}
-
 void
 task_outlived(struct task *t, int64_t survived_ms)
 {
@@ -149,6 +152,7 @@
 	int64_t survived_ms = task_survived_ms(p, t),
 		ran_ms = task_ran_ms(p, t);
 	bool young = survived_ms < YOUNG_RUN_MS;
+	bool plain = t->begun && ran_ms < TRIAL_MIN_MS;
 	struct task_crashes *c;
 
 	if (survived_ms >= LONG_RUN_MS && t->crashes == NULL)
@@ -162,13 +166,19 @@
 	pool_mark_job_changed(p, t->step->occurrence->job);
 	c->total++;
 	task_outlived(t, survived_ms);
-	/* an earlier run has gone on for longer than this one */
+	/*
+	 * Of an earlier run that was outlived by more, and a crash right after
+	 * the start, the latter is the better evidence: answers may be read
+	 * late.
+	 */
+	if (plain && ran_ms < c->survived_ms)
+		c->survived_ms = ran_ms;
 	if (survived_ms >= LONG_RUN_MS ||
 	    ran_ms + OUTLIVE_MARGIN_MS < c->survived_ms)
 		return c->on_trial && c->total >= CRASHES_TOTAL_MAX;
 	c->count++;
 	c->begun_count += t->begun;
-	c->plain_count += t->begun && ran_ms < TRIAL_MIN_MS;
+	c->plain_count += plain;
 	if (c->crash_max_ms == 0 || ran_ms < c->crash_max_ms)
 		c->crash_max_ms = ran_ms;
 	if (c->on_trial)
@@ -176,8 +186,7 @@
 	if (!young && c->count < CRASHES_SUSPECT)
 		return false;
 	c->suspect = true;
-	c->trial_ms = young || c->crash_max_ms < TRIAL_MIN_MS ? TRIAL_MIN_MS
-							      : c->crash_max_ms;
+	c->trial_ms = TRIAL_MIN_MS + (young ? 0 : c->crash_max_ms);
 	return false;
 }
 
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -443,7 +443,7 @@
 		if (checkpoint != NULL)
 			task_set_checkpoint(&s->tasks[i], checkpoint);
 		if (task_suspect(&s->tasks[i]))
-			task_begin_trial(&s->tasks[i]);
+			task_begin_trial(p, &s->tasks[i]);
 		task_start(p, &s->tasks[i], run);
 	}
 	return;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -312,7 +312,7 @@
 	task_set_place(p, t, PLACE_RUNNING);
 	t->adopted = true;
 	if (task_suspect(t))
-		task_begin_trial(t);
+		task_begin_trial(p, t);
 	t->run = r->run > t->run ? r->run : t->run;
 	t->placed_us = t->command_answered_us = t->progress_changed_us =
 	    p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -329,7 +329,8 @@
 void pool_place_on_trial(struct pool *p, struct task *t);
 /* Stores that all members of a suspect gang are on trial; true: it is stored */
 bool gang_store_trial(struct pool *p, struct job_step *s);
-void task_begin_trial(struct task *t);
+/* The task, on its worker, is about to start or goes on under a new owner. */
+void task_begin_trial(struct pool *p, struct task *t);
 
 /* pool_worker_records.c */
 /* Writes the records that are not current. */
--- a/src/jobs/pool_trials.c
+++ b/src/jobs/pool_trials.c
@@ -165,8 +165,9 @@
 }
 
 void
-task_begin_trial(struct task *t)
+task_begin_trial(struct pool *p, struct task *t)
 {
+	p->stats.trials++;
 	t->crashes->on_trial = true;
 	t->crashes->fate_open_us = 0;
 	t->worker->trial_count++;
@@ -232,9 +233,8 @@
 	}
 	if (!worker_runs_proven(p, w, t->step->occurrence->job))
 		return;
-	p->stats.trials++;
 	place_task(p, t, w);
-	task_begin_trial(t);
+	task_begin_trial(p, t);
 	task_start(p, t, task_next_run(p, t));
 }
 
