--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -638,12 +638,12 @@
 		    st.starts_refused);
 		metric_counter(out, "pool_runs_failed_total", NULL, labels,
 		    st.ends_failed);
-		metric_counter(out, "pool_worker_crashes_total", NULL, labels,
-		    st.crashes);
+		metric_counter(
+		    out, "pool_worker_crashes_total", NULL, labels, st.crashes);
 		metric_counter(
 		    out, "pool_trials_total", NULL, labels, st.trials);
-		metric_counter(out, "pool_jobs_given_up_total", NULL, labels,
-		    st.given_up);
+		metric_counter(
+		    out, "pool_jobs_given_up_total", NULL, labels, st.given_up);
 	}
 }
 
