jobs: a start that never arrived does not clear a task of crashes

What callers would have seen: BUDGET, without a bound.

Cause: the time that a worker outlived a run was counted from when its start was sent, also where the worker had neither accepted nor listed the run. A worker that answered renewals meanwhile and then ended for another reason made the task seem to have survived by 365 ms, and all crashes after that, 243 ms after their starts, counted as others'. Ruled out: late answers (the margin of 0.1 s covers them); owners that change (one owner in the test).

Change: the time counts from when the worker is known to have the run (begun_us); 0 while it is not. The world of the tests: a worker restarted by hand does not come back to life once more (two runs at once were blamed on the pool), and the share of late orders can change.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1570,6 +1570,12 @@
 	w->opts.lose = lose;
 }
 
+void
+jobs_world_late(struct jobs_world *w, double late)
+{
+	w->opts.late = late;
+}
+
 void
 jobs_world_refuse_worker(struct jobs_world *w, int worker, bool refuse)
 {
@@ -1592,6 +1598,7 @@
 	s->up = true;
 	s->is_over = false;
 	s->born_ms = w->ms;
+	s->revive_ms = 0;
 	if (s->listed)
 		feed_worker(w, w->owner, worker);
 }
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -123,6 +123,8 @@
 void jobs_world_clock_step(struct jobs_world *w, int64_t ms);
 /* The share of orders whose answer is lost from now on. */
 void jobs_world_lose(struct jobs_world *w, double lose);
+/* The share of orders carried out 2 to 12 s later from now on. */
+void jobs_world_late(struct jobs_world *w, double late);
 /* A cut before it refuses connections; it works on. */
 void jobs_world_refuse_worker(struct jobs_world *w, int worker, bool refuse);
 /* The platform's list of machines can be read. */
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -84,7 +84,11 @@
 	bool done;
 	/* Started by an earlier owner, and found in its worker's list. */
 	bool adopted;
-	bool begun; /* its worker has accepted or listed the run */
+	/*
+	 * Since when its worker has had the run at the latest, as it has
+	 * accepted or listed it; 0: it has done neither.
+	 */
+	int64_t begun_us;
 	enum placement place;
 	struct pool_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -37,12 +37,17 @@
 /* Workers that are lost with their rack fall silent within this time. */
 #define RACK_LOSS_MS 300
 
-/* Answers may have waited for the loop, so that its lag is subtracted. */
+/*
+ * A start without an answer may be carried out at any later time.  Answers may
+ * have waited for the loop, so that its lag is subtracted.
+ */
 int64_t
 task_survived_ms(const struct pool *p, const struct task *t)
 {
-	int64_t us = t->worker->alive_us - t->placed_us - p->loop_lag_us;
+	int64_t us = t->worker->alive_us - t->begun_us - p->loop_lag_us;
 
+	if (t->begun_us == 0)
+		return 0;
 	return us > 0 ? us / US_PER_MS : 0;
 }
 
@@ -152,7 +157,7 @@
 	int64_t survived_ms = task_survived_ms(p, t),
 		ran_ms = task_ran_ms(p, t);
 	bool young = survived_ms < YOUNG_RUN_MS;
-	bool plain = t->begun && ran_ms < TRIAL_MIN_MS;
+	bool plain = t->begun_us != 0 && ran_ms < TRIAL_MIN_MS;
 	struct task_crashes *c;
 
 	if (survived_ms >= LONG_RUN_MS && t->crashes == NULL)
@@ -177,7 +182,7 @@
 	    ran_ms + OUTLIVE_MARGIN_MS < c->survived_ms)
 		return c->on_trial && c->total >= CRASHES_TOTAL_MAX;
 	c->count++;
-	c->begun_count += t->begun;
+	c->begun_count += t->begun_us != 0;
 	c->plain_count += plain;
 	if (c->crash_max_ms == 0 || ran_ms < c->crash_max_ms)
 		c->crash_max_ms = ran_ms;
@@ -259,7 +264,7 @@
 		snprintf(c->worker, sizeof(c->worker), "%s", w->report.id);
 		c->worker_started_ms = w->report.started_ms;
 		c->fate_open_us = p->now_us;
-		c->fate_begun = t->begun;
+		c->fate_begun = t->begun_us != 0;
 		w->fate_awaited = true;
 		t->step->occurrence->job->progress_stale = true;
 	}
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -355,7 +355,8 @@
 		}
 		if (t->place == PLACE_STARTING)
 			task_set_place(p, t, PLACE_RUNNING);
-		t->begun = true;
+		if (t->begun_us == 0)
+			t->begun_us = p->now_us;
 		if (t->progress_percent != r->progress_percent ||
 		    t->progress_changed_us == 0)
 			t->progress_changed_us = p->now_us;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -64,7 +64,7 @@
 		t->step->rack[0] = '\0';
 	t->worker = NULL;
 	task_set_place(p, t, PLACE_NONE);
-	t->begun = false;
+	t->begun_us = 0;
 	t->progress_percent = 0;
 	t->throttle_percent = 100;
 	p->placement_due = true;
@@ -79,7 +79,8 @@
 	struct pool_effect *x = fx_add(p, POOL_START);
 
 	task_set_place(p, t, PLACE_STARTING);
-	t->adopted = t->begun = false;
+	t->adopted = false;
+	t->begun_us = 0;
 	t->run = run;
 	t->placed_us = t->progress_changed_us = t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
@@ -337,7 +338,7 @@
 	switch (ev->u.command.result) {
 	case COMMAND_ACCEPTED:
 		t->worker->alive_us = p->now_us;
-		t->begun = true;
+		t->begun_us = t->placed_us;
 		if (t->place == PLACE_STARTING) {
 			task_set_place(p, t, PLACE_RUNNING);
 			t->command_answered_us = p->now_us;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -187,7 +187,7 @@
 	worker_crashed(p, w);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
-		t->begun = false;
+		t->begun_us = 0;
 		if (t->place == PLACE_STARTING ||
 		    t->place == PLACE_UNCONFIRMED) {
 			task_set_place(p, t, PLACE_UNCONFIRMED);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -1245,6 +1245,38 @@
 	expect_given_up(&o, spec, 0, 2);
 }
 
+/* Its first start is late, and its worker crashes for another reason. */
+Test(pool, a_start_that_never_arrived_does_not_clear_a_task_of_crashes)
+{
+	struct jobs_world_opts o = deadly_opts(1);
+	struct job_spec *spec = jobs_order(1, 1, 1000, 400);
+	char id[JOB_ID_BYTES];
+	int i;
+
+	o.crash_after_ms = 200;
+	o.revives_same_id = true;
+	o.revive_ms = 40;
+	world = jobs_world_new(&o);
+	submit(1, 4, 500, 50, NULL);
+	jobs_world_run(world, 50);
+	jobs_world_late(world, 1);
+	jobs_world_submit(world, spec, id);
+	job_spec_unref(spec);
+	jobs_world_deadly(world, id, 0, 0);
+	jobs_world_run(world, 10);
+	jobs_world_late(world, 0);
+	for (i = 0; i < 7; i++) {
+		submit(1, 2, 500, 50, NULL);
+		jobs_world_run(world, 50);
+	}
+	jobs_world_run(world, 30);
+	jobs_world_restart_worker(world, 0);
+	jobs_world_run(world, 40000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_FAILED);
+	cr_expect_leq(jobs_world_crashes(world, id, 0, 0), 5);
+	expect_kept();
+}
+
 /* The rack of the job's tasks loses its power again and again. */
 Test(pool, a_long_running_job_outlives_the_racks_that_it_runs_on)
 {
