jobs: five counted crashes give a task up, on trial or not

Cause: the fifth counted crash convicted a task only on trial and with two crashes of confirmed runs. A task that crashes 0.3 s after its start passed a trial of 0.2 s and had its fifth crash outside a trial; where answers are lost or owners die, one confirmed run of five is what is left. Both were then started a sixth time.

Change: with five, one confirmed run is enough, on trial or not. With none at all (as first tried) a job failed that had one crash: kept at one.

--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -144,7 +144,7 @@
 	if (c->total >= CRASHES_TOTAL_MAX)
 		return true;
 	if (c->count >= CRASHES_MAX)
-		return c->begun_count >= CRASHES_CONVICT_PLAIN;
+		return c->begun_count > 0;
 	return !rack_lost &&
 	    (c->begun_count >= CRASHES_CONVICT ||
 		c->plain_count >= CRASHES_CONVICT_PLAIN);
@@ -186,7 +186,7 @@
 	c->plain_count += plain;
 	if (c->crash_max_ms == 0 || ran_ms < c->crash_max_ms)
 		c->crash_max_ms = ran_ms;
-	if (c->on_trial)
+	if (c->on_trial || c->count >= CRASHES_MAX)
 		return trial_convicts(c, rack_may_be_lost(p, t, ran_ms));
 	if (!young && c->count < CRASHES_SUSPECT)
 		return false;
