--- a/tests/properties/prop_jobs.cc
+++ b/tests/properties/prop_jobs.cc
@@ -10,8 +10,9 @@
 #include "jobs_world.h"
 }
 
+// "deadly": some jobs have a task that crashes each worker that starts it.
 static struct jobs_world *
-make_world(double lose, double late, double fail)
+make_world(double lose, double late, double fail, bool deadly)
 {
 	struct jobs_world_opts o = {};
 
@@ -26,11 +27,19 @@
 	o.fail = fail;
 	o.estimate_spread = 0.5;
 	o.guarded = *rc::gen::arbitrary<bool>();
+	if (deadly) {
+		o.workers = *rc::gen::inRange(4, 9);
+		o.crash_after_ms = *rc::gen::element(0, 10, 80, 300);
+		o.revive_ms = *rc::gen::inRange(300, 4000);
+		// the world sends no time-outs for an id that a worker gave up
+		o.revives_same_id = true;
+		o.crash_dark = *rc::gen::arbitrary<bool>();
+	}
 	return jobs_world_new(&o);
 }
 
 static void
-submit_some(struct jobs_world *w, std::vector<std::string> &ids)
+submit_some(struct jobs_world *w, std::vector<std::string> &ids, bool deadly)
 {
 	int n = *rc::gen::inRange(1, 4);
 
@@ -51,13 +60,19 @@
 			 << " apart " << job_spec->steps[0].max_per_worker
 			 << "\n";
 		ids.push_back(id);
+		if (deadly && *rc::gen::inRange(0, 4) == 0) {
+			jobs_world_deadly(
+			    w, id, 0, (unsigned)*rc::gen::inRange(0, count));
+			RC_LOG() << "deadly " << id << "\n";
+		}
 		job_spec_unref(job_spec);
 	}
 }
 
 // Any of the faults, in any order, then quiet until all should have ended.
 static void
-play(struct jobs_world *w, std::vector<std::string> &ids, int workers)
+play(struct jobs_world *w, std::vector<std::string> &ids, int workers,
+    bool deadly)
 {
 	int turns = *rc::gen::inRange(3, 9);
 
@@ -66,7 +81,7 @@
 
 		int fault = *rc::gen::inRange(0, 8);
 
-		submit_some(w, ids);
+		submit_some(w, ids, deadly);
 		RC_LOG() << jobs_world_ms(w) << " fault " << fault << " worker "
 			 << worker << "\n";
 		switch (fault) {
@@ -130,32 +145,55 @@
 main()
 {
 	prop_check("jobs: promises hold on sound links", [] {
-		struct jobs_world *w = make_world(0, 0, 0);
+		struct jobs_world *w = make_world(0, 0, 0, false);
 		std::vector<std::string> ids;
 
-		play(w, ids, 2);
+		play(w, ids, 2, false);
 		check(w, true);
 	});
 	prop_check("jobs: promises hold where answers are lost", [] {
-		struct jobs_world *w = make_world(0.1, 0, 0);
+		struct jobs_world *w = make_world(0.1, 0, 0, false);
 		std::vector<std::string> ids;
 
-		play(w, ids, 2);
+		play(w, ids, 2, false);
 		check(w, true);
 	});
 	prop_check("jobs: promises hold where orders are held up", [] {
-		struct jobs_world *w = make_world(0.05, 0.1, 0);
+		struct jobs_world *w = make_world(0.05, 0.1, 0, false);
 		std::vector<std::string> ids;
 
-		play(w, ids, 2);
+		play(w, ids, 2, false);
 		check(w, false);
 	});
 	prop_check("jobs: promises hold where runs fail", [] {
-		struct jobs_world *w = make_world(0.02, 0.02, 0.3);
+		struct jobs_world *w = make_world(0.02, 0.02, 0.3, false);
 		std::vector<std::string> ids;
 
-		play(w, ids, 2);
+		play(w, ids, 2, false);
 		check(w, false);
 	});
+	prop_check("jobs::crashes_of_workers_are_bounded", [] {
+		struct jobs_world *w = make_world(0, 0, 0, true);
+		std::vector<std::string> ids;
+
+		play(w, ids, 4, true);
+		check(w, true);
+	});
+	prop_check(
+	    "jobs::crashes_of_workers_are_bounded_where_answers_are_lost", [] {
+		    struct jobs_world *w = make_world(0.1, 0, 0, true);
+		    std::vector<std::string> ids;
+
+		    play(w, ids, 4, true);
+		    check(w, true);
+	    });
+	prop_check(
+	    "jobs::crashes_of_workers_are_bounded_where_orders_are_late", [] {
+		    struct jobs_world *w = make_world(0.05, 0.1, 0, true);
+		    std::vector<std::string> ids;
+
+		    play(w, ids, 4, true);
+		    check(w, false);
+	    });
 	return prop_failures != 0;
 }
