--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -28,8 +28,8 @@
 #define CRASHES_CONVICT_PLAIN 2
 #define CRASHES_CONVICT 3
 /*
- * So many convict it in any case, with starts that may not have arrived: they
- * are all that callers allow.
+ * So many convict it without a trial and with a lost rack, if one of the runs
+ * had begun: callers allow no further start.
  */
 #define CRASHES_MAX 5
 /* The same, with crashes that longer runs have cleared it of. */
@@ -137,9 +137,9 @@
 	}
 }
 
-/* The crash ended a trial: true if it convicts the task. */
+/* True if the crashes, the last of them on trial or not, convict the task. */
 static bool
-trial_convicts(const struct task_crashes *c, bool rack_lost)
+crashes_convict(const struct task_crashes *c, bool rack_lost)
 {
 	if (c->total >= CRASHES_TOTAL_MAX)
 		return true;
@@ -187,7 +187,7 @@
 	if (c->crash_max_ms == 0 || ran_ms < c->crash_max_ms)
 		c->crash_max_ms = ran_ms;
 	if (c->on_trial || c->count >= CRASHES_MAX)
-		return trial_convicts(c, rack_may_be_lost(p, t, ran_ms));
+		return crashes_convict(c, rack_may_be_lost(p, t, ran_ms));
 	if (!young && c->count < CRASHES_SUSPECT)
 		return false;
 	c->suspect = true;
@@ -242,7 +242,7 @@
 	if (t->crashes->crash_max_ms == 0)
 		t->crashes->crash_max_ms = LONG_RUN_MS;
 	t->crashes->count++;
-	if (trial_convicts(t->crashes, true))
+	if (crashes_convict(t->crashes, true))
 		give_up_task(p, t);
 }
 
