jobs: a crash under a cordon counts like any other

Cause: the end of a cordoned worker that had answered since the cordon was taken for an announced one, and counted as nothing. Machines are cordoned for a move by reports of up to 0.6 s ago, so that a start and a cordon meet within milliseconds. Change: only draining and a removed machine announce an end. A machine is commanded only once its worker runs nothing, so that no command of ours can have ended a task there. Before: crashes::a_cordon_hides_no_crash failed with 38 crashes of one task (bound: 5). After: it passes; build/unit passes.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -157,6 +157,7 @@
 	int owner; /* the present one */
 	bool store_down;
 	int64_t entries_away_ms; /* no entry is read since; 0: they are */
+	int64_t answers_read_ms; /* the owner reads no answer before */
 	bool census_unreadable;
 	int64_t step_ms; /* of owners' time of day */
 	int refuse_ms;
@@ -1277,6 +1278,10 @@
 			break;
 		case MESSAGE_ORDER_END:
 		case MESSAGE_HELD:
+			if (w->ms < w->answers_read_ms) {
+				due->at_ms = w->answers_read_ms;
+				continue;
+			}
 			LIST_REMOVE(due, entries);
 			deliver_answer(w, due);
 			message_free(due);
@@ -1816,3 +1821,9 @@
 	pool_stats(w->owners[w->owner].pool, &st);
 	return st.starts_in_flight;
 }
+
+void
+jobs_world_answers_wait(struct jobs_world *w, int ms)
+{
+	w->answers_read_ms = w->ms + ms;
+}
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -144,6 +144,8 @@
 void jobs_world_terms(struct jobs_world *w, const struct queue_settings *terms);
 /* The owner is told to refuse new jobs for so long; 0: to take them. */
 void jobs_world_refuse(struct jobs_world *w, int retry_ms);
+/* Answers of workers wait for the owner's loop for so long. */
+void jobs_world_answers_wait(struct jobs_world *w, int ms);
 /* The owner's loop is behind by so much. */
 void jobs_world_lag(struct jobs_world *w, int ms);
 /* Writes of the present owner are not taken while the store is down. */
--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -52,15 +52,13 @@
 }
 
 /*
- * The worker was about to leave: its end is no crash.  A cordon counts only if
- * the worker has answered since, as crashed workers are cordoned, too.
+ * The worker was about to leave: its end is no crash.  A cordon alone announces
+ * no end, as a machine is only commanded once its worker runs nothing.
  */
 static bool
-worker_end_expected(const struct pool *p, const struct pool_worker *w)
+worker_end_expected(const struct pool_worker *w)
 {
-	return w->report.draining || w->machine_removed ||
-	    (p->now_us < w->cordon_until_us &&
-		w->cordoned_since_us <= w->alive_us);
+	return w->report.draining || w->machine_removed;
 }
 
 /* Latest time at which the worker, which has ended, can have done so. */
@@ -212,7 +210,7 @@
 void
 worker_crashed(struct pool *p, struct pool_worker *w)
 {
-	bool expected = worker_end_expected(p, w);
+	bool expected = worker_end_expected(w);
 	struct task *t, *next;
 
 	if (w->task_count == 0)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -101,7 +101,6 @@
 	int64_t throttle_changed_us; /* newest change of a throttle */
 	/* No new tasks before this time: the worker is cordoned. */
 	int64_t cordon_until_us;
-	int64_t cordoned_since_us; /* beginning of the newest cordon */
 	/* An open maintenance wave may reach the worker until this time. */
 	int64_t maintenance_pending_until_us;
 	/* When evacuation was requested; 0: it was not. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -330,10 +330,8 @@
 		    p->now_us + CORDON_VALID_MS * US_PER_MS;
 		return;
 	}
-	if (p->now_us >= w->cordon_until_us) {
-		w->cordoned_since_us = p->now_us;
+	if (p->now_us >= w->cordon_until_us)
 		w->evacuating_since_us = 0;
-	}
 	w->cordon_until_us = p->now_us + CORDON_VALID_MS * US_PER_MS;
 	if (ev->u.cordon.evacuate && w->evacuating_since_us == 0)
 		w->evacuating_since_us = p->now_us;
