jobs, scheduler: how long a run was survived is measured on the worker's clock

Cause: the time that a worker outlived a start was taken from when its answer was read. An answer that waits for a late loop makes a short life long, which clears the task of the crashes before; the loop's mean lag, subtracted, does not bound the wait of one answer. Change: answers to starts, stops and renewals carry the worker's clock (clockMs), which was decoded and dropped. The age of a run is the latest clock minus the clock at its start's answer, or in the first list that has it.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -110,6 +110,7 @@
 	struct job_spec *spec;
 	char saved[CHECKPOINT_BYTES], ticket[CHECKPOINT_BYTES];
 	int64_t lease_end_ms, acked_end, asked_us, until_ms;
+	int64_t clock_ms; /* of the worker, in its answer */
 	enum command_result end;
 	bool answer_lost;
 	bool has_report;
@@ -613,6 +614,7 @@
 	a->run = m->run;
 	a->end = end;
 	a->asked_us = m->asked_us;
+	a->clock_ms = clock_ms(w, &w->workers[m->worker]);
 	a->has_report = false;
 	a->serial = m->kind == MESSAGE_START;
 }
@@ -1250,6 +1252,7 @@
 		ev.u.command.task = m->task;
 		ev.u.command.run = m->run;
 		ev.u.command.result = m->end;
+		ev.u.command.clock_ms = m->clock_ms;
 	}
 	step(w, m->owner, &ev);
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -89,6 +89,7 @@
 	 * accepted or listed it; 0: it has done neither.
 	 */
 	int64_t begun_us;
+	int64_t begun_clock_ms; /* the same on the worker's clock */
 	enum placement place;
 	struct pool_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -38,17 +38,15 @@
 #define RACK_LOSS_MS 300
 
 /*
- * A start without an answer may be carried out at any later time.  Answers may
- * have waited for the loop, so that its lag is subtracted.
+ * Measured on the worker's clock, as answers may wait for the loop.  A start
+ * without an answer may be carried out at any later time.
  */
 int64_t
-task_survived_ms(const struct pool *p, const struct task *t)
+task_survived_ms(const struct task *t)
 {
-	int64_t us = t->worker->alive_us - t->begun_us - p->loop_lag_us;
+	int64_t ms = t->worker->alive_clock_ms - t->begun_clock_ms;
 
-	if (t->begun_us == 0)
-		return 0;
-	return us > 0 ? us / US_PER_MS : 0;
+	return t->begun_us != 0 && ms > 0 ? ms : 0;
 }
 
 /*
@@ -87,7 +85,7 @@
 
 	if (worker_rack(w)[0] == '\0')
 		return false;
-	most_ms = RACK_LOSS_MS + ran_ms - task_survived_ms(p, t);
+	most_ms = RACK_LOSS_MS + ran_ms - task_survived_ms(t);
 	for (other = p->workers; other != NULL; other = other->hh.next) {
 		if (other == w || other->silent_since_us == 0 ||
 		    other->trial_count > 0 || other->crashed_on_trial ||
@@ -107,14 +105,14 @@
 	const struct occurrence *o = t->step->occurrence;
 
 	fx_log(p,
-	    task_survived_ms(p, t) < YOUNG_RUN_MS || (c != NULL && c->suspect)
+	    task_survived_ms(t) < YOUNG_RUN_MS || (c != NULL && c->suspect)
 		? LOG_LEVEL_WARN
 		: LOG_LEVEL_INFO,
 	    "msg=\"run has ended with its worker\" job=%s task=%u.%u.%u "
 	    "run=%lld worker=%s expected=%d survived_ms=%lld noticed_ms=%lld "
 	    "crashes=%d suspect=%d on_trial=%d",
 	    o->job->id, o->number, t->step->number, t->index, (long long)t->run,
-	    t->worker->report.id, expected, (long long)task_survived_ms(p, t),
+	    t->worker->report.id, expected, (long long)task_survived_ms(t),
 	    (long long)((p->now_us - t->placed_us) / US_PER_MS),
 	    c != NULL ? c->count : 0, c != NULL && c->suspect,
 	    c != NULL && c->on_trial);
@@ -152,8 +150,7 @@
 static bool
 count_crash(struct pool *p, struct task *t)
 {
-	int64_t survived_ms = task_survived_ms(p, t),
-		ran_ms = task_ran_ms(p, t);
+	int64_t survived_ms = task_survived_ms(t), ran_ms = task_ran_ms(p, t);
 	bool young = survived_ms < YOUNG_RUN_MS;
 	bool plain = t->begun_us != 0 && ran_ms < TRIAL_MIN_MS;
 	struct task_crashes *c;
@@ -251,7 +248,7 @@
 	struct task *t;
 
 	TAILQ_FOREACH(t, &w->tasks, on_worker) {
-		if (task_survived_ms(p, t) >= YOUNG_RUN_MS && !task_suspect(t))
+		if (task_survived_ms(t) >= YOUNG_RUN_MS && !task_suspect(t))
 			continue;
 		c = task_get_crashes(t);
 		if (!c->suspect)
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -231,7 +231,7 @@
 	    worker_on_trial(p, w, t->step->occurrence->job))
 		return false;
 	if (s->gang && task_suspect(t) &&
-	    !worker_runs_proven(p, w, t->step->occurrence->job))
+	    !worker_runs_proven(w, t->step->occurrence->job))
 		return false;
 	if (s->label[0] != '\0' && !has_label(w, s->label))
 		return false;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -355,8 +355,10 @@
 		}
 		if (t->place == PLACE_STARTING)
 			task_set_place(p, t, PLACE_RUNNING);
-		if (t->begun_us == 0)
+		if (t->begun_us == 0) {
 			t->begun_us = p->now_us;
+			t->begun_clock_ms = report->clock_ms;
+		}
 		if (t->progress_percent != r->progress_percent ||
 		    t->progress_changed_us == 0)
 			t->progress_changed_us = p->now_us;
@@ -365,7 +367,7 @@
 		t->usage = r->usage;
 		t->last_listed_in = w->report_count;
 		if (t->crashes != NULL && t->crashes->on_trial &&
-		    task_survived_ms(p, t) >= t->crashes->trial_ms)
+		    task_survived_ms(t) >= t->crashes->trial_ms)
 			task_pass_trial(p, t);
 		task_set_checkpoint(t, r->checkpoint);
 	}
@@ -451,7 +453,8 @@
 	}
 	if (w->in_flight_ack_end > 0)
 		w->delivered_ack_end = w->in_flight_ack_end;
-	w->last_reply_us = w->alive_us = p->now_us;
+	w->last_reply_us = p->now_us;
+	worker_note_clock(w, r->clock_ms);
 	w->report.clock_ms = r->clock_ms;
 	w->clock_read_us = p->now_us;
 	w->report_count++;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -337,8 +337,11 @@
 	j = t->step->occurrence->job;
 	switch (ev->u.command.result) {
 	case COMMAND_ACCEPTED:
-		t->worker->alive_us = p->now_us;
-		t->begun_us = t->placed_us;
+		worker_note_clock(t->worker, ev->u.command.clock_ms);
+		if (ev->u.command.clock_ms >= 0) { /* else a list shows it */
+			t->begun_us = t->placed_us;
+			t->begun_clock_ms = ev->u.command.clock_ms;
+		}
 		if (t->place == PLACE_STARTING) {
 			task_set_place(p, t, PLACE_RUNNING);
 			t->command_answered_us = p->now_us;
@@ -394,7 +397,7 @@
 	case COMMAND_ACCEPTED:
 	case COMMAND_RUN_ENDED:
 		/* the next renewal lists the remaining runs */
-		t->worker->alive_us = p->now_us;
+		worker_note_clock(t->worker, ev->u.command.clock_ms);
 		t->command_answered_us = p->now_us;
 		t->worker->renewal_due_us = p->now_us;
 		p->next_renewal_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -54,7 +54,7 @@
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
 	int64_t last_reply_us; /* last answer to a renewal */
-	int64_t alive_us; /* last answer to a renewal, start or stop */
+	int64_t alive_clock_ms; /* its latest clock in any answer */
 	/* First missed renewal since the last answer; 0: none was missed. */
 	int64_t silent_since_us;
 	int missed_renewals; /* renewals in a row without an answer */
@@ -256,6 +256,8 @@
     struct pool *p, struct pool_worker *w, const char *why);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
+/* An answer carried this time of the worker's clock; -1: none. */
+void worker_note_clock(struct pool_worker *w, int64_t clock_ms);
 bool worker_lease_expired(const struct pool_worker *w, int64_t now_us);
 /* Rack of the worker; "": unknown. */
 const char *worker_rack(const struct pool_worker *w);
@@ -306,7 +308,7 @@
 /* The fate of a silent worker is unknown: those of its tasks are suspected. */
 void worker_suspect_tasks(struct pool *p, struct pool_worker *w);
 /* Time that the worker has outlived the start of the task's run, in ms. */
-int64_t task_survived_ms(const struct pool *p, const struct task *t);
+int64_t task_survived_ms(const struct task *t);
 /* Its worker has outlived a run of the task by so much. */
 void task_outlived(struct task *t, int64_t survived_ms);
 /* The trial is over, and tells nothing of the task. */
@@ -322,8 +324,7 @@
 bool worker_on_trial(
     const struct pool *p, const struct pool_worker *w, const struct job *j);
 /* All tasks on the worker, but those of the job on trial, have outlived it. */
-bool worker_runs_proven(
-    const struct pool *p, const struct pool_worker *w, const struct job *j);
+bool worker_runs_proven(const struct pool_worker *w, const struct job *j);
 /* Starts a suspect once a worker is reserved and the trial is stored. */
 void pool_place_on_trial(struct pool *p, struct task *t);
 /* Stores that all members of a suspect gang are on trial; true: it is stored */
--- a/src/jobs/pool_trials.c
+++ b/src/jobs/pool_trials.c
@@ -34,8 +34,7 @@
 }
 
 bool
-worker_runs_proven(
-    const struct pool *p, const struct pool_worker *w, const struct job *j)
+worker_runs_proven(const struct pool_worker *w, const struct job *j)
 {
 	const struct task *t;
 
@@ -44,7 +43,7 @@
 		    (t->step->spec->gang || t->crashes != NULL))
 			continue;
 		if (t->place != PLACE_STOPPING &&
-		    task_survived_ms(p, t) < YOUNG_RUN_MS)
+		    task_survived_ms(t) < YOUNG_RUN_MS)
 			return false;
 	}
 	return true;
@@ -62,7 +61,7 @@
 
 	if (worker_on_trial(p, w, NULL))
 		points += 10000;
-	return worker_runs_proven(p, w, j) ? points : points - 1000;
+	return worker_runs_proven(w, j) ? points : points - 1000;
 }
 
 static struct pool_worker *
@@ -194,8 +193,8 @@
 	    "worker=%s survived_ms=%lld crashes=%d",
 	    t->step->occurrence->job->id, t->step->occurrence->number,
 	    t->step->number, t->index, (long long)t->run, t->worker->report.id,
-	    (long long)task_survived_ms(p, t), t->crashes->count);
-	task_outlived(t, task_survived_ms(p, t));
+	    (long long)task_survived_ms(t), t->crashes->count);
+	task_outlived(t, task_survived_ms(t));
 	task_abort_trial(t);
 	t->crashes->suspect = false;
 	t->step->occurrence->job->progress_stale = true;
@@ -231,7 +230,7 @@
 			reserve_worker(p, t, w);
 		return;
 	}
-	if (!worker_runs_proven(p, w, t->step->occurrence->job))
+	if (!worker_runs_proven(w, t->step->occurrence->job))
 		return;
 	place_task(p, t, w);
 	task_begin_trial(p, t);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -22,6 +22,13 @@
 	return w->report.clock_ms + (now_us - w->clock_read_us) / US_PER_MS;
 }
 
+void
+worker_note_clock(struct pool_worker *w, int64_t clock_ms)
+{
+	if (clock_ms > w->alive_clock_ms)
+		w->alive_clock_ms = clock_ms;
+}
+
 bool
 worker_lease_expired(const struct pool_worker *w, int64_t now_us)
 {
@@ -216,6 +223,7 @@
 	w->quarantined_until_us = w->late_ack_until_us;
 	w->report.clock_ms = clock_ms;
 	w->clock_read_us = p->now_us;
+	w->alive_clock_ms = 0;
 	w->lease_end_ms = 0;
 	w->successor_wait_end_ms = 0;
 	w->drain_end_us = 0;
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -103,3 +103,10 @@
 
 	expect_starts_bounded(&t);
 }
+
+Test(crashes, answers_that_are_read_late_prove_no_longer_run)
+{
+	struct trouble t = {.answers_wait_ms = 390, .crash_after_ms = 10};
+
+	expect_starts_bounded(&t);
+}
