platform: a worker's entry with an odd number, address or label names no worker

Callers saw daemons stop following the list of workers after another writer had left one odd entry among those of the workers.

json_get_int() saturated at 2^63, read 1e300, NaN and strings as numbers or as the fallback, and a cast cut the result to an int. So "cpu":1e300 became a worker of 2^63 thousandths of a core: capacity added over a pool overflows, and one phantom counts as room for all that waits. "born" far below or above any time takes part in the order of incarnations. An address with a name instead of an IP would be resolved on the only thread; "+80" and " 80" were taken for ports. A worker's id goes into a header and was copied with any bytes, line ends included. Labels that are too long were cut, others skipped.

An entry is now malformed as a whole, and names no worker, when a number is no number, not within its stated range, or "born" has a fraction; when the address is not a numeric IP with a port of 1 to 65535 in plain digits; when a label is no string or too long or there are more than a worker can have; when "zone" or "cpu" is missing; when the id is not printable ASCII.

--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -7,6 +7,12 @@
 
 #include "json_get.h"
 
+/* An entry with more than this names no worker. */
+#define WORKER_CPU_MAX_MILLI 1000000 /* thousandths of a core */
+#define WORKER_MEMORY_MAX_MB (16 * 1024 * 1024)
+#define WORKER_ACCELERATORS_MAX 256
+#define WORKER_DRAIN_MAX_MS (24 * 3600 * 1000)
+
 static void
 config_free(struct config *c)
 {
@@ -182,27 +188,78 @@
 	memset(w, 0, sizeof(*w));
 }
 
-static void
+/* False when a label is no string or too long, or there are too many. */
+static bool
 parse_labels(struct worker_report *r, struct json_object *root)
 {
-	struct json_object *list =
-	    json_get_member(root, "labels", json_type_array);
-	struct json_object *o;
-	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
+	struct json_object *list, *o;
+	size_t i, n;
 
-	for (i = 0; i < n && r->label_count < WORKER_LABELS_MAX; i++) {
+	if (!json_object_object_get_ex(root, "labels", &list) || list == NULL)
+		return true;
+	if (!json_object_is_type(list, json_type_array))
+		return false;
+	n = json_object_array_length(list);
+	if (n > WORKER_LABELS_MAX)
+		return false;
+	for (i = 0; i < n; i++) {
 		o = json_object_array_get_idx(list, i);
-		if (!json_object_is_type(o, json_type_string))
-			continue;
-		snprintf(r->labels[r->label_count++], NAME_BYTES, "%s",
-		    json_object_get_string(o));
+		if (o == NULL || !json_copy_text(o, r->labels[i], NAME_BYTES))
+			return false;
+	}
+	r->label_count = n;
+	return true;
+}
+
+/* Also checks the numbers that are not used: they show an odd writer. */
+static bool
+parse_numbers(struct worker_report *r, struct json_object *root)
+{
+	static const char *const unused[] = {"slots", "coldLeftMs", "seq"};
+	struct json_object *capacity =
+	    json_get_member(root, "capacity", json_type_object);
+	int64_t ignored, remaining_ms;
+	size_t i;
+
+	for (i = 0; i < sizeof(unused) / sizeof(unused[0]); i++) {
+		if (!json_get_int_within(
+			root, unused[i], -JSON_INT_MAX, JSON_INT_MAX, &ignored))
+			return false;
 	}
+	if (!json_get_int_within(
+		capacity, "cpu", 1, WORKER_CPU_MAX_MILLI, &r->cpu_milli) ||
+	    !json_get_int_within(
+		capacity, "memMb", 0, WORKER_MEMORY_MAX_MB, &r->memory_mb) ||
+	    !json_get_int_within(capacity, "gpu", 0, WORKER_ACCELERATORS_MAX,
+		&r->accelerators) ||
+	    !json_get_whole_within(
+		root, "born", 0, UNIX_TIME_MAX_MS, &r->started_ms) ||
+	    !json_get_int_within(
+		root, "clockMs", 0, UNIX_TIME_MAX_MS, &r->clock_ms) ||
+	    !json_get_int_within(
+		root, "remainingMs", 0, WORKER_DRAIN_MAX_MS, &remaining_ms))
+		return false;
+	/* shortest time that a draining worker still serves */
+	r->remaining_ms = (int)remaining_ms;
+	return true;
+}
+
+/* It goes into a header, a URL and log lines. */
+static bool
+is_worker_id(const char *id)
+{
+	const char *p;
+
+	for (p = id; *p != '\0'; p++) {
+		if (*p <= ' ' || *p > '~')
+			return false;
+	}
+	return p != id && (size_t)(p - id) < NAME_BYTES;
 }
 
 static int
 parse_entry(struct worker_report *r, struct json_object *root)
 {
-	struct json_object *capacity;
 	char state[NAME_BYTES];
 
 	if (!json_get_text(root, "service", r->pool, sizeof(r->pool)) ||
@@ -210,23 +267,13 @@
 	    !json_get_addr(root, "addr", r->addr, sizeof(r->addr), &r->port) ||
 	    !json_get_text(
 		root, "zone", r->data_centre, sizeof(r->data_centre)) ||
+	    r->data_centre[0] == '\0' ||
 	    !json_get_text(root, "state", state, sizeof(state)))
 		return -1;
 	if (strcmp(state, "ready") != 0 && strcmp(state, "draining") != 0)
 		return -1;
 	r->draining = strcmp(state, "draining") == 0;
-	capacity = json_get_member(root, "capacity", json_type_object);
-	if (capacity == NULL)
-		return -1;
-	r->cpu_milli = json_get_int(capacity, "cpu", 0);
-	r->memory_mb = json_get_int(capacity, "memMb", 0);
-	r->accelerators = json_get_int(capacity, "gpu", 0);
-	r->started_ms = json_get_int(root, "born", 0);
-	r->clock_ms = json_get_int(root, "clockMs", 0);
-	/* shortest time that a draining worker still serves */
-	r->remaining_ms = (int)json_get_int(root, "remainingMs", 0);
-	parse_labels(r, root);
-	return 0;
+	return parse_numbers(r, root) && parse_labels(r, root) ? 0 : -1;
 }
 
 int
@@ -239,7 +286,7 @@
 	memset(r, 0, sizeof(*r));
 	if (root == NULL)
 		return -1;
-	ret = strlen(id) < sizeof(r->id) ? parse_entry(r, root) : -1;
+	ret = is_worker_id(id) ? parse_entry(r, root) : -1;
 	snprintf(r->id, sizeof(r->id), "%s", id);
 	json_object_put(root);
 	return ret;
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -1,11 +1,15 @@
 #include "json_get.h"
 
+#include <arpa/inet.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "bounds.h"
 
+#define PORT_DIGITS_MAX 5
+
 struct json_object *
 json_parse_object(const void *data, size_t len)
 {
@@ -63,6 +67,37 @@
 	return v != NULL ? json_object_get_double(v) : fallback;
 }
 
+bool
+json_int_within(struct json_object *v, int64_t min, int64_t max, int64_t *out)
+{
+	double real;
+
+	*out = 0;
+	if (v == NULL)
+		return min <= 0;
+	if (json_object_is_type(v, json_type_double)) {
+		real = json_object_get_double(v);
+		if (!(real >= (double)min && real <= (double)max))
+			return false;
+		*out = (int64_t)real;
+		return *out >= min && *out <= max;
+	}
+	if (!json_object_is_type(v, json_type_int))
+		return false;
+	*out = json_object_get_int64(v);
+	return *out >= min && *out <= max;
+}
+
+bool
+json_get_int_within(struct json_object *o, const char *key, int64_t min,
+    int64_t max, int64_t *out)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, key, &v);
+	return json_int_within(v, min, max, out);
+}
+
 bool
 json_get_bool(struct json_object *o, const char *key)
 {
@@ -72,13 +107,20 @@
 }
 
 bool
-json_get_text(struct json_object *o, const char *key, char *out, size_t size)
+json_get_whole_within(struct json_object *o, const char *key, int64_t min,
+    int64_t max, int64_t *out)
+{
+	return json_get_int_within(o, key, min, max, out) &&
+	    (double)*out == json_get_real(o, key, 0);
+}
+
+bool
+json_copy_text(struct json_object *v, char *out, size_t size)
 {
-	struct json_object *v;
 	size_t len;
 
 	out[0] = '\0';
-	if (!json_object_object_get_ex(o, key, &v) || v == NULL)
+	if (v == NULL)
 		return true;
 	if (!json_object_is_type(v, json_type_string))
 		return false;
@@ -89,22 +131,37 @@
 	return true;
 }
 
+bool
+json_get_text(struct json_object *o, const char *key, char *out, size_t size)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, key, &v);
+	return json_copy_text(v, out, size);
+}
+
 bool
 addr_split(const char *text, char *addr, size_t size, int *port)
 {
 	const char *colon = strrchr(text, ':');
-	char *end;
+	struct in6_addr ip;
+	size_t digits;
 	long n;
 
 	if (colon == NULL || colon == text || (size_t)(colon - text) >= size)
 		return false;
-	n = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || n <= 0 || n > UINT16_MAX)
+	digits = strspn(colon + 1, "0123456789");
+	if (digits == 0 || digits > PORT_DIGITS_MAX ||
+	    colon[1 + digits] != '\0')
+		return false;
+	n = strtol(colon + 1, NULL, 10);
+	if (n == 0 || n > UINT16_MAX)
 		return false;
 	memcpy(addr, text, (size_t)(colon - text));
 	addr[colon - text] = '\0';
 	*port = (int)n;
-	return true;
+	return inet_pton(AF_INET, addr, &ip) == 1 ||
+	    inet_pton(AF_INET6, addr, &ip) == 1;
 }
 
 bool
--- a/src/platform/json_get.h
+++ b/src/platform/json_get.h
@@ -13,6 +13,9 @@
 
 #include "buf.h"
 
+#define JSON_INT_MAX (INT64_C(1) << 53) /* whole numbers that JSON can hold */
+#define UNIX_TIME_MAX_MS INT64_C(4102444800000) /* the year 2100 */
+
 /*
  * NULL when the bytes are not a JSON object or memory is short.  Release with
  * json_object_put().
@@ -27,17 +30,32 @@
  */
 int64_t json_get_int(struct json_object *o, const char *key, int64_t fallback);
 double json_get_real(struct json_object *o, const char *key, double fallback);
+/*
+ * Reads a number; 0 when "v" is NULL.  Fractions are truncated.  False when it
+ * has another type, or is not within "min" to "max".
+ */
+bool json_int_within(
+    struct json_object *v, int64_t min, int64_t max, int64_t *out);
+/* As json_int_within(), for a member; 0 when it is missing. */
+bool json_get_int_within(struct json_object *o, const char *key, int64_t min,
+    int64_t max, int64_t *out);
+/* As json_get_int_within(), and false when it has a fraction. */
+bool json_get_whole_within(struct json_object *o, const char *key, int64_t min,
+    int64_t max, int64_t *out);
 /* False when the member is missing or not a boolean. */
 bool json_get_bool(struct json_object *o, const char *key);
 /*
- * Copies a string; "" when the member is missing.  False when it has another
- * type, contains a NUL or does not fit into "size" bytes with its terminator.
+ * Copies a string; "" when "v" is NULL.  False when it has another type,
+ * contains a NUL or does not fit into "size" bytes with its terminator.
  */
+bool json_copy_text(struct json_object *v, char *out, size_t size);
+/* As json_copy_text(), for a member; "" when it is missing. */
 bool json_get_text(
     struct json_object *o, const char *key, char *out, size_t size);
 /*
  * Splits "IP:PORT" into "addr", of "size" bytes, and "port".  False when the
- * text is anything else or the address is too long.
+ * text is anything else or the address is too long.  IP is numeric: resolving a
+ * name would block the daemon's only thread.
  */
 bool json_get_addr(
     struct json_object *o, const char *key, char *addr, size_t size, int *port);
--- /dev/null
+++ b/tests/unit/test_odd_entries.c
@@ -0,0 +1,217 @@
+/* What other writers may have left where workers and the platform write. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "advice_wire.h"
+#include "config_wire.h"
+#include "json_get.h"
+#include "machine_wire.h"
+#include "view.h"
+#include "store_wire.h"
+#include "worker_wire.h"
+
+#define DEEP 10000 /* levels of nesting */
+#define TEXT_BYTES (4 * DEEP)
+
+static const char good_entry[] =
+    "{\"service\":\"blue\",\"addr\":\"10.1.2.3:8080\",\"zone\":\"a\","
+    "\"configVersion\":\"v1\",\"slots\":8,\"state\":\"ready\","
+    "\"coldLeftMs\":0,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
+    "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"clockMs\":482113,"
+    "\"born\":1764900000000,\"remainingMs\":2000,\"seq\":4}";
+
+/* Replaces one part of a text; the caller frees the result. */
+static char *
+replaced(const char *text, const char *part, const char *by)
+{
+	const char *at = strstr(text, part);
+	size_t size = strlen(text) + strlen(by) + 1;
+	char *out = malloc(size);
+
+	cr_assert_not_null(at, "no %s", part);
+	cr_assert_not_null(out);
+	snprintf(out, size, "%.*s%s%s", (int)(at - text), text, by,
+	    at + strlen(part));
+	return out;
+}
+
+static char *
+nested(const char *before, const char *after)
+{
+	char *out = malloc(TEXT_BYTES);
+	size_t n = (size_t)sprintf(out, "%s", before);
+
+	memset(out + n, '[', DEEP);
+	n += DEEP;
+	memset(out + n, ']', DEEP);
+	n += DEEP;
+	sprintf(out + n, "%s", after);
+	return out;
+}
+
+static int
+entry_parse(const char *text)
+{
+	struct worker_report r;
+
+	return worker_entry_parse(&r, "i-1", text, strlen(text));
+}
+
+struct odd {
+	const char *part, *by;
+};
+
+static const struct odd odd_numbers[] = {
+    {"\"cpu\":16000", "\"cpu\":9223372036854775807"},
+    {"\"cpu\":16000", "\"cpu\":99999999999999999999999999"},
+    {"\"cpu\":16000", "\"cpu\":1e300"},
+    {"\"cpu\":16000", "\"cpu\":1e999"},
+    {"\"cpu\":16000", "\"cpu\":NaN"},
+    {"\"cpu\":16000", "\"cpu\":-Infinity"},
+    {"\"cpu\":16000", "\"cpu\":4294967297"},
+    {"\"cpu\":16000", "\"cpu\":-1"},
+    {"\"cpu\":16000", "\"cpu\":\"16000\""},
+    {"\"cpu\":16000", "\"cpu\":[16000]"},
+    {"\"cpu\":16000,", ""},
+    {"\"memMb\":32768", "\"memMb\":-32768"},
+    {"\"memMb\":32768", "\"memMb\":9223372036854775807"},
+    {"\"memMb\":32768", "\"memMb\":true"},
+    {"\"gpu\":0", "\"gpu\":4294967296"},
+    {"\"gpu\":0", "\"gpu\":-1"},
+    {"\"clockMs\":482113", "\"clockMs\":-5"},
+    {"\"clockMs\":482113", "\"clockMs\":9223372036854775807"},
+    {"\"clockMs\":482113", "\"clockMs\":\"now\""},
+    {"\"born\":1764900000000", "\"born\":-1"},
+    {"\"born\":1764900000000", "\"born\":9223372036854775807"},
+    {"\"born\":1764900000000", "\"born\":1e30"},
+    {"\"born\":1764900000000", "\"born\":1764900000000.5"},
+    {"\"born\":1764900000000", "\"born\":{}"},
+    {"\"remainingMs\":2000", "\"remainingMs\":4294967296"},
+    {"\"remainingMs\":2000", "\"remainingMs\":-2000"},
+    {"\"remainingMs\":2000", "\"remainingMs\":\"2000\""},
+    {"\"slots\":8", "\"slots\":1e40"},
+    {"\"slots\":8", "\"slots\":[]"},
+    {"\"seq\":4", "\"seq\":99999999999999999999"},
+    {"\"coldLeftMs\":0", "\"coldLeftMs\":\"no\""},
+};
+
+Test(odd_entries, a_worker_entry_with_a_number_out_of_range_names_no_worker)
+{
+	size_t i;
+	char *text;
+
+	cr_expect_eq(entry_parse(good_entry), 0);
+	for (i = 0; i < sizeof(odd_numbers) / sizeof(odd_numbers[0]); i++) {
+		text = replaced(
+		    good_entry, odd_numbers[i].part, odd_numbers[i].by);
+		cr_expect_eq(entry_parse(text), -1, "%s", odd_numbers[i].by);
+		free(text);
+	}
+}
+
+Test(odd_entries, a_worker_entry_with_an_odd_address_names_no_worker)
+{
+	static const char *const addresses[] = {"10.1.2.3:0", "10.1.2.3:65536",
+	    "10.1.2.3:70000", "10.1.2.3:-1", "10.1.2.3:+80", "10.1.2.3: 80",
+	    "10.1.2.3:80x", "10.1.2.3:80 ", "10.1.2.3:", "10.1.2.3", ":80", "",
+	    "10.1.2.3:4294967376", "10.1.2.3:99999999999999999999",
+	    "10.1.2.3:000000000000000000000080", "worker.example:80",
+	    "10.1.2:80", "10.1.2.3\\r\\nx:80", "10.1.2.3\\u0000:80",
+	    "999.1.2.3:80", " 10.1.2.3:80"};
+	char by[128], *text;
+	size_t i;
+
+	for (i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+		snprintf(by, sizeof(by), "\"%s\"", addresses[i]);
+		text = replaced(good_entry, "\"10.1.2.3:8080\"", by);
+		cr_expect_eq(entry_parse(text), -1, "%s", addresses[i]);
+		free(text);
+	}
+	text = replaced(good_entry, "\"10.1.2.3:8080\"", "8080");
+	cr_expect_eq(entry_parse(text), -1);
+	free(text);
+}
+
+Test(odd_entries, a_worker_entry_with_an_odd_member_names_no_worker)
+{
+	static const struct odd odd[] = {
+	    {"\"ready\"", "\"resting\""},
+	    {"\"ready\"", "7"},
+	    {"\"ready\"", "null"},
+	    {"\"blue\"", "\"\""},
+	    {"\"blue\"", "[\"blue\"]"},
+	    {"\"blue\"", "\"a-name-that-is-longer-than-every-name-may-be\""},
+	    {"\"zone\":\"a\"", "\"zone\":4"},
+	    {"\"zone\":\"a\",", ""},
+	    {"{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "[]"},
+	    {"{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "16000"},
+	    {"[\"a\",\"r1-3\"]", "\"a\""},
+	    {"[\"a\",\"r1-3\"]", "[\"a\",3]"},
+	    {"[\"a\",\"r1-3\"]", "[null,\"r1-3\"]"},
+	    {"[\"a\",\"r1-3\"]",
+		"[\"a-label-that-is-longer-than-every-name-may-be\"]"},
+	    {"[\"a\",\"r1-3\"]", "[\"a\\u0000b\"]"},
+	    {"\"seq\":4}", "\"seq\":4"},
+	};
+	static const char *const ids[] = {"", "i 1", "i-1\r\nHost: x", "i\xff",
+	    "an-id-that-is-longer-than-every-name-may-be-here"};
+	struct worker_report r;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		text = replaced(good_entry, odd[i].part, odd[i].by);
+		cr_expect_eq(entry_parse(text), -1, "%s", odd[i].by);
+		free(text);
+	}
+	for (i = 0; i < sizeof(ids) / sizeof(ids[0]); i++)
+		cr_expect_eq(worker_entry_parse(
+				 &r, ids[i], good_entry, strlen(good_entry)),
+		    -1, "id %s", ids[i]);
+	cr_expect_eq(entry_parse("\xff\xfe{}"), -1);
+	cr_expect_eq(entry_parse(""), -1);
+	cr_expect_eq(entry_parse("7"), -1);
+}
+
+Test(odd_entries, a_worker_entry_with_thousands_of_labels_names_no_worker)
+{
+	char *labels = malloc(TEXT_BYTES), *text;
+	size_t i, n = 0;
+
+	n += (size_t)sprintf(labels, "[\"a\"");
+	for (i = 0; i < 5000; i++)
+		n += (size_t)sprintf(labels + n, ",\"b\"");
+	sprintf(labels + n, "]");
+	text = replaced(good_entry, "[\"a\",\"r1-3\"]", labels);
+	cr_expect_eq(entry_parse(text), -1);
+	free(text);
+	free(labels);
+}
+
+Test(odd_entries, deep_nesting_is_malformed_everywhere)
+{
+	struct machine_list list = {0};
+	struct store_assignments s;
+	struct store_page page;
+	struct wave_request w;
+	struct advice advice;
+	struct err e;
+	char *text = nested("{\"labels\":", "}");
+	size_t len = strlen(text);
+	int64_t clock_ms;
+
+	cr_expect_eq(entry_parse(text), -1);
+
+	cr_expect_eq(machine_list_add_page(&list, text, len), -1);
+	cr_expect_null(config_parse(text, len, &e));
+	cr_expect_eq(wave_request_parse(&w, text, len), -1);
+	cr_expect_eq(store_newest_each(text, len, &page, NULL, NULL), -1);
+	cr_expect_eq(store_join_parse(&s, text, len), -1);
+	cr_expect_eq(store_owners_parse(&s, text, len), -1);
+	cr_expect_eq(advice_response_parse(&advice, text, len), -1);
+	cr_expect_eq(worker_answer_parse(409, text, len, &clock_ms),
+	    WORKER_ANSWER_MALFORMED);
+	free(text);
+}
