platform: a renewal's answer with one odd row is refused whole

Rows of "running" and "ended" that could not be read were left out silently. A run that is left out counts as ended: detach_unlisted_tasks() takes its task off the worker and it starts a second time beside the first (TWICE). An end that is left out is acknowledged over by the next one and never reported again. row_int() read strings as numbers and saturated.

parse_rows() refuses the whole report at the first odd row, and for a list of another type; run and end numbers are whole and from 1. The caller already logs this, counts the renewal as refused and asks again.

Test: odd_entries/a_renewal_report_with_one_odd_row_is_refused_whole failed on the code before with 32 of its 34 odd reports accepted. What is empty may still be left out (a_renewal_report_may_leave_out_what_is_empty, passed before).

--- a/src/platform/worker_wire.c
+++ b/src/platform/worker_wire.c
@@ -127,20 +127,25 @@
 static bool
 row_text(struct json_object *row, size_t i, char *out, size_t size)
 {
-	struct json_object *o = json_object_array_get_idx(row, i);
+	return json_copy_text(json_object_array_get_idx(row, i), out, size);
+}
 
-	if (o != NULL && !json_object_is_type(o, json_type_string))
-		return false;
-	snprintf(out, size, "%s", o != NULL ? json_object_get_string(o) : "");
-	return o == NULL || (size_t)json_object_get_string_len(o) < size;
+static bool
+row_int(
+    struct json_object *row, size_t i, int64_t min, int64_t max, int64_t *out)
+{
+	return json_int_within(
+	    json_object_array_get_idx(row, i), min, max, out);
 }
 
-static int64_t
-row_int(struct json_object *row, size_t i)
+/* For numbers that identify something: from 1, without a fraction. */
+static bool
+row_number(struct json_object *row, size_t i, int64_t *out)
 {
 	struct json_object *o = json_object_array_get_idx(row, i);
 
-	return o != NULL ? json_object_get_int64(o) : 0;
+	return json_int_within(o, 1, JSON_INT_MAX, out) &&
+	    (double)*out == json_object_get_double(o);
 }
 
 static bool
@@ -154,15 +159,18 @@
 
 /* [task, run, checkpoint, percent, usage] */
 static bool
-parse_running_row(struct run_report *r, struct json_object *row)
+parse_running_row(void *out, struct json_object *row)
 {
+	struct run_report *r = out;
+	int64_t percent;
+
 	if (!json_object_is_type(row, json_type_array) ||
-	    !row_task(row, 0, &r->task) ||
-	    !row_text(row, 2, r->checkpoint, sizeof(r->checkpoint)))
+	    !row_task(row, 0, &r->task) || !row_number(row, 1, &r->run) ||
+	    !row_text(row, 2, r->checkpoint, sizeof(r->checkpoint)) ||
+	    !row_int(row, 3, 0, INT32_MAX, &percent) ||
+	    !row_int(row, 4, -JSON_INT_MAX, JSON_INT_MAX, &r->usage))
 		return false;
-	r->run = row_int(row, 1);
-	r->progress_percent = (int)row_int(row, 3);
-	r->usage = row_int(row, 4);
+	r->progress_percent = (int)percent;
 	return true;
 }
 
@@ -186,48 +194,65 @@
 
 /* [number, task, run, outcome, checkpoint] */
 static bool
-parse_ended_row(struct end_report *r, struct json_object *row)
+parse_ended_row(void *out, struct json_object *row)
 {
+	struct end_report *r = out;
 	char outcome[NAME_BYTES];
 
-	if (!json_object_is_type(row, json_type_array) ||
-	    !row_task(row, 1, &r->task) ||
-	    !row_text(row, 3, outcome, sizeof(outcome)) ||
-	    !parse_run_end(outcome, &r->outcome) ||
-	    !row_text(row, 4, r->checkpoint, sizeof(r->checkpoint)))
-		return false;
-	r->number = row_int(row, 0);
-	r->run = row_int(row, 2);
-	return true;
+	return json_object_is_type(row, json_type_array) &&
+	    row_number(row, 0, &r->number) && row_task(row, 1, &r->task) &&
+	    row_number(row, 2, &r->run) &&
+	    row_text(row, 3, outcome, sizeof(outcome)) &&
+	    parse_run_end(outcome, &r->outcome) &&
+	    row_text(row, 4, r->checkpoint, sizeof(r->checkpoint));
 }
 
-static int
-parse_lists(struct renewal_report *r, struct json_object *root)
+/*
+ * Returns the rows of a member, each of "size" bytes; the caller frees them.
+ * NULL when the member or a row is malformed, or memory is short.
+ */
+static void *
+parse_rows(struct json_object *root, const char *key, size_t size,
+    bool (*parse_row)(void *out, struct json_object *row), size_t *count)
 {
-	struct json_object *list;
+	struct json_object *list = NULL;
+	uint8_t *out;
 	size_t i, n;
 
-	list = json_get_member(root, "running", json_type_array);
+	json_object_object_get_ex(root, key, &list);
+	if (list != NULL && !json_object_is_type(list, json_type_array))
+		return NULL;
 	n = list != NULL ? json_object_array_length(list) : 0;
-	r->running = calloc(n + 1, sizeof(*r->running));
-	if (r->running == NULL)
-		return -1;
-	for (i = 0; i < n; i++) {
-		if (parse_running_row(&r->running[r->running_count],
-			json_object_array_get_idx(list, i)))
-			r->running_count++;
+	out = calloc(n + 1, size);
+	for (i = 0; out != NULL && i < n; i++) {
+		if (parse_row(
+			out + i * size, json_object_array_get_idx(list, i)))
+			continue;
+		free(out);
+		return NULL;
 	}
-	list = json_get_member(root, "ended", json_type_array);
-	n = list != NULL ? json_object_array_length(list) : 0;
-	r->ended = calloc(n + 1, sizeof(*r->ended));
-	if (r->ended == NULL)
+	*count = n;
+	return out;
+}
+
+static int
+parse_report(struct renewal_report *r, struct json_object *root)
+{
+	struct json_object *clock;
+
+	if (!json_object_object_get_ex(root, "clockMs", &clock) ||
+	    clock == NULL ||
+	    !json_int_within(clock, 0, UNIX_TIME_MAX_MS, &r->clock_ms) ||
+	    !json_get_whole_within(
+		root, "born", 0, UNIX_TIME_MAX_MS, &r->started_ms))
 		return -1;
-	for (i = 0; i < n; i++) {
-		if (parse_ended_row(&r->ended[r->ended_count],
-			json_object_array_get_idx(list, i)))
-			r->ended_count++;
-	}
-	return 0;
+	r->running = parse_rows(root, "running", sizeof(*r->running),
+	    parse_running_row, &r->running_count);
+	if (r->running == NULL)
+		return -1;
+	r->ended = parse_rows(
+	    root, "ended", sizeof(*r->ended), parse_ended_row, &r->ended_count);
+	return r->ended != NULL ? 0 : -1;
 }
 
 int
@@ -239,9 +264,7 @@
 	memset(r, 0, sizeof(*r));
 	if (root == NULL)
 		return -1;
-	r->clock_ms = json_get_int(root, "clockMs", -1);
-	r->started_ms = json_get_int(root, "born", 0);
-	ret = r->clock_ms < 0 ? -1 : parse_lists(r, root);
+	ret = parse_report(r, root);
 	json_object_put(root);
 	if (ret == -1)
 		renewal_report_uninit(r);
--- a/src/platform/worker_wire.h
+++ b/src/platform/worker_wire.h
@@ -57,8 +57,9 @@
 enum worker_answer worker_answer_parse(
     int status, const void *body, size_t len, int64_t *clock_ms);
 /*
- * Parses the response to a renewal; malformed rows are left out.  -1 when the
- * response itself is malformed or memory is short.
+ * Parses the response to a renewal.  -1 when any part of it is malformed or
+ * memory is short: without one of its rows a run would count as ended, or an
+ * end as acknowledged.
  */
 int renewal_report_parse(
     struct renewal_report *r, const void *body, size_t len);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -22,6 +22,11 @@
     "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"clockMs\":482113,"
     "\"born\":1764900000000,\"remainingMs\":2000,\"seq\":4}";
 
+static const char good_report[] =
+    "{\"clockMs\":482113,\"born\":1764900000000,\"running\":"
+    "[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb8\",41,900]],\"ended\":"
+    "[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]}";
+
 /* Replaces one part of a text; the caller frees the result. */
 static char *
 replaced(const char *text, const char *part, const char *by)
@@ -59,6 +64,17 @@
 	return worker_entry_parse(&r, "i-1", text, strlen(text));
 }
 
+static int
+report_parse(const char *text)
+{
+	struct renewal_report r;
+	int ret = renewal_report_parse(&r, text, strlen(text));
+
+	if (ret == 0)
+		renewal_report_uninit(&r);
+	return ret;
+}
+
 struct odd {
 	const char *part, *by;
 };
@@ -204,6 +220,7 @@
 
 	cr_expect_eq(entry_parse(text), -1);
 
+	cr_expect_eq(report_parse(text), -1);
 	cr_expect_eq(machine_list_add_page(&list, text, len), -1);
 	cr_expect_null(config_parse(text, len, &e));
 	cr_expect_eq(wave_request_parse(&w, text, len), -1);
@@ -215,3 +232,75 @@
 	    WORKER_ANSWER_MALFORMED);
 	free(text);
 }
+
+/* A run left out would count as ended, an end left out as acknowledged. */
+Test(odd_entries, a_renewal_report_with_one_odd_row_is_refused_whole)
+{
+	static const struct odd odd[] = {
+	    {"[\"5c0e7a21d94b36f8.0.1.17\",2", "[\"5c0e7a21d94b36f8.0.1\",2"},
+	    {"[\"5c0e7a21d94b36f8.0.1.17\",2", "[7,2"},
+	    {"[\"5c0e7a21d94b36f8.0.1.17\",2",
+		"[\"5c0e7a21d94b36f8.0.1.17\\u0000x\",2"},
+	    {".17\",2,", ".17\",\"2\","},
+	    {".17\",2,", ".17\",0,"},
+	    {".17\",2,", ".17\",null,"},
+	    {".17\",2,", ".17\",1.5,"},
+	    {".17\",2,", ".17\",99999999999999999999,"},
+	    {"\"00000bb8\"", "8"},
+	    {"\"00000bb8\"",
+		"\"a-checkpoint-that-is-longer-than-every-one-may-be-"
+		"a-checkpoint-that-is-longer-than-every-one-may-be\""},
+	    {"41,900", "\"41\",900"},
+	    {"41,900", "4294967337,900"},
+	    {"41,900", "-1,900"},
+	    {"41,900", "41,\"900\""},
+	    {"41,900", "41,1e300"},
+	    {"[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb8\",41,900]]", "{}"},
+	    {"[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb8\",41,900]]", "[7]"},
+	    {"[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb8\",41,900]]",
+		"[[\"5c0e7a21d94b36f8.0.1.17\",2,\"00000bb8\",41,900],null]"},
+	    {"[58,", "[\"58\","},
+	    {"[58,", "[0,"},
+	    {"[58,", "[58.5,"},
+	    {"[58,", "[1e300,"},
+	    {"0.1.9\",1,", "0.1.9\",-1,"},
+	    {"0.1.9\"", "0.1\""},
+	    {"\"done\"", "\"gone\""},
+	    {"\"done\"", "4"},
+	    {"\"done\",\"\"", "\"done\",3"},
+	    {"[[58,", "[null,[58,"},
+	    {"[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]", "\"none\""},
+	    {"\"clockMs\":482113", "\"clockMs\":\"482113\""},
+	    {"\"clockMs\":482113", "\"clockMs\":9223372036854775807"},
+	    {"\"clockMs\":482113,", ""},
+	    {"\"born\":1764900000000", "\"born\":9223372036854775807"},
+	    {"\"born\":1764900000000", "\"born\":\"now\""},
+	};
+	struct renewal_report r;
+	size_t i;
+	char *text;
+
+	cr_assert_eq(
+	    renewal_report_parse(&r, good_report, strlen(good_report)), 0);
+	cr_expect_eq(r.running_count, 1);
+	cr_expect_eq(r.ended_count, 1);
+	renewal_report_uninit(&r);
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		text = replaced(good_report, odd[i].part, odd[i].by);
+		cr_expect_eq(report_parse(text), -1, "%s", odd[i].by);
+		free(text);
+	}
+}
+
+Test(odd_entries, a_renewal_report_may_leave_out_what_is_empty)
+{
+	cr_expect_eq(report_parse("{\"clockMs\":0}"), 0);
+	cr_expect_eq(report_parse("{\"clockMs\":7,\"running\":null,\"running\":"
+				  "[[\"5c0e7a21d94b36f8.0.1.17\",1]],"
+				  "\"ended\":[]}"),
+	    0);
+	cr_expect_eq(
+	    report_parse("{\"clockMs\":7,\"running\":[[\"5c0e7a21d94b36f8.0.1."
+			 "17\",1,null,null,null]]}"),
+	    0);
+}
