platform: odd answers of the store are not taken for good ones

What could happen, each shown by a test that failed on the code before: - A page of the newest records whose "items", "end" or "hasMore" has another type counted as an empty last page, so that all workers counted as gone (a_page_of_newest_records_that_cannot_be_read_is_no_last_page, 8 of 12). - The key that begins the next page was cut at 256 bytes of its percent-encoded form, so that the next page began at an earlier key (a_long_key_is_sent_..). - A row of assignments without a partition, or with a string, counted as partition 0, and 2^32 + 1 as another one (odd_assignments_are_left_out). - store_read_each() left "next" unset when the header is missing (odd_records_of_a_read_leave_the_others). - A read from beyond the topic's end counted as one without news, for ever (a_read_from_beyond_the_end_is_malformed). - A newest record with an offset that is no number was passed on (odd_newest_records_leave_the_others_of_their_page).

Records of 0 bytes, without a key, with a NUL in the key, or longer than what is left were handled before, too. build/unit: all pass.

--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -15,6 +15,7 @@
 #define READ_MAX_KB 1024 /* size of a read */
 /* Topic's end and first offset, 8 bytes each, in front of the records. */
 #define READ_HEADER_BYTES 16
+#define PARTITION_MAX 65535 /* highest number of a partition */
 
 void
 store_call_uninit(struct store_call *c)
@@ -110,7 +111,7 @@
 {
 	size_t n = 0;
 
-	for (; *text != '\0' && n + 4 < size; text++) {
+	for (; *text != '\0' && n + 3 < size; text++) {
 		if ((*text >= '0' && *text <= '9') ||
 		    (*text >= 'a' && *text <= 'z') ||
 		    (*text >= 'A' && *text <= 'Z') || *text == '-' ||
@@ -126,7 +127,7 @@
 void
 store_newest_call(struct store_call *c, const char *topic, const char *after)
 {
-	char key[STORE_PATH_BYTES / 2];
+	char key[3 * STORE_KEY_MAX_BYTES + 1];
 
 	call_init(c, "GET", topic);
 	if (after == NULL) {
@@ -244,10 +245,10 @@
 	size_t size;
 	int malformed = 0;
 
-	if (len < READ_HEADER_BYTES)
+	*next = from;
+	if (len < READ_HEADER_BYTES || get_be(p, 8) < (uint64_t)from)
 		return -1;
 	p += READ_HEADER_BYTES;
-	*next = from;
 	while ((size_t)(end - p) >= 4) {
 		size = (size_t)get_be(p, 4);
 		if (size > (size_t)(end - p) - 4)
@@ -294,18 +295,28 @@
 	if (!json_get_text(o, "key", r.key, sizeof(r.key)) || r.key[0] == '\0')
 		return false;
 	memcpy(page->last_key, r.key, sizeof(r.key));
-	if (value == NULL)
+	if (value == NULL ||
+	    !json_get_int_within(o, "offset", 0, JSON_INT_MAX, &r.offset))
 		return false;
 	bytes = value_decode(json_object_get_string(value), &r.value_len);
 	if (bytes == NULL)
 		return false;
 	r.value = bytes;
-	r.offset = json_get_int(o, "offset", -1);
 	each(arg, &r);
 	free(bytes);
 	return true;
 }
 
+/* A member that is missing, or null, is as good as one of the type. */
+static bool
+member_has_type(struct json_object *root, const char *key, enum json_type type)
+{
+	struct json_object *o = NULL;
+
+	json_object_object_get_ex(root, key, &o);
+	return o == NULL || json_object_is_type(o, type);
+}
+
 int
 store_newest_each(const void *body, size_t len, struct store_page *page,
     void (*each)(void *arg, const struct store_record *r), void *arg)
@@ -315,11 +326,15 @@
 	int malformed = 0;
 
 	memset(page, 0, sizeof(*page));
-	if (root == NULL)
+	if (root == NULL || !member_has_type(root, "items", json_type_array) ||
+	    !member_has_type(root, "hasMore", json_type_boolean) ||
+	    !json_get_int_within(
+		root, "end", 0, JSON_INT_MAX, &page->end_offset)) {
+		json_object_put(root);
 		return -1;
+	}
 	items = json_get_member(root, "items", json_type_array);
 	page->has_more = json_get_bool(root, "hasMore");
-	page->end_offset = json_get_int(root, "end", 0);
 	n = items != NULL ? json_object_array_length(items) : 0;
 	for (i = 0; i < n; i++) {
 		if (!decode_newest_item(
@@ -330,32 +345,25 @@
 	return malformed;
 }
 
-static bool
-row_get_text(struct json_object *row, size_t i, char *out, size_t size)
-{
-	struct json_object *o = json_object_array_get_idx(row, i);
-
-	out[0] = '\0';
-	if (o == NULL) /* no member */
-		return true;
-	if (!json_object_is_type(o, json_type_string) ||
-	    (size_t)json_object_get_string_len(o) >= size)
-		return false;
-	snprintf(out, size, "%s", json_object_get_string(o));
-	return true;
-}
-
 static bool
 add_assignment(
     struct store_assignments *s, struct json_object *row, bool with_member)
 {
 	struct store_assignment *a = &s->list[s->count];
+	struct json_object *o;
+	int64_t partition;
 
 	if (!json_object_is_type(row, json_type_array) ||
-	    !row_get_text(row, 0, a->topic, sizeof(a->topic)))
+	    !json_copy_text(
+		json_object_array_get_idx(row, 0), a->topic, sizeof(a->topic)))
+		return false;
+	o = json_object_array_get_idx(row, 1);
+	if (o == NULL || !json_int_within(o, 0, PARTITION_MAX, &partition))
 		return false;
-	a->partition = json_object_get_int(json_object_array_get_idx(row, 1));
-	if (with_member && !row_get_text(row, 2, a->member, sizeof(a->member)))
+	a->partition = (int)partition;
+	if (with_member &&
+	    !json_copy_text(json_object_array_get_idx(row, 2), a->member,
+		sizeof(a->member)))
 		return false;
 	s->count++;
 	return true;
--- a/src/platform/store_wire.h
+++ b/src/platform/store_wire.h
@@ -14,8 +14,9 @@
 #include "buf.h"
 #include "errors.h"
 
-#define STORE_PATH_BYTES 512
 #define STORE_KEY_MAX_BYTES 255 /* without NUL */
+/* Holds the longest key, percent-encoded. */
+#define STORE_PATH_BYTES (3 * STORE_KEY_MAX_BYTES + 259)
 #define MEMBER_BYTES 96
 #define TOPIC_BYTES (NAME_BYTES + 16)
 
@@ -93,13 +94,16 @@
  * Calls "each" for the records in the response to a read that began at offset
  * "from", and sets "next" to the offset after the last one.  The record is
  * valid during the call only.  Returns the number of malformed records, which
- * are left out, or -1 when the response itself is malformed.
+ * are left out, or -1 when the response itself is malformed: "next" is then
+ * after the last record before the malformed part.  A topic that ends before
+ * "from" counts as malformed.
  */
 int store_read_each(const void *body, size_t len, int64_t from, int64_t *next,
     void (*each)(void *arg, const struct store_record *r), void *arg);
 
 struct store_page {
 	bool has_more; /* the next page begins after "last_key" */
+	/* Last one that could be read; "" if none could. */
 	char last_key[STORE_KEY_MAX_BYTES + 1];
 	int64_t end_offset; /* offset after the topic's last record */
 };
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -75,6 +75,22 @@
 	return ret;
 }
 
+static void
+count_record(void *arg, const struct store_record *r)
+{
+	(void)r;
+	++*(size_t *)arg;
+}
+
+static int
+page_parse(const char *text, struct store_page *page)
+{
+	size_t count = 0;
+
+	return store_newest_each(
+	    text, strlen(text), page, count_record, &count);
+}
+
 struct odd {
 	const char *part, *by;
 };
@@ -304,3 +320,155 @@
 			 "17\",1,null,null,null]]}"),
 	    0);
 }
+
+/* It would be taken for the last page, and all workers for gone. */
+Test(odd_entries, a_page_of_newest_records_that_cannot_be_read_is_no_last_page)
+{
+	static const char *const odd[] = {"", "null", "[]", "{\"items\":[",
+	    "{\"items\":{},\"end\":7}", "{\"items\":7,\"end\":7}",
+	    "{\"items\":[],\"end\":\"7\"}", "{\"items\":[],\"end\":-1}",
+	    "{\"items\":[],\"end\":1e300}",
+	    "{\"items\":[],\"end\":99999999999999999999}",
+	    "{\"items\":[],\"end\":7,\"hasMore\":\"no\"}",
+	    "{\"items\":[],\"end\":7,\"hasMore\":1}"};
+	struct store_page page;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		cr_expect_eq(page_parse(odd[i], &page), -1, "%s", odd[i]);
+	cr_expect_eq(page_parse("{\"end\":7}", &page), 0);
+	cr_expect_eq(page.end_offset, 7);
+}
+
+Test(odd_entries, odd_newest_records_leave_the_others_of_their_page)
+{
+	static const char text[] =
+	    "{\"items\":[{\"key\":\"a\",\"value\":\"e30=\",\"offset\":1},"
+	    "{\"key\":\"\",\"value\":\"e30=\",\"offset\":2},"
+	    "{\"key\":\"b\\u0000c\",\"value\":\"e30=\",\"offset\":2},"
+	    "{\"key\":7,\"value\":\"e30=\",\"offset\":3},7,null,[],"
+	    "{\"key\":\"c\",\"value\":\"e30=\",\"offset\":\"4\"},"
+	    "{\"key\":\"d\",\"value\":\"e30=\",\"offset\":-4},"
+	    "{\"key\":\"e\",\"value\":{},\"offset\":4},"
+	    "{\"key\":\"f\",\"value\":\"e30=\",\"offset\":5}],"
+	    "\"hasMore\":true,\"end\":9}";
+	struct store_page page;
+	size_t count = 0;
+
+	cr_expect_eq(
+	    store_newest_each(text, strlen(text), &page, count_record, &count),
+	    9);
+	cr_expect_eq(count, 2);
+	cr_expect_str_eq(page.last_key, "f");
+	cr_expect(page.has_more);
+}
+
+Test(odd_entries, a_long_key_is_sent_whole_to_begin_the_next_page)
+{
+	char key[STORE_KEY_MAX_BYTES + 1], wanted[16];
+	struct store_call c;
+	size_t i, len;
+
+	memset(key, 0xe9, STORE_KEY_MAX_BYTES);
+	key[STORE_KEY_MAX_BYTES] = '\0';
+	store_newest_call(&c, "keyed.servers", key);
+	len = strlen(c.path);
+	for (i = 0; i < STORE_KEY_MAX_BYTES; i++) {
+		snprintf(
+		    wanted, sizeof(wanted), "%.3s", c.path + len - 3 * (i + 1));
+		cr_assert_str_eq(wanted, "%E9", "byte %zu from the end", i);
+	}
+	store_call_uninit(&c);
+}
+
+static size_t
+add_be(uint8_t *p, uint64_t n, size_t bytes)
+{
+	size_t i;
+
+	for (i = 0; i < bytes; i++)
+		p[i] = (uint8_t)(n >> 8 * (bytes - 1 - i));
+	return bytes;
+}
+
+Test(odd_entries, odd_records_of_a_read_leave_the_others)
+{
+	static const char *const bodies[] = {"\x01"
+					     "a{}",
+	    "",
+	    "\x00"
+	    "",
+	    "\xff"
+	    "abc",
+	    "\x01"
+	    "b{}"};
+	static const size_t lens[] = {4, 0, 3, 4, 4};
+	uint8_t body[256];
+	size_t n = 0, i, count = 0;
+	int64_t next = -1;
+
+	n += add_be(body, 12, 8);
+	n += add_be(body + n, 0, 8);
+	for (i = 0; i < sizeof(lens) / sizeof(lens[0]); i++) {
+		n += add_be(body + n, lens[i], 4);
+		if (lens[i] == 3) /* a NUL in the key */
+			memcpy(body + n, "\x02\x00z", 3);
+		else
+			memcpy(body + n, bodies[i], lens[i]);
+		n += lens[i];
+	}
+	cr_expect_eq(
+	    store_read_each(body, n, 7, &next, count_record, &count), 3);
+	cr_expect_eq(next, 12);
+	cr_expect_eq(count, 2);
+	/* the last one is longer than what is left */
+	count = 0;
+	cr_expect_eq(
+	    store_read_each(body, n - 1, 7, &next, count_record, &count), -1);
+	cr_expect_eq(next, 11);
+	cr_expect_eq(count, 1);
+	cr_expect_eq(
+	    store_read_each(body, n - 6, 7, &next, count_record, &count), -1);
+	/* a length of 4 GB, and no header */
+	add_be(body + 16, UINT32_MAX, 4);
+	cr_expect_eq(
+	    store_read_each(body, n, 7, &next, count_record, &count), -1);
+	cr_expect_eq(next, 7);
+	next = -1;
+	cr_expect_eq(
+	    store_read_each(body, 15, 7, &next, count_record, &count), -1);
+	cr_expect_eq(next, 7);
+}
+
+/* The store would never answer a read from there with a record. */
+Test(odd_entries, a_read_from_beyond_the_end_is_malformed)
+{
+	uint8_t body[16];
+	size_t count = 0;
+	int64_t next;
+
+	add_be(body, 7, 8);
+	add_be(body + 8, 0, 8);
+	cr_expect_eq(
+	    store_read_each(body, sizeof(body), 7, &next, count_record, &count),
+	    0);
+	cr_expect_eq(
+	    store_read_each(body, sizeof(body), 8, &next, count_record, &count),
+	    -1);
+}
+
+Test(odd_entries, odd_assignments_are_left_out)
+{
+	static const char text[] =
+	    "{\"generation\":7,\"parts\":[[\"jobs\",3,\"m\"],[\"jobs\"],"
+	    "[\"jobs\",\"0\",\"m\"],[\"jobs\",4294967297,\"m\"],"
+	    "[\"jobs\",-1,\"m\"],[\"jobs\",1e300,\"m\"],[\"jobs\",null,\"m\"],"
+	    "7,null,{},[7,3,\"m\"],[\"jobs\",2,8]]}";
+	struct store_assignments s;
+
+	cr_assert_eq(store_owners_parse(&s, text, strlen(text)), 0);
+	cr_expect_eq(s.count, 1);
+	cr_expect_eq(s.list[0].partition, 3);
+	cr_expect_eq(s.generation, 7);
+	store_assignments_uninit(&s);
+}
