store watch: odd records and answers neither drop workers nor end the following

Callers saw daemons stop following the list of workers, and tasks LOST, after odd entries had been left among those of the workers. What could happen here, each with a process test that failed on the code before:

- An odd record over a live worker's key left the entry unmarked in the scan, so that the scan's end removed the live worker (an_odd_record_over_a_live_workers_entry_leaves_it_listed).
The last good entry now stays until the key is dropped or a good record comes; a record that names a service that isn't configured counts as odd over an entry whose service is.
- A page of the newest records that cannot be read was taken for the last one: all workers on later pages were removed (a_page_that_cannot_be_read_drops_no_worker).
The scan now begins again.
A page without a readable key that would be read for ever ends the scan, which then removes nothing.
- A read that cannot be decoded was repeated from the same offset for ever (reads_that_cannot_be_decoded_do_not_end_the_following: not one entry followed in 30 s).
Records before the malformed part now count as read, and after 4 malformed reads in a row the newest of each key are read instead.

Odd records and answers share one line a second for each topic, with the number of those left out; keys are logged with printable bytes only.

--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -14,6 +14,10 @@
 #define WORKERS_POLL_INTERVAL_MS 200 /* of workers' entries */
 #define READ_TIMEOUT_MS 900 /* plus the long poll */
 #define RETRY_DELAY_MS 250
+/* Malformed reads from one offset, until the newest records are read. */
+#define MALFORMED_READS_MAX 4
+#define ODD_LOG_INTERVAL_MS 1000 /* between two lines about odd records */
+#define LOGGED_KEY_BYTES 41
 
 /*
  * Reads the newest record of each key of a topic, page by page, and then reads
@@ -35,6 +39,10 @@
 	char last_key[STORE_KEY_MAX_BYTES +
 	    1]; /* the next page starts after it */
 	uint64_t scan; /* number of this scan of the newest records */
+	bool scan_incomplete; /* records of this scan could not be read */
+	int malformed_answers; /* since the last one that could be read */
+	int64_t odd_logged_us; /* last line about an odd record or answer */
+	uint64_t odd_unlogged; /* odd ones since then */
 	struct store_op *op;
 	lws_sorted_usec_list_t timer;
 	void (*on_record)(struct store_watch *w, const struct store_record *r);
@@ -72,12 +80,65 @@
 	f->on_record(f->watcher, r);
 }
 
+/* True when a line may be logged about an odd record or answer. */
+static bool
+odd_line_due(struct topic_follower *f)
+{
+	int64_t now_us = sched_monotonic_us();
+
+	if (f->odd_logged_us != 0 &&
+	    now_us - f->odd_logged_us < ODD_LOG_INTERVAL_MS * US_PER_MS) {
+		f->odd_unlogged++;
+		return false;
+	}
+	f->odd_logged_us = now_us;
+	return true;
+}
+
+/* "records": malformed ones of an answer; -1: the answer is malformed. */
+static void
+log_malformed(struct topic_follower *f, int records)
+{
+	if (records == 0 || !odd_line_due(f))
+		return;
+	if (records > 0)
+		daemon_log(LOG_LEVEL_WARN, "watch",
+		    "msg=\"cannot decode records: skipped\" topic=%s "
+		    "records=%d unlogged=%llu",
+		    f->topic, records, (unsigned long long)f->odd_unlogged);
+	else
+		daemon_log(LOG_LEVEL_WARN, "watch",
+		    "msg=\"cannot decode the store's answer: reads again\" "
+		    "topic=%s from=%lld in_a_row=%d unlogged=%llu",
+		    f->topic, (long long)f->next_offset, f->malformed_answers,
+		    (unsigned long long)f->odd_unlogged);
+	f->odd_unlogged = 0;
+}
+
+/* Begins the next page.  False when the page does not show where it is. */
+static bool
+next_page(struct topic_follower *f, const struct store_page *page)
+{
+	if (page->last_key[0] == '\0' ||
+	    strcmp(page->last_key, f->last_key) == 0) {
+		daemon_log(LOG_LEVEL_ERROR, "watch",
+		    "msg=\"no key of a page can be read: leaves out the pages "
+		    "behind it\" topic=%s",
+		    f->topic);
+		f->scan_incomplete = true;
+		return false;
+	}
+	snprintf(f->last_key, sizeof(f->last_key), "%s", page->last_key);
+	follower_schedule(f, 0);
+	return true;
+}
+
 static void
 on_newest_done(void *arg, int status, bool sent, const void *body, size_t len)
 {
 	struct topic_follower *f = arg;
 	struct store_page page;
-	int bad;
+	int malformed;
 
 	(void)sent;
 	f->op = NULL;
@@ -86,20 +147,21 @@
 		follower_schedule(f, RETRY_DELAY_MS);
 		return;
 	}
-	bad = store_newest_each(body, len, &page, forward_record, f);
-	if (bad != 0)
-		daemon_log(LOG_LEVEL_WARN, "watch",
-		    "msg=\"cannot decode records: skipped\" topic=%s "
-		    "records=%d",
-		    f->topic, bad);
+	malformed = store_newest_each(body, len, &page, forward_record, f);
+	if (malformed < 0) {
+		f->malformed_answers++;
+		log_malformed(f, malformed);
+		f->first_page = true;
+		follower_schedule(f, RETRY_DELAY_MS);
+		return;
+	}
+	f->malformed_answers = 0;
+	log_malformed(f, malformed);
 	if (f->first_page)
 		f->snapshot_end_offset = page.end_offset;
 	f->first_page = false;
-	if (bad >= 0 && page.has_more) {
-		snprintf(f->last_key, sizeof(f->last_key), "%s", page.last_key);
-		follower_schedule(f, 0);
+	if (page.has_more && next_page(f, &page))
 		return;
-	}
 	f->next_offset = f->snapshot_end_offset;
 	f->first_page = true;
 	f->loaded = true;
@@ -115,6 +177,8 @@
 
 	if (f->first_page) {
 		f->scan++;
+		f->scan_incomplete = false;
+		f->last_key[0] = '\0';
 		f->read_sent_boottime_us = sched_boottime_us();
 	}
 	store_newest_call(&c, f->topic, f->first_page ? NULL : f->last_key);
@@ -129,7 +193,7 @@
 {
 	struct topic_follower *f = arg;
 	int64_t next;
-	int bad;
+	int malformed;
 
 	(void)sent;
 	f->op = NULL;
@@ -146,18 +210,27 @@
 		follower_schedule(f, RETRY_DELAY_MS);
 		return;
 	}
-	bad = store_read_each(
+	malformed = store_read_each(
 	    body, len, f->next_offset, &next, forward_record, f);
-	if (bad >= 0) {
-		f->next_offset = next;
+	f->malformed_answers = malformed >= 0 || next > f->next_offset
+	    ? 0
+	    : f->malformed_answers + 1;
+	f->next_offset = next;
+	log_malformed(f, malformed);
+	if (malformed >= 0) {
 		f->last_read_boottime_us = f->read_sent_boottime_us;
+		follower_schedule(f, f->poll_interval_ms);
+		return;
 	}
-	if (bad != 0)
+	if (f->malformed_answers >= MALFORMED_READS_MAX) {
 		daemon_log(LOG_LEVEL_WARN, "watch",
-		    "msg=\"cannot decode records: skipped\" topic=%s "
-		    "records=%d",
-		    f->topic, bad);
-	follower_schedule(f, bad < 0 ? RETRY_DELAY_MS : f->poll_interval_ms);
+		    "msg=\"records cannot be decoded: reads the newest of each "
+		    "key\" topic=%s from=%lld",
+		    f->topic, (long long)f->next_offset);
+		f->malformed_answers = 0;
+		f->next_offset = -1;
+	}
+	follower_schedule(f, RETRY_DELAY_MS);
 }
 
 static void
@@ -246,12 +319,60 @@
 	return e;
 }
 
+static bool
+is_pool(const struct config *c, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < c->pool_count; i++) {
+		if (strcmp(c->pools[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* True for a pool that isn't in the configuration, unlike that of the entry. */
+static bool
+leaves_for_unknown_pool(const struct store_watch *w,
+    const struct worker_entry *e, const struct worker_report *r)
+{
+	const struct config *c = w->scheduler->config;
+
+	return e != NULL && c != NULL && strcmp(e->report.pool, r->pool) != 0 &&
+	    !is_pool(c, r->pool) && is_pool(c, e->report.pool);
+}
+
+static void
+log_odd_entry(struct store_watch *w, const struct store_record *r, bool listed)
+{
+	struct topic_follower *f = &w->workers;
+	char key[LOGGED_KEY_BYTES];
+	size_t i;
+
+	if (!odd_line_due(f))
+		return;
+	snprintf(key, sizeof(key), "%s", r->key);
+	for (i = 0; key[i] != '\0'; i++) {
+		if (key[i] <= ' ' || key[i] > '~')
+			key[i] = '?';
+	}
+	daemon_log(LOG_LEVEL_WARN, "watch",
+	    "msg=\"invalid worker entry: ignored\" key=%s offset=%lld "
+	    "bytes=%zu earlier_entry_kept=%d unlogged=%llu",
+	    key, (long long)r->offset, r->value_len, listed,
+	    (unsigned long long)f->odd_unlogged);
+	f->odd_unlogged = 0;
+}
+
 static void
 on_worker_record(struct store_watch *w, const struct store_record *r)
 {
 	struct worker_entry *e = find_worker(w, r->key);
 	struct worker_report report;
 
+	/* an odd record leaves the last good entry as it is */
+	if (e != NULL)
+		e->scan = w->workers.scan;
 	if (e != NULL && r->offset < e->offset)
 		return; /* stale read */
 	if (r->value == NULL) {
@@ -259,11 +380,9 @@
 			remove_worker(w, e);
 		return;
 	}
-	if (worker_entry_parse(&report, r->key, r->value, r->value_len) == -1) {
-		daemon_log(LOG_LEVEL_WARN, "watch",
-		    "msg=\"invalid worker entry: ignored\" key=%.40s "
-		    "offset=%lld bytes=%zu",
-		    r->key, (long long)r->offset, r->value_len);
+	if (worker_entry_parse(&report, r->key, r->value, r->value_len) == -1 ||
+	    leaves_for_unknown_pool(w, e, &report)) {
+		log_odd_entry(w, r, e != NULL);
 		return;
 	}
 	if (e == NULL) {
@@ -272,16 +391,16 @@
 			return; /* out of memory: the worker's next record tries
 				   again */
 		snprintf(e->report.id, sizeof(e->report.id), "%s", r->key);
+		e->scan = w->workers.scan;
 		HASH_ADD(
 		    hh, w->entries_by_id, report.id, strlen(e->report.id), e);
 	}
 	e->report = report;
 	e->offset = r->offset;
-	e->scan = w->workers.scan;
 	shards_worker_changed(w->scheduler->shards, &e->report);
 }
 
-/* Removes entries that the complete scan did not include. */
+/* Removes entries that a complete scan did not include. */
 static void
 on_workers_loaded(struct store_watch *w)
 {
@@ -289,7 +408,7 @@
 
 	HASH_ITER(hh, w->entries_by_id, e, next)
 	{
-		if (e->scan != w->workers.scan &&
+		if (!w->workers.scan_incomplete && e->scan != w->workers.scan &&
 		    e->offset < w->workers.snapshot_end_offset)
 			remove_worker(w, e);
 	}
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -84,6 +84,8 @@
 	int refuse_rest;
 	int lose; /* tries of each append that get no answer */
 	int unreadable; /* appends refused for good */
+	int page_items; /* of a page of newest records; 0: all */
+	int odd_pages, odd_reads; /* so many answers cannot be read */
 	int garble; /* so many appends are refused as if they were */
 	int mutate_every; /* one in so many appends is not kept; 0: all are */
 	int mutate_seen;
@@ -166,8 +168,15 @@
 	r->len = len;
 }
 
+static bool
+is_workers(const struct topic *t)
+{
+	return strcmp(t->name, "keyed.servers") == 0;
+}
+
 static void
-answer_records(struct exchange *x, const struct topic *t, int64_t from)
+answer_records(struct job_store *s, struct exchange *x, const struct topic *t,
+    int64_t from)
 {
 	struct buf *b = buf_new(4096);
 	uint8_t head[16], len[RECORD_HEAD];
@@ -176,6 +185,12 @@
 	put_u64(head, t->count);
 	put_u64(head + 8, t->first);
 	buf_append(b, head, sizeof(head));
+	if (s->odd_reads > 0 && is_workers(t)) {
+		s->odd_reads--;
+		buf_append(b, "\xff\xff\xff\xff\x01z", 6);
+		exchange_answer(x, 200, b);
+		return;
+	}
 	for (i = (size_t)from; i < t->count; i++) {
 		len[0] = (uint8_t)(t->list[i].len >> 24);
 		len[1] = (uint8_t)(t->list[i].len >> 16);
@@ -206,7 +221,7 @@
 		if ((size_t)r->from >= r->topic->count && now < r->until_ms)
 			continue;
 		LIST_REMOVE(r, entries);
-		answer_records(r->exchange, r->topic, r->from);
+		answer_records(s, r->exchange, r->topic, r->from);
 		free(r);
 	}
 }
@@ -397,7 +412,7 @@
 		return;
 	}
 	if ((size_t)from < t->count || wait == 0) {
-		answer_records(x, t, from);
+		answer_records(s, x, t, from);
 		return;
 	}
 	r = calloc(1, sizeof(*r));
@@ -408,37 +423,87 @@
 	LIST_INSERT_HEAD(&s->reads, r, entries);
 }
 
+static struct json_object *
+item_new(const struct topic *t, const struct key_head *h)
+{
+	const struct record_bytes *r = &t->list[h->at];
+	size_t value = (size_t)r->data[0] + 1;
+	struct json_object *o;
+	char *text;
+
+	if (r->len <= value)
+		return NULL;
+	text = malloc((r->len - value) * 4 / 3 + 8);
+	lws_b64_encode_string((const char *)r->data + value,
+	    (int)(r->len - value), text, (int)((r->len - value) * 4 / 3 + 8));
+	o = json_object_new_object();
+	json_object_object_add(o, "key", json_object_new_string(h->key));
+	json_object_object_add(o, "value", json_object_new_string(text));
+	json_object_object_add(
+	    o, "offset", json_object_new_int64((int64_t)h->at));
+	free(text);
+	return o;
+}
+
+static int
+compare_keys(const struct key_head *a, const struct key_head *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+/* The key that the page begins after; false for the first page. */
+static bool
+page_after(struct exchange *x, char *out, size_t size)
+{
+	char text[3 * RECORD_KEY_BYTES], hex[3] = "";
+	size_t n = 0;
+	char *p;
+
+	if (!exchange_str(x, "after", text, sizeof(text)))
+		return false;
+	for (p = text; *p != '\0' && n + 1 < size; p++) {
+		if (p[0] != '%' || p[1] == '\0' || p[2] == '\0') {
+			out[n++] = *p;
+			continue;
+		}
+		hex[0] = p[1];
+		hex[1] = p[2];
+		out[n++] = (char)strtol(hex, NULL, 16);
+		p += 2;
+	}
+	out[n] = '\0';
+	return true;
+}
+
 static void
-newest(struct exchange *x, const struct topic *t)
+newest(struct job_store *s, struct exchange *x, struct topic *t)
 {
-	struct json_object *root = json_object_new_object();
-	struct json_object *items = json_object_new_array(), *o;
-	const struct record_bytes *r;
+	struct json_object *root, *items, *o;
+	char after[RECORD_KEY_BYTES] = "";
+	bool first = !page_after(x, after, sizeof(after)), more = false;
 	const struct key_head *h;
-	size_t value;
-	char *text;
 
+	if (!first && s->odd_pages > 0 && is_workers(t)) {
+		s->odd_pages--;
+		exchange_answer(x, 200, buf_from("{\"items\":[", 10));
+		return;
+	}
+	root = json_object_new_object();
+	items = json_object_new_array();
+	HASH_SORT(t->heads, compare_keys);
 	for (h = t->heads; h != NULL; h = h->hh.next) {
-		r = &t->list[h->at];
-		value = (size_t)r->data[0] + 1;
-		if (r->len <= value)
+		if (!first && strcmp(h->key, after) <= 0)
 			continue;
-		text = malloc((r->len - value) * 4 / 3 + 8);
-		lws_b64_encode_string((const char *)r->data + value,
-		    (int)(r->len - value), text,
-		    (int)((r->len - value) * 4 / 3 + 8));
-		o = json_object_new_object();
-		json_object_object_add(
-		    o, "key", json_object_new_string(h->key));
-		json_object_object_add(
-		    o, "value", json_object_new_string(text));
-		json_object_object_add(
-		    o, "offset", json_object_new_int64((int64_t)h->at));
-		json_object_array_add(items, o);
-		free(text);
+		more = s->page_items > 0 &&
+		    json_object_array_length(items) == (size_t)s->page_items;
+		if (more)
+			break;
+		o = item_new(t, h);
+		if (o != NULL)
+			json_object_array_add(items, o);
 	}
 	json_object_object_add(root, "items", items);
-	json_object_object_add(root, "hasMore", json_object_new_boolean(0));
+	json_object_object_add(root, "hasMore", json_object_new_boolean(more));
 	json_object_object_add(
 	    root, "end", json_object_new_int64((int64_t)t->count));
 	exchange_json(x, 200, root, 1);
@@ -601,7 +666,7 @@
 	else if (strcmp(x->path, "/log-read") == 0)
 		read_records(s, x, t);
 	else if (strcmp(x->path, "/log-newest") == 0)
-		newest(x, t);
+		newest(s, x, t);
 	else
 		exchange_answer(x, 404, NULL);
 	return true;
@@ -621,6 +686,31 @@
 	buf_unref(b);
 }
 
+void
+job_store_put_raw(
+    struct job_store *s, const char *topic, const void *data, size_t len)
+{
+	topic_add(topic_of(s, topic), data, len);
+}
+
+void
+job_store_page(struct job_store *s, int items)
+{
+	s->page_items = items;
+}
+
+void
+job_store_odd_pages(struct job_store *s, int pages)
+{
+	s->odd_pages = pages;
+}
+
+void
+job_store_odd_reads(struct job_store *s, int reads)
+{
+	s->odd_reads = reads;
+}
+
 void
 job_store_refuse(struct job_store *s, int status)
 {
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -23,6 +23,15 @@
 /* Appends a record of a worker's entry. */
 void job_store_put(
     struct job_store *s, const char *topic, const char *key, const char *value);
+/* Appends a record as it stands: key length, key and value, or anything. */
+void job_store_put_raw(
+    struct job_store *s, const char *topic, const void *data, size_t len);
+/* Pages of the newest records have so many; 0: all of them. */
+void job_store_page(struct job_store *s, int items);
+/* So many further pages after the first one are cut off. */
+void job_store_odd_pages(struct job_store *s, int pages);
+/* So many reads of records have a record with a length of 4 GB. */
+void job_store_odd_reads(struct job_store *s, int reads);
 /* Each call is answered with this status and nothing else; 0: they are served.
  */
 void job_store_refuse(struct job_store *s, int status);
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -69,6 +69,7 @@
 	int64_t dead_ms; /* since when it is dead, or 0 */
 	int64_t back_ms; /* when it comes back from a crash, or 0 */
 	bool frozen, lapsed;
+	bool muted; /* it writes no entries */
 	struct bar *bars;
 	STAILQ_HEAD(lates, late) lates;
 	int64_t fence, lease_end_ms, ends;
@@ -540,7 +541,7 @@
 	}
 }
 
-/* /worker?id=N&what=kill|return|freeze|thaw */
+/* /worker?id=N&what=kill|return|freeze|thaw|mute */
 static void
 worker_fault(struct exchange *x)
 {
@@ -562,6 +563,8 @@
 		w->frozen = true;
 	else if (strcmp(what, "thaw") == 0)
 		thaw(w, false);
+	else if (strcmp(what, "mute") == 0)
+		w->muted = true;
 	exchange_answer(x, 200, NULL);
 }
 
@@ -655,6 +658,25 @@
 	free(value);
 }
 
+/* Another writer's record; "forget": reads from before it are refused. */
+static void
+put_raw(struct exchange *x)
+{
+	char topic[NAME_MAX_BYTES];
+
+	if (!exchange_str(x, "topic", topic, sizeof(topic))) {
+		exchange_answer(x, 400, NULL);
+		return;
+	}
+	job_store_put_raw(world.store, topic,
+	    x->body != NULL ? (const void *)x->body->data : "",
+	    x->body != NULL ? x->body->len : 0);
+	if (exchange_int(x, "forget", 0) != 0)
+		job_store_forget(world.store);
+	job_store_tick(world.store);
+	exchange_answer(x, 200, NULL);
+}
+
 static void
 on_request(void *arg, struct exchange *x)
 {
@@ -677,6 +699,15 @@
 		judge(x);
 	} else if (strcmp(x->path, "/put") == 0) {
 		put(x);
+	} else if (strcmp(x->path, "/put-raw") == 0) {
+		put_raw(x);
+	} else if (strcmp(x->path, "/store-odd") == 0) {
+		job_store_page(world.store, (int)exchange_int(x, "items", 0));
+		job_store_odd_pages(
+		    world.store, (int)exchange_int(x, "pages", 0));
+		job_store_odd_reads(
+		    world.store, (int)exchange_int(x, "reads", 0));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-down") == 0) {
 		job_store_refuse(
 		    world.store, (int)exchange_int(x, "status", 503));
@@ -801,6 +832,8 @@
 				    world.store, "keyed.servers", w->id, "");
 			continue;
 		}
+		if (w->muted)
+			continue;
 		snprintf(entry, sizeof(entry),
 		    "{\"service\":\"%s\",\"addr\":\"%s:%d\",\"zone\":\"z\","
 		    "\"state\":\"ready\",\"born\":%" PRId64
