--- a/src/platform/advice_wire.c
+++ b/src/platform/advice_wire.c
@@ -6,6 +6,8 @@
 
 #include "json_get.h"
 
+#define TICKET_VALID_MAX_MS (24 * 3600 * 1000)
+
 struct buf *
 advice_request_body(const struct task_name *step,
     const char (*workers)[NAME_BYTES], size_t count)
@@ -33,32 +35,29 @@
 		return false;
 	id = json_object_array_get_idx(row, 0);
 	ticket = json_object_array_get_idx(row, 1);
-	if (!json_object_is_type(id, json_type_string) ||
-	    !json_object_is_type(ticket, json_type_string))
-		return false;
 	/* workers would reject a truncated ticket */
-	if ((size_t)json_object_get_string_len(id) >= sizeof(t->worker) ||
-	    (size_t)json_object_get_string_len(ticket) >= sizeof(t->ticket))
-		return false;
-	snprintf(
-	    t->worker, sizeof(t->worker), "%s", json_object_get_string(id));
-	snprintf(
-	    t->ticket, sizeof(t->ticket), "%s", json_object_get_string(ticket));
-	return true;
+	return id != NULL && ticket != NULL &&
+	    json_copy_text(id, t->worker, sizeof(t->worker)) &&
+	    json_copy_text(ticket, t->ticket, sizeof(t->ticket));
 }
 
 int
 advice_response_parse(struct advice *a, const void *data, size_t len)
 {
 	struct json_object *root = json_parse_object(data, len), *rows;
+	int64_t valid_ms;
 	size_t i, n;
 
 	memset(a, 0, sizeof(*a));
-	if (root == NULL)
+	if (root == NULL || !json_has_type(root, "good", json_type_array) ||
+	    !json_get_int_within(
+		root, "validityMs", 0, TICKET_VALID_MAX_MS, &valid_ms)) {
+		json_object_put(root);
 		return -1;
+	}
 	rows = json_get_member(root, "good", json_type_array);
 	n = rows != NULL ? json_object_array_length(rows) : 0;
-	a->valid_ms = (int)json_get_int(root, "validityMs", 0);
+	a->valid_ms = (int)valid_ms;
 	a->tickets = calloc(n + 1, sizeof(*a->tickets));
 	for (i = 0; a->tickets != NULL && i < n; i++) {
 		if (parse_ticket(&a->tickets[a->ticket_count],
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -12,6 +12,11 @@
 #define WORKER_MEMORY_MAX_MB (16 * 1024 * 1024)
 #define WORKER_ACCELERATORS_MAX 256
 #define WORKER_DRAIN_MAX_MS (24 * 3600 * 1000)
+/* Larger numbers of a configuration mean no more than these. */
+#define CONFIG_TIME_MAX_MS (24 * 3600 * 1000)
+#define CONFIG_COUNT_MAX 1000000
+#define CONFIG_PER_WORKER_MAX_MS 1000000.0
+#define WAVE_WITHIN_MAX_S (20 * 24 * 3600) /* a longer one is refused */
 
 static void
 config_free(struct config *c)
@@ -41,26 +46,34 @@
 	    !json_get_text(o, "service", q->pool, sizeof(q->pool)) ||
 	    q->path_prefix[0] == '\0')
 		return false;
-	q->request_timeout_ms = (int)json_get_int(o, "timeoutMs", 0);
+	q->request_timeout_ms =
+	    json_get_int_clamped(o, "timeoutMs", 0, CONFIG_TIME_MAX_MS);
 	q->settings.target_latency_ms =
-	    (int)json_get_int(o, "targetLatencyMs", 0);
-	q->settings.priority = (int)json_get_int(o, "priority", 0);
-	q->settings.max_attempts = (int)json_get_int(o, "maxAttempts", 0);
-	q->settings.stretch = json_get_real(o, "stretch", 1);
+	    json_get_int_clamped(o, "targetLatencyMs", 0, CONFIG_TIME_MAX_MS);
+	q->settings.priority =
+	    json_get_int_clamped(o, "priority", 0, CONFIG_COUNT_MAX);
+	q->settings.max_attempts =
+	    json_get_int_clamped(o, "maxAttempts", 0, CONFIG_COUNT_MAX);
+	q->settings.stretch =
+	    json_get_real_clamped(o, "stretch", 1, CONFIG_COUNT_MAX);
 	advice = json_get_member(o, "advice", json_type_object);
 	q->settings.has_policy = advice != NULL;
-	q->settings.policy_base_ms = (int)json_get_int(advice, "decideMs", 0);
+	q->settings.policy_base_ms =
+	    json_get_int_clamped(advice, "decideMs", 0, CONFIG_TIME_MAX_MS);
 	q->settings.policy_per_worker_us =
-	    (int)(json_get_real(advice, "perWorkerMs", 0) * (double)US_PER_MS);
-	q->settings.ticket_valid_ms =
-	    (int)json_get_int(advice, "validityMs", 1000);
+	    (int)(json_get_real_clamped(
+		      advice, "perWorkerMs", 0, CONFIG_PER_WORKER_MAX_MS) *
+		(double)US_PER_MS);
+	q->settings.ticket_valid_ms = json_get_int_clamped(
+	    advice, "validityMs", 1000, CONFIG_TIME_MAX_MS);
 	return true;
 }
 
 static bool
 parse_pool(struct config_pool *p, struct json_object *o)
 {
-	if (!json_get_text(o, "name", p->name, sizeof(p->name)))
+	if (!json_get_text(o, "name", p->name, sizeof(p->name)) ||
+	    p->name[0] == '\0')
 		return false;
 	p->admission_control = json_get_bool(o, "admissionControl");
 	p->spare = json_get_bool(o, "spare");
@@ -110,8 +123,16 @@
 		return NULL;
 	}
 	c->ref_count = 1;
-	c->version = json_get_int(root, "configVersion", 0);
-	if (parse_lists(c, root) == -1) {
+	if (!json_get_whole_within(
+		root, "configVersion", 0, JSON_INT_MAX, &c->version) ||
+	    !json_has_type(root, "routes", json_type_array) ||
+	    !json_has_type(root, "services", json_type_array)) {
+		config_free(c);
+		c = NULL;
+		err_set(e, ERR_TYPE, 0, "publish the configuration again",
+		    "\"configVersion\", \"routes\" or \"services\" is "
+		    "malformed");
+	} else if (parse_lists(c, root) == -1) {
 		config_free(c);
 		c = NULL;
 		err_set(e, ERR_MEMORY, 0, "give the process more memory",
@@ -152,33 +173,53 @@
 	return best;
 }
 
-int
-wave_request_parse(struct wave_request *w, const void *data, size_t len)
+static int
+parse_wave(struct wave_request *w, struct json_object *root)
 {
-	struct json_object *root = json_parse_object(data, len), *list, *o;
+	struct json_object *list, *o;
+	int64_t within_s, max_down;
 	size_t i, n;
 
-	memset(w, 0, sizeof(*w));
+	if (!json_object_object_get_ex(root, "wave", &o) || o == NULL ||
+	    !json_get_whole_within(
+		root, "wave", 0, JSON_INT_MAX, &w->wave_number) ||
+	    !json_get_int_within(
+		root, "withinS", 0, WAVE_WITHIN_MAX_S, &within_s) ||
+	    !json_get_int_within(root, "cap", 0, CONFIG_COUNT_MAX, &max_down) ||
+	    !json_has_type(root, "machines", json_type_array))
+		return -1;
 	list = json_get_member(root, "machines", json_type_array);
-	w->wave_number = json_get_int(root, "wave", -1);
 	n = list != NULL ? json_object_array_length(list) : 0;
-	if (w->wave_number < 0 || n > WAVE_MACHINES_MAX) {
-		json_object_put(root);
+	if (n > WAVE_MACHINES_MAX)
 		return -1;
-	}
 	w->within_ms =
 	    (int)(json_get_real(root, "withinS", 0) * (double)MS_PER_S);
 	w->max_down = (int)json_get_int(root, "cap", 1);
 	w->machine_names = calloc(n + 1, sizeof(*w->machine_names));
-	for (i = 0; w->machine_names != NULL && i < n; i++) {
+	if (w->machine_names == NULL)
+		return -1;
+	for (i = 0; i < n; i++) {
 		o = json_object_array_get_idx(list, i);
-		if (!json_object_is_type(o, json_type_string))
-			continue;
-		snprintf(w->machine_names[w->machine_count++], NAME_BYTES, "%s",
-		    json_object_get_string(o));
+		if (o == NULL ||
+		    !json_copy_text(o, w->machine_names[i], NAME_BYTES))
+			return -1;
 	}
+	w->machine_count = n;
+	return 0;
+}
+
+int
+wave_request_parse(struct wave_request *w, const void *data, size_t len)
+{
+	struct json_object *root = json_parse_object(data, len);
+	int ret;
+
+	memset(w, 0, sizeof(*w));
+	ret = root != NULL ? parse_wave(w, root) : -1;
 	json_object_put(root);
-	return w->machine_names == NULL ? -1 : 0;
+	if (ret == -1)
+		wave_request_uninit(w);
+	return ret;
 }
 
 void
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -51,20 +51,29 @@
 	return v != NULL ? v : json_get_member(o, key, json_type_double);
 }
 
-int64_t
-json_get_int(struct json_object *o, const char *key, int64_t fallback)
+double
+json_get_real(struct json_object *o, const char *key, double fallback)
 {
 	struct json_object *v = json_get_number(o, key);
 
-	return v != NULL ? json_object_get_int64(v) : fallback;
+	return v != NULL && isfinite(json_object_get_double(v))
+	    ? json_object_get_double(v)
+	    : fallback;
 }
 
-double
-json_get_real(struct json_object *o, const char *key, double fallback)
+int64_t
+json_get_int(struct json_object *o, const char *key, int64_t fallback)
 {
-	struct json_object *v = json_get_number(o, key);
+	double real;
 
-	return v != NULL ? json_object_get_double(v) : fallback;
+	if (json_get_member(o, key, json_type_int) != NULL)
+		return json_object_get_int64(json_get_number(o, key));
+	real = json_get_real(o, key, NAN);
+	if (isnan(real))
+		return fallback;
+	if (real >= (double)JSON_INT_MAX)
+		return JSON_INT_MAX;
+	return real <= -(double)JSON_INT_MAX ? -JSON_INT_MAX : (int64_t)real;
 }
 
 bool
@@ -106,6 +115,33 @@
 	return v != NULL && json_object_get_boolean(v);
 }
 
+int
+json_get_int_clamped(
+    struct json_object *o, const char *key, int fallback, int max)
+{
+	int64_t n = json_get_int(o, key, fallback);
+
+	return n < 0 ? 0 : n > max ? max : (int)n;
+}
+
+double
+json_get_real_clamped(
+    struct json_object *o, const char *key, double fallback, double max)
+{
+	double x = json_get_real(o, key, fallback);
+
+	return x < 0 ? fallback : x > max ? max : x;
+}
+
+bool
+json_has_type(struct json_object *o, const char *key, enum json_type type)
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, key, &v);
+	return v == NULL || json_object_is_type(v, type);
+}
+
 bool
 json_get_whole_within(struct json_object *o, const char *key, int64_t min,
     int64_t max, int64_t *out)
--- a/src/platform/json_get.h
+++ b/src/platform/json_get.h
@@ -25,11 +25,21 @@
 struct json_object *json_get_member(
     struct json_object *o, const char *key, enum json_type type);
 /*
- * "fallback" when the member is missing or not a number.  json_get_int()
- * truncates fractions.
+ * "fallback" when the member is missing or not a finite number.  json_get_int()
+ * truncates fractions and saturates.
  */
 int64_t json_get_int(struct json_object *o, const char *key, int64_t fallback);
 double json_get_real(struct json_object *o, const char *key, double fallback);
+/*
+ * As above, for settings whose larger values mean no more than "max".  Negative
+ * numbers become 0 and "fallback" respectively.
+ */
+int json_get_int_clamped(
+    struct json_object *o, const char *key, int fallback, int max);
+double json_get_real_clamped(
+    struct json_object *o, const char *key, double fallback, double max);
+/* True when the member has the type, is missing or is null. */
+bool json_has_type(struct json_object *o, const char *key, enum json_type type);
 /*
  * Reads a number; 0 when "v" is NULL.  Fractions are truncated.  False when it
  * has another type, or is not within "min" to "max".
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -7,6 +7,8 @@
 
 #include "json_get.h"
 
+#define MACHINE_CPU_MAX_MILLI 1000000 /* a row with more is malformed */
+
 void
 machine_list_path(char out[MACHINE_PATH_BYTES], const char *page_token)
 {
@@ -36,7 +38,7 @@
 static bool
 parse_machine(struct machine_report *m, struct json_object *o)
 {
-	struct json_object *capacity, *labels, *label;
+	struct json_object *labels;
 	char state[NAME_BYTES];
 
 	memset(m, 0, sizeof(*m));
@@ -46,15 +48,17 @@
 	    !json_get_text(o, "state", state, sizeof(state)) ||
 	    m->machine[0] == '\0' || !parse_state(state, &m->state))
 		return false;
-	capacity = json_get_member(o, "capacity", json_type_object);
-	m->cpu_milli = json_get_int(capacity, "cpu", 0);
+	if (!json_has_type(o, "capacity", json_type_object) ||
+	    !json_get_int_within(
+		json_get_member(o, "capacity", json_type_object), "cpu", 0,
+		MACHINE_CPU_MAX_MILLI, &m->cpu_milli) ||
+	    !json_has_type(o, "labels", json_type_array))
+		return false;
 	labels = json_get_member(o, "labels", json_type_array);
 	/* the first label is the hardware kind */
-	label = labels != NULL ? json_object_array_get_idx(labels, 0) : NULL;
-	if (json_object_is_type(label, json_type_string))
-		snprintf(m->label, sizeof(m->label), "%s",
-		    json_object_get_string(label));
-	return true;
+	return labels == NULL ||
+	    json_copy_text(json_object_array_get_idx(labels, 0), m->label,
+		sizeof(m->label));
 }
 
 int
@@ -65,7 +69,10 @@
 	size_t i, n;
 
 	rows = json_get_member(root, "machines", json_type_array);
-	if (rows == NULL) {
+	/* without its token, the list would seem to end with this page */
+	if (rows == NULL ||
+	    !json_get_text(root, "nextToken", l->next_page_token,
+		sizeof(l->next_page_token))) {
 		json_object_put(root);
 		return -1;
 	}
@@ -83,9 +90,6 @@
 		else
 			l->malformed_count++;
 	}
-	if (!json_get_text(root, "nextToken", l->next_page_token,
-		sizeof(l->next_page_token)))
-		l->next_page_token[0] = '\0';
 	json_object_put(root);
 	return 0;
 }
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -307,16 +307,6 @@
 	return true;
 }
 
-/* A member that is missing, or null, is as good as one of the type. */
-static bool
-member_has_type(struct json_object *root, const char *key, enum json_type type)
-{
-	struct json_object *o = NULL;
-
-	json_object_object_get_ex(root, key, &o);
-	return o == NULL || json_object_is_type(o, type);
-}
-
 int
 store_newest_each(const void *body, size_t len, struct store_page *page,
     void (*each)(void *arg, const struct store_record *r), void *arg)
@@ -326,8 +316,8 @@
 	int malformed = 0;
 
 	memset(page, 0, sizeof(*page));
-	if (root == NULL || !member_has_type(root, "items", json_type_array) ||
-	    !member_has_type(root, "hasMore", json_type_boolean) ||
+	if (root == NULL || !json_has_type(root, "items", json_type_array) ||
+	    !json_has_type(root, "hasMore", json_type_boolean) ||
 	    !json_get_int_within(
 		root, "end", 0, JSON_INT_MAX, &page->end_offset)) {
 		json_object_put(root);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -472,3 +472,217 @@
 	cr_expect_eq(s.generation, 7);
 	store_assignments_uninit(&s);
 }
+
+static const char good_machines[] =
+    "{\"machines\":[{\"machine\":\"m-1\",\"pool\":\"blue\",\"state\":\"up\","
+    "\"zone\":\"a\",\"labels\":[\"a\",\"r1-2\"],\"capacity\":"
+    "{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},\"id\":\"i-1\"}],"
+    "\"nextToken\":null}";
+
+/* Rows counted as malformed; -1: the page. */
+static int
+machines_parse(const char *text)
+{
+	struct machine_list list = {0};
+	int ret = machine_list_add_page(&list, text, strlen(text));
+
+	if (ret == 0) {
+		ret = (int)list.malformed_count;
+		cr_expect_eq(list.count + list.malformed_count, 1, "%s", text);
+	}
+	machine_list_uninit(&list);
+	return ret;
+}
+
+Test(odd_entries, odd_machines_are_counted_as_malformed)
+{
+	static const struct odd odd[] = {
+	    {"\"cpu\":16000", "\"cpu\":1e300"},
+	    {"\"cpu\":16000", "\"cpu\":-1"},
+	    {"\"cpu\":16000", "\"cpu\":99999999999999999999"},
+	    {"\"cpu\":16000", "\"cpu\":\"16000\""},
+	    {"{\"cpu\":16000,\"memMb\":32768,\"gpu\":0}", "[]"},
+	    {"[\"a\",\"r1-2\"]", "[7]"},
+	    {"[\"a\",\"r1-2\"]", "7"},
+	    {"[\"a\",\"r1-2\"]",
+		"[\"a-label-that-is-longer-than-every-name-may-be\"]"},
+	    {"\"up\"", "\"resting\""},
+	    {"\"m-1\"", "\"\""},
+	    {"\"m-1\"", "7"},
+	    {"\"i-1\"", "[]"},
+	    {"\"blue\"", "\"a-name-that-is-longer-than-every-name-may-be\""},
+	};
+	char *text;
+	size_t i;
+
+	cr_expect_eq(machines_parse(good_machines), 0);
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		text = replaced(good_machines, odd[i].part, odd[i].by);
+		cr_expect_eq(machines_parse(text), 1, "%s", odd[i].by);
+		free(text);
+	}
+}
+
+/* The list would end there, and the machines behind it count as gone. */
+Test(odd_entries, a_page_of_machines_with_an_odd_token_is_malformed)
+{
+	char token[300], *text;
+
+	text = replaced(good_machines, "null", "7");
+	cr_expect_eq(machines_parse(text), -1);
+	free(text);
+	memset(token, 'x', sizeof(token));
+	token[0] = token[sizeof(token) - 2] = '"';
+	token[sizeof(token) - 1] = '\0';
+	text = replaced(good_machines, "null", token);
+	cr_expect_eq(machines_parse(text), -1);
+	free(text);
+}
+
+static const char good_config[] =
+    "{\"configVersion\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+    "\"pathPrefix\":\"/a/\",\"timeoutMs\":3000,\"targetLatencyMs\":600,"
+    "\"priority\":1,\"service\":\"blue\",\"maxAttempts\":2,\"stretch\":1.6,"
+    "\"advice\":{\"decideMs\":1,\"perWorkerMs\":0.5,\"validityMs\":3000}}],"
+    "\"services\":[{\"name\":\"blue\"}]}";
+
+/* No later version would come into force after one of 2^63 - 1. */
+Test(odd_entries, a_configuration_that_is_none_is_refused)
+{
+	static const struct odd odd[] = {
+	    {"\"configVersion\":7", "\"configVersion\":9223372036854775807"},
+	    {"\"configVersion\":7", "\"configVersion\":1e300"},
+	    {"\"configVersion\":7", "\"configVersion\":-1"},
+	    {"\"configVersion\":7", "\"configVersion\":\"7\""},
+	    {"\"configVersion\":7", "\"configVersion\":7.5"},
+	    {"\"routes\":[", "\"routes\":{\"a\":["},
+	    {"\"services\":[{\"name\":\"blue\"}]", "\"services\":\"blue\""},
+	};
+	struct config *c = config_parse(
+	    good_config, strlen(good_config), &(struct err){.line = 0});
+	struct err e;
+	char *text;
+	size_t i;
+
+	cr_assert_not_null(c);
+	cr_expect_eq(c->queue_count, 1);
+	cr_expect_eq(c->queues[0].settings.policy_per_worker_us, 500);
+	config_unref(c);
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		text = replaced(good_config, odd[i].part, odd[i].by);
+		if (strstr(odd[i].by, "{\"a\":[") != NULL)
+			strcpy(strstr(text, "],\"services"), "]}}");
+		c = config_parse(text, strlen(text), &e);
+		cr_expect_null(c, "%s", odd[i].by);
+		config_unref(c);
+		free(text);
+	}
+}
+
+Test(odd_entries, numbers_of_the_configuration_are_bounded)
+{
+	static const struct odd odd[] = {
+	    {"\"timeoutMs\":3000", "\"timeoutMs\":4294967297"},
+	    {"\"timeoutMs\":3000", "\"timeoutMs\":1e300"},
+	    {"\"targetLatencyMs\":600", "\"targetLatencyMs\":4294967297"},
+	    {"\"priority\":1", "\"priority\":4294967297"},
+	    {"\"maxAttempts\":2", "\"maxAttempts\":4294967297"},
+	    {"\"stretch\":1.6", "\"stretch\":NaN"},
+	    {"\"stretch\":1.6", "\"stretch\":1e999"},
+	    {"\"stretch\":1.6", "\"stretch\":-3"},
+	    {"\"perWorkerMs\":0.5", "\"perWorkerMs\":1e300"},
+	    {"\"perWorkerMs\":0.5", "\"perWorkerMs\":NaN"},
+	    {"\"decideMs\":1", "\"decideMs\":4294967297"},
+	    {"\"validityMs\":3000", "\"validityMs\":4294967297"},
+	};
+	const struct queue_settings *q;
+	struct config *c;
+	struct err e;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		text = replaced(good_config, odd[i].part, odd[i].by);
+		c = config_parse(text, strlen(text), &e);
+		cr_assert_not_null(c, "%s", odd[i].by);
+		cr_assert_eq(c->queue_count, 1);
+		q = &c->queues[0].settings;
+		/* neither cut to 32 bits nor beyond what can be added up */
+		cr_expect(c->queues[0].request_timeout_ms >= 3000 &&
+			c->queues[0].request_timeout_ms <= 24 * 3600 * 1000,
+		    "%s: %d", odd[i].by, c->queues[0].request_timeout_ms);
+		cr_expect(q->target_latency_ms >= 600 &&
+			q->target_latency_ms <= 24 * 3600 * 1000,
+		    "%s: %d", odd[i].by, q->target_latency_ms);
+		cr_expect(q->max_attempts >= 2 && q->max_attempts <= 1000000,
+		    "%s: %d", odd[i].by, q->max_attempts);
+		cr_expect(strstr(odd[i].by, "priority") == NULL ||
+			q->priority == 1000000,
+		    "%s: %d", odd[i].by, q->priority);
+		cr_expect(q->stretch >= 0 && q->stretch <= 1000000, "%s: %f",
+		    odd[i].by, q->stretch);
+		cr_expect(q->policy_base_ms >= 1 &&
+			q->policy_base_ms <= 24 * 3600 * 1000,
+		    "%s: %d", odd[i].by, q->policy_base_ms);
+		cr_expect(q->policy_per_worker_us >= 0 &&
+			q->policy_per_worker_us <= 1000000000,
+		    "%s: %d", odd[i].by, q->policy_per_worker_us);
+		cr_expect(q->ticket_valid_ms >= 3000 &&
+			q->ticket_valid_ms <= 24 * 3600 * 1000,
+		    "%s: %d", odd[i].by, q->ticket_valid_ms);
+		config_unref(c);
+		free(text);
+	}
+}
+
+Test(odd_entries, a_wave_with_odd_numbers_is_refused)
+{
+	static const char *const odd[] = {
+	    "{\"wave\":9223372036854775807,\"machines\":[]}",
+	    "{\"wave\":1.5,\"machines\":[]}",
+	    "{\"wave\":\"1\",\"machines\":[]}",
+	    "{\"wave\":1,\"machines\":[],\"withinS\":1e300}",
+	    "{\"wave\":1,\"machines\":[],\"withinS\":-1}",
+	    "{\"wave\":1,\"machines\":[],\"withinS\":\"x\"}",
+	    "{\"wave\":1,\"machines\":[],\"cap\":4294967297}",
+	    "{\"wave\":1,\"machines\":[],\"cap\":\"x\"}",
+	    "{\"wave\":1,\"machines\":{}}",
+	    "{\"wave\":1,\"machines\":[\"m\",7]}",
+	    "{\"wave\":1,\"machines\":["
+	    "\"a-name-that-is-longer-than-every-name-may-be\"]}"};
+	static const char good[] =
+	    "{\"wave\":1,\"machines\":[\"m-1\"],\"withinS\":20,\"cap\":3}";
+	struct wave_request w;
+	size_t i;
+	int ret;
+
+	cr_assert_eq(wave_request_parse(&w, good, strlen(good)), 0);
+	cr_expect_eq(w.within_ms, 20000);
+	cr_expect_eq(w.max_down, 3);
+	cr_expect_eq(w.machine_count, 1);
+	wave_request_uninit(&w);
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		ret = wave_request_parse(&w, odd[i], strlen(odd[i]));
+		cr_expect_eq(ret, -1, "%s", odd[i]);
+		if (ret == 0)
+			wave_request_uninit(&w);
+	}
+}
+
+Test(odd_entries, odd_advice_is_refused_or_left_out)
+{
+	static const char some[] =
+	    "{\"good\":[[\"i-1\",\"t\"],7,null,[],[\"i-2\"],[7,\"t\"],"
+	    "[\"i-3\",\"a\\u0000b\"]],\"validityMs\":4294967297}";
+	struct advice a;
+
+	cr_assert_eq(advice_response_parse(&a, some, strlen(some)), -1);
+	cr_assert_eq(advice_response_parse(&a, "{\"good\":7}", 10), -1);
+	cr_assert_eq(
+	    advice_response_parse(&a, "{\"validityMs\":\"3\"}", 18), -1);
+	cr_assert_eq(advice_response_parse(
+			 &a, "{\"good\":[[\"i-1\",\"t\"],7,[\"i-2\"]]}", 36),
+	    0);
+	cr_expect_eq(a.ticket_count, 1);
+	advice_uninit(&a);
+}
