--- a/tests/process/test_odd_entries.c
+++ b/tests/process/test_odd_entries.c
@@ -168,8 +168,9 @@
 
 TestSuite(odd_entries, .init = setup, .fini = teardown, .timeout = 120);
 
+/* "numbered": each has a key of its own. */
 static void
-put_odd_entries(const char *key)
+put_odd_entries(const char *name, bool numbered)
 {
 	static const char format[] =
 	    "{\"service\":\"blue\",\"addr\":\"127.0.0.1:%s\",\"zone\":\"z\","
@@ -189,10 +190,13 @@
 	    {"8080", "ready", "7", "7", "\"8000\"", "16000"},
 	    {"8080", "ready", "7", "7", "8000", "99999999999999999999999"},
 	};
-	char *value = malloc(VALUE_BYTES);
+	char *value = malloc(VALUE_BYTES), key[64];
 	size_t i;
 
+	snprintf(key, sizeof(key), "%s", name);
 	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		if (numbered)
+			snprintf(key, sizeof(key), "%s-%zu", name, i);
 		snprintf(value, VALUE_BYTES, format, odd[i][0], odd[i][1],
 		    odd[i][2], odd[i][3], odd[i][4], odd[i][5]);
 		put_entry(key, value, false);
@@ -205,12 +209,19 @@
 	free(value);
 }
 
+static bool
+odd_entry_logged(void *arg)
+{
+	(void)arg;
+	return count_lines("invalid worker entry", "") > 0;
+}
+
 Test(odd_entries, odd_records_beside_live_workers_end_no_daemon)
 {
 	char key[257];
 
-	put_odd_entries("odd-0");
-	put_odd_entries("zz odd\r\nkey");
+	put_odd_entries("odd", true);
+	put_odd_entries("zz odd\r\nkey", false);
 	memset(key + 1, 0xe9, 255);
 	key[0] = '\xff';
 	put_record(key, 256, false);
@@ -223,6 +234,7 @@
 	put_record("\x05"
 		   "long",
 	    5, false);
+	cr_assert(wait_until(odd_entry_logged, NULL, LIMIT_MS));
 	expect_jobs_run_once();
 	proc_signal(fleet->daemons[0], SIGKILL);
 	cr_assert_neq(proc_wait(fleet->daemons[0], LIMIT_MS), -1);
@@ -247,7 +259,7 @@
 	}
 	for (i = 0; i < 3; i++) {
 		snprintf(key, sizeof(key), "blue-%d", i);
-		put_odd_entries(key);
+		put_odd_entries(key, false);
 	}
 	cr_assert(wait_until(entries_read_again, odd, LIMIT_MS));
 	sleep_ms(SETTLE_MS);
