--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -14,6 +14,7 @@
 
 #define DEEP 10000 /* levels of nesting */
 #define TEXT_BYTES (4 * DEEP)
+#define MUTATIONS 4000 /* of each good message */
 
 static const char good_entry[] =
     "{\"service\":\"blue\",\"addr\":\"10.1.2.3:8080\",\"zone\":\"a\","
@@ -686,3 +687,178 @@
 	cr_expect_eq(a.ticket_count, 1);
 	advice_uninit(&a);
 }
+
+static void
+touch_record(void *arg, const struct store_record *r)
+{
+	struct worker_report w;
+
+	*(size_t *)arg += strlen(r->key) + r->value_len;
+	if (r->value != NULL)
+		worker_entry_parse(&w, r->key, r->value, r->value_len);
+}
+
+/* What the checks promise of each entry that names a worker. */
+static void
+fuzz_entry(const void *data, size_t len)
+{
+	struct worker_report r;
+
+	if (worker_entry_parse(&r, "i-1", data, len) == -1)
+		return;
+	cr_assert(r.cpu_milli > 0 && r.cpu_milli <= 1000000);
+	cr_assert(r.memory_mb >= 0 && r.memory_mb <= 16 * 1024 * 1024);
+	cr_assert(r.accelerators >= 0 && r.accelerators <= 256);
+	cr_assert(r.started_ms >= 0 && r.started_ms <= UNIX_TIME_MAX_MS);
+	cr_assert(r.clock_ms >= 0 && r.clock_ms <= UNIX_TIME_MAX_MS);
+	cr_assert(r.port > 0 && r.port <= UINT16_MAX);
+	cr_assert(r.label_count <= WORKER_LABELS_MAX);
+}
+
+static void
+fuzz_report(const void *data, size_t len)
+{
+	struct renewal_report r;
+	size_t i;
+
+	if (renewal_report_parse(&r, data, len) == -1)
+		return;
+	for (i = 0; i < r.running_count; i++)
+		cr_assert(
+		    r.running[i].run > 0 && r.running[i].progress_percent >= 0);
+	for (i = 0; i < r.ended_count; i++)
+		cr_assert(r.ended[i].run > 0 && r.ended[i].number > 0);
+	renewal_report_uninit(&r);
+}
+
+static void
+fuzz_machines(const void *data, size_t len)
+{
+	struct machine_list list = {0};
+
+	machine_list_add_page(&list, data, len);
+	machine_list_uninit(&list);
+}
+
+static void
+fuzz_config(const void *data, size_t len)
+{
+	struct wave_request w;
+	struct advice a;
+	struct err e;
+
+	config_unref(config_parse(data, len, &e));
+	if (wave_request_parse(&w, data, len) == 0)
+		wave_request_uninit(&w);
+	if (advice_response_parse(&a, data, len) == 0)
+		advice_uninit(&a);
+}
+
+static void
+fuzz_page(const void *data, size_t len)
+{
+	struct store_assignments s;
+	struct store_page page;
+	size_t count = 0;
+
+	if (store_newest_each(data, len, &page, touch_record, &count) >= 0)
+		cr_assert_geq(page.end_offset, 0);
+	if (store_owners_parse(&s, data, len) == 0)
+		store_assignments_uninit(&s);
+}
+
+static void
+fuzz_read(const void *data, size_t len)
+{
+	size_t count = 0;
+	int64_t next;
+
+	store_read_each(data, len, 7, &next, touch_record, &count);
+	cr_assert_geq(next, 7);
+}
+
+/* Some bits, a cut, a part doubled, or a number or nesting put in. */
+static size_t
+mutate(uint64_t *r, const uint8_t *from, size_t len, uint8_t *to)
+{
+	static const char *const put[] = {"9223372036854775807", "1e300", "-1",
+	    "NaN", "null", "{}", "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+	    "\\u0000", "\"\"", "4294967297", "-Infinity", "\xff"};
+	size_t at = prng_below(r, len), n = 1 + prng_below(r, 4), i;
+	const char *text = put[prng_below(r, sizeof(put) / sizeof(put[0]))];
+
+	memcpy(to, from, len);
+	switch (prng_below(r, 4)) {
+	case 0:
+		for (i = 0; i < n; i++)
+			to[prng_below(r, len)] ^=
+			    (uint8_t)(1 << prng_below(r, 8));
+		return len;
+	case 1:
+		return at;
+	case 2: /* in the place of a number */
+		while (at < len && (to[at] < '0' || to[at] > '9'))
+			at++;
+		n = at;
+		while (n < len && to[n] >= '0' && to[n] <= '9')
+			n++;
+		break;
+	default:
+		n = at;
+	}
+	i = strlen(text);
+	memcpy(to + at, text, i);
+	memcpy(to + at + i, from + n, len - n);
+	return at + i + len - n;
+}
+
+static void
+fuzz(const void *good, size_t len, void (*parse)(const void *data, size_t len))
+{
+	uint8_t *text = malloc(2 * len + 64), *exact;
+	uint64_t r = 7;
+	size_t n;
+	int i;
+
+	for (i = 0; i < MUTATIONS; i++) {
+		n = mutate(&r, good, len, text);
+		if (prng_below(&r, 3) == 0 && n > 0 && n <= len) {
+			exact = malloc(n);
+			memcpy(exact, text, n);
+			n = mutate(&r, exact, n, text);
+			free(exact);
+		}
+		exact = malloc(n > 0 ? n : 1); /* reads behind it are seen */
+		memcpy(exact, text, n);
+		parse(exact, n);
+		free(exact);
+	}
+	free(text);
+}
+
+Test(
+    odd_entries, mutated_messages_are_malformed_or_within_bounds, .timeout = 60)
+{
+	static const char page[] =
+	    "{\"items\":[{\"key\":\"a\",\"value\":\"e30=\",\"offset\":1},"
+	    "{\"key\":\"f\",\"value\":\"eyJhIjoxfQ==\",\"offset\":5}],"
+	    "\"hasMore\":true,\"end\":9,\"generation\":3,"
+	    "\"parts\":[[\"jobs\",3,\"m\"],[\"jobs\",4,\"m\"]]}";
+	uint8_t read[1024];
+	size_t n;
+
+	fuzz(good_entry, strlen(good_entry), fuzz_entry);
+	fuzz(good_report, strlen(good_report), fuzz_report);
+	fuzz(good_machines, strlen(good_machines), fuzz_machines);
+	fuzz(good_config, strlen(good_config), fuzz_config);
+	fuzz(page, strlen(page), fuzz_page);
+	n = add_be(read, 9, 8);
+	n += add_be(read + n, 0, 8);
+	n += add_be(read + n, 4 + strlen(good_entry), 4);
+	memcpy(read + n, "\x03i-1", 4);
+	memcpy(read + n + 4, good_entry, strlen(good_entry));
+	n += 4 + strlen(good_entry);
+	n += add_be(read + n, 6, 4);
+	memcpy(read + n, "\x03i-2{}", 6);
+	fuzz(read, n + 6, fuzz_read);
+}
