soak: odd entries among those of the workers

The plan now has an act "odd-entry", every 1.5 s on average at all times: one of twelve odd entries under a key of its own or over that of a worker. It counts as no disruption, so that the checks hold as before.

--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -164,7 +164,8 @@
 	t->list = realloc(t->list, (t->count + 1) * sizeof(*t->list));
 	r = &t->list[t->count++];
 	r->data = malloc(len + 1);
-	memcpy(r->data, data, len);
+	if (len > 0)
+		memcpy(r->data, data, len);
 	r->len = len;
 }
 
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -24,6 +24,7 @@
 #include "view.h"
 
 #define WORKERS 8 /* of the stand-in's two pools */
+#define WORKERS_OF_POOL (WORKERS / 2)
 #define CLIENTS 8
 #define TICK_MS 5
 #define READ_EVERY_MS 500
@@ -186,6 +187,7 @@
 	case ACT_HUP:
 	case ACT_SETTINGS:
 	case ACT_CONFIGS:
+	case ACT_ODD_ENTRY:
 		return false;
 	case ACT_KILL:
 	case ACT_STOP:
@@ -233,6 +235,43 @@
 	    soak.fleet->procs, name, "{\"node\":\"edge", path, sizeof(path));
 }
 
+/* Under a key of its own, or over the entry of a worker. */
+static void
+put_odd_entry(const struct soak_action *a)
+{
+	static const char rest[] = "\"zone\":\"z\",\"labels\":[\"a\",\"r-0\"]}";
+	static const char *const odd[SOAK_ODD_ENTRIES] = {"", "7", "{}", "[[[",
+	    "\"addr\":\"127.0.0.1:70000\",\"state\":\"ready\",",
+	    "\"addr\":\"127.0.0.1:-1\",\"state\":\"ready\",",
+	    "\"addr\":\"127.0.0.1:9\",\"state\":\"resting\",",
+	    "\"addr\":\"127.0.0.1:9\",\"state\":\"ready\",\"born\":1e300,",
+	    "\"addr\":\"127.0.0.1:9\",\"state\":\"draining\","
+	    "\"remainingMs\":-9223372036854775808,",
+	    "\"addr\":\"127.0.0.1:9\",\"state\":\"ready\","
+	    "\"clockMs\":99999999999999999999,",
+	    "\"addr\":127,\"state\":\"ready\",",
+	    "\"addr\":\"127.0.0.1:9\",\"state\":\"ready\",\"seq\":[],"};
+	char value[512] = "", key[32];
+
+	if (odd[a->amount][0] == '"')
+		snprintf(value, sizeof(value),
+		    "{\"service\":\"blue\",\"capacity\":{\"cpu\":%s},%s%s",
+		    a->amount == 6 ? "1e300" : "8000", odd[a->amount], rest);
+	else
+		snprintf(value, sizeof(value), "%s", odd[a->amount]);
+	if (value[0] == '[') { /* deeply nested */
+		memset(value, '[', sizeof(value) - 1);
+		value[sizeof(value) - 1] = '\0';
+	}
+	if (a->at_ms % 2 == 0 && value[0] != '\0')
+		snprintf(key, sizeof(key), "%s-%d",
+		    a->target < WORKERS_OF_POOL ? "blue" : "green",
+		    a->target % WORKERS_OF_POOL);
+	else
+		snprintf(key, sizeof(key), "odd-%d", a->amount);
+	job_fleet_put(soak.fleet, "keyed.servers", key, value);
+}
+
 static void
 begin(struct soak_action *a)
 {
@@ -298,6 +337,9 @@
 	case ACT_STORE_LOSE:
 		platform("/store-lose?tries=%d", a->amount);
 		break;
+	case ACT_ODD_ENTRY:
+		put_odd_entry(a);
+		break;
 	case SOAK_ACTS:
 		break;
 	}
--- a/tests/soak/soak_plan.c
+++ b/tests/soak/soak_plan.c
@@ -15,6 +15,7 @@
 #define SERIES_OF 4 /* one fault in so many comes in a series */
 #define SERIES_MOST 4 /* further ones */
 #define SERIES_GAP_MS 250 /* mean */
+#define ODD_GAP_MS 1500 /* mean, between two odd entries */
 
 enum target {
 	TARGET_DAEMON,
@@ -47,6 +48,9 @@
     [ACT_STORE_PART] = {"store-part", TARGET_STORE, 3, 200, 4000, 0, 3},
     [ACT_STORE_FORGET] = {"store-forget", TARGET_STORE, 2, 1, 2, 0, 1},
     [ACT_STORE_LOSE] = {"store-lose", TARGET_STORE, 3, 500, 3000, 1, 4},
+    /* draw_odd_entries() draws it, so that the other faults stay as they are */
+    [ACT_ODD_ENTRY] = {"odd-entry", TARGET_WORKER, 0, 1, 2, 0,
+	SOAK_ODD_ENTRIES},
 };
 
 static const char *const fault_names[LINK_FAULTS] = {
@@ -154,6 +158,17 @@
 	}
 }
 
+/* From a seed of their own, at all times: they disturb nothing. */
+static void
+draw_odd_entries(struct soak_plan *p, const struct soak_plan_opts *o)
+{
+	uint64_t r = ~(o->seed + 1) * SOAK_SEED_SPREAD;
+	int at = WARM_MS;
+
+	while ((at += 1 + (int)prng_below(&r, 2 * ODD_GAP_MS)) < p->end_ms)
+		add(p, o, &r, ACT_ODD_ENTRY, at, p->end_ms);
+}
+
 static int
 count_kinds(const struct soak_plan *p)
 {
@@ -187,6 +202,7 @@
 		draw_faults(p, o, &r,
 		    half + PLANNED_FROM_MS + PLANNED_MS + 1000, p->end_ms);
 	}
+	draw_odd_entries(p, o);
 	p->kinds = count_kinds(p);
 }
 
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -9,6 +9,7 @@
 #include "soak_proxy.h"
 
 #define SOAK_ACTIONS_MAX 4096
+#define SOAK_ODD_ENTRIES 12
 /* Seeds that are close begin far apart. */
 #define SOAK_SEED_SPREAD UINT64_C(0x9e3779b97f4a7c15)
 
@@ -31,6 +32,7 @@
 	ACT_STORE_PART,
 	ACT_STORE_FORGET,
 	ACT_STORE_LOSE,
+	ACT_ODD_ENTRY, /* another writer's, among those of the workers */
 	SOAK_ACTS
 };
 
@@ -39,7 +41,7 @@
 	enum soak_act act;
 	enum link_fault fault; /* of a link */
 	int target; /* daemon or worker */
-	int amount; /* ms, tries or configurations */
+	int amount; /* ms, tries, configurations, or which odd entry */
 	bool begun, ended;
 };
 
