roster: the age of a pool's report counts from its request

What callers saw: a machine order that ended tasks of a step with a disruption budget, on a worker that the controller believed cordoned and idle.

Cause: the controller stamped a pool's report with the time of its arrival. An answer that waited on a slow link, or while the controller's or the owner's loop stood still, counted as new for 600 ms more; by then the owner's cordon (2 s) can have lapsed and the worker can run tasks. An answer that a newer one overtook replaced the newer state.

Now a report carries when its request was sent; its ages (task counts, demand, worker list) count from there, and a report older than the pool's newest is ignored.

Evidence: tests no_order_on_a_report_whose_request_was_sent_long_ago and a_report_that_a_newer_one_overtook_is_ignored; on the code before (with the new field only) both failed at "(commands) == (0) is false": the order was sent on a report that was 2.9 s old, and on the overtaken one. test_machines.c sets the new field in its harness; its 32 tests pass.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -319,15 +319,16 @@
 	struct machine *m;
 	size_t i;
 
-	if (p == NULL)
+	if (p == NULL || report->request_sent_us < p->last_report_us)
 		return;
 	p->demand = report->demand;
-	p->worker_list_us = r->now_us - report->worker_list_age_ms * US_PER_MS;
+	p->worker_list_us =
+	    report->request_sent_us - report->worker_list_age_ms * US_PER_MS;
 	if (report->worker_list_age_ms > WORKER_LIST_MAX_AGE_MS)
 		p->worker_list_fresh_since_us = 0;
 	else if (p->worker_list_fresh_since_us == 0)
-		p->worker_list_fresh_since_us = r->now_us;
-	p->last_report_us = r->now_us;
+		p->worker_list_fresh_since_us = report->request_sent_us;
+	p->last_report_us = report->request_sent_us;
 	for (i = 0; i < report->worker_count; i++) {
 		m = find_machine_of_worker(r, report->workers[i].worker);
 		if (m == NULL) {
@@ -337,7 +338,7 @@
 		m->task_count = report->workers[i].task_count;
 		m->long_running_count = report->workers[i].long_running_count;
 		m->cordoned = report->workers[i].cordoned;
-		m->last_report_us = r->now_us;
+		m->last_report_us = report->request_sent_us;
 	}
 }
 
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -53,6 +53,11 @@
 /* Report of a pool's owner. */
 struct pool_report {
 	char pool[NAME_BYTES];
+	/*
+	 * When the controller sent the request that the report answers, on the
+	 * clock of the roster's events: the report is not older.
+	 */
+	int64_t request_sent_us;
 	struct pool_demand demand;
 	int64_t worker_list_age_ms; /* since the owner read its worker list */
 	struct pool_worker_report *workers;
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -35,6 +35,7 @@
 	struct controller *controller;
 	struct http_call *call;
 	char subject[NAME_BYTES]; /* name of the machine or the pool */
+	int64_t sent_us;
 	LIST_ENTRY(controller_call) entries;
 };
 
@@ -102,6 +103,7 @@
 		return NULL;
 	c->controller = ctl;
 	snprintf(c->subject, sizeof(c->subject), "%s", subject);
+	c->sent_us = sched_monotonic_us();
 	LIST_INSERT_HEAD(&ctl->calls, c, entries);
 	return c;
 }
@@ -370,6 +372,7 @@
 {
 	struct controller_call *c = arg;
 	struct controller *ctl = c->controller;
+	int64_t sent_us = c->sent_us;
 	struct pool_report r;
 	struct err e;
 
@@ -383,6 +386,7 @@
 		    e.message, e.remedy);
 		return;
 	}
+	r.request_sent_us = sent_us;
 	handle_report(ctl, &r);
 	pool_report_uninit(&r);
 }
@@ -436,6 +440,7 @@
 	struct cordon_request r;
 	struct pool_report report;
 	struct endpoint to;
+	int64_t sent_us = sched_monotonic_us();
 	int within_ms;
 	bool self;
 
@@ -445,6 +450,7 @@
 	r.incoming_within_ms = (uint64_t)within_ms;
 	roster_each_cordon(ctl->roster, pool, add_cordon, &r);
 	if (shards_apply_cordons(s->shards, &r, &report) == 0) {
+		report.request_sent_us = sent_us;
 		handle_report(ctl, &report);
 		pool_report_uninit(&report);
 	} else if (membership_owner_of(s->membership, pool, &to, &self) &&
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -182,7 +182,7 @@
 {
 	struct pool_worker_report list[MACHINES_MAX];
 	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_REPORT};
-	struct pool_report r = {
+	struct pool_report r = {.request_sent_us = now_us,
 	    .demand = {.coverage = coverage[k],
 		.wanted_workers_milli = wanted_milli[k],
 		.arriving_workers_milli = arriving_milli[k],
--- /dev/null
+++ b/tests/unit/test_old_news.c
@@ -0,0 +1,186 @@
+/* The controller of machines acts on no news that is old, from events alone. */
+#include <stdio.h>
+#include <string.h>
+
+#include <criterion/criterion.h>
+
+#include "cordon_wire.h"
+#include "roster.h"
+
+#define TICK_US (200 * US_PER_MS)
+#define HOLDOFF_MS 4300
+
+static struct roster *roster;
+static int64_t now_us;
+#define BLUE 4 /* machines of the pool blue; one more is in green */
+
+static struct machine_report machines[BLUE + 1];
+static int commands; /* sent */
+
+static void
+event(struct roster_event *ev)
+{
+	struct roster_effects fx;
+	size_t i;
+
+	memset(&fx, 0, sizeof(fx));
+	ev->now_us = now_us;
+	roster_step(roster, ev, &fx);
+	for (i = 0; i < fx.count; i++)
+		commands += fx.list[i].kind == ROSTER_EFFECT_MOVE ||
+		    fx.list[i].kind == ROSTER_EFFECT_MAINTENANCE;
+	roster_effects_uninit(&fx);
+}
+
+static void
+tick(void)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_TICK};
+
+	event(&ev);
+}
+
+static void
+list_machines(void)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_MACHINE_LIST};
+
+	ev.u.machine_list.list = machines;
+	ev.u.machine_list.count = sizeof(machines) / sizeof(machines[0]);
+	event(&ev);
+}
+
+static void
+pool(const char *name, bool spare)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_CONFIG};
+
+	snprintf(ev.u.pool_config.name, NAME_BYTES, "%s", name);
+	ev.u.pool_config.spare = spare;
+	event(&ev);
+}
+
+static void
+add_machine(int i, const char *in)
+{
+	memset(&machines[i], 0, sizeof(machines[i]));
+	snprintf(machines[i].machine, NAME_BYTES, "m-%d", i);
+	snprintf(machines[i].pool, NAME_BYTES, "%s", in);
+	if (strcmp(in, "spare") != 0)
+		snprintf(machines[i].worker, NAME_BYTES, "w-%d", i);
+	machines[i].cpu_milli = 8000;
+}
+
+static void
+setup(void)
+{
+	struct roster_opts o = {.now_us = 1,
+	    .command_holdoff_ms = HOLDOFF_MS,
+	    .maintenance_ms = 2000,
+	    .move_ms = 1500};
+	int i;
+
+	now_us = US_PER_S;
+	roster = roster_new(&o);
+	pool("blue", false);
+	pool("green", false);
+	pool("spare", true);
+	for (i = 0; i < BLUE; i++)
+		add_machine(i, "blue");
+	add_machine(BLUE, "green");
+	list_machines();
+}
+
+static void
+teardown(void)
+{
+	roster_free(roster);
+}
+
+TestSuite(old_news, .init = setup, .fini = teardown);
+
+struct worker_state {
+	int64_t request_sent_us; /* of the report's request */
+	size_t tasks;
+	bool cordoned;
+};
+
+/* All workers of a pool are in the same state. */
+static void
+report(const char *pool_name, const struct worker_state *state)
+{
+	struct pool_worker_report list[BLUE + 1];
+	struct pool_report r = {.request_sent_us = state->request_sent_us,
+	    .demand = {.coverage = DEMAND_COMPLETE},
+	    .workers = list};
+	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_REPORT};
+	int i;
+
+	memset(list, 0, sizeof(list));
+	snprintf(r.pool, sizeof(r.pool), "%s", pool_name);
+	for (i = 0; i < BLUE + 1; i++) {
+		if (strcmp(machines[i].pool, pool_name) != 0)
+			continue;
+		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
+		    machines[i].worker);
+		list[r.worker_count].task_count = state->tasks;
+		list[r.worker_count++].cordoned = state->cordoned;
+	}
+	ev.u.report = &r;
+	event(&ev);
+}
+
+static void
+report_now(const char *pool_name, size_t tasks, bool cordoned)
+{
+	struct worker_state state = {
+	    .request_sent_us = now_us, .tasks = tasks, .cordoned = cordoned};
+
+	report(pool_name, &state);
+}
+
+/* A wave for one machine of blue, whose worker is to be cordoned. */
+static void
+request_maintenance(void)
+{
+	static const char names[1][NAME_BYTES] = {"m-0"};
+	struct roster_event ev = {.kind = ROSTER_EVENT_WAVE_REQUEST};
+
+	ev.u.wave_request.wave_number = 1;
+	ev.u.wave_request.machine_names = names;
+	ev.u.wave_request.count = 1;
+	ev.u.wave_request.within_ms = 20000;
+	ev.u.wave_request.max_down = 1;
+	event(&ev);
+	report_now("blue", 1, false);
+	tick();
+	cr_assert_eq(commands, 0);
+}
+
+Test(old_news, no_order_on_a_report_whose_request_was_sent_long_ago)
+{
+	struct worker_state state = {.cordoned = true};
+
+	request_maintenance();
+	state.request_sent_us = now_us;
+	now_us += 2900 * US_PER_MS;
+	report("blue", &state);
+	tick();
+	cr_expect_eq(commands, 0);
+	report_now("blue", 0, true);
+	tick();
+	cr_expect_eq(commands, 1);
+}
+
+Test(old_news, a_report_that_a_newer_one_overtook_is_ignored)
+{
+	struct worker_state state = {.cordoned = true};
+
+	request_maintenance();
+	state.request_sent_us = now_us;
+	now_us += TICK_US;
+	report_now("blue", 1, true);
+	report("blue", &state);
+	tick();
+	cr_expect_eq(commands, 0);
+}
