roster: ignore reports of a pool's replaced owner

Cause: while a pool changes hands, the daemon that lost it answers the controller's requests until its ownership expires (3 s), and the controller can ask it again where its list of members is old. What that owner reports as idle and cordoned, the new owner may have started tasks on: the controller sent an order that ends them.

Now an owner reports the fence of its term, and the controller ignores a lower one than the highest that it has received for the pool (one log line for each). Owners of the previous version report no fence; their reports count as before.

Evidence: test a_report_of_a_replaced_owner_is_ignored, on the code before: "(commands) == (0) is false". The wire test checks that the fence is read back.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -312,6 +312,25 @@
 	return NULL;
 }
 
+/* Another owner with a higher fence has reported on the pool before. */
+static bool
+owner_is_replaced(struct roster *r, struct roster_pool *p, int64_t fence)
+{
+	/* an owner of the previous version does not report its fence */
+	if (fence == 0 || fence >= p->owner_fence) {
+		if (fence > p->owner_fence)
+			p->owner_fence = fence;
+		return false;
+	}
+	if (fence != p->ignored_fence)
+		roster_log(r,
+		    "msg=\"report of a pool's replaced owner is ignored\" "
+		    "pool=%s fence=%lld newest=%lld",
+		    p->name, (long long)fence, (long long)p->owner_fence);
+	p->ignored_fence = fence;
+	return true;
+}
+
 static void
 handle_pool_report(struct roster *r, const struct pool_report *report)
 {
@@ -319,7 +338,8 @@
 	struct machine *m;
 	size_t i;
 
-	if (p == NULL || report->request_sent_us < p->last_report_us)
+	if (p == NULL || owner_is_replaced(r, p, report->fence) ||
+	    report->request_sent_us < p->last_report_us)
 		return;
 	p->demand = report->demand;
 	p->worker_list_us =
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -53,6 +53,7 @@
 /* Report of a pool's owner. */
 struct pool_report {
 	char pool[NAME_BYTES];
+	int64_t fence; /* of the owner's term; 0: not known */
 	/*
 	 * When the controller sent the request that the report answers, on the
 	 * clock of the roster's events: the report is not older.
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -78,6 +78,8 @@
 	bool spare; /* its machines are switched off */
 	struct pool_demand demand; /* DEMAND_UNKNOWN before the first report */
 	int64_t last_report_us; /* 0: never */
+	int64_t owner_fence; /* highest that was reported; 0: none */
+	int64_t ignored_fence; /* newest lower one, which was logged */
 	int64_t worker_list_us; /* when its owner last read the worker list */
 	/* the owner's worker list is current since then; 0: it is stale */
 	int64_t worker_list_fresh_since_us;
--- a/src/scheduler/cordon_wire.c
+++ b/src/scheduler/cordon_wire.c
@@ -75,8 +75,9 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 8);
+	wire_map(&w, 9);
 	wire_str(&w, "pool", r->pool);
+	wire_i64(&w, "fence", r->fence);
 	wire_u64(&w, "known", r->demand.coverage);
 	wire_i64(&w, "view", r->worker_list_age_ms);
 	wire_i64(&w, "wanted", r->demand.wanted_workers_milli);
@@ -98,6 +99,7 @@
 	uint32_t i;
 
 	/* an owner of the previous version does not send these */
+	wire_get_i64(root, "fence", &r->fence);
 	wire_get_u64(root, "known", &known);
 	wire_get_i64(root, "view", &r->worker_list_age_ms);
 	if (!wire_get_str(root, "pool", r->pool, sizeof(r->pool)) ||
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -560,6 +560,7 @@
 	shard_handle_event(sh, &ev);
 	memset(report, 0, sizeof(*report));
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
+	report->fence = sh->fence;
 	pool_demand(sh->pool, &report->demand);
 	report->worker_list_age_ms =
 	    store_watch_workers_age_us(sh->scheduler->watcher) / US_PER_MS;
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -758,12 +758,14 @@
 Test(machines, a_report_says_what_its_owner_does_not_know)
 {
 	struct pool_report r = {.demand = {.wanted_workers_milli = 1200},
+	    .fence = 12,
 	    .worker_list_age_ms = 6500};
 
 	r = sent_and_read(pool_report_encode(&r));
 	cr_expect_eq(r.demand.coverage, DEMAND_UNKNOWN);
 	cr_expect_eq(r.demand.wanted_workers_milli, 1200);
 	cr_expect_eq(r.worker_list_age_ms, 6500);
+	cr_expect_eq(r.fence, 12);
 	pool_report_uninit(&r);
 }
 
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -101,6 +101,7 @@
 
 struct worker_state {
 	int64_t request_sent_us; /* of the report's request */
+	int64_t fence; /* of the owner */
 	size_t tasks;
 	bool cordoned;
 };
@@ -110,7 +111,8 @@
 report(const char *pool_name, const struct worker_state *state)
 {
 	struct pool_worker_report list[BLUE + 1];
-	struct pool_report r = {.request_sent_us = state->request_sent_us,
+	struct pool_report r = {.fence = state->fence,
+	    .request_sent_us = state->request_sent_us,
 	    .demand = {.coverage = DEMAND_COMPLETE},
 	    .workers = list};
 	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_REPORT};
@@ -133,8 +135,10 @@
 static void
 report_now(const char *pool_name, size_t tasks, bool cordoned)
 {
-	struct worker_state state = {
-	    .request_sent_us = now_us, .tasks = tasks, .cordoned = cordoned};
+	struct worker_state state = {.request_sent_us = now_us,
+	    .fence = 1,
+	    .tasks = tasks,
+	    .cordoned = cordoned};
 
 	report(pool_name, &state);
 }
@@ -159,7 +163,7 @@
 
 Test(old_news, no_order_on_a_report_whose_request_was_sent_long_ago)
 {
-	struct worker_state state = {.cordoned = true};
+	struct worker_state state = {.fence = 1, .cordoned = true};
 
 	request_maintenance();
 	state.request_sent_us = now_us;
@@ -174,7 +178,7 @@
 
 Test(old_news, a_report_that_a_newer_one_overtook_is_ignored)
 {
-	struct worker_state state = {.cordoned = true};
+	struct worker_state state = {.fence = 1, .cordoned = true};
 
 	request_maintenance();
 	state.request_sent_us = now_us;
@@ -184,3 +188,21 @@
 	tick();
 	cr_expect_eq(commands, 0);
 }
+
+Test(old_news, a_report_of_a_replaced_owner_is_ignored)
+{
+	struct worker_state state = {.fence = 4, .cordoned = true};
+
+	request_maintenance();
+	state.request_sent_us = now_us;
+	state.fence = 5;
+	state.tasks = 1;
+	report("blue", &state);
+	now_us += TICK_US;
+	state.request_sent_us = now_us;
+	state.fence = 4;
+	state.tasks = 0;
+	report("blue", &state);
+	tick();
+	cr_expect_eq(commands, 0);
+}
