--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -420,6 +420,23 @@
 	machine_set_phase(r, m, COMMAND_PHASE_SENT);
 }
 
+/* The machine can carry a command out without ending a task. */
+static bool
+command_is_safe(const struct roster *r, const struct machine *m)
+{
+	return m->report.state == MACHINE_UP && machine_drained(r, m);
+}
+
+bool
+roster_command_holds(struct roster *r, const char *machine, int64_t now_us)
+{
+	const struct machine *m = roster_find_machine(r, machine);
+
+	r->now_us = now_us;
+	return m != NULL && m->command != MACHINE_COMMAND_NONE &&
+	    m->phase == COMMAND_PHASE_SENT && command_is_safe(r, m);
+}
+
 static void
 run_commands(struct roster *r)
 {
@@ -436,7 +453,7 @@
 			continue;
 		}
 		if (r->now_us >= m->command_not_before_us &&
-		    m->report.state == MACHINE_UP && machine_drained(r, m))
+		    command_is_safe(r, m))
 			send_command(r, m);
 	}
 }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -169,6 +169,13 @@
 void roster_step(
     struct roster *r, const struct roster_event *ev, struct roster_effects *fx);
 
+/*
+ * Whether a command that the roster has issued may still be sent: the machine's
+ * worker is cordoned and runs nothing by news that is fresh at "now_us".
+ */
+bool roster_command_holds(
+    struct roster *r, const char *machine, int64_t now_us);
+
 /* What the owner of a pool does with a worker. */
 enum cordon_kind {
 	CORDON_NO_NEW_TASKS,
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -86,6 +86,7 @@
 struct pending_command {
 	struct roster_effect effect;
 	uint64_t serial; /* of the journal entry */
+	int64_t recorded_us; /* when the entry was written */
 	STAILQ_ENTRY(pending_command) entries;
 };
 
@@ -285,6 +286,7 @@
 	journal_time(ctl, key);
 	p->effect = *x;
 	p->serial = ctl->journal_serial;
+	p->recorded_us = sched_monotonic_us();
 	STAILQ_INSERT_TAIL(&ctl->pending, p, entries);
 }
 
@@ -545,6 +547,29 @@
 	}
 }
 
+/* The entry may have been stored late: the worker may be in use by then. */
+static void
+send_recorded_command(struct controller *ctl, const struct pending_command *p)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_COMMAND_RESULT};
+	int64_t now_us = sched_monotonic_us();
+
+	if (roster_command_holds(ctl->roster, p->effect.machine, now_us)) {
+		send_command(ctl, &p->effect);
+		return;
+	}
+	daemon_log(LOG_LEVEL_INFO, "duty",
+	    "msg=\"command for a machine is not sent: its worker may be in "
+	    "use\" machine=%s recorded_ms_ago=%lld fence=%lld",
+	    p->effect.machine,
+	    (long long)((now_us - p->recorded_us) / US_PER_MS),
+	    (long long)ctl->fence);
+	snprintf(
+	    ev.u.command_result.machine, NAME_BYTES, "%s", p->effect.machine);
+	ev.u.command_result.result = ROSTER_COMMAND_BUSY;
+	controller_handle_event(ctl, &ev);
+}
+
 static void
 on_journal_written(void *arg, uint64_t serial)
 {
@@ -555,7 +580,7 @@
 	    (p = STAILQ_FIRST(&ctl->pending)) != NULL && p->serial <= serial) {
 		STAILQ_REMOVE_HEAD(&ctl->pending, entries);
 		if (!controller_expired(ctl))
-			send_command(ctl, &p->effect);
+			send_recorded_command(ctl, p);
 		free(p);
 	}
 }
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -206,3 +206,20 @@
 	tick();
 	cr_expect_eq(commands, 0);
 }
+
+/* The order's journal entry is stored seconds later: its news is old then. */
+Test(old_news, an_order_that_waited_for_its_journal_entry_is_checked_again)
+{
+	request_maintenance();
+	report_now("blue", 0, true);
+	tick();
+	cr_assert_eq(commands, 1);
+	cr_expect(roster_command_holds(roster, "m-0", now_us));
+	now_us += US_PER_S;
+	cr_expect_not(roster_command_holds(roster, "m-0", now_us));
+	report_now("blue", 1, true);
+	cr_expect_not(roster_command_holds(roster, "m-0", now_us));
+	report_now("blue", 0, true);
+	cr_expect(roster_command_holds(roster, "m-0", now_us));
+	cr_expect_not(roster_command_holds(roster, "m-1", now_us));
+}
