roster: a move without an answer keeps its cordon

What callers saw: tasks ended by a move that the controller had given up.

Cause: a move whose call got no answer went back to wait for an idle worker and was dropped after 2.5 s without a fresh report on it. The cordon ended, the worker got tasks, and a slow platform carried the first order out. Where the platform had carried it out at once, the controller did not notice: the owner was not told that the worker had been removed, and a move to the spare pool could be redirected to another pool.

Now such a move stays, with its cordon, for 8 s from the newest call without an answer, unless a list shows that the machine moves (or is in the pool, or in maintenance): then the order counts as accepted.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -18,6 +18,8 @@
 /* A move is dropped when it is not sent by then, as when its worker is busy. */
 #define MOVE_CORDON_TIMEOUT_MS 2500
 #define COMMAND_RETRY_MS 400
+/* A slow platform may carry out a command this long after it got no answer. */
+#define UNCONFIRMED_MAX_MS 8000
 /* Owners get notice of a removed worker until its entry has expired. */
 #define REMOVED_WORKER_NOTICE_MS 6000
 /* A wave marks its pending machines at each tick; a mark lasts five ticks. */
@@ -180,6 +182,7 @@
 	m->command = MACHINE_COMMAND_NONE;
 	m->to_pool[0] = '\0';
 	m->cordoned = false;
+	m->unconfirmed_us = 0;
 }
 
 /*
@@ -203,6 +206,44 @@
 		machine_clear_command(m);
 }
 
+static void
+command_accepted(struct roster *r, struct machine *m)
+{
+	roster_log(r,
+	    "msg=\"command accepted: machine %s\" machine=%s pool=%s to=%s "
+	    "wave=%lld unconfirmed=%d",
+	    m->command == MACHINE_COMMAND_MAINTENANCE ? "enters maintenance"
+						      : "moves",
+	    m->report.machine, m->report.pool, m->to_pool,
+	    (long long)m->wave_number, m->unconfirmed_us != 0);
+	if (m->command == MACHINE_COMMAND_MAINTENANCE)
+		roster_maintenance_started(r, m);
+	memcpy(m->from_pool, m->report.pool, NAME_BYTES);
+	memcpy(m->removed_worker, m->report.worker, NAME_BYTES);
+	m->removed_us = r->now_us;
+	m->unconfirmed_us = 0;
+	machine_set_phase(r, m, COMMAND_PHASE_EXECUTING);
+}
+
+/* The list shows the effect of a command that got no answer. */
+static bool
+list_confirms_command(
+    const struct machine *m, const struct machine_report *report)
+{
+	if (m->unconfirmed_us == 0 || m->phase != COMMAND_PHASE_CORDON)
+		return false;
+	switch (m->command) {
+	case MACHINE_COMMAND_MOVE:
+		return report->state == MACHINE_MOVING ||
+		    strcmp(report->pool, m->to_pool) == 0;
+	case MACHINE_COMMAND_MAINTENANCE:
+		return report->state == MACHINE_MAINTENANCE;
+	case MACHINE_COMMAND_NONE:
+		break;
+	}
+	return false;
+}
+
 static void
 handle_past_command(struct roster *r, const struct roster_event *ev)
 {
@@ -248,6 +289,8 @@
 		HASH_ADD(hh, r->machines, report.machine,
 		    strlen(m->report.machine), m);
 	}
+	if (list_confirms_command(m, report))
+		command_accepted(r, m);
 	if (strcmp(m->report.worker, report->worker) != 0) {
 		m->last_report_us = 0;
 		m->worker_listed_us = r->now_us;
@@ -374,20 +417,7 @@
 	m->command_not_before_us = r->now_us + COMMAND_RETRY_MS * US_PER_MS;
 	switch (ev->u.command_result.result) {
 	case ROSTER_COMMAND_DONE:
-		roster_log(r,
-		    "msg=\"command accepted: machine %s\" machine=%s pool=%s "
-		    "to=%s wave=%lld",
-		    m->command == MACHINE_COMMAND_MAINTENANCE
-			? "enters maintenance"
-			: "moves",
-		    m->report.machine, m->report.pool, m->to_pool,
-		    (long long)m->wave_number);
-		if (m->command == MACHINE_COMMAND_MAINTENANCE)
-			roster_maintenance_started(r, m);
-		memcpy(m->from_pool, m->report.pool, NAME_BYTES);
-		memcpy(m->removed_worker, m->report.worker, NAME_BYTES);
-		m->removed_us = r->now_us;
-		machine_set_phase(r, m, COMMAND_PHASE_EXECUTING);
+		command_accepted(r, m);
 		break;
 	case ROSTER_COMMAND_REJECTED:
 		roster_log(r,
@@ -398,9 +428,13 @@
 			roster_maintenance_started(r, m);
 		machine_clear_command(m);
 		break;
+	case ROSTER_COMMAND_UNKNOWN: /* sent again: commands are idempotent */
+		m->unconfirmed_us = r->now_us;
+		r->list_refresh_needed = true;
+		machine_set_phase(r, m, COMMAND_PHASE_CORDON);
+		break;
 	case ROSTER_COMMAND_BUSY:
 	case ROSTER_COMMAND_FENCED:
-	case ROSTER_COMMAND_UNKNOWN: /* sent again: commands are idempotent */
 		machine_set_phase(r, m, COMMAND_PHASE_CORDON);
 		break;
 	}
@@ -420,6 +454,14 @@
 	machine_set_phase(r, m, COMMAND_PHASE_SENT);
 }
 
+/* The platform may yet carry out a command that it did not answer. */
+static bool
+command_may_be_executed(const struct roster *r, const struct machine *m)
+{
+	return m->unconfirmed_us != 0 &&
+	    r->now_us - m->unconfirmed_us < UNCONFIRMED_MAX_MS * US_PER_MS;
+}
+
 /* The machine can carry a command out without ending a task. */
 static bool
 command_is_safe(const struct roster *r, const struct machine *m)
@@ -448,7 +490,8 @@
 			continue;
 		if (m->command == MACHINE_COMMAND_MOVE &&
 		    r->now_us - m->phase_since_us >
-			MOVE_CORDON_TIMEOUT_MS * US_PER_MS) {
+			MOVE_CORDON_TIMEOUT_MS * US_PER_MS &&
+		    !command_may_be_executed(r, m)) {
 			machine_clear_command(m);
 			continue;
 		}
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -194,7 +194,8 @@
 	const struct roster_pool *to = roster_find_pool(r, m->to_pool);
 
 	return m->command == MACHINE_COMMAND_MOVE &&
-	    m->phase == COMMAND_PHASE_CORDON && to != NULL && to->spare;
+	    m->phase == COMMAND_PHASE_CORDON && m->unconfirmed_us == 0 &&
+	    to != NULL && to->spare;
 }
 
 static bool
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -38,6 +38,11 @@
 	int64_t wave_number; /* MACHINE_COMMAND_MAINTENANCE */
 	int64_t phase_since_us;
 	int64_t command_not_before_us; /* no command is sent earlier */
+	/*
+	 * When the newest command that may yet be carried out got no answer; 0:
+	 * there is none.
+	 */
+	int64_t unconfirmed_us;
 	/* when an open wave last listed it as pending; 0: never */
 	int64_t maintenance_pending_us;
 	/* The next four are from the last report about its worker. */
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -16,6 +16,7 @@
 
 static struct machine_report machines[BLUE + 1];
 static int commands; /* sent */
+static char commanded[NAME_BYTES]; /* machine of the newest */
 
 static void
 event(struct roster_event *ev)
@@ -26,9 +27,13 @@
 	memset(&fx, 0, sizeof(fx));
 	ev->now_us = now_us;
 	roster_step(roster, ev, &fx);
-	for (i = 0; i < fx.count; i++)
-		commands += fx.list[i].kind == ROSTER_EFFECT_MOVE ||
-		    fx.list[i].kind == ROSTER_EFFECT_MAINTENANCE;
+	for (i = 0; i < fx.count; i++) {
+		if (fx.list[i].kind != ROSTER_EFFECT_MOVE &&
+		    fx.list[i].kind != ROSTER_EFFECT_MAINTENANCE)
+			continue;
+		commands++;
+		memcpy(commanded, fx.list[i].machine, NAME_BYTES);
+	}
 	roster_effects_uninit(&fx);
 }
 
@@ -223,3 +228,88 @@
 	cr_expect(roster_command_holds(roster, "m-0", now_us));
 	cr_expect_not(roster_command_holds(roster, "m-1", now_us));
 }
+
+static void
+command_result(const char *machine, enum roster_command_result result)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_COMMAND_RESULT};
+
+	snprintf(ev.u.command_result.machine, NAME_BYTES, "%s", machine);
+	ev.u.command_result.result = result;
+	event(&ev);
+}
+
+struct cordon_count {
+	int held; /* get no new tasks */
+	int removed;
+};
+
+static void
+count_cordon(void *arg, const char *worker, enum cordon_kind kind)
+{
+	struct cordon_count *n = arg;
+
+	(void)worker;
+	n->held += kind == CORDON_NO_NEW_TASKS;
+	n->removed += kind == CORDON_MACHINE_REMOVED;
+}
+
+static struct cordon_count
+blue_cordons(void)
+{
+	struct cordon_count n = {.held = 0};
+
+	roster_each_cordon(roster, "blue", count_cordon, &n);
+	return n;
+}
+
+/* Sends the move of one machine from blue to green; returns its number. */
+static int
+send_move(void)
+{
+	int i;
+
+	report_now("blue", 0, false);
+	report_now("green", 1, false);
+	tick();
+	now_us += TICK_US;
+	report_now("blue", 0, true);
+	tick();
+	cr_assert_eq(commands, 1);
+	for (i = 0; i < BLUE && strcmp(commanded, machines[i].machine) != 0;)
+		i++;
+	cr_assert_lt(i, BLUE);
+	return i;
+}
+
+Test(old_news, a_move_without_an_answer_keeps_its_cordon)
+{
+	int i;
+
+	send_move();
+	now_us += US_PER_S; /* timeout of the call; the owner is out of reach */
+	command_result(commanded, ROSTER_COMMAND_UNKNOWN);
+	for (i = 0; i < 25; i++) {
+		now_us += TICK_US;
+		tick();
+		cr_expect_eq(blue_cordons().held, 1, "after %d ms",
+		    (i + 1) * (int)(TICK_US / US_PER_MS));
+	}
+	now_us += 4 * US_PER_S;
+	tick();
+	cr_expect_eq(blue_cordons().held, 0);
+}
+
+Test(old_news, a_move_without_an_answer_is_known_once_its_machine_moves)
+{
+	int i = send_move();
+
+	command_result(commanded, ROSTER_COMMAND_UNKNOWN);
+	machines[i].state = MACHINE_MOVING;
+	machines[i].worker[0] = '\0';
+	now_us += TICK_US;
+	list_machines();
+	tick();
+	cr_expect_eq(blue_cordons().held, 0);
+	cr_expect_eq(blue_cordons().removed, 1);
+}
