shards, controller: events carry the boot clock

What callers saw: after a machine of ours had been suspended for seconds, orders that rested on reports, tickets and cordons of before the suspension.

Cause: the monotonic clock does not count a suspension, and the events of the pools and of the roster were stamped with it. After 2.9 s of suspension a report on a pool still counted as 0.2 s old, so that the controller sent a move or a maintenance at once while the owner's cordon (2 s) had ended; an owner granted leases by a worker's clock that it took for 2.9 s earlier than it was, and used tickets that had run out.

The loop's timers and the lag of its ticks stay on the monotonic clock. A suspension is for the reducers what a stopped process (SIGSTOP) was before.

Unchanged, on the monotonic clock: the writers' windows, the store's health, breakers, callers' deadlines, the pace of joins and candidacy.

Evidence: test a_cordon_ends_while_its_owner_is_suspended runs a shard under a boot clock that is set forward by 2.5 s; before: "!(cordoned()) is false". The controller's stamps have no such test; the roster's tests show what it does with the ages.

--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -104,7 +104,7 @@
 		return NULL;
 	c->controller = ctl;
 	snprintf(c->subject, sizeof(c->subject), "%s", subject);
-	c->sent_us = sched_monotonic_us();
+	c->sent_us = sched_boottime_us();
 	LIST_INSERT_HEAD(&ctl->calls, c, entries);
 	return c;
 }
@@ -286,7 +286,7 @@
 	journal_time(ctl, key);
 	p->effect = *x;
 	p->serial = ctl->journal_serial;
-	p->recorded_us = sched_monotonic_us();
+	p->recorded_us = sched_boottime_us();
 	STAILQ_INSERT_TAIL(&ctl->pending, p, entries);
 }
 
@@ -349,7 +349,7 @@
 
 	if (ctl->roster == NULL || controller_expired(ctl))
 		return;
-	ev->now_us = sched_monotonic_us();
+	ev->now_us = sched_boottime_us();
 	fx = ctl->effects;
 	memset(&ctl->effects, 0, sizeof(ctl->effects));
 	roster_step(ctl->roster, ev, &fx);
@@ -442,7 +442,7 @@
 	struct cordon_request r;
 	struct pool_report report;
 	struct endpoint to;
-	int64_t sent_us = sched_monotonic_us();
+	int64_t sent_us = sched_boottime_us();
 	int within_ms;
 	bool self;
 
@@ -552,7 +552,7 @@
 send_recorded_command(struct controller *ctl, const struct pending_command *p)
 {
 	struct roster_event ev = {.kind = ROSTER_EVENT_COMMAND_RESULT};
-	int64_t now_us = sched_monotonic_us();
+	int64_t now_us = sched_boottime_us();
 
 	if (roster_command_holds(ctl->roster, p->effect.machine, now_us)) {
 		send_command(ctl, &p->effect);
@@ -626,7 +626,7 @@
 	struct controller *ctl = arg;
 	const struct platform_settings *settings = &ctl->scheduler->settings;
 	struct roster_opts o = {
-	    .now_us = sched_monotonic_us(),
+	    .now_us = sched_boottime_us(),
 	    .command_holdoff_ms =
 		settings->controller_lease_ms + HANDOVER_MARGIN_MS,
 	    .maintenance_ms = settings->maintenance_ms,
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -63,8 +63,13 @@
 	struct scheduler_counters counters;
 };
 
-int64_t sched_monotonic_us(void); /* does not advance while suspended */
-int64_t sched_boottime_us(void); /* includes time spent suspended */
+/* Does not advance while suspended: for what the loop's timers measure. */
+int64_t sched_monotonic_us(void);
+/*
+ * Includes time spent suspended: for the ages of what others have reported and
+ * for their deadlines, so also for the events of the pools and the roster.
+ */
+int64_t sched_boottime_us(void);
 int64_t sched_unix_ms(void); /* wall clock */
 
 /* Runs the daemon until a stop requested by SIGTERM or SIGINT is complete. */
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -24,7 +24,7 @@
 	struct task_name
 	    task; /* POOL_QUERY_POLICY: its step; POOL_RENEW: unused */
 	int64_t run;
-	int64_t sent_us; /* monotonic */
+	int64_t sent_us; /* boot clock */
 	struct http_call *call;
 	LIST_ENTRY(shard_command) entries;
 };
@@ -207,7 +207,7 @@
 	if (req->worker != NULL)
 		headers_add(
 		    &headers, WORKER_HEADER_TARGET_INSTANCE, req->worker->id);
-	cmd->sent_us = sched_monotonic_us();
+	cmd->sent_us = sched_boottime_us();
 	sh->scheduler->counters.worker_commands++;
 	LIST_INSERT_HEAD(&sh->commands, cmd, entries);
 	cmd->call = req->body != NULL ? http_call_start(&c, NULL) : NULL;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -208,7 +208,7 @@
 	const struct platform_settings *settings = &sh->scheduler->settings;
 	struct pool_opts o = {
 	    .fence = sh->fence,
-	    .now_us = sched_monotonic_us(),
+	    .now_us = sched_boottime_us(),
 	    .now_ms = sched_unix_ms(),
 	    .lease_ms = TASK_LEASE_MS < settings->lease_max_ms
 		? TASK_LEASE_MS
@@ -272,7 +272,7 @@
 	    "took_ms=%lld entries_known=%d",
 	    sh->pool_name, (long long)sh->fence, HASH_COUNT(t->jobs),
 	    HASH_COUNT(t->workers),
-	    (long long)((sched_monotonic_us() - sh->takeover_start_us) /
+	    (long long)((sched_boottime_us() - sh->takeover_start_us) /
 		US_PER_MS),
 	    store_watch_workers_loaded(sh->scheduler->watcher));
 	takeover_cancel(sh);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -117,7 +117,7 @@
 schedule_tick(struct shard *sh)
 {
 	int64_t us =
-	    sh->term_ended ? 1 : pool_next_us(sh->pool) - sched_monotonic_us();
+	    sh->term_ended ? 1 : pool_next_us(sh->pool) - sched_boottime_us();
 
 	if (us < 1)
 		us = 1;
@@ -141,11 +141,10 @@
 		schedule_tick(sh);
 		return;
 	}
-	ev->now_us = sched_monotonic_us();
+	ev->now_us = sched_boottime_us();
 	ev->now_ms = sched_unix_ms();
 	ev->loop_lag_us = sh->lag_us;
-	ev->ownership_confirmed_us =
-	    ev->now_us - (sched_boottime_us() - sh->confirmed_boot_us);
+	ev->ownership_confirmed_us = sh->confirmed_boot_us;
 	ev->entries_read_us =
 	    ev->now_us - store_watch_workers_age_us(sh->scheduler->watcher);
 	ev->workers_guarded =
@@ -294,7 +293,7 @@
 	snprintf(sh->pool_name, sizeof(sh->pool_name), "%s", pool);
 	store_jobs_topic(sh->topic, sizeof(sh->topic), pool);
 	sh->confirmed_boot_us = join_sent_boot_us;
-	sh->takeover_start_us = sched_monotonic_us();
+	sh->takeover_start_us = sched_boottime_us();
 	LIST_INIT(&sh->commands);
 	if (takeover_start(sh) == -1) {
 		free(sh);
--- /dev/null
+++ b/tests/unit/test_suspension.c
@@ -0,0 +1,141 @@
+/* The daemon's process is suspended: the monotonic clock stands still. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+#include "http_context.h"
+#include "shard.h"
+#include "store_watch.h"
+
+#define SUSPENDED_MS 2500 /* the ownership is still confirmed after that */
+
+static int64_t suspended_us;
+static struct scheduler scheduler;
+static struct shard *shard;
+static struct worker_report entry = {
+    .id = "w-1",
+    .started_ms = 1,
+    .pool = "blue",
+    .addr = "127.0.0.1",
+    .port = 1,
+    .cpu_milli = 8000,
+    .memory_mb = 8000,
+};
+
+/* Replaces the C library's function in this program. */
+int
+clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int ret = (int)syscall(SYS_clock_gettime, id, ts);
+
+	if (id == CLOCK_BOOTTIME) {
+		ts->tv_sec += suspended_us / US_PER_S;
+		ts->tv_nsec += suspended_us % US_PER_S * 1000;
+		ts->tv_sec += ts->tv_nsec / 1000000000;
+		ts->tv_nsec %= 1000000000;
+	}
+	return ret;
+}
+
+static void
+ignore_stored(void *arg, uint64_t serial)
+{
+	(void)arg;
+	(void)serial;
+}
+
+static void
+ignore_fenced(void *arg, const char *why)
+{
+	(void)arg;
+	(void)why;
+}
+
+/* An owned pool with one worker. */
+static void
+setup(void)
+{
+	static const struct http_context_opts service = {
+	    .header_pool_size = 4, .ipv4_only = true};
+	struct pool_opts pool_opts = {.name = "blue",
+	    .fence = 1,
+	    .now_us = sched_boottime_us(),
+	    .now_ms = sched_unix_ms(),
+	    .lease_ms = 4000};
+	struct store_writer_opts writer_opts = {
+	    .scheduler = &scheduler,
+	    .topic = "jobs",
+	    .epoch = 1,
+	    .epoch_established = true,
+	    .on_stored = ignore_stored,
+	    .on_fenced = ignore_fenced,
+	};
+	struct pool_event ev = {.kind = POOL_LOADED};
+	struct renewal_report answer = {.clock_ms = 1000};
+
+	lws_set_log_level(0, NULL);
+	scheduler.context = http_context_new(&service);
+	cr_assert_not_null(scheduler.context);
+	http_context_add_client_vhost(scheduler.context, &service);
+	scheduler.http_connections = http_pool_new(1000);
+	snprintf(
+	    scheduler.settings.store_endpoint.addr, ADDR_BYTES, "127.0.0.1");
+	scheduler.settings.store_endpoint.port = 1;
+	store_health_init(&scheduler.store_state, sched_monotonic_us());
+	scheduler.shards = shards_new(&scheduler);
+	scheduler.watcher = store_watch_new(&scheduler);
+	shard = calloc(1, sizeof(*shard));
+	cr_assert_not_null(shard);
+	shard->all = scheduler.shards;
+	shard->scheduler = &scheduler;
+	snprintf(shard->pool_name, sizeof(shard->pool_name), "blue");
+	shard->state = SHARD_OWNING;
+	shard->fence = 1;
+	shard->confirmed_boot_us = sched_boottime_us();
+	LIST_INIT(&shard->commands);
+	shard->writer = store_writer_new(&writer_opts);
+	shard->pool = pool_new(&pool_opts);
+	cr_assert_not_null(shard->pool);
+	shard_handle_event(shard, &ev);
+	ev.kind = POOL_WORKER_ENTRY;
+	ev.u.worker.report = &entry;
+	shard_handle_event(shard, &ev);
+	ev.kind = POOL_RENEWAL_DONE;
+	snprintf(ev.u.renewal.worker, NAME_BYTES, "w-1");
+	ev.u.renewal.result = COMMAND_ACCEPTED;
+	ev.u.renewal.report = &answer;
+	shard_handle_event(shard, &ev);
+}
+
+static void
+find_cordon(void *arg, const struct pool_worker_view *v)
+{
+	*(bool *)arg = v->cordoned;
+}
+
+static bool
+cordoned(void)
+{
+	bool found = false;
+
+	pool_each_worker(shard->pool, find_cordon, &found);
+	return found;
+}
+
+Test(suspension, a_cordon_ends_while_its_owner_is_suspended, .init = setup)
+{
+	struct pool_event ev = {.kind = POOL_CORDON};
+
+	snprintf(ev.u.cordon.id, NAME_BYTES, "w-1");
+	shard_handle_event(shard, &ev);
+	cr_assert(cordoned());
+	suspended_us += SUSPENDED_MS * US_PER_MS;
+	ev.kind = POOL_TICK;
+	shard_handle_event(shard, &ev);
+	cr_assert_not(shard->term_ended);
+	cr_expect_not(cordoned());
+}
