roster: list a machine anew before an order after another controller's

Cause: for 4.3 s after a predecessor's order the controller leaves the machine alone; then it acted on a list that it had requested before that (up to 4 s old, more while the platform is slow). A machine that this list shows in the spare pool may have been moved to another pool by the predecessor's order and run tasks there: it counts as switched off, and was moved without a look at its worker.

Now such a machine gets an order only after a list that was requested when the hold-off had ended; the list is requested soon then.

Evidence: test a_machine_ordered_by_another_is_listed_again_before_an_order; before: "(commands) == (0) is false".

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -145,6 +145,12 @@
 	return false;
 }
 
+bool
+machine_list_is_current(const struct roster *r, const struct machine *m)
+{
+	return r->listed_us >= m->holdoff_until_us;
+}
+
 bool
 machine_idle(const struct roster *r, const struct machine *m)
 {
@@ -285,7 +291,8 @@
 			return; /* added with the next list */
 		m->report = *report;
 		m->worker_listed_us = r->now_us;
-		m->command_not_before_us = holdoff_until_us(r, report->machine);
+		m->holdoff_until_us = holdoff_until_us(r, report->machine);
+		m->command_not_before_us = m->holdoff_until_us;
 		HASH_ADD(hh, r->machines, report.machine,
 		    strlen(m->report.machine), m);
 	}
@@ -311,6 +318,7 @@
 	r->list_in_flight = false;
 	if (ev->u.machine_list.list == NULL)
 		return;
+	r->listed_us = r->list_requested_us;
 	r->list_round++;
 	r->list_received = true;
 	for (i = 0; i < ev->u.machine_list.count; i++)
@@ -466,7 +474,8 @@
 static bool
 command_is_safe(const struct roster *r, const struct machine *m)
 {
-	return m->report.state == MACHINE_UP && machine_drained(r, m);
+	return m->report.state == MACHINE_UP && machine_list_is_current(r, m) &&
+	    machine_drained(r, m);
 }
 
 bool
@@ -512,7 +521,9 @@
 	for (m = r->machines; m != NULL; m = m->hh.next) {
 		if ((m->command != MACHINE_COMMAND_NONE &&
 			m->phase == COMMAND_PHASE_EXECUTING) ||
-		    m->report.state != MACHINE_UP)
+		    m->report.state != MACHINE_UP ||
+		    (r->now_us >= m->holdoff_until_us &&
+			!machine_list_is_current(r, m)))
 			interval_ms = MACHINE_LIST_BUSY_INTERVAL_MS;
 	}
 	if (r->list_in_flight &&
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -203,7 +203,8 @@
 {
 	return m->command == MACHINE_COMMAND_NONE &&
 	    m->report.state == MACHINE_UP &&
-	    r->now_us >= m->command_not_before_us && machine_idle(r, m);
+	    r->now_us >= m->command_not_before_us &&
+	    machine_list_is_current(r, m) && machine_idle(r, m);
 }
 
 static void
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -38,6 +38,11 @@
 	int64_t wave_number; /* MACHINE_COMMAND_MAINTENANCE */
 	int64_t phase_since_us;
 	int64_t command_not_before_us; /* no command is sent earlier */
+	/*
+	 * A predecessor's command may be carried out until then: only a list
+	 * that was requested later shows the machine's state.  0: none.
+	 */
+	int64_t holdoff_until_us;
 	/*
 	 * When the newest command that may yet be carried out got no answer; 0:
 	 * there is none.
@@ -130,6 +135,7 @@
 	int64_t pools_logged_us;
 	int64_t withheld_logged_us;
 	int64_t list_requested_us;
+	int64_t listed_us; /* when the newest list received was requested */
 	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
 	LIST_HEAD(wave_list, wave) waves;
@@ -145,6 +151,8 @@
 struct machine *roster_find_machine(struct roster *r, const char *name);
 /* Its worker runs no tasks and is cordoned, or the machine is off. */
 bool machine_drained(const struct roster *r, const struct machine *m);
+/* The newest list shows the effect of any command of a predecessor. */
+bool machine_list_is_current(const struct roster *r, const struct machine *m);
 /* Its worker ran no tasks at the last report, or the machine is off. */
 bool machine_idle(const struct roster *r, const struct machine *m);
 /* Assigns a command, which begins with COMMAND_PHASE_CORDON. */
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -12,9 +12,11 @@
 
 static struct roster *roster;
 static int64_t now_us;
-#define BLUE 4 /* machines of the pool blue; one more is in green */
+#define BLUE 4 /* machines of the pool blue */
+#define GREEN 1 /* machines of the pool green */
 
-static struct machine_report machines[BLUE + 1];
+static struct machine_report machines[BLUE + GREEN + 1];
+static size_t machine_count;
 static int commands; /* sent */
 static char commanded[NAME_BYTES]; /* machine of the newest */
 
@@ -51,7 +53,7 @@
 	struct roster_event ev = {.kind = ROSTER_EVENT_MACHINE_LIST};
 
 	ev.u.machine_list.list = machines;
-	ev.u.machine_list.count = sizeof(machines) / sizeof(machines[0]);
+	ev.u.machine_list.count = machine_count;
 	event(&ev);
 }
 
@@ -93,6 +95,7 @@
 	for (i = 0; i < BLUE; i++)
 		add_machine(i, "blue");
 	add_machine(BLUE, "green");
+	machine_count = BLUE + GREEN;
 	list_machines();
 }
 
@@ -115,7 +118,7 @@
 static void
 report(const char *pool_name, const struct worker_state *state)
 {
-	struct pool_worker_report list[BLUE + 1];
+	struct pool_worker_report list[BLUE + GREEN];
 	struct pool_report r = {.fence = state->fence,
 	    .request_sent_us = state->request_sent_us,
 	    .demand = {.coverage = DEMAND_COMPLETE},
@@ -125,7 +128,7 @@
 
 	memset(list, 0, sizeof(list));
 	snprintf(r.pool, sizeof(r.pool), "%s", pool_name);
-	for (i = 0; i < BLUE + 1; i++) {
+	for (i = 0; i < BLUE + GREEN; i++) {
 		if (strcmp(machines[i].pool, pool_name) != 0)
 			continue;
 		snprintf(list[r.worker_count].worker, NAME_BYTES, "%s",
@@ -313,3 +316,41 @@
 	cr_expect_eq(blue_cordons().held, 0);
 	cr_expect_eq(blue_cordons().removed, 1);
 }
+
+/* Another controller sent an order for "m-5", which is off. */
+static void
+add_ordered_spare_machine(int64_t ago_ms)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_PAST_COMMAND};
+
+	snprintf(ev.u.past_command.machine, NAME_BYTES, "m-%d", BLUE + GREEN);
+	ev.u.past_command.ago_ms = ago_ms;
+	event(&ev);
+	add_machine(BLUE + GREEN, "spare");
+	machine_count = BLUE + GREEN + 1;
+	list_machines();
+}
+
+static void
+tick_green(int ms)
+{
+	int64_t until_us = now_us + ms * US_PER_MS;
+
+	while (now_us < until_us) {
+		now_us += TICK_US;
+		report_now("green", 1, false);
+		tick();
+	}
+}
+
+/* The other controller's order may have been carried out since the list. */
+Test(old_news, a_machine_ordered_by_another_is_listed_again_before_an_order)
+{
+	add_ordered_spare_machine(500);
+	tick_green(HOLDOFF_MS + 1000);
+	cr_expect_eq(commands, 0);
+	list_machines();
+	tick_green(400);
+	cr_expect_eq(commands, 1);
+	cr_expect_str_eq(commanded, "m-5");
+}
