scheduler: requests do not hide the lag of the event loop

What callers saw: an owner in its queue's turn took hand-ins until leases of its tasks ran out; it never refused one with why=lag.

Cause: the lag was how late a pool's tick came, but every event of the pool puts the tick off and sets its due time anew. With requests in each pass of the loop the tick was due just after the pass's last event: a loop whose passes take half a second measured no lag, and the limit of 300 ms was never reached. A lag once measured stayed in force until the next tick that nothing put off.

Now a timer of its own, every 50 ms, measures the loop's lag for all pools (mimosalead_pool_loop_lag_us shows it, as before).

--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -187,6 +187,7 @@
 	    http_context_add_client_vhost(s->context, &service) == -1)
 		return err_set(e, ERR_IO, 0, "give the daemon more memory",
 		    "cannot create a libwebsockets context");
+	loop_lag_start(&s->loop_lag, s->context);
 	s->http_connections = http_pool_new(IDLE_CONNECTION_MS);
 	s->shards = shards_new(s);
 	s->controller = controller_new(s);
@@ -208,6 +209,7 @@
 close_modules(struct scheduler *s)
 {
 	lws_sul_cancel(&loop.tick);
+	loop_lag_stop(&s->loop_lag);
 	controller_free(s->controller);
 	shards_free(s->shards);
 	job_frontend_cancel_requests(s->frontend);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -16,6 +16,7 @@
 #include "daemon_log.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "loop_lag.h"
 #include "reachability.h"
 #include "repeat_timer.h"
 #include "store_health.h"
@@ -46,6 +47,7 @@
 	struct platform_settings settings;
 	char settings_path[256];
 	struct lws_context *context;
+	struct loop_lag loop_lag;
 	struct http_pool *http_connections; /* idle, shared by all calls */
 	struct config *config; /* NULL until the first one is read */
 	struct store_watch *watcher;
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -69,8 +69,6 @@
 	LIST_HEAD(shard_commands, shard_command) commands; /* in flight */
 	struct machine_list_reader *liveness_check; /* NULL none in flight */
 	lws_sorted_usec_list_t tick_sul;
-	int64_t tick_due_us; /* monotonic, as the loop's timers */
-	int64_t lag_us; /* moving average of the delay of ticks */
 	LIST_ENTRY(shard) entries;
 };
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -14,7 +14,6 @@
 /* Jobs are refused once a write has waited this long for the store. */
 #define STORE_STALL_LIMIT_MS 400
 #define STORE_STALL_RETRY_MS 1000 /* delay given to refused callers */
-#define LAG_EWMA_DIVISOR 4 /* the newest tick has a weight of 1/4 */
 /* Upper bound of what a job's record holds besides the caller's text. */
 #define JOB_RECORD_OVERHEAD_BYTES 1024
 
@@ -108,8 +107,6 @@
 		shard_release(sh, "fenced");
 		return;
 	}
-	sh->lag_us += (sched_monotonic_us() - sh->tick_due_us - sh->lag_us) /
-	    LAG_EWMA_DIVISOR;
 	shard_handle_event(sh, &ev);
 }
 
@@ -121,7 +118,6 @@
 
 	if (us < 1)
 		us = 1;
-	sh->tick_due_us = sched_monotonic_us() + us;
 	lws_sul_schedule(sh->scheduler->context, 0, &sh->tick_sul, on_tick, us);
 }
 
@@ -143,7 +139,7 @@
 	}
 	ev->now_us = sched_boottime_us();
 	ev->now_ms = sched_unix_ms();
-	ev->loop_lag_us = sh->lag_us;
+	ev->loop_lag_us = sh->scheduler->loop_lag.lag_us;
 	ev->ownership_confirmed_us = sh->confirmed_boot_us;
 	ev->entries_read_us =
 	    ev->now_us - store_watch_workers_age_us(sh->scheduler->watcher);
@@ -617,7 +613,8 @@
 		    (int64_t)st.jobs_waiting);
 		metric_gauge(out, "pool_tasks_placed", NULL, labels,
 		    (int64_t)st.tasks_placed);
-		metric_gauge(out, "pool_loop_lag_us", NULL, labels, sh->lag_us);
+		metric_gauge(out, "pool_loop_lag_us", NULL, labels,
+		    all->scheduler->loop_lag.lag_us);
 		metric_gauge(
 		    out, "pool_workers", NULL, labels, (int64_t)st.workers);
 		metric_gauge(out, "pool_workers_held", NULL, labels,
--- a/tests/unit/test_suspension.c
+++ b/tests/unit/test_shard.c
@@ -1,4 +1,4 @@
-/* The daemon's process is suspended: the monotonic clock stands still. */
+/* One owned pool in an event loop, without a network. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/syscall.h>
@@ -8,10 +8,17 @@
 #include <criterion/criterion.h>
 
 #include "http_context.h"
+#include "pool_state.h"
 #include "shard.h"
 #include "store_watch.h"
 
-#define SUSPENDED_MS 2500 /* the ownership is still confirmed after that */
+/*
+ * Shorter than the ownership is confirmed for; the monotonic clock stands still
+ * meanwhile.
+ */
+#define SUSPENDED_MS 2500
+#define REQUEST_MS 5 /* processing of one request */
+#define REQUESTS_PER_PASS 100 /* of the event loop */
 
 static int64_t suspended_us;
 static struct scheduler scheduler;
@@ -81,6 +88,7 @@
 	scheduler.context = http_context_new(&service);
 	cr_assert_not_null(scheduler.context);
 	http_context_add_client_vhost(scheduler.context, &service);
+	loop_lag_start(&scheduler.loop_lag, scheduler.context);
 	scheduler.http_connections = http_pool_new(1000);
 	snprintf(
 	    scheduler.settings.store_endpoint.addr, ADDR_BYTES, "127.0.0.1");
@@ -126,7 +134,7 @@
 	return found;
 }
 
-Test(suspension, a_cordon_ends_while_its_owner_is_suspended, .init = setup)
+Test(shard, a_cordon_ends_while_its_owner_is_suspended, .init = setup)
 {
 	struct pool_event ev = {.kind = POOL_CORDON};
 
@@ -139,3 +147,19 @@
 	cr_assert_not(shard->term_ended);
 	cr_expect_not(cordoned());
 }
+
+/* Each request puts the pool's tick off. */
+Test(shard, a_loop_that_requests_keep_busy_counts_as_late, .init = setup)
+{
+	struct pool_event ev = {.kind = POOL_COUNT_WAITING};
+	int i;
+
+	for (i = 0; i < 6 * REQUESTS_PER_PASS; i++) {
+		usleep(REQUEST_MS * 1000);
+		shard_handle_event(shard, &ev);
+		if (i % REQUESTS_PER_PASS == 0)
+			lws_service(scheduler.context, -1);
+	}
+	cr_expect_geq(shard->pool->loop_lag_us, 300 * US_PER_MS, "%lld us",
+	    (long long)shard->pool->loop_lag_us);
+}
