http_client: an answer that a late loop has not read is no timeout

What callers saw: under a surge of hand-ins, leases of tasks lapsed with no disruption near, and tasks whose start had been answered counted as possibly running elsewhere.

Cause: the event loop runs timers before it reads sockets. In a pass that is longer than a call's timeout (0.4 s for a start, 0.6 s and more for a renewal), or after the process stood still, the call timed out although its answer was in the socket. The owner then took the worker for silent, and renewals to a silent worker grant no lease.

Now a call that was sent whole gets one more pass at its timeout, and further ones while bytes of the answer arrive. A call that was not sent whole still ends at once: it must not be sent later.

Evidence: test an_answer_that_a_late_loop_has_not_read_is_no_timeout; before: "== (HTTP_ANSWERED) is false".

--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -52,6 +52,8 @@
 	bool reset_on_abort;
 	bool retried;
 	bool done; /* outcome is final; on_done is scheduled */
+	bool overdue; /* the time is over; the last pass reads the answer */
+	bool received; /* bytes of the answer, since the call is overdue */
 	enum http_outcome outcome;
 	struct answer_reader *reader;
 	lws_sorted_usec_list_t timeout_timer;
@@ -273,6 +275,18 @@
 	struct http_call *call =
 	    lws_container_of(sul, struct http_call, timeout_timer);
 
+	/*
+	 * Timers run before sockets are read: in a loop that runs late, the
+	 * answer may have arrived in time.  The loop reads what there is first.
+	 */
+	if (call->written_bytes == call_bytes(call) &&
+	    (!call->overdue || call->received)) {
+		call->overdue = true;
+		call->received = false;
+		lws_sul_schedule(
+		    call->context, 0, &call->timeout_timer, call_timed_out, 1);
+		return;
+	}
 	call_complete(call, call->sent ? HTTP_TIMED_OUT : HTTP_UNSENT);
 }
 
@@ -283,6 +297,7 @@
 
 	if (call == NULL) /* bytes that belong to no request */
 		return;
+	call->received = true;
 	switch (answer_reader_feed(call->reader, data, len)) {
 	case ANSWER_PARTIAL:
 		break;
--- a/tests/unit/test_shell_http.c
+++ b/tests/unit/test_shell_http.c
@@ -13,11 +13,13 @@
 #include <criterion/criterion.h>
 
 #include "http_client.h"
+#include "http_context.h"
 
 #define UPLOAD_BYTES (8 * 1024 * 1024) /* more than sockets buffer */
 #define CALL_TIMEOUT_MS 5000
 #define STALL_TIMEOUT_MS 300
 #define ORDER_BYTES 12000 /* in one write; more than a narrow peer takes */
+#define LATE_BYTES 100000 /* several reads of the event loop */
 #define NARROW_BYTES 2048 /* receive buffer of a narrow peer */
 
 struct server {
@@ -221,6 +223,78 @@
 	    end_of(CHUNKED_HEAD "5\r\nhello\r\n", true), HTTP_TIMED_OUT);
 }
 
+struct late_call {
+	struct lws_context *context;
+	bool sent;
+	bool done;
+	enum http_outcome outcome;
+};
+
+static void
+late_call_sent(void *arg)
+{
+	((struct late_call *)arg)->sent = true;
+}
+
+static void
+late_call_done(void *arg, enum http_outcome outcome, struct answer *answer)
+{
+	struct late_call *c = arg;
+
+	(void)answer;
+	c->done = true;
+	c->outcome = outcome;
+	lws_cancel_service(c->context); /* timers run before the loop polls */
+}
+
+/* The outcome where the event loop stands still from the send to the limit. */
+static enum http_outcome
+outcome_in_late_loop(const char *text, size_t len, bool stall)
+{
+	static const struct http_context_opts service = {
+	    .header_pool_size = 4, .ipv4_only = true};
+	struct server s = server_start(text, len, len, stall);
+	struct late_call c = {.sent = false};
+	struct http_call_opts o = {.addr = "127.0.0.1",
+	    .port = s.port,
+	    .method = "GET",
+	    .path = "/",
+	    .timeout_ms = STALL_TIMEOUT_MS,
+	    .answer_body_max_bytes = LATE_BYTES,
+	    .on_sent = late_call_sent,
+	    .on_done = late_call_done,
+	    .arg = &c};
+
+	o.context = c.context = http_context_new(&service);
+	cr_assert_not_null(o.context);
+	cr_assert_eq(http_context_add_client_vhost(o.context, &service), 0);
+	cr_assert_not_null(http_call_start(&o, NULL));
+	while (!c.sent) {
+		lws_service(o.context, -1);
+		usleep(1000);
+	}
+	usleep(2 * STALL_TIMEOUT_MS * 1000);
+	while (!c.done)
+		lws_service(o.context, 0);
+	lws_context_destroy(o.context);
+	server_end(&s);
+	return c.outcome;
+}
+
+Test(shell_http, an_answer_that_a_late_loop_has_not_read_is_no_timeout)
+{
+	static char text[LATE_BYTES];
+	int n = snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", LATE_BYTES / 2);
+
+	memset(text + n, 'a', LATE_BYTES / 2);
+	cr_expect_eq(
+	    outcome_in_late_loop(text, (size_t)(n + LATE_BYTES / 2), true),
+	    HTTP_ANSWERED);
+	cr_expect_eq(
+	    outcome_in_late_loop(text, (size_t)n + 1, true), HTTP_TIMED_OUT);
+}
+
 enum arrival {
 	ARRIVED, /* all of the request, then an orderly end */
 	CUT_SHORT, /* an end before that */
