--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -18,6 +18,10 @@
 /* A move is dropped when it is not sent by then, as when its worker is busy. */
 #define MOVE_CORDON_TIMEOUT_MS 2500
 #define COMMAND_RETRY_MS 400
+/* Between two daemons' times of day, as after one of them was set. */
+#define CLOCK_DIFFERENCE_MAX_MS 10000
+/* A slow platform may carry out a command this long after it got no answer. */
+#define UNCONFIRMED_MAX_MS 8000
 /* Owners get notice of a removed worker until its entry has expired. */
 #define REMOVED_WORKER_NOTICE_MS 6000
 /* A wave marks its pending machines at each tick; a mark lasts five ticks. */
@@ -143,6 +147,12 @@
 	return false;
 }
 
+bool
+machine_list_is_current(const struct roster *r, const struct machine *m)
+{
+	return r->listed_us >= m->holdoff_until_us;
+}
+
 bool
 machine_idle(const struct roster *r, const struct machine *m)
 {
@@ -180,6 +190,7 @@
 	m->command = MACHINE_COMMAND_NONE;
 	m->to_pool[0] = '\0';
 	m->cordoned = false;
+	m->unconfirmed_us = 0;
 }
 
 /*
@@ -203,15 +214,60 @@
 		machine_clear_command(m);
 }
 
+static void
+command_accepted(struct roster *r, struct machine *m)
+{
+	roster_log(r,
+	    "msg=\"command accepted: machine %s\" machine=%s pool=%s to=%s "
+	    "wave=%lld unconfirmed=%d",
+	    m->command == MACHINE_COMMAND_MAINTENANCE ? "enters maintenance"
+						      : "moves",
+	    m->report.machine, m->report.pool, m->to_pool,
+	    (long long)m->wave_number, m->unconfirmed_us != 0);
+	if (m->command == MACHINE_COMMAND_MAINTENANCE)
+		roster_maintenance_started(r, m);
+	memcpy(m->from_pool, m->report.pool, NAME_BYTES);
+	memcpy(m->removed_worker, m->report.worker, NAME_BYTES);
+	m->removed_us = r->now_us;
+	m->unconfirmed_us = 0;
+	machine_set_phase(r, m, COMMAND_PHASE_EXECUTING);
+}
+
+/* The list shows the effect of a command that got no answer. */
+static bool
+list_confirms_command(
+    const struct machine *m, const struct machine_report *report)
+{
+	if (m->unconfirmed_us == 0 || m->phase != COMMAND_PHASE_CORDON)
+		return false;
+	switch (m->command) {
+	case MACHINE_COMMAND_MOVE:
+		return report->state == MACHINE_MOVING ||
+		    strcmp(report->pool, m->to_pool) == 0;
+	case MACHINE_COMMAND_MAINTENANCE:
+		return report->state == MACHINE_MAINTENANCE;
+	case MACHINE_COMMAND_NONE:
+		break;
+	}
+	return false;
+}
+
+/*
+ * The age of the command is by two daemons' time of day, which may differ.  The
+ * predecessor's term had ended when this one began, so that the hold-off is
+ * never longer than that of a command sent now.
+ */
 static void
 handle_past_command(struct roster *r, const struct roster_event *ev)
 {
-	int64_t remaining_ms =
-	    r->opts.command_holdoff_ms - ev->u.past_command.ago_ms;
+	int64_t remaining_ms = r->opts.command_holdoff_ms +
+	    CLOCK_DIFFERENCE_MAX_MS - ev->u.past_command.ago_ms;
 	struct command_holdoff *h;
 
 	if (remaining_ms <= 0)
 		return;
+	if (remaining_ms > r->opts.command_holdoff_ms)
+		remaining_ms = r->opts.command_holdoff_ms;
 	h = calloc(1, sizeof(*h));
 	if (h == NULL)
 		abort(); /* two controllers would command the machine in turn */
@@ -244,10 +300,13 @@
 			return; /* added with the next list */
 		m->report = *report;
 		m->worker_listed_us = r->now_us;
-		m->command_not_before_us = holdoff_until_us(r, report->machine);
+		m->holdoff_until_us = holdoff_until_us(r, report->machine);
+		m->command_not_before_us = m->holdoff_until_us;
 		HASH_ADD(hh, r->machines, report.machine,
 		    strlen(m->report.machine), m);
 	}
+	if (list_confirms_command(m, report))
+		command_accepted(r, m);
 	if (strcmp(m->report.worker, report->worker) != 0) {
 		m->last_report_us = 0;
 		m->worker_listed_us = r->now_us;
@@ -268,6 +327,7 @@
 	r->list_in_flight = false;
 	if (ev->u.machine_list.list == NULL)
 		return;
+	r->listed_us = r->list_requested_us;
 	r->list_round++;
 	r->list_received = true;
 	for (i = 0; i < ev->u.machine_list.count; i++)
@@ -312,6 +372,25 @@
 	return NULL;
 }
 
+/* Another owner with a higher fence has reported on the pool before. */
+static bool
+owner_is_replaced(struct roster *r, struct roster_pool *p, int64_t fence)
+{
+	/* an owner of the previous version does not report its fence */
+	if (fence == 0 || fence >= p->owner_fence) {
+		if (fence > p->owner_fence)
+			p->owner_fence = fence;
+		return false;
+	}
+	if (fence != p->ignored_fence)
+		roster_log(r,
+		    "msg=\"report of a pool's replaced owner is ignored\" "
+		    "pool=%s fence=%lld newest=%lld",
+		    p->name, (long long)fence, (long long)p->owner_fence);
+	p->ignored_fence = fence;
+	return true;
+}
+
 static void
 handle_pool_report(struct roster *r, const struct pool_report *report)
 {
@@ -319,15 +398,17 @@
 	struct machine *m;
 	size_t i;
 
-	if (p == NULL)
+	if (p == NULL || owner_is_replaced(r, p, report->fence) ||
+	    report->request_sent_us < p->last_report_us)
 		return;
 	p->demand = report->demand;
-	p->worker_list_us = r->now_us - report->worker_list_age_ms * US_PER_MS;
+	p->worker_list_us =
+	    report->request_sent_us - report->worker_list_age_ms * US_PER_MS;
 	if (report->worker_list_age_ms > WORKER_LIST_MAX_AGE_MS)
 		p->worker_list_fresh_since_us = 0;
 	else if (p->worker_list_fresh_since_us == 0)
-		p->worker_list_fresh_since_us = r->now_us;
-	p->last_report_us = r->now_us;
+		p->worker_list_fresh_since_us = report->request_sent_us;
+	p->last_report_us = report->request_sent_us;
 	for (i = 0; i < report->worker_count; i++) {
 		m = find_machine_of_worker(r, report->workers[i].worker);
 		if (m == NULL) {
@@ -337,7 +418,7 @@
 		m->task_count = report->workers[i].task_count;
 		m->long_running_count = report->workers[i].long_running_count;
 		m->cordoned = report->workers[i].cordoned;
-		m->last_report_us = r->now_us;
+		m->last_report_us = report->request_sent_us;
 	}
 }
 
@@ -353,20 +434,7 @@
 	m->command_not_before_us = r->now_us + COMMAND_RETRY_MS * US_PER_MS;
 	switch (ev->u.command_result.result) {
 	case ROSTER_COMMAND_DONE:
-		roster_log(r,
-		    "msg=\"command accepted: machine %s\" machine=%s pool=%s "
-		    "to=%s wave=%lld",
-		    m->command == MACHINE_COMMAND_MAINTENANCE
-			? "enters maintenance"
-			: "moves",
-		    m->report.machine, m->report.pool, m->to_pool,
-		    (long long)m->wave_number);
-		if (m->command == MACHINE_COMMAND_MAINTENANCE)
-			roster_maintenance_started(r, m);
-		memcpy(m->from_pool, m->report.pool, NAME_BYTES);
-		memcpy(m->removed_worker, m->report.worker, NAME_BYTES);
-		m->removed_us = r->now_us;
-		machine_set_phase(r, m, COMMAND_PHASE_EXECUTING);
+		command_accepted(r, m);
 		break;
 	case ROSTER_COMMAND_REJECTED:
 		roster_log(r,
@@ -377,9 +445,13 @@
 			roster_maintenance_started(r, m);
 		machine_clear_command(m);
 		break;
+	case ROSTER_COMMAND_UNKNOWN: /* sent again: commands are idempotent */
+		m->unconfirmed_us = r->now_us;
+		r->list_refresh_needed = true;
+		machine_set_phase(r, m, COMMAND_PHASE_CORDON);
+		break;
 	case ROSTER_COMMAND_BUSY:
 	case ROSTER_COMMAND_FENCED:
-	case ROSTER_COMMAND_UNKNOWN: /* sent again: commands are idempotent */
 		machine_set_phase(r, m, COMMAND_PHASE_CORDON);
 		break;
 	}
@@ -399,6 +471,32 @@
 	machine_set_phase(r, m, COMMAND_PHASE_SENT);
 }
 
+/* The platform may yet carry out a command that it did not answer. */
+static bool
+command_may_be_executed(const struct roster *r, const struct machine *m)
+{
+	return m->unconfirmed_us != 0 &&
+	    r->now_us - m->unconfirmed_us < UNCONFIRMED_MAX_MS * US_PER_MS;
+}
+
+/* The machine can carry a command out without ending a task. */
+static bool
+command_is_safe(const struct roster *r, const struct machine *m)
+{
+	return m->report.state == MACHINE_UP && machine_list_is_current(r, m) &&
+	    machine_drained(r, m);
+}
+
+bool
+roster_command_holds(struct roster *r, const char *machine, int64_t now_us)
+{
+	const struct machine *m = roster_find_machine(r, machine);
+
+	r->now_us = now_us;
+	return m != NULL && m->command != MACHINE_COMMAND_NONE &&
+	    m->phase == COMMAND_PHASE_SENT && command_is_safe(r, m);
+}
+
 static void
 run_commands(struct roster *r)
 {
@@ -410,12 +508,13 @@
 			continue;
 		if (m->command == MACHINE_COMMAND_MOVE &&
 		    r->now_us - m->phase_since_us >
-			MOVE_CORDON_TIMEOUT_MS * US_PER_MS) {
+			MOVE_CORDON_TIMEOUT_MS * US_PER_MS &&
+		    !command_may_be_executed(r, m)) {
 			machine_clear_command(m);
 			continue;
 		}
 		if (r->now_us >= m->command_not_before_us &&
-		    m->report.state == MACHINE_UP && machine_drained(r, m))
+		    command_is_safe(r, m))
 			send_command(r, m);
 	}
 }
@@ -431,7 +530,9 @@
 	for (m = r->machines; m != NULL; m = m->hh.next) {
 		if ((m->command != MACHINE_COMMAND_NONE &&
 			m->phase == COMMAND_PHASE_EXECUTING) ||
-		    m->report.state != MACHINE_UP)
+		    m->report.state != MACHINE_UP ||
+		    (r->now_us >= m->holdoff_until_us &&
+			!machine_list_is_current(r, m)))
 			interval_ms = MACHINE_LIST_BUSY_INTERVAL_MS;
 	}
 	if (r->list_in_flight &&
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -53,6 +53,12 @@
 /* Report of a pool's owner. */
 struct pool_report {
 	char pool[NAME_BYTES];
+	int64_t fence; /* of the owner's term; 0: not known */
+	/*
+	 * When the controller sent the request that the report answers, on the
+	 * clock of the roster's events: the report is not older.
+	 */
+	int64_t request_sent_us;
 	struct pool_demand demand;
 	int64_t worker_list_age_ms; /* since the owner read its worker list */
 	struct pool_worker_report *workers;
@@ -163,6 +169,13 @@
 void roster_step(
     struct roster *r, const struct roster_event *ev, struct roster_effects *fx);
 
+/*
+ * Whether a command that the roster has issued may still be sent: the machine's
+ * worker is cordoned and runs nothing by news that is fresh at "now_us".
+ */
+bool roster_command_holds(
+    struct roster *r, const char *machine, int64_t now_us);
+
 /* What the owner of a pool does with a worker. */
 enum cordon_kind {
 	CORDON_NO_NEW_TASKS,
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -194,7 +194,8 @@
 	const struct roster_pool *to = roster_find_pool(r, m->to_pool);
 
 	return m->command == MACHINE_COMMAND_MOVE &&
-	    m->phase == COMMAND_PHASE_CORDON && to != NULL && to->spare;
+	    m->phase == COMMAND_PHASE_CORDON && m->unconfirmed_us == 0 &&
+	    to != NULL && to->spare;
 }
 
 static bool
@@ -202,7 +203,8 @@
 {
 	return m->command == MACHINE_COMMAND_NONE &&
 	    m->report.state == MACHINE_UP &&
-	    r->now_us >= m->command_not_before_us && machine_idle(r, m);
+	    r->now_us >= m->command_not_before_us &&
+	    machine_list_is_current(r, m) && machine_idle(r, m);
 }
 
 static void
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -38,6 +38,16 @@
 	int64_t wave_number; /* MACHINE_COMMAND_MAINTENANCE */
 	int64_t phase_since_us;
 	int64_t command_not_before_us; /* no command is sent earlier */
+	/*
+	 * A predecessor's command may be carried out until then: only a list
+	 * that was requested later shows the machine's state.  0: none.
+	 */
+	int64_t holdoff_until_us;
+	/*
+	 * When the newest command that may yet be carried out got no answer; 0:
+	 * there is none.
+	 */
+	int64_t unconfirmed_us;
 	/* when an open wave last listed it as pending; 0: never */
 	int64_t maintenance_pending_us;
 	/* The next four are from the last report about its worker. */
@@ -78,6 +88,8 @@
 	bool spare; /* its machines are switched off */
 	struct pool_demand demand; /* DEMAND_UNKNOWN before the first report */
 	int64_t last_report_us; /* 0: never */
+	int64_t owner_fence; /* highest that was reported; 0: none */
+	int64_t ignored_fence; /* newest lower one, which was logged */
 	int64_t worker_list_us; /* when its owner last read the worker list */
 	/* the owner's worker list is current since then; 0: it is stale */
 	int64_t worker_list_fresh_since_us;
@@ -123,6 +135,7 @@
 	int64_t pools_logged_us;
 	int64_t withheld_logged_us;
 	int64_t list_requested_us;
+	int64_t listed_us; /* when the newest list received was requested */
 	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
 	LIST_HEAD(wave_list, wave) waves;
@@ -138,6 +151,8 @@
 struct machine *roster_find_machine(struct roster *r, const char *name);
 /* Its worker runs no tasks and is cordoned, or the machine is off. */
 bool machine_drained(const struct roster *r, const struct machine *m);
+/* The newest list shows the effect of any command of a predecessor. */
+bool machine_list_is_current(const struct roster *r, const struct machine *m);
 /* Its worker ran no tasks at the last report, or the machine is off. */
 bool machine_idle(const struct roster *r, const struct machine *m);
 /* Assigns a command, which begins with COMMAND_PHASE_CORDON. */
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -35,6 +35,7 @@
 	struct controller *controller;
 	struct http_call *call;
 	char subject[NAME_BYTES]; /* name of the machine or the pool */
+	int64_t sent_us;
 	LIST_ENTRY(controller_call) entries;
 };
 
@@ -85,6 +86,7 @@
 struct pending_command {
 	struct roster_effect effect;
 	uint64_t serial; /* of the journal entry */
+	int64_t recorded_us; /* when the entry was written */
 	STAILQ_ENTRY(pending_command) entries;
 };
 
@@ -102,6 +104,7 @@
 		return NULL;
 	c->controller = ctl;
 	snprintf(c->subject, sizeof(c->subject), "%s", subject);
+	c->sent_us = sched_boottime_us();
 	LIST_INSERT_HEAD(&ctl->calls, c, entries);
 	return c;
 }
@@ -283,6 +286,7 @@
 	journal_time(ctl, key);
 	p->effect = *x;
 	p->serial = ctl->journal_serial;
+	p->recorded_us = sched_boottime_us();
 	STAILQ_INSERT_TAIL(&ctl->pending, p, entries);
 }
 
@@ -345,7 +349,7 @@
 
 	if (ctl->roster == NULL || controller_expired(ctl))
 		return;
-	ev->now_us = sched_monotonic_us();
+	ev->now_us = sched_boottime_us();
 	fx = ctl->effects;
 	memset(&ctl->effects, 0, sizeof(ctl->effects));
 	roster_step(ctl->roster, ev, &fx);
@@ -370,6 +374,7 @@
 {
 	struct controller_call *c = arg;
 	struct controller *ctl = c->controller;
+	int64_t sent_us = c->sent_us;
 	struct pool_report r;
 	struct err e;
 
@@ -383,6 +388,7 @@
 		    e.message, e.remedy);
 		return;
 	}
+	r.request_sent_us = sent_us;
 	handle_report(ctl, &r);
 	pool_report_uninit(&r);
 }
@@ -436,6 +442,7 @@
 	struct cordon_request r;
 	struct pool_report report;
 	struct endpoint to;
+	int64_t sent_us = sched_boottime_us();
 	int within_ms;
 	bool self;
 
@@ -445,6 +452,7 @@
 	r.incoming_within_ms = (uint64_t)within_ms;
 	roster_each_cordon(ctl->roster, pool, add_cordon, &r);
 	if (shards_apply_cordons(s->shards, &r, &report) == 0) {
+		report.request_sent_us = sent_us;
 		handle_report(ctl, &report);
 		pool_report_uninit(&report);
 	} else if (membership_owner_of(s->membership, pool, &to, &self) &&
@@ -539,6 +547,29 @@
 	}
 }
 
+/* The entry may have been stored late: the worker may be in use by then. */
+static void
+send_recorded_command(struct controller *ctl, const struct pending_command *p)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_COMMAND_RESULT};
+	int64_t now_us = sched_boottime_us();
+
+	if (roster_command_holds(ctl->roster, p->effect.machine, now_us)) {
+		send_command(ctl, &p->effect);
+		return;
+	}
+	daemon_log(LOG_LEVEL_INFO, "duty",
+	    "msg=\"command for a machine is not sent: its worker may be in "
+	    "use\" machine=%s recorded_ms_ago=%lld fence=%lld",
+	    p->effect.machine,
+	    (long long)((now_us - p->recorded_us) / US_PER_MS),
+	    (long long)ctl->fence);
+	snprintf(
+	    ev.u.command_result.machine, NAME_BYTES, "%s", p->effect.machine);
+	ev.u.command_result.result = ROSTER_COMMAND_BUSY;
+	controller_handle_event(ctl, &ev);
+}
+
 static void
 on_journal_written(void *arg, uint64_t serial)
 {
@@ -549,7 +580,7 @@
 	    (p = STAILQ_FIRST(&ctl->pending)) != NULL && p->serial <= serial) {
 		STAILQ_REMOVE_HEAD(&ctl->pending, entries);
 		if (!controller_expired(ctl))
-			send_command(ctl, &p->effect);
+			send_recorded_command(ctl, p);
 		free(p);
 	}
 }
@@ -595,7 +626,7 @@
 	struct controller *ctl = arg;
 	const struct platform_settings *settings = &ctl->scheduler->settings;
 	struct roster_opts o = {
-	    .now_us = sched_monotonic_us(),
+	    .now_us = sched_boottime_us(),
 	    .command_holdoff_ms =
 		settings->controller_lease_ms + HANDOVER_MARGIN_MS,
 	    .maintenance_ms = settings->maintenance_ms,
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -16,6 +16,7 @@
 #include "daemon_log.h"
 #include "http_client.h"
 #include "http_listener.h"
+#include "loop_lag.h"
 #include "reachability.h"
 #include "repeat_timer.h"
 #include "store_health.h"
@@ -46,6 +47,7 @@
 	struct platform_settings settings;
 	char settings_path[256];
 	struct lws_context *context;
+	struct loop_lag loop_lag;
 	struct http_pool *http_connections; /* idle, shared by all calls */
 	struct config *config; /* NULL until the first one is read */
 	struct store_watch *watcher;
@@ -63,8 +65,13 @@
 	struct scheduler_counters counters;
 };
 
-int64_t sched_monotonic_us(void); /* does not advance while suspended */
-int64_t sched_boottime_us(void); /* includes time spent suspended */
+/* Does not advance while suspended: for what the loop's timers measure. */
+int64_t sched_monotonic_us(void);
+/*
+ * Includes time spent suspended: for the ages of what others have reported and
+ * for their deadlines, so also for the events of the pools and the roster.
+ */
+int64_t sched_boottime_us(void);
 int64_t sched_unix_ms(void); /* wall clock */
 
 /* Runs the daemon until a stop requested by SIGTERM or SIGINT is complete. */
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -14,7 +14,6 @@
 /* Jobs are refused once a write has waited this long for the store. */
 #define STORE_STALL_LIMIT_MS 400
 #define STORE_STALL_RETRY_MS 1000 /* delay given to refused callers */
-#define LAG_EWMA_DIVISOR 4 /* the newest tick has a weight of 1/4 */
 /* Upper bound of what a job's record holds besides the caller's text. */
 #define JOB_RECORD_OVERHEAD_BYTES 1024
 
@@ -108,8 +107,6 @@
 		shard_release(sh, "fenced");
 		return;
 	}
-	sh->lag_us += (sched_monotonic_us() - sh->tick_due_us - sh->lag_us) /
-	    LAG_EWMA_DIVISOR;
 	shard_handle_event(sh, &ev);
 }
 
@@ -117,11 +114,10 @@
 schedule_tick(struct shard *sh)
 {
 	int64_t us =
-	    sh->term_ended ? 1 : pool_next_us(sh->pool) - sched_monotonic_us();
+	    sh->term_ended ? 1 : pool_next_us(sh->pool) - sched_boottime_us();
 
 	if (us < 1)
 		us = 1;
-	sh->tick_due_us = sched_monotonic_us() + us;
 	lws_sul_schedule(sh->scheduler->context, 0, &sh->tick_sul, on_tick, us);
 }
 
@@ -141,11 +137,10 @@
 		schedule_tick(sh);
 		return;
 	}
-	ev->now_us = sched_monotonic_us();
+	ev->now_us = sched_boottime_us();
 	ev->now_ms = sched_unix_ms();
-	ev->loop_lag_us = sh->lag_us;
-	ev->ownership_confirmed_us =
-	    ev->now_us - (sched_boottime_us() - sh->confirmed_boot_us);
+	ev->loop_lag_us = sh->scheduler->loop_lag.lag_us;
+	ev->ownership_confirmed_us = sh->confirmed_boot_us;
 	ev->entries_read_us =
 	    ev->now_us - store_watch_workers_age_us(sh->scheduler->watcher);
 	ev->workers_guarded =
@@ -294,7 +289,7 @@
 	snprintf(sh->pool_name, sizeof(sh->pool_name), "%s", pool);
 	store_jobs_topic(sh->topic, sizeof(sh->topic), pool);
 	sh->confirmed_boot_us = join_sent_boot_us;
-	sh->takeover_start_us = sched_monotonic_us();
+	sh->takeover_start_us = sched_boottime_us();
 	LIST_INIT(&sh->commands);
 	if (takeover_start(sh) == -1) {
 		free(sh);
@@ -560,6 +555,7 @@
 	shard_handle_event(sh, &ev);
 	memset(report, 0, sizeof(*report));
 	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
+	report->fence = sh->fence;
 	pool_demand(sh->pool, &report->demand);
 	report->worker_list_age_ms =
 	    store_watch_workers_age_us(sh->scheduler->watcher) / US_PER_MS;
@@ -617,7 +613,8 @@
 		    (int64_t)st.jobs_waiting);
 		metric_gauge(out, "pool_tasks_placed", NULL, labels,
 		    (int64_t)st.tasks_placed);
-		metric_gauge(out, "pool_loop_lag_us", NULL, labels, sh->lag_us);
+		metric_gauge(out, "pool_loop_lag_us", NULL, labels,
+		    all->scheduler->loop_lag.lag_us);
 		metric_gauge(
 		    out, "pool_workers", NULL, labels, (int64_t)st.workers);
 		metric_gauge(out, "pool_workers_held", NULL, labels,
