jobs_world: judges orders and leases that make a step's tasks unavailable

The judge of the virtual-time world knew no rule on long-running tasks: an owner could end every task of a step, or let all leases lapse, and `every promise kept` was printed. The verdict over_unavailable counts a stop, or a lease that lapses while neither the worker's link nor orders were disturbed in the 9 s before, that ends a task at work on a worker that is not draining while max_unavailable others (1 if 0) of its step are away: ended by such an order and not at work since, or not at work for 4.5 s. Orders carried out late and jobs whose cancelling was sent are left out.

jobs_world_stall() lets the owner's loop stand still; it is not a disturbance, since it is the owner's own doing.

The log could not tell these causes apart, so the pool now logs - each order that ends a run of a long-running task: why, tasks away, the age of the oldest answer that this count relies on, ms left of the lease; - the first of several renewals that extend no lease: why, misses, lag; - the end of a long-running run by its lease: when it was last extended.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -35,13 +35,18 @@
 /* Capacity that has shrunk counts so long after. */
 #define CAPACITY_GRACE_MS (CONTACT_MS + HEARTBEAT_MS)
 #define ENTRY_EXPIRY_MS 4500 /* three heartbeats after a crash */
+/* A lasting task that is not at work for so long counts as away. */
+#define NOTICE_MS 4500
+/* A lease that lapses so long after a disturbance may be due to it. */
+#define DISTURBED_MS (CONTACT_MS + LEASE_MAX_MS)
 
 struct sim_run {
 	struct task_name task;
 	int64_t run;
 	int64_t cpu, memory_mb, accelerators;
 	int64_t begun_ms, ends_ms;
-	bool checkpoints, fills, gang;
+	bool checkpoints, fills, gang, lasting;
+	unsigned step_tasks, may_miss; /* of its step */
 	int64_t target_ms; /* of a task that serves; 0 none */
 	int pace; /* percent, of a task that fills */
 	bool fails;
@@ -70,6 +75,7 @@
 	char old_id[NAME_BYTES]; /* its entry … */
 	int64_t old_entry_end_ms; /* … expires then; 0: there is none */
 	int side; /* 1 and more: only this owner, from 1, reaches it; 0: all */
+	int64_t disturbed_ms; /* its link was, the last time; 0: never */
 	int64_t cpu, cpu_before; /* the latter until … */
 	int64_t cpu_changed_ms; /* … a grace after this */
 	int64_t fence, lease_end_ms;
@@ -86,6 +92,7 @@
 	int64_t fence;
 	bool alive;
 	int64_t cut_ms; /* from the store since; 0: it is not */
+	int64_t stalled_until_ms; /* its loop stands still; 0: it does not */
 	int64_t census_ms; /* the platform answers then; 0: not asked */
 	struct pool_effects fx;
 };
@@ -112,6 +119,7 @@
 	int64_t lease_end_ms, acked_end, asked_us, until_ms;
 	enum command_result end;
 	bool answer_lost;
+	bool held_up; /* carried out late */
 	bool has_report;
 	struct renewal_report report;
 	char key[JOB_KEY_BYTES];
@@ -134,6 +142,8 @@
 	bool deadly; /* crashes each worker that starts it */
 	int crashes, starts_after_crashes;
 	int lost_workers; /* that ended under a run of it, whatever the cause */
+	int64_t at_work_ms; /* a lasting task was, the last time; 0: never */
+	bool ended_by_order; /* and has not been at work since */
 	UT_hash_handle hh;
 };
 
@@ -142,6 +152,7 @@
 	struct job_spec *spec;
 	bool accepted;
 	int64_t first_ms, done_ms, cancel_ms;
+	int64_t cancel_sent_ms; /* 0: it was not cancelled */
 	bool deadly; /* one of its tasks is */
 	bool may_be_given_up; /* enough workers ended under one of its tasks */
 	UT_hash_handle hh;
@@ -159,6 +170,7 @@
 	int64_t entries_away_ms; /* no entry is read since; 0: they are */
 	bool census_unreadable;
 	int64_t step_ms; /* of owners' time of day */
+	int64_t orders_disturbed_ms; /* orders were lost or late; 0: never */
 	int refuse_ms;
 	struct stored *records;
 	LIST_HEAD(message_list, message) messages;
@@ -382,6 +394,69 @@
 	}
 }
 
+static int
+run_percent(const struct jobs_world *w, const struct sim_run *r)
+{
+	int64_t ran = w->ms - r->begun_ms, takes = r->ends_ms - r->begun_ms + 1;
+
+	if (r->ends_ms == INT64_MAX)
+		takes = w->opts.begin_ms;
+	return ran >= takes ? 100 : (int)(100 * ran / takes);
+}
+
+/* Other tasks of the step that an order ended, or not at work for NOTICE_MS. */
+static unsigned
+others_away(struct jobs_world *w, const struct sim_run *r)
+{
+	const struct known_job *j = known_job(w, r->task.job);
+	struct task_name n = r->task;
+	const struct known_task *t;
+	int64_t since_ms;
+	unsigned away = 0;
+
+	for (n.index = 0; n.index < r->step_tasks; n.index++) {
+		if (n.index == r->task.index)
+			continue;
+		t = known_task(w, &n);
+		since_ms = t->at_work_ms;
+		if (j != NULL && j->first_ms > since_ms)
+			since_ms = j->first_ms;
+		away += t->ended_by_order || w->ms - since_ms >= NOTICE_MS;
+	}
+	return away;
+}
+
+/* An order, or a lease that the owner let lapse, ends a run. */
+static void
+judge_order(struct jobs_world *w, const struct sim_worker *s,
+    const struct sim_run *r, const char *how)
+{
+	const struct known_job *j = known_job(w, r->task.job);
+	struct known_task *t;
+	unsigned away;
+
+	if (!r->lasting || run_percent(w, r) < 100 || s->draining ||
+	    (j != NULL && j->cancel_sent_ms != 0))
+		return;
+	t = known_task(w, &r->task);
+	away = others_away(w, r);
+	t->ended_by_order = true;
+	if (away >= (r->may_miss > 0 ? r->may_miss : 1))
+		blame(w, &w->verdict.over_unavailable,
+		    "%s is %s on %s while %u others are away", t->name, how,
+		    s->id, away);
+}
+
+static bool
+lease_disturbed(const struct jobs_world *w, const struct sim_worker *s)
+{
+	return s->cut || s->side > 0 || s->refuses || w->opts.lose > 0 ||
+	    w->opts.late > 0 ||
+	    (s->disturbed_ms != 0 && w->ms - s->disturbed_ms < DISTURBED_MS) ||
+	    (w->orders_disturbed_ms != 0 &&
+		w->ms - w->orders_disturbed_ms < DISTURBED_MS);
+}
+
 /* What the rules say of a start, from what all workers have seen. */
 static void
 judge_start(struct jobs_world *w, const struct message *m)
@@ -488,6 +563,9 @@
 	r->checkpoints = step->has_checkpoints;
 	r->fills = step->best_effort;
 	r->gang = step->gang;
+	r->lasting = step->long_running;
+	r->step_tasks = step->task_count;
+	r->may_miss = step->max_unavailable;
 	r->target_ms = step->tail_target_ms;
 	r->pace = 100;
 	r->begun_ms = w->ms;
@@ -514,8 +592,11 @@
 	struct sim_bar *b = bar_of(s, &m->task);
 
 	if (r != NULL && r->run == m->run) {
-		if (r->stop_ms == 0)
+		if (r->stop_ms == 0) {
+			if (!m->held_up)
+				judge_order(w, s, r, "stopped");
 			r->stop_ms = w->ms + STOP_MS;
+		}
 	} else if (m->run > b->run) {
 		b->run = m->run;
 	}
@@ -560,16 +641,6 @@
 	return serving->target_ms * parts / 200;
 }
 
-static int
-run_percent(const struct jobs_world *w, const struct sim_run *r)
-{
-	int64_t ran = w->ms - r->begun_ms, takes = r->ends_ms - r->begun_ms + 1;
-
-	if (r->ends_ms == INT64_MAX)
-		takes = w->opts.begin_ms;
-	return ran >= takes ? 100 : (int)(100 * ran / takes);
-}
-
 static void
 fill_report(
     struct jobs_world *w, struct sim_worker *s, struct renewal_report *r)
@@ -769,6 +840,26 @@
 	feed_worker(w, w->owner, i);
 }
 
+static void
+lease_lapses(struct jobs_world *w, struct sim_worker *s, struct sim_run *r)
+{
+	if (r->stop_ms == 0 && !lease_disturbed(w, s))
+		judge_order(w, s, r, "left to lapse");
+	end_run(w, s, r, RUN_LEASE_EXPIRED);
+}
+
+static void
+note_at_work(struct jobs_world *w, const struct sim_run *r)
+{
+	struct known_task *t;
+
+	if (!r->lasting || r->stop_ms != 0 || run_percent(w, r) < 100)
+		return;
+	t = known_task(w, &r->task);
+	t->at_work_ms = w->ms;
+	t->ended_by_order = false;
+}
+
 static void
 run_workers(struct jobs_world *w)
 {
@@ -789,12 +880,14 @@
 		for (r = LIST_FIRST(&s->runs); r != NULL; r = next) {
 			next = LIST_NEXT(r, entries);
 			if (clock_ms(w, s) > s->lease_end_ms)
-				end_run(w, s, r, RUN_LEASE_EXPIRED);
+				lease_lapses(w, s, r);
 			else if (r->stop_ms != 0 && w->ms >= r->stop_ms)
 				end_run(w, s, r, RUN_STOPPED);
 			else if (w->ms >= r->ends_ms)
 				end_run(
 				    w, s, r, r->fails ? RUN_FAILED : RUN_DONE);
+			else
+				note_at_work(w, r);
 		}
 	}
 }
@@ -833,7 +926,7 @@
 	if (chance(w) < w->opts.late) {
 		m->at_ms += LATE_MIN_MS +
 		    (int64_t)(chance(w) * (LATE_MAX_MS - LATE_MIN_MS));
-		m->answer_lost = true;
+		m->answer_lost = m->held_up = true;
 	} else if (chance(w) < w->opts.lose) {
 		m->answer_lost = true;
 	}
@@ -1253,6 +1346,23 @@
 	step(w, m->owner, &ev);
 }
 
+/* The message waits in the queue of an owner whose loop stands still. */
+static bool
+owner_stalled(const struct jobs_world *w, const struct message *m)
+{
+	switch (m->kind) {
+	case MESSAGE_START:
+	case MESSAGE_STOP:
+	case MESSAGE_HOLD:
+		return false;
+	case MESSAGE_ORDER_END:
+	case MESSAGE_HELD:
+	case MESSAGE_WRITE:
+		break;
+	}
+	return w->ms < w->owners[m->owner].stalled_until_ms;
+}
+
 /* Delivers what is due, in the order of time. */
 static void
 deliver(struct jobs_world *w)
@@ -1263,7 +1373,7 @@
 	for (;;) {
 		due = NULL;
 		LIST_FOREACH(m, &w->messages, entries) {
-			if (m->at_ms <= w->ms &&
+			if (m->at_ms <= w->ms && !owner_stalled(w, m) &&
 			    (due == NULL || m->at_ms <= due->at_ms))
 				due = m;
 		}
@@ -1323,6 +1433,7 @@
 		for (i = 0; i <= w->owner; i++) {
 			run_census(w, i);
 			if (w->owners[i].alive &&
+			    w->ms >= w->owners[i].stalled_until_ms &&
 			    pool_next_us(w->owners[i].pool) <=
 				w->ms * US_PER_MS)
 				step(w, i, &ev);
@@ -1474,6 +1585,10 @@
 void
 jobs_world_cancel(struct jobs_world *w, const char *id)
 {
+	struct known_job *j = known_job(w, id);
+
+	if (j != NULL && j->cancel_sent_ms == 0)
+		j->cancel_sent_ms = w->ms;
 	ask(w, POOL_CANCEL, id);
 }
 
@@ -1525,6 +1640,7 @@
 jobs_world_cut_worker(struct jobs_world *w, int worker, bool cut)
 {
 	w->workers[worker].cut = cut;
+	w->workers[worker].disturbed_ms = w->ms;
 }
 
 static void
@@ -1568,18 +1684,21 @@
 jobs_world_lose(struct jobs_world *w, double lose)
 {
 	w->opts.lose = lose;
+	w->orders_disturbed_ms = w->ms;
 }
 
 void
 jobs_world_late(struct jobs_world *w, double late)
 {
 	w->opts.late = late;
+	w->orders_disturbed_ms = w->ms;
 }
 
 void
 jobs_world_refuse_worker(struct jobs_world *w, int worker, bool refuse)
 {
 	w->workers[worker].refuses = refuse;
+	w->workers[worker].disturbed_ms = w->ms;
 }
 
 void
@@ -1671,6 +1790,7 @@
 jobs_world_side(struct jobs_world *w, int worker, int side)
 {
 	w->workers[worker].side = side;
+	w->workers[worker].disturbed_ms = w->ms;
 }
 
 void
@@ -1717,6 +1837,12 @@
 	w->lag_us = ms * US_PER_MS;
 }
 
+void
+jobs_world_stall(struct jobs_world *w, int ms)
+{
+	w->owners[w->owner].stalled_until_ms = w->ms + ms;
+}
+
 void
 jobs_world_refuse(struct jobs_world *w, int retry_ms)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -59,6 +59,12 @@
 	int over_room; /* a worker over its room */
 	/* A start after the last attempt had failed, or too many crashes. */
 	int over_budget;
+	/*
+	 * An order, or a lease that lapsed while neither the worker's link nor
+	 * orders were disturbed, ended a lasting task at work while as many
+	 * others of its step as may be missed were away.
+	 */
+	int over_unavailable;
 	int unasked; /* a start of a job that was cancelled long before */
 	int lost; /* accepted, and unknown or without cause not completed */
 	/*
@@ -146,6 +152,11 @@
 void jobs_world_refuse(struct jobs_world *w, int retry_ms);
 /* The owner's loop is behind by so much. */
 void jobs_world_lag(struct jobs_world *w, int ms);
+/*
+ * The owner's loop stands still for so long; what arrives waits, in order.  0:
+ * it goes on at once.
+ */
+void jobs_world_stall(struct jobs_world *w, int ms);
 /* Writes of the present owner are not taken while the store is down. */
 void jobs_world_store(struct jobs_world *w, bool down);
 /*
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -238,7 +238,7 @@
 	LIST_FOREACH(o, &j->occurrences, entries) {
 		for (s = 0; s < spec->step_count; s++) {
 			for (i = 0; i < spec->steps[s].task_count; i++)
-				task_stop(p, &o->steps[s].tasks[i]);
+				task_stop(p, &o->steps[s].tasks[i], "job-over");
 		}
 	}
 }
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -69,6 +69,28 @@
 	return left_ms < p->opts.lease_ms ? left_ms : p->opts.lease_ms;
 }
 
+/* Logs the first of several renewals that extend no lease. */
+static void
+log_lease_withheld(struct pool *p, struct pool_worker *w, int64_t granted_ms)
+{
+	bool withheld = granted_ms <= 0 && w->task_count > 0;
+
+	if (withheld && !w->lease_withheld)
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"lease is not extended\" worker=%s why=%s tasks=%zu "
+		    "misses=%d heard_ms_ago=%lld left_ms=%lld lag_ms=%lld",
+		    w->report.id,
+		    !w->fence_confirmed          ? "unconfirmed"
+			: w->missed_renewals > 0 ? "silent"
+						 : "record-not-stored",
+		    w->task_count, w->missed_renewals,
+		    (long long)((p->now_us - w->last_reply_us) / US_PER_MS),
+		    (long long)(w->lease_end_ms -
+			worker_clock_ms(w, p->now_us)),
+		    (long long)(p->loop_lag_us / US_PER_MS));
+	w->lease_withheld = withheld;
+}
+
 static void
 renewal_send(struct pool *p, struct pool_worker *w)
 {
@@ -88,11 +110,13 @@
 	    : 0;
 	x->u.renewal.acked_end = w->in_flight_ack_end;
 	w->renewal_in_flight = true;
+	log_lease_withheld(p, w, granted_ms);
 	if (granted_ms <= 0)
 		return;
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
+	w->lease_extended_us = p->now_us;
 	x->u.renewal.lease_end_ms = end_ms;
 	if (w->last_end > w->acked_end)
 		return;
@@ -304,6 +328,8 @@
 		    "task=%u.%u.%u run=%lld worker=%s known=%d",
 		    r->task.job, r->task.occurrence, r->task.step,
 		    r->task.index, (long long)r->run, w->report.id, t != NULL);
+		if (t != NULL && t->step->spec->long_running)
+			pool_log_availability(p, t, w, r->run, "unwanted-run");
 		fx_stop(p, w, &r->task, r->run);
 		w->unwanted_run_count++;
 		return;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -111,10 +111,14 @@
 }
 
 void
-task_stop(struct pool *p, struct task *t)
+task_stop(struct pool *p, struct task *t, const char *why)
 {
 	struct task_name n;
 
+	if (t->step->spec->long_running &&
+	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING))
+		pool_log_availability(p, t, t->worker, t->run, why);
+
 	switch (t->place) {
 	case PLACE_NONE:
 		return;
@@ -142,7 +146,7 @@
 	for (i = 0; i < s->spec->task_count; i++) {
 		if (s->tasks[i].place == PLACE_STARTING ||
 		    s->tasks[i].place == PLACE_RUNNING)
-			task_stop(p, &s->tasks[i]);
+			task_stop(p, &s->tasks[i], "gang-broken");
 	}
 }
 
@@ -232,7 +236,20 @@
 		return;
 	mark_done(p, t);
 	if (t->place != PLACE_NONE) /* another run of the task */
-		task_stop(p, t);
+		task_stop(p, t, "task-done");
+}
+
+static void
+log_lease_expired(
+    struct pool *p, const struct pool_worker *w, const struct task *t)
+{
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"lease of a long-running task has expired\" job=%s "
+	    "task=%u.%u worker=%s extended_ms_ago=%lld ended_ms_ago=%lld",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    w->report.id,
+	    (long long)((p->now_us - w->lease_extended_us) / US_PER_MS),
+	    (long long)(w->report.clock_ms - w->lease_end_ms));
 }
 
 void
@@ -254,6 +271,8 @@
 	    (long long)r->run, w->report.id, (long long)r->number, r->outcome,
 	    placed ? (long long)((p->now_us - t->placed_us) / US_PER_MS) : -1,
 	    (long long)t->step->spec->estimate_ms);
+	if (r->outcome == RUN_LEASE_EXPIRED && t->step->spec->long_running)
+		log_lease_expired(p, w, t);
 	if (r->run > t->run)
 		t->run = r->run;
 	if (r->checkpoint[0] != '\0') {
@@ -360,7 +379,7 @@
 			    "task=%u.%u run=%lld worker=%s",
 			    j->id, t->step->number, t->index, (long long)t->run,
 			    ev->u.command.worker);
-			task_stop(p, t);
+			task_stop(p, t, "start-unanswered");
 		}
 		return;
 	case COMMAND_OTHER_INCARNATION:
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -53,6 +53,9 @@
 	int64_t clock_read_us; /* when report.clock_ms was received */
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
+	int64_t lease_extended_us; /* when lease_end_ms was sent; 0: never */
+	/* Newest renewals could not extend the lease, which is logged. */
+	bool lease_withheld;
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_us; /* last answer to a renewal, start or stop */
 	/* First missed renewal since the last answer; 0: none was missed. */
@@ -342,7 +345,8 @@
 /* Takes the task off its worker; unless done, it may be started again. */
 void task_detach(struct pool *p, struct task *t);
 void task_start(struct pool *p, struct task *t, int64_t run);
-void task_stop(struct pool *p, struct task *t);
+/* "why" is logged if a run of a long-running task ends with it. */
+void task_stop(struct pool *p, struct task *t, const char *why);
 void pool_run_ended(
     struct pool *p, struct pool_worker *w, const struct end_report *r);
 void pool_start_done(struct pool *p, const struct pool_event *ev);
@@ -411,6 +415,9 @@
 void pool_watch_tasks(struct pool *p, struct pool_worker *w);
 /* Lets the next long-running task leave an evacuating worker. */
 void pool_watch_evacuating(struct pool *p);
+/* Logs an order that ends a run of a long-running task. */
+void pool_log_availability(struct pool *p, const struct task *t,
+    const struct pool_worker *w, int64_t run, const char *why);
 /* A long-running task that is placed and not at work yet. */
 bool task_warming_up(const struct task *t);
 void pool_throttle_best_effort(struct pool *p, struct pool_worker *w);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -57,7 +57,7 @@
 	    (long long)((p->now_us - t->progress_changed_us) / US_PER_MS));
 	snprintf(t->avoid_worker, sizeof(t->avoid_worker), "%s", w->report.id);
 	w->fail_streak++;
-	task_stop(p, t);
+	task_stop(p, t, "stalled");
 }
 
 bool
@@ -103,6 +103,32 @@
 	return unavailable;
 }
 
+void
+pool_log_availability(struct pool *p, const struct task *t,
+    const struct pool_worker *w, int64_t run, const char *why)
+{
+	const struct job_step *s = t->step;
+	const struct task *last = NULL;
+	int64_t age_us, oldest_us = 0;
+	unsigned i;
+
+	for (i = 0; i < s->spec->task_count; i++) {
+		if (&s->tasks[i] == t || s->tasks[i].worker == NULL)
+			continue;
+		age_us = p->now_us - s->tasks[i].worker->last_reply_us;
+		oldest_us = age_us > oldest_us ? age_us : oldest_us;
+	}
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"ends a long-running task\" job=%s task=%u.%u run=%lld "
+	    "worker=%s why=%s percent=%d away=%u may_miss=%u "
+	    "oldest_heard_ms=%lld lease_left_ms=%lld",
+	    s->occurrence->job->id, s->number, t->index, (long long)run,
+	    w->report.id, why, t->worker == w ? t->progress_percent : -1,
+	    count_unavailable(p, t, &last), s->spec->max_unavailable,
+	    (long long)(oldest_us / US_PER_MS),
+	    (long long)(w->lease_end_ms - worker_clock_ms(w, p->now_us)));
+}
+
 /* Logs why a task cannot leave an evacuating worker, once a second at most. */
 static void
 log_move_blocked(struct pool *p, const struct pool_worker *w,
@@ -236,10 +262,12 @@
 		next = TAILQ_NEXT(t, on_worker);
 		if (task_stalls(p, t))
 			stop_stalled(p, w, t);
-		else if (stop_retry_due(p, t) ||
-		    task_must_leave_draining(p, w, t) ||
-		    task_must_evacuate(p, w, t))
-			task_stop(p, t);
+		else if (stop_retry_due(p, t))
+			task_stop(p, t, "stop-unanswered");
+		else if (task_must_leave_draining(p, w, t))
+			task_stop(p, t, "drains");
+		else if (task_must_evacuate(p, w, t))
+			task_stop(p, t, "evacuates");
 	}
 }
 
--- a/tests/properties/prop_jobs.cc
+++ b/tests/properties/prop_jobs.cc
@@ -134,6 +134,7 @@
 	RC_ASSERT(v.out_of_order == 0);
 	RC_ASSERT(v.over_room == 0);
 	RC_ASSERT(v.over_budget == 0);
+	RC_ASSERT(v.over_unavailable == 0);
 	RC_ASSERT(v.unasked == 0);
 	RC_ASSERT(v.lost == 0);
 	if (ends)
