pool: reports of workers allow a move only while they are recent

Cause: task_at_work() took the last report of a worker for true until a renewal was counted as missed. A renewal that nobody has timed out yet, or whose time-out waits in a loop that stood still, counts as none missed, so that the first event after a pause could be a cordon that is decided on reports from before the pause. Nothing bounded the age of a report, nor did it matter whether the worker's lease was being extended at all.

Now a report counts for 1.6 s, the longest wait of a renewal and its time-out, and only while the worker's lease has more than half of its term left, which each normal renewal restores. What is older is unknown and counts as away. The line "long-running task cannot move" shows the age.

Evidence: long_running::answers_from_before_a_pause_of_the_loop_allow_no_move (the loop stands still for 2.5 s, two of three workers crash, then the third is evacuated) failed before: the task of the third was stopped. The second test passed before and stays as a guard: time-outs run before answers are read. jobs_world plays a pause as the daemon has it: timers run first, then what has arrived is read; nothing else reaches the owner during the pause.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -181,7 +181,7 @@
 	int accepted, refused, looked_state;
 	uint64_t next_id;
 	struct jobs_verdict verdict;
-	uint64_t starts;
+	uint64_t starts, renewals;
 	struct pool_effect question; /* the policy's, until it answers … */
 	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
@@ -1058,6 +1058,7 @@
 		m->acked_end = x->u.renewal.acked_end;
 		m->lease_end_ms = x->u.renewal.lease_end_ms;
 		m->until_ms = w->ms + x->u.renewal.wait_ms;
+		w->renewals++;
 		time_out(w, m, x->u.renewal.wait_ms + HOLD_TIMEOUT_MS);
 		break;
 	case POOL_WRITE:
@@ -1363,6 +1364,24 @@
 	return w->ms < w->owners[m->owner].stalled_until_ms;
 }
 
+/* Timers of a loop that stood still run before it reads what has arrived. */
+static bool
+runs_first(const struct jobs_world *w, const struct message *m)
+{
+	return (m->kind == MESSAGE_ORDER_END || m->kind == MESSAGE_HELD) &&
+	    m->end == COMMAND_UNANSWERED &&
+	    m->at_ms <= w->owners[m->owner].stalled_until_ms;
+}
+
+static bool
+comes_before(const struct jobs_world *w, const struct message *a,
+    const struct message *b)
+{
+	if (runs_first(w, a) != runs_first(w, b))
+		return runs_first(w, a);
+	return a->at_ms <= b->at_ms;
+}
+
 /* Delivers what is due, in the order of time. */
 static void
 deliver(struct jobs_world *w)
@@ -1374,7 +1393,7 @@
 		due = NULL;
 		LIST_FOREACH(m, &w->messages, entries) {
 			if (m->at_ms <= w->ms && !owner_stalled(w, m) &&
-			    (due == NULL || m->at_ms <= due->at_ms))
+			    (due == NULL || comes_before(w, m, due)))
 				due = m;
 		}
 		if (due == NULL)
@@ -1421,19 +1440,23 @@
 jobs_world_run(struct jobs_world *w, int ms)
 {
 	struct pool_event ev = {.kind = POOL_TICK};
+	bool stalled;
 	int i;
 
 	while (ms-- > 0) {
 		w->ms++;
-		if (w->ms % LOOK_MS == 0)
+		stalled = w->ms < w->owners[w->owner].stalled_until_ms;
+		if (w->ms % LOOK_MS == 0 && !stalled)
 			look_at_jobs(w);
 		run_workers(w);
-		run_policy(w);
+		if (!stalled)
+			run_policy(w);
 		deliver(w);
 		for (i = 0; i <= w->owner; i++) {
+			if (w->ms < w->owners[i].stalled_until_ms)
+				continue;
 			run_census(w, i);
 			if (w->owners[i].alive &&
-			    w->ms >= w->owners[i].stalled_until_ms &&
 			    pool_next_us(w->owners[i].pool) <=
 				w->ms * US_PER_MS)
 				step(w, i, &ev);
@@ -1900,6 +1923,12 @@
 	return n;
 }
 
+uint64_t
+jobs_world_renewals(const struct jobs_world *w)
+{
+	return w->renewals;
+}
+
 uint64_t
 jobs_world_starts(const struct jobs_world *w)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -153,8 +153,8 @@
 /* The owner's loop is behind by so much. */
 void jobs_world_lag(struct jobs_world *w, int ms);
 /*
- * The owner's loop stands still for so long; what arrives waits, in order.  0:
- * it goes on at once.
+ * The owner's loop stands still for so long; what arrives waits, and time-outs
+ * come before it.  0: the loop goes on at once.
  */
 void jobs_world_stall(struct jobs_world *w, int ms);
 /* Writes of the present owner are not taken while the store is down. */
@@ -171,6 +171,7 @@
 struct pool *jobs_world_pool(struct jobs_world *w);
 /* Asks the owner for every job and closes the account. */
 void jobs_world_judge(struct jobs_world *w, struct jobs_verdict *v);
+uint64_t jobs_world_renewals(const struct jobs_world *w);
 uint64_t jobs_world_starts(const struct jobs_world *w);
 
 #endif
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -21,6 +21,11 @@
 #define EVACUATE_MAX_MS 4000 /* time until all other tasks are stopped */
 /* Moves are expected this long after a long-running task had to leave. */
 #define MOVES_MS 3000
+/*
+ * Longest time between two answers of a worker that runs tasks: the longest
+ * wait of a renewal and its time-out.
+ */
+#define REPORT_AGE_MAX_MS 1600
 /* Time between changes of a throttle: a report covers half a second. */
 #define THROTTLE_INTERVAL_MS 700
 /* Ratio of tail latency to target: throttle more above, less below. */
@@ -68,7 +73,21 @@
 }
 
 /*
- * The task is at work by the last report of its worker, and the worker answers.
+ * What the worker has reported of its tasks still counts: the report is not
+ * older than reports become where the owner gets to read them, and the lease is
+ * being extended.
+ */
+static bool
+worker_report_valid(const struct pool *p, const struct pool_worker *w)
+{
+	return w->missed_renewals == 0 &&
+	    p->now_us - w->last_reply_us <= REPORT_AGE_MAX_MS * US_PER_MS &&
+	    w->lease_end_ms - worker_clock_ms(w, p->now_us) >
+	    p->opts.lease_ms / 2;
+}
+
+/*
+ * The task is at work by the last report of its worker, and that is valid.
  * An adopted run may have been stopped by an earlier owner and is listed until
  * it ends, so it counts only after the longest time that a stop takes.
  */
@@ -80,7 +99,7 @@
 	if (t->adopted && p->now_us - t->placed_us < stop_end_ms * US_PER_MS)
 		return false;
 	return t->place == PLACE_RUNNING && t->progress_percent >= 100 &&
-	    t->worker->missed_renewals == 0;
+	    worker_report_valid(p, t->worker);
 }
 
 /*
@@ -142,14 +161,17 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"long-running task cannot move\" job=%s task=%u.%u worker=%s "
 	    "emptied_ms_ago=%lld away=%u may_miss=%u one_away=%u on=%s "
-	    "percent=%d silent=%d",
+	    "percent=%d silent=%d heard_ms_ago=%lld",
 	    t->step->occurrence->job->id, t->step->number, t->index,
 	    w->report.id,
 	    (long long)((p->now_us - w->evacuating_since_us) / US_PER_MS),
 	    unavailable, t->step->spec->max_unavailable,
 	    last != NULL ? last->index : 0, on != NULL ? on->report.id : "none",
 	    last != NULL ? last->progress_percent : 0,
-	    on != NULL ? on->missed_renewals : 0);
+	    on != NULL ? on->missed_renewals : 0,
+	    on != NULL
+		? (long long)((p->now_us - on->last_reply_us) / US_PER_MS)
+		: -1);
 }
 
 /*
--- /dev/null
+++ b/tests/unit/test_long_running.c
@@ -0,0 +1,93 @@
+/* A pool's reducer: long-running tasks stay available. */
+#include <criterion/criterion.h>
+
+#include "jobs_world.h"
+
+#define BEGIN_MS 600 /* until a task is at work */
+#define TASK_MB 9000 /* a worker has memory for one */
+
+static struct jobs_world *world;
+static int on[JOBS_WORLD_WORKERS]; /* workers of the step's tasks, and then … */
+static int spare[JOBS_WORLD_WORKERS]; /* … the others */
+
+static struct jobs_world *
+world_of(int workers, int begin_ms)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261205,
+	    .workers = workers,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .begin_ms = begin_ms,
+	    .said_guarded = true,
+	};
+
+	return jobs_world_new(&o);
+}
+
+/* Starts a step with one task on each of "count" workers. */
+static void
+run_step(int workers, unsigned count, unsigned may_miss)
+{
+	struct job_spec *o = jobs_order(1, count, 500, 0);
+	unsigned n = 0;
+	int i, spares = 0;
+
+	o->steps[0].long_running = true;
+	o->steps[0].max_unavailable = may_miss;
+	o->steps[0].memory_mb = TASK_MB;
+	jobs_world_submit(world, o, NULL);
+	job_spec_unref(o);
+	jobs_world_run(world, 3000);
+	for (i = 0; i < workers; i++) {
+		if (jobs_world_tasks_on(world, i) == 1)
+			on[n++] = i;
+		else
+			spare[spares++] = i;
+	}
+	cr_assert_eq(n, count);
+}
+
+static void
+expect_kept(void)
+{
+	struct jobs_verdict v;
+
+	jobs_world_judge(world, &v);
+	cr_expect_str_eq(v.first, "");
+	cr_expect_eq(v.over_unavailable, 0);
+	jobs_world_free(world);
+}
+
+Test(long_running, answers_from_before_a_pause_of_the_loop_allow_no_move)
+{
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	jobs_world_stall(world, 2500);
+	jobs_world_crash_worker(world, on[0]);
+	jobs_world_crash_worker(world, on[1]);
+	jobs_world_run(world, 2499);
+	jobs_world_stall(world, 0);
+	jobs_world_cordon_worker(world, on[2]);
+	jobs_world_run(world, 300);
+	cr_expect_eq(jobs_world_tasks_on(world, on[2]), 1);
+	jobs_world_free(world);
+}
+
+Test(long_running, an_answer_read_after_a_pause_counts_from_its_renewal)
+{
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	jobs_world_run(world, 500);
+	jobs_world_stall(world, 2500);
+	jobs_world_run(world, 700); /* the workers have answered by now */
+	jobs_world_crash_worker(world, on[0]);
+	jobs_world_crash_worker(world, on[1]);
+	jobs_world_run(world, 1800);
+	jobs_world_cordon_worker(world, on[2]);
+	jobs_world_run(world, 300);
+	cr_expect_eq(jobs_world_tasks_on(world, on[2]), 1);
+	jobs_world_free(world);
+}
