pool: leases are extended while the owner's loop is late

Cause: the loop runs time-outs before it reads what has arrived. Where it is late by more than a renewal's margin (0.6 s), an answered renewal counts as missed. Retries after a miss extend no lease, and as they do not wait at the worker, their time-out is 0.6 s from the send: in a loop that stays that late no retry is ever read, so that one long pause ends every lease 4 s later. A new owner, which grants none before the first answer, cannot get out of it at all.

A time-out while the loop was late (0.3 s without an event, although ticks come every 50 ms, or a lag of that size) now tells nothing about the worker: the renewal is repeated at once and extends the lease like any other, until the worker has not answered for the term of a lease. Where the owner has no clock yet, the repeated renewal waits 0.4 s at the worker, which puts its time-out off to 1 s. Misses are counted as before: new tasks and checks of the platform's list do not change.

Evidence, in jobs_world with rounds of 0.65 s of the loop: long_running::no_lease_expires_while_the_loop_is_late failed before ("7008 ms: 1.0.0.2 is left to lapse on w-1 while 1 others are away"; all three tasks ended), and so did no_lease_expires_as_the_loop_of_a_new_owner_is_late.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -6,6 +6,11 @@
 #include "pool_state.h"
 
 #define TICK_INTERVAL_MAX_US (50 * US_PER_MS)
+/*
+ * From such a delay on, the event loop may run the time-out of a command
+ * before it reads an answer that has arrived.
+ */
+#define LOOP_LATE_MS 300
 /*
  * Time between two scheduling passes: a fixed part, and a part for each waiting
  * occurrence.  The latter is about ten times what the pass takes; with 300 jobs
@@ -173,9 +178,19 @@
 	    p->workers_guarded, (long long)age_ms, p->opts.capacity_valid_ms);
 }
 
+/* Ticks come every TICK_INTERVAL_MAX_US at least. */
+static bool
+loop_late(const struct pool *p, const struct pool_event *ev)
+{
+	return ev->loop_lag_us >= LOOP_LATE_MS * US_PER_MS ||
+	    ev->now_us - p->now_us >= LOOP_LATE_MS * US_PER_MS;
+}
+
 void
 pool_step(struct pool *p, const struct pool_event *ev, struct pool_effects *fx)
 {
+	if (loop_late(p, ev))
+		p->loop_late_us = ev->now_us;
 	p->now_us = ev->now_us;
 	p->now_ms = ev->now_ms;
 	p->loop_lag_us = ev->loop_lag_us;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -11,6 +11,8 @@
 #define RENEWAL_WAIT_WARM_UP_MS 150 /* a long-running task is starting up */
 #define RENEWAL_WAIT_TRIAL_MS 50 /* a task is on trial */
 #define RENEWAL_WAIT_MOVES_MS 300 /* a task may move to the worker soon */
+/* Puts the time-out off while the loop is late. */
+#define RENEWAL_WAIT_LATE_MS 400
 #define RENEWAL_WAIT_IDLE_MS 2000 /* nothing runs; the longest allowed wait */
 /* After an unanswered renewal; grows with each one up to the maximum. */
 #define RENEWAL_RETRY_MS 100
@@ -60,7 +62,8 @@
 	int64_t left_ms;
 
 	/* unknown clock, or a silent worker, whose runs must end some time */
-	if (!w->fence_confirmed || w->missed_renewals > 0)
+	if (!w->fence_confirmed ||
+	    (w->missed_renewals > 0 && !w->renewal_cut_short))
 		return 0;
 	if (w->record_current && w->record_serial <= p->stored_serial)
 		return p->opts.lease_ms;
@@ -110,9 +113,13 @@
 	    : 0;
 	x->u.renewal.acked_end = w->in_flight_ack_end;
 	w->renewal_in_flight = true;
+	w->renewal_sent_us = p->now_us;
 	log_lease_withheld(p, w, granted_ms);
-	if (granted_ms <= 0)
+	if (granted_ms <= 0) {
+		if (w->renewal_cut_short)
+			x->u.renewal.wait_ms = RENEWAL_WAIT_LATE_MS;
 		return;
+	}
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
@@ -279,6 +286,20 @@
 	p->placement_due = true;
 }
 
+/*
+ * The loop was late while the renewal was in flight, so that its time-out may
+ * have run before an answer was read.  That explains no silence for longer than
+ * the term of a lease.
+ */
+static bool
+renewal_cut_short(const struct pool *p, const struct pool_worker *w,
+    enum command_result result)
+{
+	return result == COMMAND_UNANSWERED &&
+	    p->loop_late_us > w->renewal_sent_us &&
+	    p->now_us - w->last_reply_us < p->opts.lease_ms * US_PER_MS;
+}
+
 static void
 renewal_failed(
     struct pool *p, struct pool_worker *w, enum command_result result)
@@ -307,6 +328,9 @@
 	pause_ms *= w->missed_renewals;
 	if (pause_ms > RENEWAL_RETRY_MAX_MS)
 		pause_ms = RENEWAL_RETRY_MAX_MS;
+	w->renewal_cut_short = renewal_cut_short(p, w, result);
+	if (w->renewal_cut_short)
+		pause_ms = 0;
 	w->renewal_due_us = p->now_us + pause_ms * US_PER_MS;
 	if (result == COMMAND_OTHER_INCARNATION)
 		worker_ended(p, w, "other-life");
@@ -466,6 +490,7 @@
 		w->lease_end_ms = r->clock_ms + p->opts.lease_ms;
 	w->fence_confirmed = true;
 	w->missed_renewals = w->missing_from_lists = 0;
+	w->renewal_cut_short = false;
 	w->silent_since_us = 0;
 	w->is_gone = w->fate_awaited = false;
 	if (w->idle_by_ms != 0) { /* recorded before leases are renewed */
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -67,6 +67,9 @@
 	bool is_gone; /* its process has ended */
 	bool fate_awaited; /* a suspect waits for news of it */
 	bool renewal_in_flight;
+	int64_t renewal_sent_us; /* newest renewal */
+	/* It was not answered in time, perhaps as the loop was late. */
+	bool renewal_cut_short;
 	int64_t renewal_due_us; /* next renewal */
 	int64_t last_end; /* highest end number processed */
 	/* The worker may forget ends up to this number: they are stored. */
@@ -143,6 +146,7 @@
 	/* Copied from the event that is being processed. */
 	int64_t now_us, now_ms;
 	int64_t loop_lag_us;
+	int64_t loop_late_us; /* newest event that the loop was late for */
 	int64_t ownership_confirmed_us;
 	int64_t entries_read_us;
 	bool workers_guarded;
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -91,3 +91,58 @@
 	cr_expect_eq(jobs_world_tasks_on(world, on[2]), 1);
 	jobs_world_free(world);
 }
+
+Test(long_running, no_lease_expires_while_the_loop_is_late)
+{
+	int i;
+
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	jobs_world_stall(world, 1800);
+	jobs_world_run(world, 1802);
+	for (i = 0; i < 20; i++) {
+		jobs_world_stall(world, 650);
+		jobs_world_run(world, 652);
+	}
+	for (i = 0; i < 3; i++)
+		cr_expect_eq(jobs_world_tasks_on(world, on[i]), 1);
+	expect_kept();
+}
+
+Test(long_running, no_lease_expires_as_a_store_outage_delays_records)
+{
+	int i;
+
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	for (i = 0; i < 3; i++)
+		jobs_world_cut_worker(world, on[i], true);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 900); /* each has missed a renewal */
+	jobs_world_store(world, true);
+	for (i = 0; i < 3; i++)
+		jobs_world_cut_worker(world, on[i], false);
+	jobs_world_run(world, 3500);
+	for (i = 0; i < 3; i++)
+		cr_expect_eq(jobs_world_tasks_on(world, on[i]), 1, "%d", i);
+	jobs_world_store(world, false);
+	jobs_world_run(world, 6000);
+	expect_kept();
+}
+
+Test(long_running, no_lease_expires_as_the_loop_of_a_new_owner_is_late)
+{
+	int i;
+
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	jobs_world_take_over(world, 0);
+	for (i = 0; i < 12; i++) {
+		jobs_world_stall(world, 650);
+		jobs_world_run(world, 652);
+	}
+	for (i = 0; i < 3; i++)
+		cr_expect_eq(jobs_world_tasks_on(world, on[i]), 1);
+	jobs_world_run(world, 3000);
+	expect_kept();
+}
