pool: renewals that extend no lease wait at the worker

What callers saw: an owner was overloaded while machines joined its pool and the store did not take its writes.

Cause: a worker that answers and whose record is not stored yet (a new one, a restarted one, one that was silent) gets renewals without a lease. These did not wait at the worker either, and each answer makes the next one due: one exchange after the other, as fast as the link allows, until the store takes the record.

Such a renewal now waits 0.15 s, so that a lease follows that soon after the record is stored.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -13,6 +13,8 @@
 #define RENEWAL_WAIT_MOVES_MS 300 /* a task may move to the worker soon */
 /* Puts the time-out off while the loop is late. */
 #define RENEWAL_WAIT_LATE_MS 400
+/* The worker answers, and gets no lease until its record is stored. */
+#define RENEWAL_WAIT_UNSTORED_MS 150
 #define RENEWAL_WAIT_IDLE_MS 2000 /* nothing runs; the longest allowed wait */
 /* After an unanswered renewal; grows with each one up to the maximum. */
 #define RENEWAL_RETRY_MS 100
@@ -51,6 +53,18 @@
 	return wait_ms;
 }
 
+/* The same for a renewal that extends no lease. */
+static int
+query_wait_ms(const struct pool_worker *w)
+{
+	if (w->renewal_cut_short)
+		return RENEWAL_WAIT_LATE_MS;
+	if (!w->fence_confirmed || w->missed_renewals > 0 ||
+	    w->last_end > w->acked_end)
+		return 0;
+	return RENEWAL_WAIT_UNSTORED_MS;
+}
+
 /*
  * Length of the lease that a renewal may grant.  Until the store has a record
  * that the worker has answered, a lease must expire before a next owner stops
@@ -116,8 +130,7 @@
 	w->renewal_sent_us = p->now_us;
 	log_lease_withheld(p, w, granted_ms);
 	if (granted_ms <= 0) {
-		if (w->renewal_cut_short)
-			x->u.renewal.wait_ms = RENEWAL_WAIT_LATE_MS;
+		x->u.renewal.wait_ms = query_wait_ms(w);
 		return;
 	}
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -109,6 +109,26 @@
 	expect_kept();
 }
 
+Test(long_running, renewals_that_grant_no_lease_do_not_follow_at_once)
+{
+	uint64_t before;
+
+	world = world_of(6, BEGIN_MS);
+	run_step(6, 3, 1);
+	jobs_world_crash_worker(world, spare[2]);
+	jobs_world_run(world, 3000);
+	jobs_world_store(world, true);
+	jobs_world_restart_worker(world, spare[2]);
+	before = jobs_world_renewals(world);
+	jobs_world_run(world, 3000);
+	/* four workers, some renewals a second each */
+	cr_expect_leq(jobs_world_renewals(world) - before, 4 * 3 * 8, "%llu",
+	    (unsigned long long)(jobs_world_renewals(world) - before));
+	jobs_world_store(world, false);
+	jobs_world_run(world, 1000);
+	expect_kept();
+}
+
 Test(long_running, no_lease_expires_as_a_store_outage_delays_records)
 {
 	int i;
