pool: an unanswered start of a long-running task waits for the worker's list

What callers saw: a long-running task was ended right after it had come to work, while others of its step were away (AVAIL).

Cause: a start without an answer was followed by a stop at once, so that the run could be started elsewhere. The start may well have been carried out, and in a late loop the time-out is processed when the task is at work already. Such a stop asked nobody how many others are away.

If the worker lists the run, it goes on; if not, the stop goes out as before and blocks a start that arrives late. Gangs and tasks that end by themselves are not changed. A silent worker's tasks are detached once its lease has expired, which bounds a late start, too.

Evidence: long_running::a_start_answered_late_is_not_stopped_once_it_is_listed failed before ("9509 ms: 1.0.0.0 is stopped on w-3 while 1 others are away").

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -30,7 +30,10 @@
 	PLACE_NONE,
 	PLACE_STARTING, /* start sent, not answered yet */
 	PLACE_RUNNING,
-	/* The start got no answer; a stop blocks the run. */
+	/*
+	 * The start got no answer; a stop blocks the run, unless the worker
+	 * lists it first and the task is long-running.
+	 */
 	PLACE_UNCONFIRMED,
 	PLACE_STOPPING
 };
@@ -104,6 +107,8 @@
 	int64_t command_answered_us; /* answer to the newest command; 0: none */
 	int64_t progress_changed_us; /* last change of progress_percent */
 	int64_t command_sent_us; /* newest command: a start or stop */
+	bool stop_sent; /* it is a stop */
+	int64_t unconfirmed_us; /* when it was known that it got no answer */
 	int64_t start_not_before_us; /* back-off after a refused start */
 	int throttle_percent; /* share of full speed; 0: halted */
 	/* report_count of the worker when it last listed the task. */
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -416,7 +416,9 @@
 			if (t == NULL)
 				continue;
 		}
-		if (t->place == PLACE_STARTING)
+		if (task_awaits_list(t))
+			t->command_answered_us = p->now_us;
+		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
 		if (t->begun_us == 0)
 			t->begun_us = p->now_us;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -84,6 +84,7 @@
 	t->run = run;
 	t->placed_us = t->progress_changed_us = t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
+	t->stop_sent = false;
 	fx_target(&x->u.start.worker, w);
 	task_get_name(t, &x->u.start.task);
 	x->u.start.run = run;
@@ -133,6 +134,7 @@
 	}
 	t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
+	t->stop_sent = true;
 	task_get_name(t, &n);
 	fx_stop(p, t->worker, &n, t->run);
 }
@@ -343,6 +345,28 @@
 		gang_stop(p, t->step);
 }
 
+/*
+ * The run may have begun, or begin later.  A stop blocks it; one of a
+ * long-running task may be at work by now, and goes on if the worker lists it.
+ */
+static void
+start_unanswered(struct pool *p, struct task *t)
+{
+	bool awaits_list = t->step->spec->long_running && !t->step->spec->gang;
+
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"start unanswered: %s\" job=%s task=%u.%u run=%lld worker=%s",
+	    awaits_list ? "waits for the worker's list" : "blocks the run",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    (long long)t->run, t->worker->report.id);
+	if (!awaits_list) {
+		task_stop(p, t, "start-unanswered");
+		return;
+	}
+	task_set_place(p, t, PLACE_UNCONFIRMED);
+	t->unconfirmed_us = p->now_us;
+}
+
 void
 pool_start_done(struct pool *p, const struct pool_event *ev)
 {
@@ -373,14 +397,8 @@
 			j->state = JOB_RUNNING;
 		return;
 	case COMMAND_UNANSWERED:
-		if (t->place == PLACE_STARTING) {
-			fx_log(p, LOG_LEVEL_INFO,
-			    "msg=\"start unanswered: blocks the run\" job=%s "
-			    "task=%u.%u run=%lld worker=%s",
-			    j->id, t->step->number, t->index, (long long)t->run,
-			    ev->u.command.worker);
-			task_stop(p, t, "start-unanswered");
-		}
+		if (t->place == PLACE_STARTING)
+			start_unanswered(p, t);
 		return;
 	case COMMAND_OTHER_INCARNATION:
 		worker_ended(p, t->worker, "other-life");
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -422,6 +422,11 @@
 /* Logs an order that ends a run of a long-running task. */
 void pool_log_availability(struct pool *p, const struct task *t,
     const struct pool_worker *w, int64_t run, const char *why);
+/*
+ * The start of a long-running task got no answer, and the worker's next list
+ * shows whether the run has begun.
+ */
+bool task_awaits_list(const struct task *t);
 /* A long-running task that is placed and not at work yet. */
 bool task_warming_up(const struct task *t);
 void pool_throttle_best_effort(struct pool *p, struct pool_worker *w);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -65,11 +65,19 @@
 	task_stop(p, t, "stalled");
 }
 
+bool
+task_awaits_list(const struct task *t)
+{
+	return t->place == PLACE_UNCONFIRMED && !t->stop_sent &&
+	    t->step->spec->long_running && !t->step->spec->gang;
+}
+
 bool
 task_warming_up(const struct task *t)
 {
 	return t->step->spec->long_running && t->progress_percent < 100 &&
-	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING);
+	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING ||
+		task_awaits_list(t));
 }
 
 /*
@@ -270,6 +278,8 @@
 {
 	bool listed = t->last_listed_in == t->worker->report_count;
 
+	if (task_awaits_list(t))
+		return t->worker->last_reply_us >= t->unconfirmed_us;
 	return (t->place == PLACE_STOPPING || t->place == PLACE_UNCONFIRMED) &&
 	    (t->command_answered_us == 0 || listed) &&
 	    p->now_us - t->command_sent_us > STOP_RETRY_MS * US_PER_MS;
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -109,6 +109,24 @@
 	expect_kept();
 }
 
+Test(long_running, a_start_answered_late_is_not_stopped_once_it_is_listed)
+{
+	world = world_of(4, 100);
+	run_step(4, 3, 1);
+	jobs_world_crash_worker(world, on[0]);
+	jobs_world_crash_worker(world, on[1]);
+	jobs_world_list_worker(world, spare[0], false);
+	jobs_world_run(world, 6000); /* both are away */
+	jobs_world_list_worker(world, spare[0], true);
+	jobs_world_lose(world, 1);
+	jobs_world_run(world, 20);
+	cr_expect_eq(jobs_world_tasks_on(world, spare[0]), 1);
+	jobs_world_lose(world, 0);
+	jobs_world_run(world, 3000);
+	cr_expect_eq(jobs_world_tasks_on(world, spare[0]), 1);
+	expect_kept();
+}
+
 Test(long_running, renewals_that_grant_no_lease_do_not_follow_at_once)
 {
 	uint64_t before;
