prop_jobs: long-running tasks stay available

Plays steps of long-running tasks under cuts, crashes, restarts, store outages, owners that are replaced, evacuations, pauses of the owner's loop and a loop whose rounds take 0.1 to 0.9 s, and asks the judge.

--- a/tests/properties/prop_jobs.cc
+++ b/tests/properties/prop_jobs.cc
@@ -142,6 +142,92 @@
 	jobs_world_free(w);
 }
 
+// Steps of long-running tasks, each task with a worker of its own.
+static void
+submit_long_running(struct jobs_world *w)
+{
+	unsigned count = (unsigned)*rc::gen::inRange(2, 6);
+	struct job_spec *o = jobs_order(1, count, 500, 0);
+
+	o->steps[0].long_running = true;
+	o->steps[0].max_unavailable = (unsigned)*rc::gen::inRange(1, 3);
+	o->steps[0].max_per_worker = *rc::gen::element(0u, 1u);
+	o->steps[0].memory_mb = *rc::gen::element(100, 9000);
+	RC_LOG() << jobs_world_ms(w) << " submit " << count << " may miss "
+		 << o->steps[0].max_unavailable << " mb "
+		 << o->steps[0].memory_mb << "\n";
+	jobs_world_submit(w, o, NULL);
+	job_spec_unref(o);
+}
+
+// Each round of the owner's loop takes so long.
+static void
+run_late_loop(struct jobs_world *w)
+{
+	int round_ms = *rc::gen::inRange(100, 900);
+
+	for (int ms = 0; ms < 6000; ms += round_ms + 2) {
+		jobs_world_stall(w, round_ms);
+		jobs_world_run(w, round_ms + 2);
+	}
+}
+
+static void
+play_long_running(struct jobs_world *w, int workers)
+{
+	int turns = *rc::gen::inRange(3, 12);
+
+	submit_long_running(w);
+	submit_long_running(w);
+	jobs_world_run(w, 3000);
+	while (turns-- > 0) {
+		int worker = *rc::gen::inRange(0, workers);
+		int fault = *rc::gen::inRange(0, 12);
+
+		RC_LOG() << jobs_world_ms(w) << " fault " << fault << " worker "
+			 << worker << "\n";
+		switch (fault) {
+		case 0:
+			jobs_world_cut_worker(w, worker, true);
+			break;
+		case 1:
+			jobs_world_cut_worker(w, worker, false);
+			break;
+		case 2:
+			jobs_world_crash_worker(w, worker);
+			break;
+		case 3:
+			jobs_world_restart_worker(w, worker);
+			break;
+		case 4:
+			jobs_world_store(w, true);
+			break;
+		case 5:
+			jobs_world_store(w, false);
+			break;
+		case 6:
+			jobs_world_take_over(w, *rc::gen::inRange(0, 3000));
+			break;
+		case 7:
+		case 8:
+		case 9:
+			jobs_world_cordon_worker(w, worker);
+			break;
+		case 10:
+			jobs_world_stall(w, *rc::gen::inRange(100, 2000));
+			break;
+		case 11:
+			run_late_loop(w);
+			break;
+		}
+		jobs_world_run(w, *rc::gen::inRange(10, 1500));
+	}
+	jobs_world_store(w, false);
+	for (int i = 0; i < workers; i++)
+		jobs_world_cut_worker(w, i, false);
+	jobs_world_run(w, 15000);
+}
+
 int
 main()
 {
@@ -196,5 +282,21 @@
 		    play(w, ids, 4, true);
 		    check(w, false);
 	    });
+	prop_check("jobs: long-running tasks stay available", [] {
+		struct jobs_world_opts o = {};
+
+		o.seed = *rc::gen::inRange<uint64_t>(1, 1u << 30);
+		o.workers = *rc::gen::inRange(6, 16);
+		o.cpu = 8000;
+		o.memory_mb = 16000;
+		o.link_ms = *rc::gen::inRange(1, 4);
+		o.store_ms = *rc::gen::inRange(2, 8);
+		o.begin_ms = *rc::gen::element(50, 600, 1500);
+		o.said_guarded = o.guarded = true;
+		struct jobs_world *w = jobs_world_new(&o);
+
+		play_long_running(w, o.workers);
+		check(w, true);
+	});
 	return prop_failures != 0;
 }
