--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -11,6 +11,10 @@
 #define RENEWAL_WAIT_WARM_UP_MS 150 /* a long-running task is starting up */
 #define RENEWAL_WAIT_TRIAL_MS 50 /* a task is on trial */
 #define RENEWAL_WAIT_MOVES_MS 300 /* a task may move to the worker soon */
+/* Puts the time-out off while the loop is late. */
+#define RENEWAL_WAIT_LATE_MS 400
+/* The worker answers, and gets no lease until its record is stored. */
+#define RENEWAL_WAIT_UNSTORED_MS 150
 #define RENEWAL_WAIT_IDLE_MS 2000 /* nothing runs; the longest allowed wait */
 /* After an unanswered renewal; grows with each one up to the maximum. */
 #define RENEWAL_RETRY_MS 100
@@ -49,6 +53,18 @@
 	return wait_ms;
 }
 
+/* The same for a renewal that extends no lease. */
+static int
+query_wait_ms(const struct pool_worker *w)
+{
+	if (w->renewal_cut_short)
+		return RENEWAL_WAIT_LATE_MS;
+	if (!w->fence_confirmed || w->missed_renewals > 0 ||
+	    w->last_end > w->acked_end)
+		return 0;
+	return RENEWAL_WAIT_UNSTORED_MS;
+}
+
 /*
  * Length of the lease that a renewal may grant.  Until the store has a record
  * that the worker has answered, a lease must expire before a next owner stops
@@ -60,7 +76,8 @@
 	int64_t left_ms;
 
 	/* unknown clock, or a silent worker, whose runs must end some time */
-	if (!w->fence_confirmed || w->missed_renewals > 0)
+	if (!w->fence_confirmed ||
+	    (w->missed_renewals > 0 && !w->renewal_cut_short))
 		return 0;
 	if (w->record_current && w->record_serial <= p->stored_serial)
 		return p->opts.lease_ms;
@@ -69,6 +86,28 @@
 	return left_ms < p->opts.lease_ms ? left_ms : p->opts.lease_ms;
 }
 
+/* Logs the first of several renewals that extend no lease. */
+static void
+log_lease_withheld(struct pool *p, struct pool_worker *w, int64_t granted_ms)
+{
+	bool withheld = granted_ms <= 0 && w->task_count > 0;
+
+	if (withheld && !w->lease_withheld)
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"lease is not extended\" worker=%s why=%s tasks=%zu "
+		    "misses=%d heard_ms_ago=%lld left_ms=%lld lag_ms=%lld",
+		    w->report.id,
+		    !w->fence_confirmed          ? "unconfirmed"
+			: w->missed_renewals > 0 ? "silent"
+						 : "record-not-stored",
+		    w->task_count, w->missed_renewals,
+		    (long long)((p->now_us - w->last_reply_us) / US_PER_MS),
+		    (long long)(w->lease_end_ms -
+			worker_clock_ms(w, p->now_us)),
+		    (long long)(p->loop_lag_us / US_PER_MS));
+	w->lease_withheld = withheld;
+}
+
 static void
 renewal_send(struct pool *p, struct pool_worker *w)
 {
@@ -88,11 +127,16 @@
 	    : 0;
 	x->u.renewal.acked_end = w->in_flight_ack_end;
 	w->renewal_in_flight = true;
-	if (granted_ms <= 0)
+	w->renewal_sent_us = p->now_us;
+	log_lease_withheld(p, w, granted_ms);
+	if (granted_ms <= 0) {
+		x->u.renewal.wait_ms = query_wait_ms(w);
 		return;
+	}
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
+	w->lease_extended_us = p->now_us;
 	x->u.renewal.lease_end_ms = end_ms;
 	if (w->last_end > w->acked_end)
 		return;
@@ -255,6 +299,20 @@
 	p->placement_due = true;
 }
 
+/*
+ * The loop was late while the renewal was in flight, so that its time-out may
+ * have run before an answer was read.  That explains no silence for longer than
+ * the term of a lease.
+ */
+static bool
+renewal_cut_short(const struct pool *p, const struct pool_worker *w,
+    enum command_result result)
+{
+	return result == COMMAND_UNANSWERED &&
+	    p->loop_late_us > w->renewal_sent_us &&
+	    p->now_us - w->last_reply_us < p->opts.lease_ms * US_PER_MS;
+}
+
 static void
 renewal_failed(
     struct pool *p, struct pool_worker *w, enum command_result result)
@@ -283,6 +341,9 @@
 	pause_ms *= w->missed_renewals;
 	if (pause_ms > RENEWAL_RETRY_MAX_MS)
 		pause_ms = RENEWAL_RETRY_MAX_MS;
+	w->renewal_cut_short = renewal_cut_short(p, w, result);
+	if (w->renewal_cut_short)
+		pause_ms = 0;
 	w->renewal_due_us = p->now_us + pause_ms * US_PER_MS;
 	if (result == COMMAND_OTHER_INCARNATION)
 		worker_ended(p, w, "other-life");
@@ -304,6 +365,8 @@
 		    "task=%u.%u.%u run=%lld worker=%s known=%d",
 		    r->task.job, r->task.occurrence, r->task.step,
 		    r->task.index, (long long)r->run, w->report.id, t != NULL);
+		if (t != NULL && t->step->spec->long_running)
+			pool_log_availability(p, t, w, r->run, "unwanted-run");
 		fx_stop(p, w, &r->task, r->run);
 		w->unwanted_run_count++;
 		return;
@@ -353,7 +416,9 @@
 			if (t == NULL)
 				continue;
 		}
-		if (t->place == PLACE_STARTING)
+		if (task_awaits_list(t))
+			t->command_answered_us = p->now_us;
+		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
 		if (t->begun_us == 0) {
 			t->begun_us = p->now_us;
@@ -442,6 +507,7 @@
 		w->lease_end_ms = r->clock_ms + p->opts.lease_ms;
 	w->fence_confirmed = true;
 	w->missed_renewals = w->missing_from_lists = 0;
+	w->renewal_cut_short = false;
 	w->silent_since_us = 0;
 	w->is_gone = w->fate_awaited = false;
 	if (w->idle_by_ms != 0) { /* recorded before leases are renewed */
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -84,6 +84,7 @@
 	t->run = run;
 	t->placed_us = t->progress_changed_us = t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
+	t->stop_sent = false;
 	fx_target(&x->u.start.worker, w);
 	task_get_name(t, &x->u.start.task);
 	x->u.start.run = run;
@@ -111,10 +112,14 @@
 }
 
 void
-task_stop(struct pool *p, struct task *t)
+task_stop(struct pool *p, struct task *t, const char *why)
 {
 	struct task_name n;
 
+	if (t->step->spec->long_running &&
+	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING))
+		pool_log_availability(p, t, t->worker, t->run, why);
+
 	switch (t->place) {
 	case PLACE_NONE:
 		return;
@@ -129,6 +134,7 @@
 	}
 	t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
+	t->stop_sent = true;
 	task_get_name(t, &n);
 	fx_stop(p, t->worker, &n, t->run);
 }
@@ -142,7 +148,7 @@
 	for (i = 0; i < s->spec->task_count; i++) {
 		if (s->tasks[i].place == PLACE_STARTING ||
 		    s->tasks[i].place == PLACE_RUNNING)
-			task_stop(p, &s->tasks[i]);
+			task_stop(p, &s->tasks[i], "gang-broken");
 	}
 }
 
@@ -232,7 +238,20 @@
 		return;
 	mark_done(p, t);
 	if (t->place != PLACE_NONE) /* another run of the task */
-		task_stop(p, t);
+		task_stop(p, t, "task-done");
+}
+
+static void
+log_lease_expired(
+    struct pool *p, const struct pool_worker *w, const struct task *t)
+{
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"lease of a long-running task has expired\" job=%s "
+	    "task=%u.%u worker=%s extended_ms_ago=%lld ended_ms_ago=%lld",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    w->report.id,
+	    (long long)((p->now_us - w->lease_extended_us) / US_PER_MS),
+	    (long long)(w->report.clock_ms - w->lease_end_ms));
 }
 
 void
@@ -254,6 +273,8 @@
 	    (long long)r->run, w->report.id, (long long)r->number, r->outcome,
 	    placed ? (long long)((p->now_us - t->placed_us) / US_PER_MS) : -1,
 	    (long long)t->step->spec->estimate_ms);
+	if (r->outcome == RUN_LEASE_EXPIRED && t->step->spec->long_running)
+		log_lease_expired(p, w, t);
 	if (r->run > t->run)
 		t->run = r->run;
 	if (r->checkpoint[0] != '\0') {
@@ -324,6 +345,28 @@
 		gang_stop(p, t->step);
 }
 
+/*
+ * The run may have begun, or begin later.  A stop blocks it; one of a
+ * long-running task may be at work by now, and goes on if the worker lists it.
+ */
+static void
+start_unanswered(struct pool *p, struct task *t)
+{
+	bool awaits_list = t->step->spec->long_running && !t->step->spec->gang;
+
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"start unanswered: %s\" job=%s task=%u.%u run=%lld worker=%s",
+	    awaits_list ? "waits for the worker's list" : "blocks the run",
+	    t->step->occurrence->job->id, t->step->number, t->index,
+	    (long long)t->run, t->worker->report.id);
+	if (!awaits_list) {
+		task_stop(p, t, "start-unanswered");
+		return;
+	}
+	task_set_place(p, t, PLACE_UNCONFIRMED);
+	t->unconfirmed_us = p->now_us;
+}
+
 void
 pool_start_done(struct pool *p, const struct pool_event *ev)
 {
@@ -357,14 +400,8 @@
 			j->state = JOB_RUNNING;
 		return;
 	case COMMAND_UNANSWERED:
-		if (t->place == PLACE_STARTING) {
-			fx_log(p, LOG_LEVEL_INFO,
-			    "msg=\"start unanswered: blocks the run\" job=%s "
-			    "task=%u.%u run=%lld worker=%s",
-			    j->id, t->step->number, t->index, (long long)t->run,
-			    ev->u.command.worker);
-			task_stop(p, t);
-		}
+		if (t->place == PLACE_STARTING)
+			start_unanswered(p, t);
 		return;
 	case COMMAND_OTHER_INCARNATION:
 		worker_ended(p, t->worker, "other-life");
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -53,6 +53,9 @@
 	int64_t clock_read_us; /* when report.clock_ms was received */
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
+	int64_t lease_extended_us; /* when lease_end_ms was sent; 0: never */
+	/* Newest renewals could not extend the lease, which is logged. */
+	bool lease_withheld;
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_clock_ms; /* its latest clock in any answer */
 	/* First missed renewal since the last answer; 0: none was missed. */
@@ -64,6 +67,9 @@
 	bool is_gone; /* its process has ended */
 	bool fate_awaited; /* a suspect waits for news of it */
 	bool renewal_in_flight;
+	int64_t renewal_sent_us; /* newest renewal */
+	/* It was not answered in time, perhaps as the loop was late. */
+	bool renewal_cut_short;
 	int64_t renewal_due_us; /* next renewal */
 	int64_t last_end; /* highest end number processed */
 	/* The worker may forget ends up to this number: they are stored. */
@@ -139,6 +145,7 @@
 	/* Copied from the event that is being processed. */
 	int64_t now_us, now_ms;
 	int64_t loop_lag_us;
+	int64_t loop_late_us; /* newest event that the loop was late for */
 	int64_t ownership_confirmed_us;
 	int64_t entries_read_us;
 	bool workers_guarded;
@@ -342,7 +349,8 @@
 /* Takes the task off its worker; unless done, it may be started again. */
 void task_detach(struct pool *p, struct task *t);
 void task_start(struct pool *p, struct task *t, int64_t run);
-void task_stop(struct pool *p, struct task *t);
+/* "why" is logged if a run of a long-running task ends with it. */
+void task_stop(struct pool *p, struct task *t, const char *why);
 void pool_run_ended(
     struct pool *p, struct pool_worker *w, const struct end_report *r);
 void pool_start_done(struct pool *p, const struct pool_event *ev);
@@ -411,6 +419,14 @@
 void pool_watch_tasks(struct pool *p, struct pool_worker *w);
 /* Lets the next long-running task leave an evacuating worker. */
 void pool_watch_evacuating(struct pool *p);
+/* Logs an order that ends a run of a long-running task. */
+void pool_log_availability(struct pool *p, const struct task *t,
+    const struct pool_worker *w, int64_t run, const char *why);
+/*
+ * The start of a long-running task got no answer, and the worker's next list
+ * shows whether the run has begun.
+ */
+bool task_awaits_list(const struct task *t);
 /* A long-running task that is placed and not at work yet. */
 bool task_warming_up(const struct task *t);
 void pool_throttle_best_effort(struct pool *p, struct pool_worker *w);
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -21,6 +21,11 @@
 #define EVACUATE_MAX_MS 4000 /* time until all other tasks are stopped */
 /* Moves are expected this long after a long-running task had to leave. */
 #define MOVES_MS 3000
+/*
+ * Longest time between two answers of a worker that runs tasks: the longest
+ * wait of a renewal and its time-out.
+ */
+#define REPORT_AGE_MAX_MS 1600
 /* Time between changes of a throttle: a report covers half a second. */
 #define THROTTLE_INTERVAL_MS 700
 /* Ratio of tail latency to target: throttle more above, less below. */
@@ -57,18 +62,40 @@
 	    (long long)((p->now_us - t->progress_changed_us) / US_PER_MS));
 	snprintf(t->avoid_worker, sizeof(t->avoid_worker), "%s", w->report.id);
 	w->fail_streak++;
-	task_stop(p, t);
+	task_stop(p, t, "stalled");
+}
+
+bool
+task_awaits_list(const struct task *t)
+{
+	return t->place == PLACE_UNCONFIRMED && !t->stop_sent &&
+	    t->step->spec->long_running && !t->step->spec->gang;
 }
 
 bool
 task_warming_up(const struct task *t)
 {
 	return t->step->spec->long_running && t->progress_percent < 100 &&
-	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING);
+	    (t->place == PLACE_STARTING || t->place == PLACE_RUNNING ||
+		task_awaits_list(t));
+}
+
+/*
+ * What the worker has reported of its tasks still counts: the report is not
+ * older than reports become where the owner gets to read them, and the lease is
+ * being extended.
+ */
+static bool
+worker_report_valid(const struct pool *p, const struct pool_worker *w)
+{
+	return w->missed_renewals == 0 &&
+	    p->now_us - w->last_reply_us <= REPORT_AGE_MAX_MS * US_PER_MS &&
+	    w->lease_end_ms - worker_clock_ms(w, p->now_us) >
+	    p->opts.lease_ms / 2;
 }
 
 /*
- * The task is at work by the last report of its worker, and the worker answers.
+ * The task is at work by the last report of its worker, and that is valid.
  * An adopted run may have been stopped by an earlier owner and is listed until
  * it ends, so it counts only after the longest time that a stop takes.
  */
@@ -80,7 +107,7 @@
 	if (t->adopted && p->now_us - t->placed_us < stop_end_ms * US_PER_MS)
 		return false;
 	return t->place == PLACE_RUNNING && t->progress_percent >= 100 &&
-	    t->worker->missed_renewals == 0;
+	    worker_report_valid(p, t->worker);
 }
 
 /*
@@ -103,6 +130,32 @@
 	return unavailable;
 }
 
+void
+pool_log_availability(struct pool *p, const struct task *t,
+    const struct pool_worker *w, int64_t run, const char *why)
+{
+	const struct job_step *s = t->step;
+	const struct task *last = NULL;
+	int64_t age_us, oldest_us = 0;
+	unsigned i;
+
+	for (i = 0; i < s->spec->task_count; i++) {
+		if (&s->tasks[i] == t || s->tasks[i].worker == NULL)
+			continue;
+		age_us = p->now_us - s->tasks[i].worker->last_reply_us;
+		oldest_us = age_us > oldest_us ? age_us : oldest_us;
+	}
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"ends a long-running task\" job=%s task=%u.%u run=%lld "
+	    "worker=%s why=%s percent=%d away=%u may_miss=%u "
+	    "oldest_heard_ms=%lld lease_left_ms=%lld",
+	    s->occurrence->job->id, s->number, t->index, (long long)run,
+	    w->report.id, why, t->worker == w ? t->progress_percent : -1,
+	    count_unavailable(p, t, &last), s->spec->max_unavailable,
+	    (long long)(oldest_us / US_PER_MS),
+	    (long long)(w->lease_end_ms - worker_clock_ms(w, p->now_us)));
+}
+
 /* Logs why a task cannot leave an evacuating worker, once a second at most. */
 static void
 log_move_blocked(struct pool *p, const struct pool_worker *w,
@@ -116,14 +169,17 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"long-running task cannot move\" job=%s task=%u.%u worker=%s "
 	    "emptied_ms_ago=%lld away=%u may_miss=%u one_away=%u on=%s "
-	    "percent=%d silent=%d",
+	    "percent=%d silent=%d heard_ms_ago=%lld",
 	    t->step->occurrence->job->id, t->step->number, t->index,
 	    w->report.id,
 	    (long long)((p->now_us - w->evacuating_since_us) / US_PER_MS),
 	    unavailable, t->step->spec->max_unavailable,
 	    last != NULL ? last->index : 0, on != NULL ? on->report.id : "none",
 	    last != NULL ? last->progress_percent : 0,
-	    on != NULL ? on->missed_renewals : 0);
+	    on != NULL ? on->missed_renewals : 0,
+	    on != NULL
+		? (long long)((p->now_us - on->last_reply_us) / US_PER_MS)
+		: -1);
 }
 
 /*
@@ -222,6 +278,8 @@
 {
 	bool listed = t->last_listed_in == t->worker->report_count;
 
+	if (task_awaits_list(t))
+		return t->worker->last_reply_us >= t->unconfirmed_us;
 	return (t->place == PLACE_STOPPING || t->place == PLACE_UNCONFIRMED) &&
 	    (t->command_answered_us == 0 || listed) &&
 	    p->now_us - t->command_sent_us > STOP_RETRY_MS * US_PER_MS;
@@ -236,10 +294,12 @@
 		next = TAILQ_NEXT(t, on_worker);
 		if (task_stalls(p, t))
 			stop_stalled(p, w, t);
-		else if (stop_retry_due(p, t) ||
-		    task_must_leave_draining(p, w, t) ||
-		    task_must_evacuate(p, w, t))
-			task_stop(p, t);
+		else if (stop_retry_due(p, t))
+			task_stop(p, t, "stop-unanswered");
+		else if (task_must_leave_draining(p, w, t))
+			task_stop(p, t, "drains");
+		else if (task_must_evacuate(p, w, t))
+			task_stop(p, t, "evacuates");
 	}
 }
 
