pool: a restart keeps in mind the acknowledgement that is in flight

What callers saw: a task that had ended ran a second time.

Cause: a worker that restarts under its id numbers its ends from 1 again. A late renewal of before makes it forget ends that the owner has not seen, so that the worker gets no runs while one may arrive. That held for renewals that had failed before the restart was noticed. Where the worker's entry told of the restart first, the renewal was still in flight and was not counted. Besides, an answer to it would have counted as the delivery of the earlier incarnation's acknowledgement. A worker that was freed lost the time too; it now stays until then.

In the model, late orders may now reach a worker that restarted under its id, as they name no more than that; a renewal forgets ends once, when it arrives. The same holds for all worlds without such orders, as numbers rise within an incarnation.

Not covered: a worker that keeps the acknowledged number for later ends.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -78,7 +78,6 @@
 	struct end_report *ended;
 	size_t ended_count;
 	int64_t ends;
-	int64_t acked;
 	struct sim_bar *bars;
 	int64_t slow_since_ms; /* its clock is slow since; 0: it is not */
 	int lists_missing; /* the next lists of the platform lack it */
@@ -393,7 +392,7 @@
 	free(s->ended);
 	s->ended = NULL;
 	s->ended_count = 0;
-	s->ends = s->acked = s->fence = s->lease_end_ms = 0;
+	s->ends = s->fence = s->lease_end_ms = 0;
 	b = s->bars;
 	HASH_CLEAR(hh, s->bars); /* leaves the chain of the elements */
 	for (; b != NULL; b = next) {
@@ -543,13 +542,13 @@
 }
 
 static void
-note_ends(struct jobs_world *w, struct sim_worker *s)
+note_ends(struct jobs_world *w, struct sim_worker *s, int64_t acked_end)
 {
 	struct known_task *t;
 	size_t i, kept = 0;
 
 	for (i = 0; i < s->ended_count; i++) {
-		if (s->ended[i].number > s->acked) {
+		if (s->ended[i].number > acked_end) {
 			s->ended[kept++] = s->ended[i];
 			continue;
 		}
@@ -646,9 +645,8 @@
 
 	if (m->lease_end_ms > s->lease_end_ms)
 		s->lease_end_ms = m->lease_end_ms;
-	if (m->acked_end > s->acked)
-		s->acked = m->acked_end;
-	note_ends(w, s);
+	note_ends(w, s, m->acked_end);
+	m->acked_end = 0; /* it forgets no end that comes while it waits */
 	if (s->ended_count == 0 && w->ms < m->until_ms)
 		return false;
 	if (m->answer_lost || out_of_reach(s, m->owner))
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -17,8 +17,6 @@
 #define RENEWAL_RETRY_MAX_MS 1000
 /* Between renewals that do not wait, as there are unacknowledged ends. */
 #define RENEWAL_UNACKED_INTERVAL_MS 250
-/* An unanswered command may arrive this long after it was sent. */
-#define LATE_COMMAND_MAX_MS 12000
 #define LEASE_MAX_MS 6000 /* longest that workers grant; a platform limit */
 /* The same by the owner's clock. */
 #define LEASE_MAX_ELAPSED_MS (LEASE_MAX_MS / CLOCK_RATE_MIN + LEASE_MARGIN_MS)
@@ -206,6 +204,7 @@
 	worker_check_lease(p, w);
 	if (!worker_present(p, w) && !w->machine_removed &&
 	    w->task_count == 0 && !w->renewal_in_flight &&
+	    p->now_us >= w->late_ack_until_us &&
 	    (w->fence_confirmed || !w->inherited ||
 		p->now_us >= p->reconcile_end_us)) {
 		worker_free(p, w);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -12,6 +12,8 @@
 #define RUNS_PER_TERM 1000 /* run numbers that one term may assign */
 /* Tasks whose start the worker has outlived by less may crash it. */
 #define YOUNG_RUN_MS 100
+/* An unanswered command may arrive this long after it was sent. */
+#define LATE_COMMAND_MAX_MS 12000
 /* Lowest rate of a worker's clock: clocks run at most 2 % slow. */
 #define CLOCK_RATE_MIN 0.98
 /* Largest difference between two daemons' clocks: all are near true time. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -243,6 +243,10 @@
 	worker_mark_record_stale(p, w);
 	w->last_end = w->acked_end = w->pending_ack_end = w->delivered_ack_end =
 	    0;
+	if (w->in_flight_ack_end > 0)
+		w->late_ack_until_us =
+		    p->now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
+	w->in_flight_ack_end = 0;
 	/* no runs while a late renewal could acknowledge their ends */
 	w->quarantined_until_us = w->late_ack_until_us;
 	w->report.clock_ms = clock_ms;
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -32,6 +32,15 @@
 	job_spec_unref(o);
 }
 
+static void
+submit_short(unsigned count, int64_t ms)
+{
+	struct job_spec *o = jobs_order(1, count, 500, ms);
+
+	jobs_world_submit(world, o, NULL);
+	job_spec_unref(o);
+}
+
 static void
 expect_one_run(void)
 {
@@ -61,3 +70,38 @@
 	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
 	expect_one_run();
 }
+
+/* It made the new incarnation forget an end that the owner had not seen. */
+Test(one_run, an_end_is_not_lost_to_an_acknowledgement_of_before_a_restart)
+{
+	struct jobs_world_opts o = {
+	    .workers = 1,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .said_guarded = true,
+	};
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		o.seed = seed;
+		world = jobs_world_new(&o);
+		jobs_world_late_orders_cross_restarts(world);
+		submit_short(400, 10);
+		jobs_world_run(world, 3000);
+		submit_short(4, 300);
+		jobs_world_run(world, 300);
+		jobs_world_late(world, 1.0); /* of acknowledgements alone */
+		jobs_world_run(world, 40);
+		jobs_world_late(world, 0);
+		jobs_world_restart_worker(world, 0);
+		for (i = 0; i < 350; i++) {
+			submit_short(1, 60);
+			jobs_world_run(world, 40);
+		}
+		jobs_world_run(world, 3000);
+		expect_one_run();
+	}
+}
