pool: an entry without a start keeps the known start of its worker

What callers saw: tasks that had ended ran again.

Cause: an entry that lacks the worker's start set the known one to 0, which stands for unknown, and a restart is only noticed against a known one. The new incarnation numbers its ends from 1; all up to the last number of the earlier one were taken for old, and their tasks were started again as the worker listed no run of them.

The test failed before: more starts than the 120 tasks (one each).

--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -290,7 +290,7 @@
 pool_worker_entry(struct pool *p, const struct worker_report *r)
 {
 	struct pool_worker *w = pool_find_worker(p, r->id);
-	int64_t clock_ms;
+	int64_t clock_ms, started_ms;
 	bool was_draining;
 
 	if (r->started_ms > p->now_ms + CLOCK_STEP_MAX_MS) {
@@ -315,12 +315,14 @@
 		was_draining = false;
 	}
 	clock_ms = w->report.clock_ms;
+	started_ms = r->started_ms != 0 ? r->started_ms : w->report.started_ms;
 	if (!w->listed)
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld",
 		    r->id, r->data_centre, (long long)r->cpu_milli);
 	w->report = *r;
 	w->report.clock_ms = clock_ms;
+	w->report.started_ms = started_ms;
 	w->listed = true;
 	if (r->draining && !was_draining)
 		worker_begin_draining(p, w);
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -144,3 +144,25 @@
 	cr_expect_eq(jobs_world_tasks_on(world, at), 1);
 	expect_one_run();
 }
+
+Test(one_run, a_restart_is_noticed_after_an_entry_without_a_start)
+{
+	int i;
+
+	world = world_of(1);
+	submit_short(100, 10);
+	jobs_world_run(world, 3000);
+	jobs_world_entry(world, 0, -1);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_run(world, 100);
+	jobs_world_restart_worker(world, 0); /* its entry is not read */
+	jobs_world_run(world, 1500);
+	for (i = 0; i < 20; i++) {
+		submit_short(1, 100);
+		jobs_world_run(world, 200);
+	}
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 10000);
+	cr_expect_eq(jobs_world_starts(world), 100 + 20);
+	expect_one_run();
+}
