--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -39,6 +39,7 @@
 #define NOTICE_MS 4500
 /* A lease that lapses so long after a disturbance may be due to it. */
 #define DISTURBED_MS (CONTACT_MS + LEASE_MAX_MS)
+#define CLOCK_SLOW_PERCENT 2 /* of workers' slow clocks */
 
 struct sim_run {
 	struct task_name task;
@@ -83,8 +84,9 @@
 	struct end_report *ended;
 	size_t ended_count;
 	int64_t ends;
-	int64_t acked;
 	struct sim_bar *bars;
+	int64_t slow_since_ms; /* its clock is slow since; 0: it is not */
+	int lists_missing; /* the next lists of the platform lack it */
 };
 
 struct owner {
@@ -94,6 +96,7 @@
 	int64_t cut_ms; /* from the store since; 0: it is not */
 	int64_t stalled_until_ms; /* its loop stands still; 0: it does not */
 	int64_t census_ms; /* the platform answers then; 0: not asked */
+	int64_t suspended_until_ms; /* receives and does nothing before */
 	struct pool_effects fx;
 };
 
@@ -188,6 +191,8 @@
 	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
 	struct queue_settings terms;
+	int jitter_ms; /* further delay of a message, at most */
+	bool late_orders_cross_restarts;
 };
 
 static const struct queue_settings usual_terms = {.name = "queue",
@@ -281,7 +286,13 @@
 static int64_t
 clock_ms(const struct jobs_world *w, const struct sim_worker *s)
 {
-	return w->ms - s->born_ms;
+	int64_t slow_ms = 0;
+
+	if (s->slow_since_ms != 0)
+		slow_ms = w->ms -
+		    (s->slow_since_ms > s->born_ms ? s->slow_since_ms
+						   : s->born_ms);
+	return w->ms - s->born_ms - slow_ms * CLOCK_SLOW_PERCENT / 100;
 }
 
 static void
@@ -294,6 +305,12 @@
 	free(m);
 }
 
+static int64_t
+jitter(struct jobs_world *w)
+{
+	return w->jitter_ms > 0 ? (int64_t)(chance(w) * w->jitter_ms) : 0;
+}
+
 static struct message *
 message_new(struct jobs_world *w, enum message_kind kind, int64_t at_ms)
 {
@@ -301,6 +318,7 @@
 
 	m->kind = kind;
 	m->at_ms = at_ms;
+	m->clock_ms = -1;
 	LIST_INSERT_HEAD(&w->messages, m, entries);
 	return m;
 }
@@ -387,7 +405,7 @@
 	free(s->ended);
 	s->ended = NULL;
 	s->ended_count = 0;
-	s->ends = s->acked = s->fence = s->lease_end_ms = 0;
+	s->ends = s->fence = s->lease_end_ms = 0;
 	b = s->bars;
 	HASH_CLEAR(hh, s->bars); /* leaves the chain of the elements */
 	for (; b != NULL; b = next) {
@@ -606,13 +624,13 @@
 }
 
 static void
-note_ends(struct jobs_world *w, struct sim_worker *s)
+note_ends(struct jobs_world *w, struct sim_worker *s, int64_t acked_end)
 {
 	struct known_task *t;
 	size_t i, kept = 0;
 
 	for (i = 0; i < s->ended_count; i++) {
-		if (s->ended[i].number > s->acked) {
+		if (s->ended[i].number > acked_end) {
 			s->ended[kept++] = s->ended[i];
 			continue;
 		}
@@ -678,7 +696,8 @@
 
 	if (m->answer_lost || out_of_reach(&w->workers[m->worker], m->owner))
 		return;
-	a = message_new(w, MESSAGE_ORDER_END, w->ms + w->opts.link_ms);
+	a = message_new(
+	    w, MESSAGE_ORDER_END, w->ms + w->opts.link_ms + jitter(w));
 	a->owner = m->owner;
 	a->worker = m->worker;
 	a->task = m->task;
@@ -698,14 +717,13 @@
 
 	if (m->lease_end_ms > s->lease_end_ms)
 		s->lease_end_ms = m->lease_end_ms;
-	if (m->acked_end > s->acked)
-		s->acked = m->acked_end;
-	note_ends(w, s);
+	note_ends(w, s, m->acked_end);
+	m->acked_end = 0; /* it forgets no end that comes while it waits */
 	if (s->ended_count == 0 && w->ms < m->until_ms)
 		return false;
 	if (m->answer_lost || out_of_reach(s, m->owner))
 		return true;
-	a = message_new(w, MESSAGE_HELD, w->ms + w->opts.link_ms);
+	a = message_new(w, MESSAGE_HELD, w->ms + w->opts.link_ms + jitter(w));
 	a->owner = m->owner;
 	a->worker = m->worker;
 	a->asked_us = m->asked_us;
@@ -733,6 +751,14 @@
 	a->end = end;
 }
 
+/* A restarted worker has the id that the order names. */
+static bool
+meant_for(const struct jobs_world *w, const struct sim_worker *s,
+    const struct message *m)
+{
+	return s->born_ms == m->born_ms || w->late_orders_cross_restarts;
+}
+
 static bool
 deliver_order(struct jobs_world *w, struct message *m)
 {
@@ -744,7 +770,7 @@
 		answer_for_absent(w, m);
 		return true;
 	}
-	if (!s->up || out_of_reach(s, m->owner) || s->born_ms != m->born_ms)
+	if (!s->up || out_of_reach(s, m->owner) || !meant_for(w, s, m))
 		return true; /* nobody there: no answer */
 	if (fence < s->fence) {
 		if (m->kind == MESSAGE_HOLD) {
@@ -916,7 +942,7 @@
     struct jobs_world *w, int owner, enum message_kind kind, const char *worker)
 {
 	int i = worker_index(w, worker);
-	int64_t at = w->ms + w->opts.link_ms;
+	int64_t at = w->ms + w->opts.link_ms + jitter(w);
 	struct message *m;
 
 	if (i < 0)
@@ -1136,7 +1162,9 @@
 		return;
 	w->owners[owner].census_ms = 0;
 	for (i = 0; i < w->opts.workers; i++) {
-		if (w->workers[i].up)
+		if (w->workers[i].lists_missing > 0)
+			w->workers[i].lists_missing--;
+		else if (w->workers[i].up)
 			memcpy(ids[ev.u.liveness.count++], w->workers[i].id,
 			    NAME_BYTES);
 	}
@@ -1153,7 +1181,7 @@
 	struct pool_effects fx;
 	size_t i;
 
-	if (!o->alive)
+	if (!o->alive || w->ms < o->suspended_until_ms)
 		return;
 	if (o->cut_ms != 0 && w->ms - o->cut_ms > GIVE_UP_MS) {
 		o->alive = false;
@@ -1178,8 +1206,9 @@
 	pool_effects_uninit(&fx);
 }
 
+/* "started_ms" is Unix time; 0: the entry does not have it. */
 static void
-feed_worker(struct jobs_world *w, int owner, int i)
+feed_entry(struct jobs_world *w, int owner, int i, int64_t started_ms)
 {
 	struct pool_event ev = {.kind = POOL_WORKER_ENTRY};
 	struct sim_worker *s = &w->workers[i];
@@ -1190,7 +1219,7 @@
 	snprintf(r.pool, sizeof(r.pool), "pool");
 	snprintf(r.addr, sizeof(r.addr), "10.0.0.%d", i + 1);
 	r.port = 80;
-	r.started_ms = START_MS + s->born_ms;
+	r.started_ms = started_ms;
 	r.cpu_milli = s->cpu;
 	r.memory_mb = w->opts.memory_mb;
 	r.accelerators = w->opts.accelerators;
@@ -1203,6 +1232,12 @@
 	step(w, owner, &ev);
 }
 
+static void
+feed_worker(struct jobs_world *w, int owner, int i)
+{
+	feed_entry(w, owner, i, START_MS + w->workers[i].born_ms);
+}
+
 static void
 found_order(void *arg, const struct job_spec_record *r)
 {
@@ -1351,7 +1386,7 @@
 	step(w, m->owner, &ev);
 }
 
-/* The message waits in the queue of an owner whose loop stands still. */
+/* The message waits for an owner that is suspended, or whose loop is late. */
 static bool
 owner_stalled(const struct jobs_world *w, const struct message *m)
 {
@@ -1365,7 +1400,8 @@
 	case MESSAGE_WRITE:
 		break;
 	}
-	return w->ms < w->owners[m->owner].stalled_until_ms;
+	return w->ms < w->owners[m->owner].stalled_until_ms ||
+	    w->ms < w->owners[m->owner].suspended_until_ms;
 }
 
 /* Timers of a loop that stood still run before it reads what has arrived. */
@@ -1985,3 +2021,47 @@
 {
 	w->answers_read_ms = w->ms + ms;
 }
+
+void
+jobs_world_jitter(struct jobs_world *w, int ms)
+{
+	w->jitter_ms = ms;
+}
+
+void
+jobs_world_slow_clock(struct jobs_world *w, int worker)
+{
+	w->workers[worker].slow_since_ms = w->ms;
+}
+
+void
+jobs_world_list_lacks(struct jobs_world *w, int worker, int lists)
+{
+	w->workers[worker].lists_missing = lists;
+}
+
+void
+jobs_world_late_orders_cross_restarts(struct jobs_world *w)
+{
+	w->late_orders_cross_restarts = true;
+}
+
+void
+jobs_world_suspend_owner(struct jobs_world *w, int ms)
+{
+	struct owner *o = &w->owners[w->owner];
+
+	o->suspended_until_ms = w->ms + ms;
+	if (o->cut_ms == 0)
+		o->cut_ms = w->ms;
+	w->owner++;
+	owner_begin(w);
+}
+
+void
+jobs_world_entry(struct jobs_world *w, int worker, int64_t later_ms)
+{
+	int64_t started_ms = START_MS + w->workers[worker].born_ms + later_ms;
+
+	feed_entry(w, w->owner, worker, later_ms >= 0 ? started_ms : 0);
+}
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -93,6 +93,9 @@
 	 */
 	int64_t begun_us;
 	int64_t begun_clock_ms; /* the same on the worker's clock */
+	/* The known incarnation of its worker has accepted or listed the run.
+	 */
+	bool run_confirmed;
 	enum placement place;
 	struct pool_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -21,9 +21,9 @@
 #define RENEWAL_RETRY_MAX_MS 1000
 /* Between renewals that do not wait, as there are unacknowledged ends. */
 #define RENEWAL_UNACKED_INTERVAL_MS 250
-/* An unanswered command may arrive this long after it was sent. */
-#define LATE_COMMAND_MAX_MS 12000
 #define LEASE_MAX_MS 6000 /* longest that workers grant; a platform limit */
+/* The same by the owner's clock. */
+#define LEASE_MAX_ELAPSED_MS (LEASE_MAX_MS / CLOCK_RATE_MIN + LEASE_MARGIN_MS)
 /* Interval of checks for leases and entries that expire. */
 #define WORKERS_CHECK_INTERVAL_MS 20
 #define ENDS_PER_REPORT_MAX 500 /* a full list may omit further ends */
@@ -133,6 +133,7 @@
 		x->u.renewal.wait_ms = query_wait_ms(w);
 		return;
 	}
+	w->lease_sent_us = p->now_us;
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
@@ -174,6 +175,29 @@
 	    (LATE_COMMAND_MAX_MS + LEASE_MAX_MS) * US_PER_MS;
 }
 
+/*
+ * The worker may have restarted since its last answer and then accepted starts.
+ * Its clock starts from zero, so that it shortens their leases to LEASE_MAX_MS.
+ */
+static bool
+unconfirmed_run_lease_expired(const struct pool *p, const struct pool_worker *w)
+{
+	return p->ownership_confirmed_us - w->lease_sent_us >
+	    (int64_t)(LEASE_MAX_ELAPSED_MS * US_PER_MS);
+}
+
+static bool
+has_confirmed_task(const struct pool_worker *w)
+{
+	const struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->run_confirmed)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Detaches the tasks of a silent worker whose leases have expired.  A later
  * owner may have renewed them since, but there was none while this owner was
@@ -182,17 +206,26 @@
 static void
 worker_check_lease(struct pool *p, struct pool_worker *w)
 {
+	enum detach_scope scope = DETACH_ALL;
+
 	if (w->missed_renewals == 0 || w->task_count == 0)
 		return;
 	if (w->fence_confirmed
-		? worker_lease_expired(w, p->ownership_confirmed_us)
-		: unconfirmed_lease_expired(p, w)) {
+		? !worker_lease_expired(w, p->ownership_confirmed_us)
+		: !unconfirmed_lease_expired(p, w))
+		return;
+	if (w->fence_confirmed && !unconfirmed_run_lease_expired(p, w)) {
+		if (!has_confirmed_task(w))
+			return;
+		scope = DETACH_CONFIRMED;
+	}
+	worker_suspect_tasks(p, w, scope);
+	worker_detach_tasks(p, w, scope, "lease-over");
+	if (w->task_count == 0) {
 		w->idle_by_ms = p->now_ms;
 		worker_mark_record_stale(p, w);
-		worker_suspect_tasks(p, w);
-		worker_detach_tasks(p, w, "lease-over");
-		p->placement_due = true;
 	}
+	p->placement_due = true;
 }
 
 /* A renewal is to be sent at renewal_due_us. */
@@ -215,6 +248,7 @@
 	worker_check_lease(p, w);
 	if (!worker_present(p, w) && !w->machine_removed &&
 	    w->task_count == 0 && !w->renewal_in_flight &&
+	    p->now_us >= w->late_ack_until_us &&
 	    (w->fence_confirmed || !w->inherited ||
 		p->now_us >= p->reconcile_end_us)) {
 		worker_free(p, w);
@@ -287,7 +321,7 @@
 worker_ended(struct pool *p, struct pool_worker *w, const char *why)
 {
 	worker_crashed(p, w);
-	worker_detach_tasks(p, w, why);
+	worker_detach_tasks(p, w, DETACH_ALL, why);
 	w->is_gone = true;
 	w->fence_confirmed = false;
 	w->inherited = false; /* runs of earlier terms have ended, too */
@@ -420,6 +454,7 @@
 			t->command_answered_us = p->now_us;
 		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
+		t->run_confirmed = true;
 		if (t->begun_us == 0) {
 			t->begun_us = p->now_us;
 			t->begun_clock_ms = report->clock_ms;
@@ -489,7 +524,7 @@
 	if (r->started_ms != 0 && w->report.started_ms != 0 &&
 	    r->started_ms != w->report.started_ms) {
 		if (r->started_ms > w->report.started_ms) {
-			worker_restarted(p, w, r->clock_ms, r->started_ms);
+			worker_restarted(p, w, r->clock_ms);
 			w->report.started_ms = r->started_ms;
 		}
 		w->renewal_due_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -12,6 +12,8 @@
 #define RUNS_PER_TERM 1000 /* run numbers that one term may assign */
 /* Tasks whose start the worker has outlived by less may crash it. */
 #define YOUNG_RUN_MS 100
+/* An unanswered command may arrive this long after it was sent. */
+#define LATE_COMMAND_MAX_MS 12000
 /* Lowest rate of a worker's clock: clocks run at most 2 % slow. */
 #define CLOCK_RATE_MIN 0.98
 /* Largest difference between two daemons' clocks: all are near true time. */
@@ -56,6 +58,7 @@
 	int64_t lease_extended_us; /* when lease_end_ms was sent; 0: never */
 	/* Newest renewals could not extend the lease, which is logged. */
 	bool lease_withheld;
+	int64_t lease_sent_us; /* newest command that grants a lease */
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_clock_ms; /* its latest clock in any answer */
 	/* First missed renewal since the last answer; 0: none was missed. */
@@ -241,6 +244,18 @@
 	double slack_ms; /* time that it can wait and meet its objective */
 };
 
+/* Which of a worker's tasks are detached. */
+enum detach_scope {
+	DETACH_ALL,
+	DETACH_CONFIRMED /* those with run_confirmed */
+};
+
+static inline bool
+detach_scope_has(enum detach_scope scope, const struct task *t)
+{
+	return scope == DETACH_ALL || t->run_confirmed;
+}
+
 /* pool_effects.c */
 struct pool_effect *fx_add(struct pool *p, enum pool_effect_kind kind);
 void fx_log(struct pool *p, enum log_level level, const char *fmt, ...)
@@ -258,9 +273,9 @@
 void pool_worker_entry(struct pool *p, const struct worker_report *r);
 void pool_worker_unlisted(struct pool *p, const char *id);
 void pool_cordon(struct pool *p, const struct pool_event *ev);
-/* Detaches all tasks: no run on the worker is left. */
-void worker_detach_tasks(
-    struct pool *p, struct pool_worker *w, const char *why);
+/* The runs of all these tasks on the worker have ended. */
+void worker_detach_tasks(struct pool *p, struct pool_worker *w,
+    enum detach_scope scope, const char *why);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
 /* An answer carried this time of the worker's clock; -1: none. */
@@ -284,8 +299,7 @@
 /* The worker's record no longer matches its state, and is written again. */
 void worker_mark_record_stale(struct pool *p, struct pool_worker *w);
 /* A new incarnation has the worker's id and none of its earlier state. */
-void worker_restarted(struct pool *p, struct pool_worker *w, int64_t clock_ms,
-    int64_t started_ms);
+void worker_restarted(struct pool *p, struct pool_worker *w, int64_t clock_ms);
 void worker_free(struct pool *p, struct pool_worker *w);
 
 /* pool_renewals.c */
@@ -313,7 +327,8 @@
  */
 void worker_crashed(struct pool *p, struct pool_worker *w);
 /* The fate of a silent worker is unknown: those of its tasks are suspected. */
-void worker_suspect_tasks(struct pool *p, struct pool_worker *w);
+void worker_suspect_tasks(
+    struct pool *p, struct pool_worker *w, enum detach_scope scope);
 /* Time that the worker has outlived the start of the task's run, in ms. */
 int64_t task_survived_ms(const struct task *t);
 /* Its worker has outlived a run of the task by so much. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -6,6 +6,8 @@
 /* A dropped entry comes back within this time or not at all. */
 #define ENTRY_RETURN_MAX_MS 2500
 #define CORDON_VALID_MS 2000 /* a cordon that is not renewed expires */
+/* Clocks of daemons and workers, which may step, differ by less. */
+#define CLOCK_STEP_MAX_MS 60000
 
 struct pool_worker *
 pool_find_worker(const struct pool *p, const char *id)
@@ -160,20 +162,50 @@
 	free(w);
 }
 
+/* Logs the first task and the age of what is known of the worker. */
+static void
+log_runs_over(struct pool *p, const struct pool_worker *w,
+    enum detach_scope scope, const char *why)
+{
+	const struct task *t, *first = NULL;
+	size_t n = 0;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (!detach_scope_has(scope, t))
+			continue;
+		first = first != NULL ? first : t;
+		n++;
+	}
+	if (first == NULL)
+		return;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"runs of a worker are over\" worker=%s tasks=%zu of=%zu "
+	    "why=%s first_job=%s first_task=%u.%u.%u run=%lld place=%d "
+	    "clock_age_ms=%lld heard_ms_ago=%lld lease_ms_left=%lld "
+	    "confirmed_ms_ago=%lld misses=%d lists_without_it=%d",
+	    w->report.id, n, w->task_count, why,
+	    first->step->occurrence->job->id, first->step->occurrence->number,
+	    first->step->number, first->index, (long long)first->run,
+	    first->place,
+	    (long long)((p->now_us - w->clock_read_us) / US_PER_MS),
+	    (long long)((p->now_us - w->last_reply_us) / US_PER_MS),
+	    (long long)(w->lease_end_ms - worker_clock_ms(w, p->now_us)),
+	    (long long)((p->now_us - p->ownership_confirmed_us) / US_PER_MS),
+	    w->missed_renewals, w->missing_from_lists);
+}
+
 void
-worker_detach_tasks(struct pool *p, struct pool_worker *w, const char *why)
+worker_detach_tasks(struct pool *p, struct pool_worker *w,
+    enum detach_scope scope, const char *why)
 {
 	struct task *t, *next;
 
 	if (w->task_count > 0)
-		fx_log(p, LOG_LEVEL_WARN,
-		    "msg=\"runs of a worker are over\" worker=%s tasks=%zu "
-		    "why=%s clock_age_ms=%lld",
-		    w->report.id, w->task_count, why,
-		    (long long)((p->now_us - w->clock_read_us) / US_PER_MS));
+		log_runs_over(p, w, scope, why);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
-		task_detach(p, t);
+		if (detach_scope_has(scope, t))
+			task_detach(p, t);
 	}
 }
 
@@ -182,10 +214,8 @@
  * arrive at the new one.
  */
 void
-worker_restarted(
-    struct pool *p, struct pool_worker *w, int64_t clock_ms, int64_t started_ms)
+worker_restarted(struct pool *p, struct pool_worker *w, int64_t clock_ms)
 {
-	int64_t age_ms = p->now_ms - started_ms + CLOCK_OFFSET_MAX_MS;
 	struct task *t, *next;
 
 	fx_log(p, LOG_LEVEL_INFO,
@@ -199,8 +229,7 @@
 		    t->place == PLACE_UNCONFIRMED) {
 			task_set_place(p, t, PLACE_UNCONFIRMED);
 			t->command_answered_us = 0;
-		} else if (p->now_us - t->command_sent_us <
-		    age_ms * US_PER_MS) {
+		} else if (!t->run_confirmed) {
 			/*
 			 * the new incarnation may have received the command:
 			 * its first report shows whether the run exists
@@ -208,7 +237,9 @@
 			t->command_answered_us = p->now_us;
 		} else {
 			task_detach(p, t);
+			continue;
 		}
+		t->run_confirmed = false;
 	}
 	w->fence_confirmed = false;
 	/*
@@ -219,6 +250,10 @@
 	worker_mark_record_stale(p, w);
 	w->last_end = w->acked_end = w->pending_ack_end = w->delivered_ack_end =
 	    0;
+	if (w->in_flight_ack_end > 0)
+		w->late_ack_until_us =
+		    p->now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
+	w->in_flight_ack_end = 0;
 	/* no runs while a late renewal could acknowledge their ends */
 	w->quarantined_until_us = w->late_ack_until_us;
 	w->report.clock_ms = clock_ms;
@@ -263,9 +298,16 @@
 pool_worker_entry(struct pool *p, const struct worker_report *r)
 {
 	struct pool_worker *w = pool_find_worker(p, r->id);
-	int64_t clock_ms;
+	int64_t clock_ms, started_ms;
 	bool was_draining;
 
+	if (r->started_ms > p->now_ms + CLOCK_STEP_MAX_MS) {
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"ignores an entry of a worker that has not started "
+		    "yet\" worker=%s started_in_ms=%lld known=%d",
+		    r->id, (long long)(r->started_ms - p->now_ms), w != NULL);
+		return;
+	}
 	if (w == NULL)
 		w = pool_worker_new(p, r);
 	if (w == NULL ||
@@ -277,16 +319,18 @@
 	was_draining = w->report.draining;
 	if (r->started_ms != w->report.started_ms && r->started_ms != 0 &&
 	    w->report.started_ms != 0) {
-		worker_restarted(p, w, r->clock_ms, r->started_ms);
+		worker_restarted(p, w, r->clock_ms);
 		was_draining = false;
 	}
 	clock_ms = w->report.clock_ms;
+	started_ms = r->started_ms != 0 ? r->started_ms : w->report.started_ms;
 	if (!w->listed)
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld",
 		    r->id, r->data_centre, (long long)r->cpu_milli);
 	w->report = *r;
 	w->report.clock_ms = clock_ms;
+	w->report.started_ms = started_ms;
 	w->listed = true;
 	if (r->draining && !was_draining)
 		worker_begin_draining(p, w);
@@ -313,7 +357,7 @@
 static void
 worker_machine_removed(struct pool *p, struct pool_worker *w)
 {
-	worker_detach_tasks(p, w, "machine-taken-away");
+	worker_detach_tasks(p, w, DETACH_ALL, "machine-taken-away");
 	w->machine_removed = true;
 	w->listed = false;
 	w->unlisted_us = 0; /* its entry will not come back */
--- /dev/null
+++ b/tests/unit/test_one_run.c
@@ -0,0 +1,168 @@
+/* No task runs twice at once: each way in which a run is taken for over. */
+#include <criterion/criterion.h>
+
+#include "jobs_world.h"
+
+static struct jobs_world *world;
+
+static struct jobs_world *
+world_of(int workers)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = workers,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .said_guarded = true,
+	};
+
+	return jobs_world_new(&o);
+}
+
+static void
+submit_lasting(void)
+{
+	struct job_spec *o = jobs_order(1, 1, 500, 0);
+
+	o->steps[0].long_running = true;
+	o->steps[0].max_unavailable = 1;
+	jobs_world_submit(world, o, NULL);
+	job_spec_unref(o);
+}
+
+static void
+submit_short(unsigned count, int64_t ms)
+{
+	struct job_spec *o = jobs_order(1, count, 500, ms);
+
+	jobs_world_submit(world, o, NULL);
+	job_spec_unref(o);
+}
+
+static void
+expect_one_run(void)
+{
+	struct jobs_verdict v;
+
+	jobs_world_judge(world, &v);
+	cr_expect_str_eq(v.first, "");
+	jobs_world_free(world);
+}
+
+/* The worker's clock had started from zero, so that it granted 6 s. */
+Test(one_run, a_start_that_an_unnoticed_restart_took_is_not_over_too_early)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 20000);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 0); /* its entry is not read */
+	submit_lasting();
+	jobs_world_run(world, 10);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, 10000);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_one_run();
+}
+
+/* It made the new incarnation forget an end that the owner had not seen. */
+Test(one_run, an_end_is_not_lost_to_an_acknowledgement_of_before_a_restart)
+{
+	struct jobs_world_opts o = {
+	    .workers = 1,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .said_guarded = true,
+	};
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= 20; seed++) {
+		o.seed = seed;
+		world = jobs_world_new(&o);
+		jobs_world_late_orders_cross_restarts(world);
+		submit_short(400, 10);
+		jobs_world_run(world, 3000);
+		submit_short(4, 300);
+		jobs_world_run(world, 300);
+		jobs_world_late(world, 1.0); /* of acknowledgements alone */
+		jobs_world_run(world, 40);
+		jobs_world_late(world, 0);
+		jobs_world_restart_worker(world, 0);
+		for (i = 0; i < 350; i++) {
+			submit_short(1, 60);
+			jobs_world_run(world, 40);
+		}
+		jobs_world_run(world, 3000);
+		expect_one_run();
+	}
+}
+
+/* The age of the incarnation was taken from a clock that is behind. */
+Test(
+    one_run, a_run_on_a_restarted_worker_stays_where_the_owners_clock_is_behind)
+{
+	world = world_of(2);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_run(world, 20000);
+	jobs_world_clock_step(world, -5000);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 0); /* its entry is not read */
+	submit_lasting();
+	jobs_world_run(world, 20);
+	cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, 100);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 5000);
+	expect_one_run();
+}
+
+Test(one_run, an_entry_of_a_start_to_come_does_not_end_the_runs_of_a_worker)
+{
+	int at, i;
+
+	world = world_of(2);
+	submit_lasting();
+	jobs_world_run(world, 3000);
+	at = jobs_world_tasks_on(world, 0) > 0 ? 0 : 1;
+	jobs_world_entry(world, at, 3600000);
+	for (i = 0; i < 4; i++) {
+		jobs_world_run(world, 1500);
+		jobs_world_entry(world, at, 0);
+	}
+	cr_expect_eq(jobs_world_tasks_on(world, at), 1);
+	expect_one_run();
+}
+
+Test(one_run, a_restart_is_noticed_after_an_entry_without_a_start)
+{
+	int i;
+
+	world = world_of(1);
+	submit_short(100, 10);
+	jobs_world_run(world, 3000);
+	jobs_world_entry(world, 0, -1);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_run(world, 100);
+	jobs_world_restart_worker(world, 0); /* its entry is not read */
+	jobs_world_run(world, 1500);
+	for (i = 0; i < 20; i++) {
+		submit_short(1, 100);
+		jobs_world_run(world, 200);
+	}
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 10000);
+	cr_expect_eq(jobs_world_starts(world), 100 + 20);
+	expect_one_run();
+}
