store watch: an entry whose worker starts in the future is odd

An entry with "born" in the year 2096 over a live worker's key counted as a new incarnation: its runs counted as ended, and from then on every true entry and renewal of the worker, being older, was ignored for as long as the owner lived. With all four workers of a pool hit, no job of the pool was completed within 30 s (LOST).

Such an entry now names no worker when its start is more than a minute ahead of the daemon's wall clock; the last good entry stays.

--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -18,6 +18,8 @@
 #define MALFORMED_READS_MAX 4
 #define ODD_LOG_INTERVAL_MS 1000 /* between two lines about odd records */
 #define LOGGED_KEY_BYTES 41
+/* A worker's start may be so far ahead of this daemon's wall clock. */
+#define STARTED_AHEAD_MAX_MS (60 * 1000)
 
 /*
  * Reads the newest record of each key of a topic, page by page, and then reads
@@ -381,6 +383,7 @@
 		return;
 	}
 	if (worker_entry_parse(&report, r->key, r->value, r->value_len) == -1 ||
+	    report.started_ms > sched_unix_ms() + STARTED_AHEAD_MAX_MS ||
 	    leaves_for_unknown_pool(w, e, &report)) {
 		log_odd_entry(w, r, e != NULL);
 		return;
--- a/tests/process/test_odd_entries.c
+++ b/tests/process/test_odd_entries.c
@@ -293,3 +293,25 @@
 	cr_expect(wait_until(entry_dropped, worker, LIMIT_MS));
 	expect_jobs_run_once();
 }
+
+/* Its runs would count as ended, and their tasks be started again. */
+Test(odd_entries, a_start_in_the_future_is_no_new_incarnation)
+{
+	static const char format[] =
+	    "{\"service\":\"blue\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"z\","
+	    "\"state\":\"ready\",\"born\":4000000000000,\"clockMs\":7,"
+	    "\"capacity\":{\"cpu\":8000,\"memMb\":16000,\"gpu\":1},"
+	    "\"labels\":[\"a\",\"r-0\"]}";
+	char value[512], key[16];
+	int i;
+
+	submit_jobs();
+	snprintf(value, sizeof(value), format, fleet->platform_port);
+	for (i = 0; i < 4; i++) {
+		snprintf(key, sizeof(key), "blue-%d", i);
+		put_entry(key, value, false);
+	}
+	sleep_ms(SETTLE_MS);
+	expect_jobs_run_once();
+	cr_expect_eq(count_lines("worker restarted", ""), 0);
+}
