shards: a renewal's answer that is read seconds late is not taken

Cause: with the last pass that a late loop gives to a call, an owner that stood still for 2.5 s takes the answers that have waited in its sockets since. The worker's clock in them is up to that old; the leases that the owner grants by it end 1.1 s after the next renewal is sent, which the worker may hold for 1 s (2 s while it is idle).

Now such an answer counts as none, as before, where it is read more than 0.5 s after the renewal's timeout: the next renewal does not wait and brings a fresh clock.

Evidence: test an_answer_to_a_renewal_that_is_read_seconds_late_is_ignored; on the commit before: "(workers_answered_after(2500)) == (0) is false".

--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -14,6 +14,11 @@
 /* Round trips between two data centres, and a margin. */
 #define COMMAND_TIMEOUT_MS 400
 #define RENEWAL_MARGIN_MS 600 /* beyond the time that the worker may wait */
+/*
+ * An answer that a late loop reads this long after the renewal's timeout is not
+ * taken: by the worker's clock in it, the next leases would be too short.
+ */
+#define RENEWAL_ANSWER_LATE_MAX_MS 500
 #define ADVICE_TIMEOUT_MS 1200 /* the service answers one request at a time */
 #define WORKER_ANSWER_MAX_BYTES (1024 * 1024)
 
@@ -25,6 +30,7 @@
 	    task; /* POOL_QUERY_POLICY: its step; POOL_RENEW: unused */
 	int64_t run;
 	int64_t sent_us; /* boot clock */
+	int timeout_ms;
 	struct http_call *call;
 	LIST_ENTRY(shard_command) entries;
 };
@@ -77,6 +83,13 @@
 	return COMMAND_UNANSWERED;
 }
 
+static bool
+renewal_answer_is_old(const struct shard_command *cmd)
+{
+	return sched_boottime_us() - cmd->sent_us >
+	    (cmd->timeout_ms + RENEWAL_ANSWER_LATE_MAX_MS) * US_PER_MS;
+}
+
 static void
 handle_renewal_result(struct shard *sh, const struct shard_command *cmd,
     enum command_result result, const struct answer *a)
@@ -85,6 +98,8 @@
 	struct renewal_report report;
 	bool read = false;
 
+	if (result == COMMAND_ACCEPTED && renewal_answer_is_old(cmd))
+		result = COMMAND_UNANSWERED;
 	if (result == COMMAND_ACCEPTED && a->body != NULL)
 		read = renewal_report_parse(
 			   &report, a->body->data, a->body->len) == 0;
@@ -213,6 +228,7 @@
 		headers_add(
 		    &headers, WORKER_HEADER_TARGET_INSTANCE, req->worker->id);
 	cmd->sent_us = sched_boottime_us();
+	cmd->timeout_ms = req->timeout_ms;
 	sh->scheduler->counters.worker_commands++;
 	LIST_INSERT_HEAD(&sh->commands, cmd, entries);
 	cmd->call = req->body != NULL ? http_call_start(&c, NULL) : NULL;
--- a/tests/unit/test_shard.c
+++ b/tests/unit/test_shard.c
@@ -1,10 +1,14 @@
 /* One owned pool in an event loop, without a network. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
 
+#include <arpa/inet.h>
+
 #include <criterion/criterion.h>
 
 #include "http_context.h"
@@ -64,7 +68,7 @@
 
 /* An owned pool with one worker. */
 static void
-setup(void)
+setup_unanswered(void)
 {
 	static const struct http_context_opts service = {
 	    .header_pool_size = 4, .ipv4_only = true};
@@ -82,7 +86,6 @@
 	    .on_fenced = ignore_fenced,
 	};
 	struct pool_event ev = {.kind = POOL_LOADED};
-	struct renewal_report answer = {.clock_ms = 1000};
 
 	lws_set_log_level(0, NULL);
 	scheduler.context = http_context_new(&service);
@@ -112,7 +115,15 @@
 	ev.kind = POOL_WORKER_ENTRY;
 	ev.u.worker.report = &entry;
 	shard_handle_event(shard, &ev);
-	ev.kind = POOL_RENEWAL_DONE;
+}
+
+static void
+setup(void)
+{
+	struct pool_event ev = {.kind = POOL_RENEWAL_DONE};
+	struct renewal_report answer = {.clock_ms = 1000};
+
+	setup_unanswered();
 	snprintf(ev.u.renewal.worker, NAME_BYTES, "w-1");
 	ev.u.renewal.result = COMMAND_ACCEPTED;
 	ev.u.renewal.report = &answer;
@@ -163,3 +174,66 @@
 	cr_expect_geq(shard->pool->loop_lag_us, 300 * US_PER_MS, "%lld us",
 	    (long long)shard->pool->loop_lag_us);
 }
+
+static int
+listen_as_worker(void)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cr_assert(fd >= 0 &&
+	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+	    listen(fd, 16) == 0 &&
+	    getsockname(fd, (struct sockaddr *)&sin, &len) == 0);
+	entry.port = ntohs(sin.sin_port);
+	return fd;
+}
+
+static void
+service(int ms)
+{
+	while (ms-- > 0) {
+		lws_service(scheduler.context, -1);
+		usleep(1000);
+	}
+}
+
+static void
+count_worker(void *arg, const struct pool_worker_view *v)
+{
+	(void)v;
+	(*(int *)arg)++;
+}
+
+/* Workers that have answered, where one answer is read so much later. */
+static int
+workers_answered_after(int ms)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"
+	    "{\"clockMs\":482113,\"running\":[],\"ended\":[]} ";
+	int fd = listen_as_worker(), conn, n = 0;
+
+	setup_unanswered();
+	service(50);
+	conn = accept(fd, NULL, NULL);
+	cr_assert_eq(write(conn, answer, sizeof(answer) - 1),
+	    (ssize_t)sizeof(answer) - 1);
+	suspended_us += ms * US_PER_MS;
+	service(50);
+	pool_each_worker(shard->pool, count_worker, &n);
+	return n;
+}
+
+Test(shard, an_answer_to_a_renewal_is_taken)
+{
+	cr_expect_eq(workers_answered_after(0), 1);
+}
+
+/* The worker's clock in it is old: leases by it would be too short. */
+Test(shard, an_answer_to_a_renewal_that_is_read_seconds_late_is_ignored)
+{
+	cr_expect_eq(workers_answered_after(SUSPENDED_MS), 0);
+}
