pool: an answer that a late loop reads counts from its renewal

Where the loop reads answers that have arrived before it runs time-outs, an answer can have waited for a whole pause, and the age of a report began only when it was read. While the loop was late since the renewal was sent, the report counts from the sending, which is the earliest time it can stem from.

Evidence: with answers_first in jobs_world (the order of the daemon's loop once its HTTP client reads before it times out), long_running::an_answer_read_after_a_pause_counts_from_its_renewal failed before: two workers crash in a pause of 2.5 s after they have answered, and the third task was moved. The play that had this name runs on, with time-outs first, as time_outs_that_run_after_a_pause_allow_no_move.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1404,11 +1404,12 @@
 	    w->ms < w->owners[m->owner].suspended_until_ms;
 }
 
-/* Timers of a loop that stood still run before it reads what has arrived. */
+/* Time-outs of a loop that stood still run before it reads answers. */
 static bool
 runs_first(const struct jobs_world *w, const struct message *m)
 {
-	return (m->kind == MESSAGE_ORDER_END || m->kind == MESSAGE_HELD) &&
+	return !w->opts.answers_first &&
+	    (m->kind == MESSAGE_ORDER_END || m->kind == MESSAGE_HELD) &&
 	    m->end == COMMAND_UNANSWERED &&
 	    m->at_ms <= w->owners[m->owner].stalled_until_ms;
 }
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -45,6 +45,8 @@
 	int allowed_from; /* the policy allows workers from this on; 0: none
 			     asked */
 	int policy_ms; /* until it answers */
+	/* A late loop reads answers that have arrived before time-outs run. */
+	bool answers_first;
 	bool timed; /* the reducer's processor time is measured */
 	int64_t accelerators; /* of a worker */
 	/* What workers, callers and the policy see, a line each; NULL: none. */
@@ -156,7 +158,7 @@
 void jobs_world_lag(struct jobs_world *w, int ms);
 /*
  * The owner's loop stands still for so long; what arrives waits, and time-outs
- * come before it.  0: the loop goes on at once.
+ * come before it unless answers_first is set.  0: the loop goes on at once.
  */
 void jobs_world_stall(struct jobs_world *w, int ms);
 /* Writes of the present owner are not taken while the store is down. */
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -556,6 +556,10 @@
 		w->delivered_ack_end = w->in_flight_ack_end;
 	w->last_reply_us = p->now_us;
 	worker_note_clock(w, r->clock_ms);
+	/* a late loop may have left the answer unread for that long */
+	w->reported_us = p->loop_late_us > ev->u.renewal.sent_us
+	    ? ev->u.renewal.sent_us
+	    : p->now_us;
 	w->report.clock_ms = r->clock_ms;
 	w->clock_read_us = p->now_us;
 	w->report_count++;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -61,6 +61,8 @@
 	int64_t lease_sent_us; /* newest command that grants a lease */
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_clock_ms; /* its latest clock in any answer */
+	/* What the last answer says was true at this time or later. */
+	int64_t reported_us;
 	/* First missed renewal since the last answer; 0: none was missed. */
 	int64_t silent_since_us;
 	int missed_renewals; /* renewals in a row without an answer */
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -89,7 +89,7 @@
 worker_report_valid(const struct pool *p, const struct pool_worker *w)
 {
 	return w->missed_renewals == 0 &&
-	    p->now_us - w->last_reply_us <= REPORT_AGE_MAX_MS * US_PER_MS &&
+	    p->now_us - w->reported_us <= REPORT_AGE_MAX_MS * US_PER_MS &&
 	    w->lease_end_ms - worker_clock_ms(w, p->now_us) >
 	    p->opts.lease_ms / 2;
 }
@@ -142,13 +142,13 @@
 	for (i = 0; i < s->spec->task_count; i++) {
 		if (&s->tasks[i] == t || s->tasks[i].worker == NULL)
 			continue;
-		age_us = p->now_us - s->tasks[i].worker->last_reply_us;
+		age_us = p->now_us - s->tasks[i].worker->reported_us;
 		oldest_us = age_us > oldest_us ? age_us : oldest_us;
 	}
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"ends a long-running task\" job=%s task=%u.%u run=%lld "
 	    "worker=%s why=%s percent=%d away=%u may_miss=%u "
-	    "oldest_heard_ms=%lld lease_left_ms=%lld",
+	    "oldest_report_ms=%lld lease_left_ms=%lld",
 	    s->occurrence->job->id, s->number, t->index, (long long)run,
 	    w->report.id, why, t->worker == w ? t->progress_percent : -1,
 	    count_unavailable(p, t, &last), s->spec->max_unavailable,
@@ -169,7 +169,7 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"long-running task cannot move\" job=%s task=%u.%u worker=%s "
 	    "emptied_ms_ago=%lld away=%u may_miss=%u one_away=%u on=%s "
-	    "percent=%d silent=%d heard_ms_ago=%lld",
+	    "percent=%d silent=%d report_ms_ago=%lld",
 	    t->step->occurrence->job->id, t->step->number, t->index,
 	    w->report.id,
 	    (long long)((p->now_us - w->evacuating_since_us) / US_PER_MS),
@@ -177,9 +177,8 @@
 	    last != NULL ? last->index : 0, on != NULL ? on->report.id : "none",
 	    last != NULL ? last->progress_percent : 0,
 	    on != NULL ? on->missed_renewals : 0,
-	    on != NULL
-		? (long long)((p->now_us - on->last_reply_us) / US_PER_MS)
-		: -1);
+	    on != NULL ? (long long)((p->now_us - on->reported_us) / US_PER_MS)
+		       : -1);
 }
 
 /*
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -10,6 +10,8 @@
 static int on[JOBS_WORLD_WORKERS]; /* workers of the step's tasks, and then … */
 static int spare[JOBS_WORLD_WORKERS]; /* … the others */
 
+static bool answers_first; /* see struct jobs_world_opts */
+
 static struct jobs_world *
 world_of(int workers, int begin_ms)
 {
@@ -22,6 +24,7 @@
 	    .store_ms = 4,
 	    .begin_ms = begin_ms,
 	    .said_guarded = true,
+	    .answers_first = answers_first,
 	};
 
 	return jobs_world_new(&o);
@@ -76,7 +79,8 @@
 	jobs_world_free(world);
 }
 
-Test(long_running, an_answer_read_after_a_pause_counts_from_its_renewal)
+static void
+crash_two_in_a_pause_and_evacuate_the_third(void)
 {
 	world = world_of(6, BEGIN_MS);
 	run_step(6, 3, 1);
@@ -92,6 +96,17 @@
 	jobs_world_free(world);
 }
 
+Test(long_running, time_outs_that_run_after_a_pause_allow_no_move)
+{
+	crash_two_in_a_pause_and_evacuate_the_third();
+}
+
+Test(long_running, an_answer_read_after_a_pause_counts_from_its_renewal)
+{
+	answers_first = true;
+	crash_two_in_a_pause_and_evacuate_the_third();
+}
+
 Test(long_running, no_lease_expires_while_the_loop_is_late)
 {
 	int i;
