--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -38,6 +38,8 @@
 	int wait_ms = RENEWAL_WAIT_BUSY_MS;
 	const struct task *t;
 
+	if (w->renewal_cut_short)
+		return RENEWAL_WAIT_LATE_MS;
 	if (w->trial_count > 0 || p->now_us < w->trial_reserved_until_us)
 		return RENEWAL_WAIT_TRIAL_MS;
 	if (w->task_count == 0)
@@ -556,6 +558,10 @@
 		w->delivered_ack_end = w->in_flight_ack_end;
 	w->last_reply_us = p->now_us;
 	worker_note_clock(w, r->clock_ms);
+	/* a late loop may have left the answer unread for that long */
+	w->reported_us = p->loop_late_us > ev->u.renewal.sent_us
+	    ? ev->u.renewal.sent_us
+	    : p->now_us;
 	w->report.clock_ms = r->clock_ms;
 	w->clock_read_us = p->now_us;
 	w->report_count++;
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -10,6 +10,8 @@
 static int on[JOBS_WORLD_WORKERS]; /* workers of the step's tasks, and then … */
 static int spare[JOBS_WORLD_WORKERS]; /* … the others */
 
+static bool answers_first; /* see struct jobs_world_opts */
+
 static struct jobs_world *
 world_of(int workers, int begin_ms)
 {
@@ -22,6 +24,7 @@
 	    .store_ms = 4,
 	    .begin_ms = begin_ms,
 	    .said_guarded = true,
+	    .answers_first = answers_first,
 	};
 
 	return jobs_world_new(&o);
@@ -76,7 +79,8 @@
 	jobs_world_free(world);
 }
 
-Test(long_running, an_answer_read_after_a_pause_counts_from_its_renewal)
+static void
+crash_two_in_a_pause_and_evacuate_the_third(void)
 {
 	world = world_of(6, BEGIN_MS);
 	run_step(6, 3, 1);
@@ -92,7 +96,19 @@
 	jobs_world_free(world);
 }
 
-Test(long_running, no_lease_expires_while_the_loop_is_late)
+Test(long_running, time_outs_that_run_after_a_pause_allow_no_move)
+{
+	crash_two_in_a_pause_and_evacuate_the_third();
+}
+
+Test(long_running, an_answer_read_after_a_pause_counts_from_its_renewal)
+{
+	answers_first = true;
+	crash_two_in_a_pause_and_evacuate_the_third();
+}
+
+static void
+run_step_in_a_late_loop(int round_ms)
 {
 	int i;
 
@@ -101,14 +117,24 @@
 	jobs_world_stall(world, 1800);
 	jobs_world_run(world, 1802);
 	for (i = 0; i < 20; i++) {
-		jobs_world_stall(world, 650);
-		jobs_world_run(world, 652);
+		jobs_world_stall(world, round_ms);
+		jobs_world_run(world, round_ms + 2);
 	}
 	for (i = 0; i < 3; i++)
 		cr_expect_eq(jobs_world_tasks_on(world, on[i]), 1);
 	expect_kept();
 }
 
+Test(long_running, no_lease_expires_while_the_loop_is_late)
+{
+	run_step_in_a_late_loop(650);
+}
+
+Test(long_running, no_lease_expires_while_the_loop_is_later_than_a_margin)
+{
+	run_step_in_a_late_loop(850);
+}
+
 Test(long_running, a_start_answered_late_is_not_stopped_once_it_is_listed)
 {
 	world = world_of(4, 100);
