shard: a start with an unknown answer may have been carried out

What callers saw: possibly two runs of one task; not seen as such.

Cause: a status that the protocol does not name, and a 409 without a reason that can be read, counted as a refusal, after which a task starts elsewhere at once. Only refusals that are named mean that the worker has done nothing. Others now count as no answer, which blocks the run first.

The test failed before: COMMAND_REFUSED for 500, and for 409 without a body.

--- a/src/platform/worker_wire.c
+++ b/src/platform/worker_wire.c
@@ -116,6 +116,7 @@
 				  : WORKER_ANSWER_MALFORMED;
 	case 421:
 		return WORKER_ANSWER_OTHER_INCARNATION;
+	case 400:
 	case 429:
 	case 503:
 		return WORKER_ANSWER_UNAVAILABLE;
--- a/src/platform/worker_wire.h
+++ b/src/platform/worker_wire.h
@@ -47,7 +47,7 @@
 	WORKER_ANSWER_LEASE_EXPIRED, /* the command's lease end has passed */
 	WORKER_ANSWER_NO_CAPACITY,
 	WORKER_ANSWER_NO_TICKET,
-	WORKER_ANSWER_MALFORMED, /* malformed command or unknown response */
+	WORKER_ANSWER_MALFORMED, /* unknown response */
 	WORKER_ANSWER_UNAVAILABLE, /* command not carried out */
 	/* another incarnation of the worker answers at its address */
 	WORKER_ANSWER_OTHER_INCARNATION
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -102,6 +102,9 @@
 
 /* shard_commands.c */
 /* Sends a command to a worker, or a request to the advice service. */
+/* What a worker's answer says of a command; "clock_ms": -1 when missing. */
+enum command_result shard_command_result(
+    int status, const struct buf *body, int64_t *clock_ms);
 void shard_send_command(struct shard *sh, const struct pool_effect *x);
 void shard_cancel_commands(struct shard *sh);
 
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -45,28 +45,32 @@
 		return COMMAND_NO_TICKET;
 	case WORKER_ANSWER_OTHER_INCARNATION:
 		return COMMAND_OTHER_INCARNATION;
+	case WORKER_ANSWER_MALFORMED: /* it may have been carried out */
+		return COMMAND_UNANSWERED;
 	case WORKER_ANSWER_LEASE_EXPIRED:
-	case WORKER_ANSWER_MALFORMED:
 	case WORKER_ANSWER_UNAVAILABLE:
 		break;
 	}
 	return COMMAND_REFUSED;
 }
 
+enum command_result
+shard_command_result(int status, const struct buf *body, int64_t *clock_ms)
+{
+	return result_of_worker_answer(
+	    worker_answer_parse(status, body != NULL ? body->data : NULL,
+		body != NULL ? body->len : 0, clock_ms));
+}
+
 /* Sets "clock_ms" to the worker's clock in the answer, or -1. */
 static enum command_result
 result_of_http_end(
     enum http_outcome end, const struct answer *a, int64_t *clock_ms)
 {
-	const struct buf *body;
-
 	*clock_ms = -1;
 	switch (end) {
 	case HTTP_ANSWERED:
-		body = a->body;
-		return result_of_worker_answer(worker_answer_parse(a->status,
-		    body != NULL ? body->data : NULL,
-		    body != NULL ? body->len : 0, clock_ms));
+		return shard_command_result(a->status, a->body, clock_ms);
 	case HTTP_UNSENT:
 		return COMMAND_UNSENT;
 	case HTTP_NO_ANSWER:
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include "jobs_world.h"
+#include "shard.h"
 
 static struct jobs_world *world;
 
@@ -166,3 +167,17 @@
 	cr_expect_eq(jobs_world_starts(world), 100 + 20);
 	expect_one_run();
 }
+
+Test(one_run, a_start_with_an_answer_that_is_unknown_may_have_been_carried_out)
+{
+	int64_t clock_ms;
+
+	cr_expect_eq(
+	    shard_command_result(500, NULL, &clock_ms), COMMAND_UNANSWERED);
+	cr_expect_eq(
+	    shard_command_result(409, NULL, &clock_ms), COMMAND_UNANSWERED);
+	cr_expect_eq(
+	    shard_command_result(503, NULL, &clock_ms), COMMAND_REFUSED);
+	cr_expect_eq(
+	    shard_command_result(400, NULL, &clock_ms), COMMAND_REFUSED);
+}
