roster: revert the hold-off that stands clock steps

It held machines back that were commanded up to 14 s before a change of the controller, for up to 4.3 s. Daemons' clocks that differ by more than the hold-off stay open.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -18,8 +18,6 @@
 /* A move is dropped when it is not sent by then, as when its worker is busy. */
 #define MOVE_CORDON_TIMEOUT_MS 2500
 #define COMMAND_RETRY_MS 400
-/* Between two daemons' times of day, as after one of them was set. */
-#define CLOCK_DIFFERENCE_MAX_MS 10000
 /* A slow platform may carry out a command this long after it got no answer. */
 #define UNCONFIRMED_MAX_MS 8000
 /* Owners get notice of a removed worker until its entry has expired. */
@@ -252,22 +250,15 @@
 	return false;
 }
 
-/*
- * The age of the command is by two daemons' time of day, which may differ.  The
- * predecessor's term had ended when this one began, so that the hold-off is
- * never longer than that of a command sent now.
- */
 static void
 handle_past_command(struct roster *r, const struct roster_event *ev)
 {
-	int64_t remaining_ms = r->opts.command_holdoff_ms +
-	    CLOCK_DIFFERENCE_MAX_MS - ev->u.past_command.ago_ms;
+	int64_t remaining_ms =
+	    r->opts.command_holdoff_ms - ev->u.past_command.ago_ms;
 	struct command_holdoff *h;
 
 	if (remaining_ms <= 0)
 		return;
-	if (remaining_ms > r->opts.command_holdoff_ms)
-		remaining_ms = r->opts.command_holdoff_ms;
 	h = calloc(1, sizeof(*h));
 	if (h == NULL)
 		abort(); /* two controllers would command the machine in turn */
