pool: starts leave room on the link for lease renewals

Cause: up to 128 starts were in flight, each with up to 4 KB of the caller's text: 512 KB, 2 s on a link of 2 Mbit/s, whatever came back. Renewals wait behind them for more than their 0.6 s, one miss withholds the next extension, and leases of whole steps lapse. Starts that time out are stopped and sent again, which fills the link further. Change: a window for starts in flight.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -33,6 +33,7 @@
 	p->reconcile_end_us =
 	    opts->now_us + (int64_t)opts->reconcile_max_ms * US_PER_MS;
 	p->next_occurrence_ms = INT64_MAX;
+	start_window_init(p);
 	TAILQ_INIT(&p->active);
 	TAILQ_INIT(&p->finished);
 	TAILQ_INIT(&p->changed_jobs);
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -9,11 +9,6 @@
 
 #include "pool_state.h"
 
-/*
- * An owner with a quarter of a core sends this many starts and processes their
- * answers well within a command's time-out of 400 ms.
- */
-#define STARTS_IN_FLIGHT_MAX 128
 /* A job that ends after this many times its objective has no value. */
 #define LATENESS_MAX 3.0
 /*
@@ -422,7 +417,7 @@
 		return;
 	/* a gang above the limit starts when no other start is in flight */
 	if (p->starts_in_flight > 0 &&
-	    p->starts_in_flight + spec->task_count > STARTS_IN_FLIGHT_MAX) {
+	    !start_window_has_room(p, spec->task_count)) {
 		p->start_limit_reached = true;
 		return;
 	}
@@ -465,7 +460,7 @@
 		if (t->done || t->place != PLACE_NONE ||
 		    p->now_us < t->start_not_before_us)
 			continue;
-		if (p->starts_in_flight >= STARTS_IN_FLIGHT_MAX) {
+		if (!start_window_has_room(p, 1)) {
 			p->start_limit_reached = true;
 			return;
 		}
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -395,6 +395,10 @@
 	if (t == NULL ||
 	    (t->place != PLACE_STARTING && t->place != PLACE_UNCONFIRMED))
 		return;
+	if (ev->u.command.result == COMMAND_UNANSWERED)
+		start_window_unanswered(p);
+	else
+		start_window_answered(p, t->placed_us);
 	p->placement_due |= p->start_limit_reached;
 	j = t->step->occurrence->job;
 	switch (ev->u.command.result) {
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -219,6 +219,9 @@
 		int64_t cpu_milli, memory_mb, accelerators;
 	} max_free;
 	size_t starts_in_flight; /* tasks in PLACE_STARTING */
+	size_t
+	    start_window; /* most starts in flight, see pool_start_window.c */
+	int64_t start_window_cut_us; /* when it was last reduced */
 	bool start_limit_reached; /* by the last scheduling pass */
 	/* Capacity or work has changed since the last scheduling pass. */
 	bool placement_due;
@@ -399,6 +402,15 @@
 int64_t pool_remove_refused(struct pool *p, const char *id);
 void pool_refused_free(struct pool *p);
 
+/* pool_start_window.c */
+void start_window_init(struct pool *p);
+/* A start that was sent at "sent_us" has been answered. */
+void start_window_answered(struct pool *p, int64_t sent_us);
+/* A start has had no answer within its time-out. */
+void start_window_unanswered(struct pool *p);
+/* So many further starts may be sent now. */
+bool start_window_has_room(const struct pool *p, size_t count);
+
 /* pool_place.c */
 /* The worker has capacity for the task and may run it. */
 bool worker_may_run(
