jobs, roster: answers of an earlier incarnation tell no age; hold-offs end

Found in review. jobs: the clock in an answer that was read after the worker's restart had been noticed counted for the new incarnation, whose runs then seemed to be seconds old (survived_ms=6600 after 14 ms), which clears a task of its crashes. A command sent before the restart was noticed tells nothing now.

--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -403,8 +403,9 @@
 	j = t->step->occurrence->job;
 	switch (ev->u.command.result) {
 	case COMMAND_ACCEPTED:
-		worker_note_clock(t->worker, ev->u.command.clock_ms);
-		if (ev->u.command.clock_ms >= 0) { /* else a list shows it */
+		/* else a list shows when it began */
+		if (worker_note_clock(
+			t->worker, t->placed_us, ev->u.command.clock_ms)) {
 			t->begun_us = t->placed_us;
 			t->begun_clock_ms = ev->u.command.clock_ms;
 		}
@@ -458,7 +459,8 @@
 	case COMMAND_ACCEPTED:
 	case COMMAND_RUN_ENDED:
 		/* the next renewal lists the remaining runs */
-		worker_note_clock(t->worker, ev->u.command.clock_ms);
+		(void)worker_note_clock(
+		    t->worker, t->command_sent_us, ev->u.command.clock_ms);
 		t->command_answered_us = p->now_us;
 		t->worker->renewal_due_us = p->now_us;
 		p->next_renewal_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -61,6 +61,7 @@
 	int64_t lease_sent_us; /* newest command that grants a lease */
 	int64_t last_reply_us; /* last answer to a renewal */
 	int64_t alive_clock_ms; /* its latest clock in any answer */
+	int64_t restarted_us; /* when its newest restart was noticed */
 	/* What the last answer says was true at this time or later. */
 	int64_t reported_us;
 	/* First missed renewal since the last answer; 0: none was missed. */
@@ -283,8 +284,12 @@
     enum detach_scope scope, const char *why);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
-/* An answer carried this time of the worker's clock; -1: none. */
-void worker_note_clock(struct pool_worker *w, int64_t clock_ms);
+/*
+ * The answer to a command of "sent_us" carried this time of the worker's clock;
+ * -1: none.  False if it may be of an earlier incarnation.
+ */
+bool worker_note_clock(
+    struct pool_worker *w, int64_t sent_us, int64_t clock_ms);
 bool worker_lease_expired(const struct pool_worker *w, int64_t now_us);
 /* Rack of the worker; "": unknown. */
 const char *worker_rack(const struct pool_worker *w);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -24,11 +24,14 @@
 	return w->report.clock_ms + (now_us - w->clock_read_us) / US_PER_MS;
 }
 
-void
-worker_note_clock(struct pool_worker *w, int64_t clock_ms)
+bool
+worker_note_clock(struct pool_worker *w, int64_t sent_us, int64_t clock_ms)
 {
+	if (clock_ms < 0 || sent_us < w->restarted_us)
+		return false;
 	if (clock_ms > w->alive_clock_ms)
 		w->alive_clock_ms = clock_ms;
+	return true;
 }
 
 bool
@@ -259,6 +262,7 @@
 	w->report.clock_ms = clock_ms;
 	w->clock_read_us = p->now_us;
 	w->alive_clock_ms = 0;
+	w->restarted_us = p->now_us;
 	w->lease_end_ms = 0;
 	w->successor_wait_end_ms = 0;
 	w->drain_end_us = 0;
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -250,6 +250,10 @@
 	return false;
 }
 
+/*
+ * The predecessor's term had ended when this one began: whatever its time of
+ * day, the hold-off is never longer than that of a command sent now.
+ */
 static void
 handle_past_command(struct roster *r, const struct roster_event *ev)
 {
@@ -259,6 +263,8 @@
 
 	if (remaining_ms <= 0)
 		return;
+	if (remaining_ms > r->opts.command_holdoff_ms)
+		remaining_ms = r->opts.command_holdoff_ms;
 	h = calloc(1, sizeof(*h));
 	if (h == NULL)
 		abort(); /* two controllers would command the machine in turn */
--- a/tests/properties/prop_one_run.cc
+++ b/tests/properties/prop_one_run.cc
@@ -166,5 +166,9 @@
 	    "one_run::no_task_runs_twice_at_once_where_orders_are_late", [] {
 		    play({0.05, 0.1, false});
 	    });
+	prop_check(
+	    "one_run::no_task_runs_twice_where_late_orders_cross_restarts", [] {
+		    play({0.05, 0.1, true});
+	    });
 	return prop_failures != 0;
 }
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -14,6 +14,7 @@
 	/* Answers after every second start are read so much later. */
 	int answers_wait_ms;
 	int crash_after_ms;
+	int same_id_after_ms; /* crashed workers come back under their ids */
 };
 
 /* The worker that the only job's task has just started on; -1: none. */
@@ -56,7 +57,8 @@
 	    .store_ms = 4,
 	    .said_guarded = true,
 	    .crash_after_ms = t->crash_after_ms,
-	    .revive_ms = 3000,
+	    .revive_ms = t->same_id_after_ms > 0 ? t->same_id_after_ms : 3000,
+	    .revives_same_id = t->same_id_after_ms > 0,
 	    .crash_dark = t->cuts,
 	};
 	struct job_spec *spec = jobs_order(1, 1, 1000, 5000);
@@ -110,3 +112,14 @@
 
 	expect_starts_bounded(&t);
 }
+
+Test(crashes, answers_of_an_earlier_incarnation_prove_no_longer_run)
+{
+	struct trouble t = {
+	    .answers_wait_ms = 390,
+	    .crash_after_ms = 10,
+	    .same_id_after_ms = 100,
+	};
+
+	expect_starts_bounded(&t);
+}
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -354,3 +354,27 @@
 	cr_expect_eq(commands, 1);
 	cr_expect_str_eq(commanded, "m-5");
 }
+
+/* The other controller's time of day was five seconds behind. */
+Test(old_news, clocks_that_differ_do_not_shorten_the_hold_off)
+{
+	add_ordered_spare_machine(HOLDOFF_MS + 900);
+	tick_green(HOLDOFF_MS - 400);
+	list_machines();
+	tick_green(200);
+	cr_expect_eq(commands, 0);
+	tick_green(400);
+	list_machines();
+	tick_green(200);
+	cr_expect_eq(commands, 1);
+}
+
+/* The other controller's time of day was an hour ahead. */
+Test(old_news, clocks_that_differ_do_not_prolong_the_hold_off)
+{
+	add_ordered_spare_machine(-3600 * 1000);
+	tick_green(HOLDOFF_MS + 200);
+	list_machines();
+	tick_green(200);
+	cr_expect_eq(commands, 1);
+}
