--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -93,8 +93,7 @@
 	 */
 	int64_t begun_us;
 	int64_t begun_clock_ms; /* the same on the worker's clock */
-	/* The known incarnation of its worker has accepted or listed the run.
-	 */
+	/* The worker's known incarnation has accepted or listed it. */
 	bool run_confirmed;
 	enum placement place;
 	struct pool_worker *worker; /* NULL for PLACE_NONE */
