jobs: a run has begun or not; its age is on the worker's clock alone

task.begun_us was still set to times, of which only 'not 0' was read since runs are aged by begun_clock_ms.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -87,12 +87,8 @@
 	bool done;
 	/* Started by an earlier owner, and found in its worker's list. */
 	bool adopted;
-	/*
-	 * Since when its worker has had the run at the latest, as it has
-	 * accepted or listed it; 0: it has done neither.
-	 */
-	int64_t begun_us;
-	int64_t begun_clock_ms; /* the same on the worker's clock */
+	bool begun; /* its worker has accepted or listed the run */
+	int64_t begun_clock_ms; /* when at the latest, on the worker's clock */
 	/* The worker's known incarnation has accepted or listed it. */
 	bool run_confirmed;
 	enum placement place;
--- a/src/jobs/pool_crashes.c
+++ b/src/jobs/pool_crashes.c
@@ -46,7 +46,7 @@
 {
 	int64_t ms = t->worker->alive_clock_ms - t->begun_clock_ms;
 
-	return t->begun_us != 0 && ms > 0 ? ms : 0;
+	return t->begun && ms > 0 ? ms : 0;
 }
 
 /*
@@ -152,7 +152,7 @@
 {
 	int64_t survived_ms = task_survived_ms(t), ran_ms = task_ran_ms(p, t);
 	bool young = survived_ms < YOUNG_RUN_MS;
-	bool plain = t->begun_us != 0 && ran_ms < TRIAL_MIN_MS;
+	bool plain = t->begun && ran_ms < TRIAL_MIN_MS;
 	struct task_crashes *c;
 
 	if (survived_ms >= LONG_RUN_MS && t->crashes == NULL)
@@ -177,7 +177,7 @@
 	    ran_ms + OUTLIVE_MARGIN_MS < c->survived_ms)
 		return c->on_trial && c->total >= CRASHES_TOTAL_MAX;
 	c->count++;
-	c->begun_count += t->begun_us != 0;
+	c->begun_count += t->begun;
 	c->plain_count += plain;
 	if (c->crash_max_ms == 0 || ran_ms < c->crash_max_ms)
 		c->crash_max_ms = ran_ms;
@@ -261,7 +261,7 @@
 		snprintf(c->worker, sizeof(c->worker), "%s", w->report.id);
 		c->worker_started_ms = w->report.started_ms;
 		c->fate_open_us = p->now_us;
-		c->fate_begun = t->begun_us != 0;
+		c->fate_begun = t->begun;
 		w->fate_awaited = true;
 		t->step->occurrence->job->progress_stale = true;
 	}
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -459,8 +459,8 @@
 		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
 		t->run_confirmed = true;
-		if (t->begun_us == 0) {
-			t->begun_us = p->now_us;
+		if (!t->begun) {
+			t->begun = true;
 			t->begun_clock_ms = report->clock_ms;
 		}
 		if (t->progress_percent != r->progress_percent ||
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -66,7 +66,7 @@
 		t->step->rack[0] = '\0';
 	t->worker = NULL;
 	task_set_place(p, t, PLACE_NONE);
-	t->begun_us = 0;
+	t->begun = false;
 	t->progress_percent = 0;
 	t->throttle_percent = 100;
 	p->placement_due = true;
@@ -82,7 +82,7 @@
 
 	task_set_place(p, t, PLACE_STARTING);
 	t->adopted = false;
-	t->begun_us = 0;
+	t->begun = false;
 	t->run_confirmed = false;
 	t->run = run;
 	t->placed_us = t->progress_changed_us = t->command_sent_us = p->now_us;
@@ -406,7 +406,7 @@
 		/* else a list shows when it began */
 		if (worker_note_clock(
 			t->worker, t->placed_us, ev->u.command.clock_ms)) {
-			t->begun_us = t->placed_us;
+			t->begun = true;
 			t->begun_clock_ms = ev->u.command.clock_ms;
 		}
 		t->run_confirmed |= same_incarnation(t, ev->u.command.clock_ms);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -227,7 +227,7 @@
 	worker_crashed(p, w);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
-		t->begun_us = 0;
+		t->begun = false;
 		if (t->place == PLACE_STARTING ||
 		    t->place == PLACE_UNCONFIRMED) {
 			task_set_place(p, t, PLACE_UNCONFIRMED);
