jobs: one time for the newest grant of a lease

lease_extended_us and lease_sent_us were set side by side by renewals, and by starts only the second, although a start extends the lease as well. The log line on an expired lease reads lease_sent_us now, so that extended_ms_ago counts from a start that came after the last renewal, too; nothing else read it. build/unit and build/prop_jobs as before.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -139,7 +139,6 @@
 	end_ms = worker_clock_ms(w, p->now_us) + granted_ms;
 	if (end_ms > w->lease_end_ms)
 		w->lease_end_ms = end_ms;
-	w->lease_extended_us = p->now_us;
 	x->u.renewal.lease_end_ms = end_ms;
 	if (w->last_end > w->acked_end)
 		return;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -254,7 +254,7 @@
 	    "task=%u.%u worker=%s extended_ms_ago=%lld ended_ms_ago=%lld",
 	    t->step->occurrence->job->id, t->step->number, t->index,
 	    w->report.id,
-	    (long long)((p->now_us - w->lease_extended_us) / US_PER_MS),
+	    (long long)((p->now_us - w->lease_sent_us) / US_PER_MS),
 	    (long long)(w->report.clock_ms - w->lease_end_ms));
 }
 
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -55,7 +55,6 @@
 	int64_t clock_read_us; /* when report.clock_ms was received */
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
-	int64_t lease_extended_us; /* when lease_end_ms was sent; 0: never */
 	/* Newest renewals could not extend the lease, which is logged. */
 	bool lease_withheld;
 	int64_t lease_sent_us; /* newest command that grants a lease */
@@ -220,8 +219,7 @@
 		int64_t cpu_milli, memory_mb, accelerators;
 	} max_free;
 	size_t starts_in_flight; /* tasks in PLACE_STARTING */
-	size_t
-	    start_window; /* most starts in flight, see pool_start_window.c */
+	size_t start_window; /* most starts in flight at present */
 	int64_t start_window_cut_us; /* when it was last reduced */
 	bool start_limit_reached; /* by the last scheduling pass */
 	/* Capacity or work has changed since the last scheduling pass. */
