platform, jobs: one look-up of a pool, one bound on starts in the future

store_watch had its own loop over the configuration's pools beside that of config_pool_guarded(), and its own copy of the reducer's bound on the start of a worker: config_find_pool() and worker_report_from_future() serve both. The check stays in both places: the watch keeps the last good entry, the reducer trusts no caller. json_get_int() looked a member up three times for a number. build/unit and build/process odd_entries/* as before.

--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -6,8 +6,6 @@
 /* A dropped entry comes back within this time or not at all. */
 #define ENTRY_RETURN_MAX_MS 2500
 #define CORDON_VALID_MS 2000 /* a cordon that is not renewed expires */
-/* Clocks of daemons and workers, which may step, differ by less. */
-#define CLOCK_STEP_MAX_MS 60000
 
 struct pool_worker *
 pool_find_worker(const struct pool *p, const char *id)
@@ -305,7 +303,7 @@
 	int64_t clock_ms, started_ms;
 	bool was_draining;
 
-	if (r->started_ms > p->now_ms + CLOCK_STEP_MAX_MS) {
+	if (worker_report_from_future(r, p->now_ms)) {
 		fx_log(p, LOG_LEVEL_WARN,
 		    "msg=\"ignores an entry of a worker that has not started "
 		    "yet\" worker=%s started_in_ms=%lld known=%d",
--- a/src/jobs/worker.c
+++ b/src/jobs/worker.c
@@ -5,6 +5,14 @@
 #include <string.h>
 
 #define JOB_ID_DIGITS 16
+/* Clocks of daemons and workers, which may step, differ by less. */
+#define CLOCK_STEP_MAX_MS 60000
+
+bool
+worker_report_from_future(const struct worker_report *r, int64_t now_ms)
+{
+	return r->started_ms > now_ms + CLOCK_STEP_MAX_MS;
+}
 
 void
 renewal_report_uninit(struct renewal_report *r)
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -30,6 +30,12 @@
 	int64_t clock_ms; /* the worker's monotonic clock */
 };
 
+/*
+ * The report names a start that is further ahead of Unix time "now_ms" than
+ * clocks differ: another writer's.
+ */
+bool worker_report_from_future(const struct worker_report *r, int64_t now_ms);
+
 /* Identifies a task by its position in its job. */
 struct task_name {
 	char job[17];
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -142,16 +142,24 @@
 	return c;
 }
 
-bool
-config_pool_guarded(const struct config *c, const char *pool)
+const struct config_pool *
+config_find_pool(const struct config *c, const char *name)
 {
 	size_t i;
 
 	for (i = 0; c != NULL && i < c->pool_count; i++) {
-		if (strcmp(c->pools[i].name, pool) == 0)
-			return c->pools[i].admission_control;
+		if (strcmp(c->pools[i].name, name) == 0)
+			return &c->pools[i];
 	}
-	return false;
+	return NULL;
+}
+
+bool
+config_pool_guarded(const struct config *c, const char *pool)
+{
+	const struct config_pool *p = config_find_pool(c, pool);
+
+	return p != NULL && p->admission_control;
 }
 
 const struct config_queue *
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -54,6 +54,9 @@
 const struct config_queue *config_find_queue(
     const struct config *c, const char *host, const char *path);
 
+/* NULL when the configuration, or the pool in it, is missing. */
+const struct config_pool *config_find_pool(
+    const struct config *c, const char *name);
 /* The pool's workers refuse tasks beyond capacity; false if it is unknown. */
 bool config_pool_guarded(const struct config *c, const char *pool);
 
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -64,10 +64,11 @@
 int64_t
 json_get_int(struct json_object *o, const char *key, int64_t fallback)
 {
+	struct json_object *v = json_get_member(o, key, json_type_int);
 	double real;
 
-	if (json_get_member(o, key, json_type_int) != NULL)
-		return json_object_get_int64(json_get_number(o, key));
+	if (v != NULL)
+		return json_object_get_int64(v);
 	real = json_get_real(o, key, NAN);
 	if (isnan(real))
 		return fallback;
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -18,8 +18,6 @@
 #define MALFORMED_READS_MAX 4
 #define ODD_LOG_INTERVAL_MS 1000 /* between two lines about odd records */
 #define LOGGED_KEY_BYTES 41
-/* A worker's start may be so far ahead of this daemon's wall clock. */
-#define STARTED_AHEAD_MAX_MS (60 * 1000)
 
 /*
  * Reads the newest record of each key of a topic, page by page, and then reads
@@ -321,18 +319,6 @@
 	return e;
 }
 
-static bool
-is_pool(const struct config *c, const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < c->pool_count; i++) {
-		if (strcmp(c->pools[i].name, name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* True for a pool that isn't in the configuration, unlike that of the entry. */
 static bool
 leaves_for_unknown_pool(const struct store_watch *w,
@@ -341,7 +327,8 @@
 	const struct config *c = w->scheduler->config;
 
 	return e != NULL && c != NULL && strcmp(e->report.pool, r->pool) != 0 &&
-	    !is_pool(c, r->pool) && is_pool(c, e->report.pool);
+	    config_find_pool(c, r->pool) == NULL &&
+	    config_find_pool(c, e->report.pool) != NULL;
 }
 
 static void
@@ -383,7 +370,7 @@
 		return;
 	}
 	if (worker_entry_parse(&report, r->key, r->value, r->value_len) == -1 ||
-	    report.started_ms > sched_unix_ms() + STARTED_AHEAD_MAX_MS ||
+	    worker_report_from_future(&report, sched_unix_ms()) ||
 	    leaves_for_unknown_pool(w, e, &report)) {
 		log_odd_entry(w, r, e != NULL);
 		return;
