--- a/tests/properties/prop_jobs.cc
+++ b/tests/properties/prop_jobs.cc
@@ -69,6 +69,37 @@
 	}
 }
 
+// Faults 0 to 6, which all worlds have.
+static void
+common_fault(struct jobs_world *w, int fault, int worker)
+{
+	switch (fault) {
+	case 0:
+		jobs_world_cut_worker(w, worker, true);
+		break;
+	case 1:
+		jobs_world_cut_worker(w, worker, false);
+		break;
+	case 2:
+		jobs_world_crash_worker(w, worker);
+		break;
+	case 3:
+		jobs_world_restart_worker(w, worker);
+		break;
+	case 4:
+		jobs_world_store(w, true);
+		break;
+	case 5:
+		jobs_world_store(w, false);
+		break;
+	case 6:
+		jobs_world_take_over(w, *rc::gen::inRange(0, 3000));
+		break;
+	default:
+		break;
+	}
+}
+
 // Any of the faults, in any order, then quiet until all should have ended.
 static void
 play(struct jobs_world *w, std::vector<std::string> &ids, int workers,
@@ -85,32 +116,14 @@
 		RC_LOG() << jobs_world_ms(w) << " fault " << fault << " worker "
 			 << worker << "\n";
 		switch (fault) {
-		case 0:
-			jobs_world_cut_worker(w, worker, true);
-			break;
-		case 1:
-			jobs_world_cut_worker(w, worker, false);
-			break;
-		case 2:
-			jobs_world_crash_worker(w, worker);
-			break;
-		case 3:
-			jobs_world_restart_worker(w, worker);
-			break;
-		case 4:
-			jobs_world_store(w, true);
-			break;
-		case 5:
-			jobs_world_store(w, false);
-			break;
-		case 6:
-			jobs_world_take_over(w, *rc::gen::inRange(0, 3000));
-			break;
 		case 7:
 			jobs_world_cancel(w,
 			    ids[*rc::gen::inRange<size_t>(0, ids.size())]
 				.c_str());
 			break;
+		default:
+			common_fault(w, fault, worker);
+			break;
 		}
 		jobs_world_run(w, *rc::gen::inRange(10, 2500));
 	}
@@ -187,27 +200,6 @@
 		RC_LOG() << jobs_world_ms(w) << " fault " << fault << " worker "
 			 << worker << "\n";
 		switch (fault) {
-		case 0:
-			jobs_world_cut_worker(w, worker, true);
-			break;
-		case 1:
-			jobs_world_cut_worker(w, worker, false);
-			break;
-		case 2:
-			jobs_world_crash_worker(w, worker);
-			break;
-		case 3:
-			jobs_world_restart_worker(w, worker);
-			break;
-		case 4:
-			jobs_world_store(w, true);
-			break;
-		case 5:
-			jobs_world_store(w, false);
-			break;
-		case 6:
-			jobs_world_take_over(w, *rc::gen::inRange(0, 3000));
-			break;
 		case 7:
 		case 8:
 		case 9:
@@ -219,6 +211,9 @@
 		case 11:
 			run_late_loop(w);
 			break;
+		default:
+			common_fault(w, fault, worker);
+			break;
 		}
 		jobs_world_run(w, *rc::gen::inRange(10, 1500));
 	}
