review: case 3, workers are lost to a pool after lost answers of an upkeep

Cause: a 200 to a repeated upkeep order, which says that the upkeep is already done, counts as the end of the worker that came after it.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # platform with its workers, and one driver for each script.
 set -eu
 cd "$(dirname "$0")/.."
-cases="ends stale"
+cases="ends stale upkeep"
 objects=""
 for name in $cases; do
 	objects="$objects target/review/driver/$name.o"
