review: case 4, a dead controller's upkeep begins beyond a wave's cap

Cause: a new controller does not count machines as possibly down that its predecessor has ordered; a held-up order is carried out beside its own.

--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -68,6 +68,8 @@
 	int64_t fencing_token; /* highest of orders for the machine */
 	int64_t wave; /* of its newest upkeep */
 	int64_t upkeep_end_ms; /* 0: it is not in upkeep */
+	/* An order that got no answer and is carried out then; 0: none. */
+	int64_t late_order_ms, late_wave, late_token;
 	char id[NAME_MAX_BYTES];
 	char pool[NAME_MAX_BYTES];
 	int port; /* that its entry names */
@@ -125,6 +127,8 @@
 	FILE *log;
 	const char *ports; /* of the workers' entries, with commas */
 	enum mutation mutation;
+	int late_orders; /* so many orders get no answer … */
+	int64_t late_by_ms; /* … and are carried out this much later */
 } world;
 
 static int64_t
@@ -647,46 +651,63 @@
 	return text != NULL ? strtoll(text, NULL, 10) : 0;
 }
 
+/* Why the order is refused; NULL: it is carried out, or was before. */
+static const char *
+carry_out_order(struct worker *w, int64_t wave, int64_t token)
+{
+	const char *reason = NULL;
+
+	if (token < w->fencing_token)
+		reason = "fence";
+	else if (w->wave != wave && w->dead_ms != 0)
+		reason = "busy";
+	if (token > w->fencing_token)
+		w->fencing_token = token;
+	note("order %s %" PRId64 " %s %" PRId64 " %s", w->id, w->life,
+	    w->machine, token,
+	    reason != NULL        ? reason
+		: w->wave == wave ? "done-before"
+				  : "begins");
+	if (reason == NULL && w->wave != wave)
+		begin_upkeep(w, wave, token);
+	return reason;
+}
+
 static void
 upkeep(struct exchange *x)
 {
 	struct json_object *in = exchange_body_json(x), *o;
 	const char *machine = in != NULL ? exchange_text(in, "machine") : "";
 	int64_t token = header_number(x, "mimosalead-fencing-token");
+	const char *reason;
 	struct worker *w = NULL;
-	const char *reason = NULL;
-	int64_t wave;
+	int64_t wave = in != NULL ? number_of(in, "wave") : 0;
 	int i;
 
 	for (i = 0; i < world.worker_count; i++) {
 		if (strcmp(world.workers[i].machine, machine) == 0)
 			w = &world.workers[i];
 	}
+	json_object_put(in);
 	if (w == NULL) {
 		exchange_answer(x, 400, NULL);
-		json_object_put(in);
 		return;
 	}
-	wave = number_of(in, "wave");
-	if (token < w->fencing_token)
-		reason = "fence";
-	else if (w->wave != wave && w->dead_ms != 0)
-		reason = "busy";
-	if (token > w->fencing_token)
-		w->fencing_token = token;
-	note("order %s %" PRId64 " %s %" PRId64 " %s", w->id, w->life,
-	    w->machine, token,
-	    reason != NULL        ? reason
-		: w->wave == wave ? "done-before"
-				  : "begins");
-	if (reason == NULL && w->wave != wave)
-		begin_upkeep(w, wave, token);
+	if (world.late_orders > 0) {
+		world.late_orders--;
+		w->late_order_ms = now_ms() + world.late_by_ms;
+		w->late_wave = wave;
+		w->late_token = token;
+		note("held-up %s %" PRId64 " %s %" PRId64, w->id, w->life,
+		    w->machine, token);
+		return; /* its caller gets no answer */
+	}
+	reason = carry_out_order(w, wave, token);
 	o = json_object_new_object();
 	if (reason != NULL)
 		json_object_object_add(
 		    o, "reason", json_object_new_string(reason));
 	exchange_json(x, reason != NULL ? 409 : 200, o, 0);
-	json_object_put(in);
 }
 
 static void
@@ -728,6 +749,8 @@
 	    o, "upkeeps", json_object_new_int64(world.upkeeps));
 	json_object_object_add(
 	    o, "advised", json_object_new_int64(world.advised));
+	json_object_object_add(
+	    o, "lateOrders", json_object_new_int64(world.late_orders));
 	json_object_object_add(o, "unreadable",
 	    json_object_new_int64(job_store_unreadable(world.store)));
 	exchange_json(x, 200, o, 0);
@@ -787,6 +810,10 @@
 		exchange_answer(x, 400, NULL);
 	} else if (strcmp(x->path, "/advise") == 0) {
 		advise(x);
+	} else if (strcmp(x->path, "/orders-late") == 0) {
+		world.late_orders = (int)exchange_int(x, "count", 1);
+		world.late_by_ms = exchange_int(x, "ms", 0);
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/judge") == 0) {
 		judge(x);
 	} else if (strcmp(x->path, "/put") == 0) {
@@ -890,6 +917,11 @@
 		worker_born(w);
 	if (w->upkeep_end_ms != 0 && now >= w->upkeep_end_ms)
 		end_upkeep(w);
+	if (w->late_order_ms != 0 && now >= w->late_order_ms) {
+		w->late_order_ms = 0;
+		note("late %s %" PRId64 " %s", w->id, w->life, w->machine);
+		carry_out_order(w, w->late_wave, w->late_token);
+	}
 	if (worker_crashes(w))
 		return;
 	if (clock_ms(w) > w->lease_end_ms && !w->lapsed && w->dead_ms == 0) {
