--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0: the same without the lost answers.
+# TROUBLE=0: the same without the SIGTERM and with a store of usual speed.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/upkeep ] || exit 2
-TROUBLE="${TROUBLE:-1}" RECORD=review/3/record.txt exec timeout -s KILL 118 target/review/upkeep
+[ -x target/review/refused ] || exit 2
+TROUBLE="${TROUBLE:-1}" RECORD=review/3/record.txt exec timeout -s KILL 118 target/review/refused
--- a/review/driver/late.c
+++ b/review/driver/late.c
@@ -1,5 +1,5 @@
 /*
- * Case 4: an order for an upkeep is held up, and the controller that gave it is
+ * Case 5: an order for an upkeep is held up, and the controller that gave it is
  * killed.
  */
 #include <inttypes.h>
--- a/review/driver/refused.c
+++ b/review/driver/refused.c
@@ -1,5 +1,5 @@
 /*
- * Case 5: a daemon is stopped as planned while the store is slow.  Requests
+ * Case 3: a daemon is stopped as planned while the store is slow.  Requests
  * that it has handed on to the owner of their pool are with the owner when it
  * gives its last answers.
  */
--- a/review/driver/stale.c
+++ b/review/driver/stale.c
@@ -1,5 +1,5 @@
 /*
- * Case 2: the store turns the owner of a pool away.  Another daemon owns the
+ * Case 4: the store turns the owner of a pool away.  Another daemon owns the
  * pool after the group's time to live; the one before goes on answering for it
  * until three seconds after its last confirmation.
  */
--- a/review/driver/upkeep.c
+++ b/review/driver/upkeep.c
@@ -1,5 +1,5 @@
 /*
- * Case 3: the answers of the machines' service are lost while two machines have
+ * Case 2: the answers of the machines' service are lost while two machines have
  * their upkeep.
  */
 #include <inttypes.h>
