--- a/review/driver/ends.c
+++ b/review/driver/ends.c
@@ -9,7 +9,7 @@
 
 #include "driver.h"
 
-#define TASKS 600
+#define TASKS 1000
 #define JOB "00000000000000b1"
 #define NAME_BYTES 64
 #define LINE_BYTES 512
@@ -159,8 +159,8 @@
 {
 	static const char *const args[] = {"--workers", "3", NULL};
 	static const char job[] =
-	    "{\"taskSpec\":\"takes:1500\",\"steps\":[{\"count\":600,"
-	    "\"cpu\":100,\"memMb\":64,\"estimateMs\":1500}]}";
+	    "{\"taskSpec\":\"takes:1500\",\"steps\":[{\"count\":1000,"
+	    "\"cpu\":60,\"memMb\":64,\"estimateMs\":1500}]}";
 	struct answer_text a;
 	struct fleet f;
 	int64_t until_ms;
