--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # platform with its workers, and one driver for each script.
 set -eu
 cd "$(dirname "$0")/.."
-cases="ends stale upkeep late refused"
+cases="ends stale upkeep late refused cross"
 objects=""
 for name in $cases; do
 	objects="$objects target/review/driver/$name.o"
--- a/review/driver/late.c
+++ b/review/driver/late.c
@@ -1,6 +1,6 @@
 /*
- * Case 5: an order for an upkeep is held up, and the controller that gave it is
- * killed.
+ * Not among the cases: an order for an upkeep is held up, and the controller
+ * that gave it is killed.
  */
 #include <inttypes.h>
 #include <signal.h>
--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -55,6 +55,14 @@
 	UT_hash_handle hh;
 };
 
+/* A start that is held up on its way, and arrives later. */
+struct held_start {
+	char worker[NAME_MAX_BYTES];
+	struct json_object *body;
+	int64_t due_ms;
+	LIST_ENTRY(held_start) entries;
+};
+
 /* A request that came while its worker stood still. */
 struct late {
 	struct exchange *exchange; /* NULL: its caller has gone */
@@ -127,6 +135,9 @@
 	FILE *log;
 	const char *ports; /* of the workers' entries, with commas */
 	enum mutation mutation;
+	int hold_starts; /* so many are held up … */
+	int64_t hold_ms; /* … for so long */
+	LIST_HEAD(held_starts, held_start) held;
 	int late_orders; /* so many orders get no answer … */
 	int64_t late_by_ms; /* … and are carried out this much later */
 } world;
@@ -474,6 +485,42 @@
 		reply(x, 200, stamped_new(w));
 }
 
+/* Its caller gets no answer. */
+static void
+hold_start(const struct worker *w, struct json_object *in)
+{
+	struct held_start *h = calloc(1, sizeof(*h));
+
+	world.hold_starts--;
+	snprintf(h->worker, sizeof(h->worker), "%s", w->id);
+	h->body = json_object_get(in);
+	h->due_ms = now_ms() + world.hold_ms;
+	LIST_INSERT_HEAD(&world.held, h, entries);
+	note("held-start %s %" PRId64 " %s %" PRId64, w->id, w->life,
+	    exchange_text(in, "task"), number_of(in, "run"));
+}
+
+static void
+deliver_held(void)
+{
+	struct held_start *h, *next;
+	struct worker *w;
+
+	for (h = LIST_FIRST(&world.held); h != NULL; h = next) {
+		next = LIST_NEXT(h, entries);
+		if (now_ms() < h->due_ms)
+			continue;
+		w = worker_named(h->worker);
+		if (w != NULL && w->dead_ms == 0) {
+			note("late-start %s %" PRId64, w->id, w->life);
+			carry_out(w, NULL, "/run-start", h->body);
+		}
+		LIST_REMOVE(h, entries);
+		json_object_put(h->body);
+		free(h);
+	}
+}
+
 static void
 worker_request(struct exchange *x)
 {
@@ -484,6 +531,9 @@
 
 	if (w == NULL || in == NULL) {
 		exchange_answer(x, w == NULL ? 421 : 400, NULL);
+	} else if (world.hold_starts > 0 &&
+	    strcmp(x->path, "/run-start") == 0) {
+		hold_start(w, in);
 	} else if (w->dead_ms != 0) {
 		exchange_drop(x);
 	} else if (w->frozen) {
@@ -749,6 +799,8 @@
 	    o, "upkeeps", json_object_new_int64(world.upkeeps));
 	json_object_object_add(
 	    o, "advised", json_object_new_int64(world.advised));
+	json_object_object_add(
+	    o, "heldStarts", json_object_new_int64(world.hold_starts));
 	json_object_object_add(
 	    o, "lateOrders", json_object_new_int64(world.late_orders));
 	json_object_object_add(o, "unreadable",
@@ -810,6 +862,10 @@
 		exchange_answer(x, 400, NULL);
 	} else if (strcmp(x->path, "/advise") == 0) {
 		advise(x);
+	} else if (strcmp(x->path, "/starts-late") == 0) {
+		world.hold_starts = (int)exchange_int(x, "count", 1);
+		world.hold_ms = exchange_int(x, "ms", 0);
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/orders-late") == 0) {
 		world.late_orders = (int)exchange_int(x, "count", 1);
 		world.late_by_ms = exchange_int(x, "ms", 0);
@@ -981,6 +1037,7 @@
 
 	lws_sul_schedule(
 	    http_server_context(world.server), 0, sul, on_tick, TICK_MS * 1000);
+	deliver_held();
 	for (i = 0; i < world.worker_count; i++)
 		run_worker(&world.workers[i]);
 	for (h = LIST_FIRST(&world.holds); h != NULL; h = next) {
@@ -1084,6 +1141,7 @@
 	world.task_ms = 50;
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	LIST_INIT(&world.holds);
+	LIST_INIT(&world.held);
 	LIST_INIT(&world.dones);
 	world.began_ms = now_ms();
 	world.store = job_store_new();
