review: cases 1 and 4 begin on a calm system

Cause: in touch and stable mean contactMs without a disruption, and the stand-in's store answered case 1 faster than the users' 4 ms.

Adds 3 s of calm before the disruption of both, and 4 ms an append to case 1.

--- a/review/driver/ends.c
+++ b/review/driver/ends.c
@@ -13,6 +13,7 @@
 #define JOB "00000000000000b1"
 #define NAME_BYTES 64
 #define LINE_BYTES 512
+#define CALM_MS 3000 /* contactMs */
 #define STARTED_MS 10000
 #define COMPLETED_MS 60000
 
@@ -167,6 +168,8 @@
 	int owner, other;
 
 	driver_start(&f, 3, PROXY_NONE, args);
+	driver_call(f.platform_port, "POST", "/store-slow?ms=4", "", 2000, &a);
+	driver_sleep_ms(CALM_MS);
 	owner = driver_owner(&f, 0);
 	other = owner == 0 ? 1 : 0;
 	driver_call(
--- a/review/driver/stale.c
+++ b/review/driver/stale.c
@@ -17,6 +17,7 @@
 #define CUT_MS 3500 /* shorter than the disruptions of the users' sheets */
 #define FIRST_STEP_MS 9000 /* as in the job's text */
 #define CANCEL_MS 3000 /* of the rule */
+#define CALM_MS 3000 /* contactMs */
 #define LINE_BYTES 512
 #define PATH_BYTES 64
 #define ID_BYTES 17
@@ -170,6 +171,7 @@
 	int64_t until_ms;
 
 	driver_start(f, 3, PROXY_STORE, args);
+	driver_sleep_ms(CALM_MS);
 	owner = driver_owner(f, 0);
 	other = (owner + 1) % 3;
 	open_lines(f, owner);
