--- a/review/driver/cross.c
+++ b/review/driver/cross.c
@@ -9,7 +9,8 @@
 #include "driver.h"
 
 #define JOB "00000000000000f1"
-#define WORKERS 3
+#define WORKERS 8
+#define LATE_SPAN_MS 5500 /* for_s of the users' applied_late */
 #define HELD_MS 4500 /* the users' 2 to 12 s */
 #define STARTED_MS 5000
 #define CRASH_AFTER_MS 2600 /* since the start was held up */
@@ -101,7 +102,7 @@
 int
 main(void)
 {
-	static const char *const args[] = {"--workers", "3", NULL};
+	static const char *const args[] = {"--workers", "8", NULL};
 	static const char job[] =
 	    "{\"taskSpec\":\"takes:5000\",\"steps\":[{\"count\":1,"
 	    "\"cpu\":500,\"memMb\":64,\"estimateMs\":5000}]}";
@@ -109,10 +110,13 @@
 	struct fleet f;
 	int64_t until_ms;
 	char path[64];
+	int64_t from_ms, orders;
 	int id = 0;
 
 	driver_start(&f, 3, PROXY_NONE, args);
 	driver_sleep_ms(3000);
+	from_ms = driver_now_ms();
+	orders = driver_judge(&f, "orders");
 	if (f.trouble) {
 		snprintf(
 		    path, sizeof(path), "/starts-late?count=1&ms=%d", HELD_MS);
@@ -133,6 +137,10 @@
 		driver_sleep_ms(BACK_MS);
 		worker(&f, id, "return");
 	}
+	while (driver_now_ms() < from_ms + LATE_SPAN_MS)
+		driver_sleep_ms(5);
+	driver_note(&f, "orders to workers in %d ms: %" PRId64, LATE_SPAN_MS,
+	    driver_judge(&f, "orders") - orders);
 	driver_sleep_ms(WATCH_MS);
 	driver_call(f.daemons[0].front, "GET", "/seats/" JOB, NULL, 3000, &a);
 	driver_note(&f, "GET /seats/" JOB ": %d %.100s", a.status, a.body);
--- a/review/driver/driver.c
+++ b/review/driver/driver.c
@@ -10,6 +10,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -132,6 +133,7 @@
 
 	if (pid != 0)
 		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL); /* it ends with the driver */
 	fd = open(out, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 	if (fd == -1 || dup2(fd, 1) == -1 || dup2(fd, 2) == -1)
 		_exit(127);
--- a/review/driver/proxy.c
+++ b/review/driver/proxy.c
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -135,6 +136,7 @@
 		close(fd);
 		return pid;
 	}
+	prctl(PR_SET_PDEATHSIG, SIGKILL); /* it ends with the driver */
 	sigaction(SIGUSR1, &sa, NULL);
 	sigaction(SIGUSR2, &sa, NULL);
 	for (i = 0; i < PAIRS_MAX; i++)
--- a/review/standin/workers.c
+++ b/review/standin/workers.c
@@ -131,7 +131,7 @@
 	LIST_HEAD(holds, hold) holds;
 	LIST_HEAD(dones, done) dones;
 	lws_sorted_usec_list_t tick;
-	int64_t starts, twice, ended, upkeeps, moves, advised;
+	int64_t orders, starts, twice, ended, upkeeps, moves, advised;
 	FILE *log;
 	const char *ports; /* of the workers' entries, with commas */
 	enum mutation mutation;
@@ -529,6 +529,7 @@
 	struct json_object *in = exchange_body_json(x);
 	struct late *l;
 
+	world.orders++;
 	if (w == NULL || in == NULL) {
 		exchange_answer(x, w == NULL ? 421 : 400, NULL);
 	} else if (world.hold_starts > 0 &&
@@ -791,6 +792,8 @@
 {
 	struct json_object *o = json_object_new_object();
 
+	json_object_object_add(
+	    o, "orders", json_object_new_int64(world.orders));
 	json_object_object_add(
 	    o, "starts", json_object_new_int64(world.starts));
 	json_object_object_add(o, "done", json_object_new_int64(world.ended));
