roster, pool: a worker has ended once a list shows its machine without it

Cause: the answer 200 to a command counted as the end of the worker that the newest list names. It says only that the machine has had this operation. Where an unanswered command, or one of an earlier controller, had been carried out before, that worker is the one from after it: its owner freed its tasks and ignored its entries from then on, with the same start time, whatever came.

Change: the controller keeps the worker that a machine had when a command was sent, and reports this one as gone once a list shows the machine without it; until such a list has come, the worker stays cordoned. The notice carries the age of that news, and an owner that has had an answer since ignores it. A removed worker that writes its entry again is asked, and used once it answers; records that a scan returns a second time are not forwarded any more.

Tests that fail without the change: old_news::a_repeated_order_does_not_end_ the_worker_from_after_it, an_order_that_another_has_given_before_ends_no_worker, a_worker_that_has_ended_is_told_with_the_age_of_that_news, a_worker_that_is_named_again_has_not_ended; pool::a_worker_that_registers_ after_its_removal_is_used_again, a_worker_that_has_answered_since_was_not_ removed.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1910,6 +1910,15 @@
 	send_cordon(w, worker, &ev);
 }
 
+void
+jobs_world_report_removed(struct jobs_world *w, int worker, int age_ms)
+{
+	struct pool_event ev = {
+	    .u.cordon = {.machine_removed = true, .age_ms = age_ms}};
+
+	send_cordon(w, worker, &ev);
+}
+
 void
 jobs_world_terms(struct jobs_world *w, const struct queue_settings *terms)
 {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -100,6 +100,7 @@
 			char id[NAME_BYTES];
 			bool evacuate; /* its tasks move to other workers */
 			bool machine_removed; /* all its runs have ended */
+			int64_t age_ms; /* since machine_removed was known */
 			/*
 			 * Not cordoned yet: an open maintenance wave will reach
 			 * it.
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -563,6 +563,7 @@
 	w->reported_us = p->loop_late_us > ev->u.renewal.sent_us
 	    ? ev->u.renewal.sent_us
 	    : p->now_us;
+	w->alive_us = w->reported_us;
 	w->report.clock_ms = r->clock_ms;
 	w->clock_read_us = p->now_us;
 	w->report_count++;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -30,6 +30,9 @@
 	bool listed; /* the store has the worker's entry */
 	/* The worker's machine was removed: all its runs have ended. */
 	bool machine_removed;
+	int64_t removal_known_us; /* to the controller */
+	int64_t
+	    alive_us; /* newest answer or entry, which shows that it lived */
 	int64_t unlisted_us; /* when its entry was dropped; 0: it was not */
 	/* The worker has answered under this term's fence. */
 	bool fence_confirmed;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -296,6 +296,25 @@
 	w->drain_end_us = p->now_us + w->report.remaining_ms * US_PER_MS;
 }
 
+/*
+ * The worker has written its entry since its removal was known.  It is used
+ * once it has answered under this term's fence.
+ */
+static void
+worker_removal_disproved(struct pool *p, struct pool_worker *w)
+{
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"a removed worker has written its entry again: it is in "
+	    "use\" worker=%s removal_known_ms_ago=%lld "
+	    "entries_read_ms_ago=%lld",
+	    w->report.id,
+	    (long long)((p->now_us - w->removal_known_us) / US_PER_MS),
+	    (long long)((p->now_us - p->entries_read_us) / US_PER_MS));
+	w->alive_us = p->entries_read_us;
+	w->fence_confirmed = false;
+	w->renewal_due_us = p->now_us;
+}
+
 void
 pool_worker_entry(struct pool *p, const struct worker_report *r)
 {
@@ -315,8 +334,11 @@
 	if (w == NULL ||
 	    (r->started_ms != 0 && r->started_ms < w->report.started_ms))
 		return;
-	if (w->machine_removed && r->started_ms == w->report.started_ms)
-		return; /* entry from before the removal, not expired yet */
+	if (w->machine_removed && r->started_ms == w->report.started_ms) {
+		if (p->entries_read_us <= w->removal_known_us)
+			return; /* perhaps written before the removal */
+		worker_removal_disproved(p, w);
+	}
 	w->machine_removed = false;
 	was_draining = w->report.draining;
 	if (r->started_ms != w->report.started_ms && r->started_ms != 0 &&
@@ -357,10 +379,12 @@
 
 /* All runs on the worker have ended; its entry expires later. */
 static void
-worker_machine_removed(struct pool *p, struct pool_worker *w)
+worker_machine_removed(
+    struct pool *p, struct pool_worker *w, int64_t removal_known_us)
 {
 	worker_detach_tasks(p, w, DETACH_ALL, "machine-taken-away");
 	w->machine_removed = true;
+	w->removal_known_us = removal_known_us;
 	w->listed = false;
 	w->unlisted_us = 0; /* its entry will not come back */
 	w->idle_by_ms = p->now_ms;
@@ -368,15 +392,36 @@
 	p->placement_due = true;
 }
 
+/* Notices of one removal are repeated: logs the first of them. */
+static void
+log_removal_ignored(
+    struct pool *p, struct pool_worker *w, int64_t removal_known_us)
+{
+	if (removal_known_us - w->removal_known_us < US_PER_S)
+		return;
+	w->removal_known_us = removal_known_us;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"ignores the removal of a worker that has answered since\" "
+	    "worker=%s tasks=%zu removal_known_ms_ago=%lld alive_ms_ago=%lld",
+	    w->report.id, w->task_count,
+	    (long long)((p->now_us - removal_known_us) / US_PER_MS),
+	    (long long)((p->now_us - w->alive_us) / US_PER_MS));
+}
+
 void
 pool_cordon(struct pool *p, const struct pool_event *ev)
 {
 	struct pool_worker *w = pool_find_worker(p, ev->u.cordon.id);
+	int64_t known_us;
 
 	if (w == NULL || w->machine_removed)
 		return;
 	if (ev->u.cordon.machine_removed) {
-		worker_machine_removed(p, w);
+		known_us = p->now_us - ev->u.cordon.age_ms * US_PER_MS;
+		if (w->alive_us <= known_us)
+			worker_machine_removed(p, w, known_us);
+		else
+			log_removal_ignored(p, w, known_us);
 		return;
 	}
 	if (ev->u.cordon.maintenance_pending) {
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -187,6 +187,7 @@
 {
 	m->command = MACHINE_COMMAND_NONE;
 	m->to_pool[0] = '\0';
+	m->commanded_worker[0] = '\0';
 	m->cordoned = false;
 	m->unconfirmed_us = 0;
 }
@@ -224,9 +225,6 @@
 	    (long long)m->wave_number, m->unconfirmed_us != 0);
 	if (m->command == MACHINE_COMMAND_MAINTENANCE)
 		roster_maintenance_started(r, m);
-	memcpy(m->from_pool, m->report.pool, NAME_BYTES);
-	memcpy(m->removed_worker, m->report.worker, NAME_BYTES);
-	m->removed_us = r->now_us;
 	m->unconfirmed_us = 0;
 	machine_set_phase(r, m, COMMAND_PHASE_EXECUTING);
 }
@@ -250,6 +248,37 @@
 	return false;
 }
 
+/*
+ * Notes the end of the worker that a command was sent for, once a list shows
+ * the machine without it.  That the platform accepts a command does not show
+ * it: the command may have been carried out before, at an earlier controller's
+ * request or one whose answer was lost, and the worker be the one from after.
+ */
+static void
+note_worker_end(
+    struct roster *r, struct machine *m, const struct machine_report *report)
+{
+	bool is_up = report->state == MACHINE_UP;
+
+	if (is_up && strcmp(report->worker, m->removed_worker) == 0)
+		m->removed_worker[0] = '\0'; /* it has started again */
+	if (m->commanded_worker[0] == '\0' || report->state == MACHINE_DOWN ||
+	    (is_up &&
+		(report->worker[0] == '\0' ||
+		    strcmp(report->worker, m->commanded_worker) == 0)))
+		return;
+	roster_log(r,
+	    "msg=\"the worker of a commanded machine has ended\" machine=%s "
+	    "worker=%s pool=%s state=%d next=%s list_age_ms=%lld",
+	    report->machine, m->commanded_worker, m->commanded_pool,
+	    report->state, report->worker,
+	    (long long)((r->now_us - r->list_requested_us) / US_PER_MS));
+	memcpy(m->removed_worker, m->commanded_worker, NAME_BYTES);
+	memcpy(m->removed_pool, m->commanded_pool, NAME_BYTES);
+	m->removed_us = r->now_us;
+	m->commanded_worker[0] = '\0';
+}
+
 /*
  * The predecessor's term had ended when this one began: whatever its time of
  * day, the hold-off is never longer than that of a command sent now.
@@ -304,6 +333,7 @@
 	}
 	if (list_confirms_command(m, report))
 		command_accepted(r, m);
+	note_worker_end(r, m, report);
 	if (strcmp(m->report.worker, report->worker) != 0) {
 		m->last_report_us = 0;
 		m->worker_listed_us = r->now_us;
@@ -465,6 +495,8 @@
 	snprintf(x->machine, sizeof(x->machine), "%s", m->report.machine);
 	snprintf(x->to_pool, sizeof(x->to_pool), "%s", m->to_pool);
 	x->wave_number = m->wave_number;
+	memcpy(m->commanded_worker, m->report.worker, NAME_BYTES);
+	memcpy(m->commanded_pool, m->report.pool, NAME_BYTES);
 	machine_set_phase(r, m, COMMAND_PHASE_SENT);
 }
 
@@ -602,32 +634,52 @@
 	return n;
 }
 
+/*
+ * The machine's present worker is to get no new tasks: it has a command that
+ * was not carried out, as far as the newest list shows.
+ */
+static bool
+worker_is_commanded(const struct roster *r, const struct machine *m)
+{
+	return m->command != MACHINE_COMMAND_NONE &&
+	    (m->phase != COMMAND_PHASE_EXECUTING ||
+		r->listed_us < m->phase_since_us);
+}
+
 void
 roster_each_cordon(const struct roster *r, const char *pool,
-    void (*each)(void *arg, const char *worker, enum cordon_kind kind),
-    void *arg)
+    void (*each)(void *arg, const struct cordon *c), void *arg)
 {
 	const struct machine *m;
+	struct cordon c;
 
 	for (m = r->machines; m != NULL; m = m->hh.next) {
+		memset(&c, 0, sizeof(c));
 		if (m->removed_worker[0] != '\0' &&
 		    r->now_us - m->removed_us <
 			REMOVED_WORKER_NOTICE_MS * US_PER_MS &&
-		    strcmp(m->from_pool, pool) == 0)
-			each(arg, m->removed_worker, CORDON_MACHINE_REMOVED);
+		    strcmp(m->removed_pool, pool) == 0) {
+			memcpy(c.worker, m->removed_worker, NAME_BYTES);
+			c.kind = CORDON_MACHINE_REMOVED;
+			c.age_ms = (r->now_us - m->removed_us) / US_PER_MS;
+			each(arg, &c);
+		}
 		if (m->report.worker[0] == '\0' ||
 		    strcmp(m->report.pool, pool) != 0)
 			continue;
-		if (m->command != MACHINE_COMMAND_NONE) {
-			if (m->phase != COMMAND_PHASE_EXECUTING)
-				each(arg, m->report.worker,
-				    m->command == MACHINE_COMMAND_MAINTENANCE
-					? CORDON_EVACUATE
-					: CORDON_NO_NEW_TASKS);
-		} else if (m->maintenance_pending_us != 0 &&
+		memcpy(c.worker, m->report.worker, NAME_BYTES);
+		c.age_ms = 0;
+		if (worker_is_commanded(r, m)) {
+			c.kind = m->command == MACHINE_COMMAND_MAINTENANCE
+			    ? CORDON_EVACUATE
+			    : CORDON_NO_NEW_TASKS;
+			each(arg, &c);
+		} else if (m->command == MACHINE_COMMAND_NONE &&
+		    m->maintenance_pending_us != 0 &&
 		    r->now_us - m->maintenance_pending_us <
 			MAINTENANCE_PENDING_MS * US_PER_MS) {
-			each(arg, m->report.worker, CORDON_MAINTENANCE_PENDING);
+			c.kind = CORDON_MAINTENANCE_PENDING;
+			each(arg, &c);
 		}
 	}
 }
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -180,20 +180,30 @@
 enum cordon_kind {
 	CORDON_NO_NEW_TASKS,
 	CORDON_EVACUATE, /* no new tasks, and running tasks move elsewhere */
-	/* the worker ends: its machine moves or enters maintenance */
+	/* the worker has ended: its machine moves or is in maintenance */
 	CORDON_MACHINE_REMOVED,
 	CORDON_MAINTENANCE_PENDING /* gets no new long-running tasks */
 };
 
+/* A cordon that the owner of a worker's pool has to apply. */
+struct cordon {
+	char worker[NAME_BYTES];
+	enum cordon_kind kind;
+	/*
+	 * CORDON_MACHINE_REMOVED: since the worker was known to have ended; a
+	 * later answer of the worker shows that it lives.
+	 */
+	int64_t age_ms;
+};
+
 /*
  * Number of machines that are moving to a pool.  The worker of the last one
  * is ready within "within_ms".
  */
 size_t roster_incoming(
     const struct roster *r, const char *pool, int *within_ms);
-/* Calls "each" for every cordon that the owner of the pool has to apply. */
+/* Calls "each" for every cordon of the pool's workers. */
 void roster_each_cordon(const struct roster *r, const char *pool,
-    void (*each)(void *arg, const char *worker, enum cordon_kind kind),
-    void *arg);
+    void (*each)(void *arg, const struct cordon *c), void *arg);
 
 #endif
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -29,11 +29,14 @@
 	enum machine_command_phase phase;
 	char to_pool[NAME_BYTES]; /* MACHINE_COMMAND_MOVE */
 	/*
-	 * Set when the platform accepts a command: the machine's pool, the
-	 * worker that the command ends, and the time.
+	 * The machine's worker when the command was last sent, and its pool;
+	 * "" once the worker is known to have ended.
 	 */
-	char from_pool[NAME_BYTES];
+	char commanded_worker[NAME_BYTES];
+	char commanded_pool[NAME_BYTES];
+	/* The last such worker that is known to have ended, its pool, when. */
 	char removed_worker[NAME_BYTES];
+	char removed_pool[NAME_BYTES];
 	int64_t removed_us;
 	int64_t wave_number; /* MACHINE_COMMAND_MAINTENANCE */
 	int64_t phase_since_us;
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -394,7 +394,7 @@
 }
 
 static void
-add_cordon(void *arg, const char *worker, enum cordon_kind kind)
+add_cordon(void *arg, const struct cordon *c)
 {
 	struct cordon_request *r = arg;
 
@@ -402,11 +402,10 @@
 		daemon_log(LOG_LEVEL_WARN, "duty",
 		    "msg=\"too many cordons for one request; the worker's is "
 		    "not sent\" pool=%s worker=%s",
-		    r->pool, worker);
+		    r->pool, c->worker);
 		return;
 	}
-	snprintf(r->list[r->count].worker, NAME_BYTES, "%s", worker);
-	r->list[r->count++].kind = kind;
+	r->list[r->count++] = *c;
 }
 
 static void
--- a/src/scheduler/cordon_wire.c
+++ b/src/scheduler/cordon_wire.c
@@ -9,6 +9,7 @@
 static const struct codec_field cordon_fields[] = {
     CODEC_FIELD("w", CODEC_STR, struct cordon, worker),
     CODEC_FIELD("k", CODEC_INT, struct cordon, kind),
+    CODEC_FIELD("a", CODEC_I64, struct cordon, age_ms),
 };
 
 static const struct codec_field worker_report_fields[] = {
--- a/src/scheduler/cordon_wire.h
+++ b/src/scheduler/cordon_wire.h
@@ -11,11 +11,6 @@
 
 #define CORDONS_MAX 1024 /* workers in one request */
 
-struct cordon {
-	char worker[NAME_BYTES];
-	enum cordon_kind kind;
-};
-
 struct cordon_request {
 	char pool[NAME_BYTES];
 	struct cordon list[CORDONS_MAX];
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -547,6 +547,7 @@
 		    r->list[i].kind == CORDON_MACHINE_REMOVED;
 		ev.u.cordon.maintenance_pending =
 		    r->list[i].kind == CORDON_MAINTENANCE_PENDING;
+		ev.u.cordon.age_ms = r->list[i].age_ms;
 		shard_handle_event(sh, &ev);
 	}
 	ev.kind = POOL_INCOMING;
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -362,8 +362,9 @@
 	/* an odd record leaves the last good entry as it is */
 	if (e != NULL)
 		e->scan = w->workers.scan;
-	if (e != NULL && r->offset < e->offset)
-		return; /* stale read */
+	/* a scan returns records again that were read before */
+	if (e != NULL && r->offset <= e->offset)
+		return;
 	if (r->value == NULL) {
 		if (e != NULL)
 			remove_worker(w, e);
--- a/tests/unit/test_machines.c
+++ b/tests/unit/test_machines.c
@@ -134,19 +134,19 @@
 static bool maintenance_pending[MACHINES_MAX]; /* its maintenance is to come */
 
 static void
-cordon(void *arg, const char *worker, enum cordon_kind kind)
+cordon(void *arg, const struct cordon *c)
 {
-	int i = atoi(worker + 2);
+	int i = atoi(c->worker + 2);
 
 	(void)arg;
-	maintenance_pending[i] = kind == CORDON_MAINTENANCE_PENDING;
-	evacuating[i] = kind == CORDON_EVACUATE;
-	if (kind != CORDON_MACHINE_REMOVED &&
-	    kind != CORDON_MAINTENANCE_PENDING)
+	maintenance_pending[i] = c->kind == CORDON_MAINTENANCE_PENDING;
+	evacuating[i] = c->kind == CORDON_EVACUATE;
+	if (c->kind != CORDON_MACHINE_REMOVED &&
+	    c->kind != CORDON_MAINTENANCE_PENDING)
 		cordoned[i] = true;
-	if (kind == CORDON_EVACUATE) /* its owner sends them elsewhere */
+	if (c->kind == CORDON_EVACUATE) /* its owner sends them elsewhere */
 		tasks[i] = long_running_move_ms > 0 ? long_running[i] : 0;
-	if (kind == CORDON_NO_NEW_TASKS && tasks_end)
+	if (c->kind == CORDON_NO_NEW_TASKS && tasks_end)
 		tasks[i] = long_running[i];
 }
 
@@ -733,6 +733,7 @@
 	for (i = 0; i < 600; i++) {
 		snprintf(out.list[i].worker, NAME_BYTES, "w-%zu", i);
 		out.list[i].kind = CORDON_MACHINE_REMOVED;
+		out.list[i].age_ms = (int64_t)i;
 	}
 	out.count = 600;
 	b = cordon_request_encode(&out);
@@ -740,6 +741,7 @@
 	cr_assert_eq(cordon_request_decode(&in, b->data, b->len, &e), 0);
 	cr_expect_eq(in.count, 600);
 	cr_expect_str_eq(in.list[599].worker, "w-599");
+	cr_expect_eq(in.list[599].age_ms, 599);
 	buf_unref(b);
 }
 
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -1,5 +1,6 @@
 /* The controller of machines acts on no news that is old, from events alone. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <criterion/criterion.h>
@@ -245,16 +246,21 @@
 struct cordon_count {
 	int held; /* get no new tasks */
 	int removed;
+	char removed_worker[NAME_BYTES]; /* the last of these */
+	int64_t age_ms; /* of its removal */
 };
 
 static void
-count_cordon(void *arg, const char *worker, enum cordon_kind kind)
+count_cordon(void *arg, const struct cordon *c)
 {
 	struct cordon_count *n = arg;
 
-	(void)worker;
-	n->held += kind == CORDON_NO_NEW_TASKS;
-	n->removed += kind == CORDON_MACHINE_REMOVED;
+	n->held += c->kind == CORDON_NO_NEW_TASKS || c->kind == CORDON_EVACUATE;
+	if (c->kind != CORDON_MACHINE_REMOVED)
+		return;
+	n->removed++;
+	memcpy(n->removed_worker, c->worker, NAME_BYTES);
+	n->age_ms = c->age_ms;
 }
 
 static struct cordon_count
@@ -317,6 +323,121 @@
 	cr_expect_eq(blue_cordons().removed, 1);
 }
 
+/* Orders the maintenance of "m-0", whose worker runs nothing. */
+static void
+send_maintenance(void)
+{
+	request_maintenance();
+	report_now("blue", 0, true);
+	tick();
+	cr_assert_eq(commands, 1);
+	cr_assert_str_eq(commanded, "m-0");
+}
+
+static void
+list_after(int ms)
+{
+	now_us += ms * US_PER_MS;
+	tick();
+	list_machines();
+}
+
+/*
+ * The upkeep's answer was lost. It was over when the order was repeated, and
+ * the worker from after it was taken for gone: its pool lost it for good.
+ */
+Test(old_news, a_repeated_order_does_not_end_the_worker_from_after_it)
+{
+	struct cordon_count n;
+
+	send_maintenance();
+	command_result("m-0", ROSTER_COMMAND_UNKNOWN);
+	snprintf(machines[0].worker, NAME_BYTES, "w-0b");
+	list_after(5000);
+	n = blue_cordons();
+	cr_expect_eq(n.removed, 1);
+	cr_expect_str_eq(n.removed_worker, "w-0");
+	report_now("blue", 0, true);
+	now_us += TICK_US;
+	tick();
+	cr_assert_eq(commands, 2);
+	command_result("m-0", ROSTER_COMMAND_DONE);
+	list_after(600);
+	list_after(3000);
+	n = blue_cordons();
+	cr_expect_eq(n.removed, 1);
+	cr_expect_str_eq(n.removed_worker, "w-0");
+	cr_expect_eq(n.held, 0);
+	list_after(6000);
+	cr_expect_eq(blue_cordons().removed, 0);
+}
+
+/*
+ * The controller before this one had ordered the upkeep, and died. The worker
+ * from after it was taken for gone, and its tasks were run elsewhere, too.
+ */
+Test(old_news, an_order_that_another_has_given_before_ends_no_worker)
+{
+	send_maintenance();
+	command_result("m-0", ROSTER_COMMAND_DONE);
+	cr_expect_eq(blue_cordons().removed, 0);
+	cr_expect_eq(blue_cordons().held, 1, "until a list shows its state");
+	list_after(600);
+	cr_expect_eq(blue_cordons().removed, 0);
+	cr_expect_eq(blue_cordons().held, 0);
+	list_after(3000);
+	cr_expect_eq(blue_cordons().removed, 0);
+}
+
+/* The same for a move: the new worker is in another pool. */
+Test(old_news, a_move_without_an_answer_ends_the_worker_from_before_it)
+{
+	struct cordon_count n = {.held = 0};
+	int i = send_move();
+
+	command_result(commanded, ROSTER_COMMAND_UNKNOWN);
+	snprintf(machines[i].pool, NAME_BYTES, "green");
+	snprintf(machines[i].worker, NAME_BYTES, "w-b");
+	list_after(5000);
+	roster_each_cordon(roster, "green", count_cordon, &n);
+	cr_expect_eq(n.removed, 0);
+	n = blue_cordons();
+	cr_expect_eq(n.removed, 1);
+	cr_expect_eq(atoi(n.removed_worker + 2), i);
+}
+
+/* Its owner would take an end that is long past for one of now. */
+Test(old_news, a_worker_that_has_ended_is_told_with_the_age_of_that_news)
+{
+	struct cordon_count n;
+
+	send_maintenance();
+	command_result("m-0", ROSTER_COMMAND_DONE);
+	machines[0].state = MACHINE_MAINTENANCE;
+	list_after(600);
+	now_us += 1400 * US_PER_MS;
+	tick();
+	n = blue_cordons();
+	cr_expect_eq(n.removed, 1);
+	cr_expect_eq(n.age_ms, 1400);
+}
+
+/* It has crashed and is back under its id; the order was never carried out. */
+Test(old_news, a_worker_that_is_named_again_has_not_ended)
+{
+	send_maintenance();
+	command_result("m-0", ROSTER_COMMAND_UNKNOWN);
+	machines[0].state = MACHINE_DOWN;
+	list_after(600);
+	cr_expect_eq(blue_cordons().removed, 0);
+	machines[0].state = MACHINE_MAINTENANCE;
+	list_after(600);
+	cr_expect_eq(blue_cordons().removed, 1);
+	machines[0].state = MACHINE_UP;
+	list_after(600);
+	cr_expect_eq(blue_cordons().removed, 0);
+}
+
 /* Another controller sent an order for "m-5", which is off. */
 static void
 add_ordered_spare_machine(int64_t ago_ms)
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -154,6 +154,40 @@
 	expect_kept();
 }
 
+/*
+ * A worker that lived was reported as gone. It registered each second, and its
+ * pool did not use it until the pool changed its owner.
+ */
+Test(pool, a_worker_that_registers_after_its_removal_is_used_again)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(1);
+	jobs_world_report_removed(world, 0, 0);
+	jobs_world_run(world, 1500);
+	submit(1, 2, 1000, 300, id);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 2000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
+
+/* Its tasks were started elsewhere while they ran. */
+Test(pool, a_worker_that_has_answered_since_was_not_removed)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(2);
+	submit(1, 8, 1000, 6000, id);
+	jobs_world_run(world, 4500);
+	jobs_world_report_removed(world, 0, 1400);
+	jobs_world_run(world, 200);
+	jobs_world_report_removed(world, 0, 1600);
+	jobs_world_run(world, 6000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	expect_kept();
+}
+
 /* A lasting task at a dark worker counted as at work. */
 Test(pool, a_lasting_task_is_not_stopped_while_another_is_away)
 {
