job_frontend: a request that is with its owner is not answered with 503

Cause: the outcome of a request became unknown only when an attempt had ended without an answer. The last answers of a stop are given while first attempts are in flight; such requests counted as not sent.

Change: an attempt in flight at that time makes the outcome unknown: 504.

Looked at on related paths: a request at this daemon's own pool is answered with 504 (as before); a pool that is released answers its pending requests with "unknown" (as before); a job that the owner refuses after an attempt without an answer gets 504 (as before). A request that the HTTP client sends a second time, as its reused connection has closed, is not covered yet.

--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -616,6 +616,8 @@
 	f->exiting = true;
 	for (c = LIST_FIRST(&f->requests); c != NULL; c = next) {
 		next = LIST_NEXT(c, entries);
+		/* the pool's owner may carry out the attempt in flight */
+		c->outcome_unknown |= c->peer_call != NULL;
 		if (!c->local)
 			finish_unserved(c);
 		else if (!c->answered) /* else freed at the pool's reply */
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -209,6 +209,92 @@
 	proc_signal(fleet->daemons[1], SIGCONT);
 }
 
+#define STOP_CALLERS 28
+#define STOP_CALLERS_FROM_MS 2200 /* after the signal: it ends when idle */
+#define STOP_CALLER_EVERY_MS 70
+
+static int
+read_status(int fd)
+{
+	char text[256];
+	ssize_t n = recv(fd, text, sizeof(text) - 1, 0);
+	int status = -1;
+
+	if (n > 0) {
+		text[n] = '\0';
+		sscanf(text, "HTTP/1.1 %d", &status);
+	}
+	return status;
+}
+
+/* A connection that has carried a request, and is kept open. */
+static int
+open_connection(int port)
+{
+	static const char request[] =
+	    "GET /blue/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n";
+	int fd = raw_connect(port);
+
+	cr_assert_neq(fd, -1);
+	cr_assert_eq(send(fd, request, sizeof(request) - 1, MSG_NOSIGNAL),
+	    sizeof(request) - 1);
+	cr_assert_eq(read_status(fd), 200);
+	return fd;
+}
+
+/* Sends a job of this number on an open connection. */
+static void
+send_job(int fd, size_t number)
+{
+	static const char body[] =
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}";
+	char request[256];
+	int n;
+
+	n = snprintf(request, sizeof(request),
+	    "POST /blue/%016zx HTTP/1.1\r\nHost: jobs.example\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    number, sizeof(body) - 1, body);
+	cr_assert_eq(send(fd, request, (size_t)n, MSG_NOSIGNAL), n);
+}
+
+/*
+ * Requests that are with the pool's owner when a stopping daemon gives its last
+ * answers. They got 503, and their jobs were stored and ran.
+ */
+Test(jobs, a_planned_stop_rejects_no_job_that_is_with_its_owner)
+{
+	const char *slow = "/store-slow?ms=400", *usual = "/store-slow?ms=0";
+	int fds[STOP_CALLERS], status, unknown = 0, i;
+	char path[64];
+
+	for (i = 0; i < STOP_CALLERS; i++)
+		fds[i] = open_connection(fleet->callers_port[0]);
+	proc_signal(fleet->daemons[0], SIGTERM);
+	sleep_ms(STOP_CALLERS_FROM_MS);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
+	for (i = 0; i < STOP_CALLERS; i++) {
+		send_job(fds[i], 0xf000 + (size_t)i);
+		sleep_ms(STOP_CALLER_EVERY_MS);
+	}
+	cr_expect_eq(proc_wait(fleet->daemons[0], LIMIT_MS), 0);
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", usual, "", NULL), 200);
+	sleep_ms(1000); /* the owner has stored what it was sent */
+	for (i = 0; i < STOP_CALLERS; i++) {
+		status = read_status(fds[i]);
+		close(fds[i]);
+		unknown += status == 504;
+		if (status != 503 && status != 429)
+			continue;
+		snprintf(path, sizeof(path), "/blue/%016x", 0xf000 + i);
+		cr_expect_eq(
+		    call(1, "GET", path, NULL, NULL, 0), 410, "%s ran", path);
+	}
+	cr_expect_gt(unknown, 0, "none was under way at the end");
+}
+
 /*
  * A paused process goes on where it stopped, with terms that have run out: what
  * its successor has done meanwhile is neither started nor stopped again.
