pool: wait for all ends of inherited runs, not for the first answer's

Cause: a worker lists 500 ends in an answer and the others once those are acknowledged. It counted as reconciled with its first answer, so that inherited tasks whose ends were yet to come were placed.

Change: such a worker is reconciled once an answer under this term's fence lists fewer than 500 ends. The general limit of the wait does not apply to a worker whose lease is renewed; the end of its lease does. A scheduling pass asks once, not for each job, whether the pool is reconciled.

The tests' world lists 500 ends in an answer now, as workers do; it listed them all.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -37,6 +37,7 @@
 #define ENTRY_EXPIRY_MS 4500 /* three heartbeats after a crash */
 /* A lasting task that is not at work for so long counts as away. */
 #define NOTICE_MS 4500
+#define ENDS_LISTED_MAX 500 /* in one answer, those with the lowest numbers */
 /* A lease that lapses so long after a disturbance may be due to it. */
 #define DISTURBED_MS (CONTACT_MS + LEASE_MAX_MS)
 #define CLOCK_SLOW_PERCENT 2 /* of workers' slow clocks */
@@ -685,10 +686,11 @@
 		out->usage = tail_ms(s, run);
 		out->progress_percent = run_percent(w, run);
 	}
-	r->ended = calloc(s->ended_count + 1, sizeof(*r->ended));
-	if (s->ended_count > 0)
-		memcpy(r->ended, s->ended, s->ended_count * sizeof(*r->ended));
-	r->ended_count = s->ended_count;
+	r->ended_count =
+	    s->ended_count < ENDS_LISTED_MAX ? s->ended_count : ENDS_LISTED_MAX;
+	r->ended = calloc(r->ended_count + 1, sizeof(*r->ended));
+	if (r->ended_count > 0)
+		memcpy(r->ended, s->ended, r->ended_count * sizeof(*r->ended));
 }
 
 static void
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -119,6 +119,7 @@
 	struct occurrence *o;
 	struct job *j;
 	size_t capacity = 0, n = 0;
+	bool reconciled = pool_reconciled(p);
 
 	p->next_occurrence_ms = INT64_MAX;
 	TAILQ_FOREACH(j, &p->active, entries) {
@@ -132,7 +133,7 @@
 	TAILQ_FOREACH(j, &p->active, entries) {
 		/* a job must be stored and, if inherited, reconciled */
 		if (job_final(j) || j->spec_serial > p->stored_serial ||
-		    (j->inherited && !pool_reconciled(p)))
+		    (j->inherited && !reconciled))
 			continue;
 		LIST_FOREACH(o, &j->occurrences, entries) {
 			if (n < capacity && occurrence_has_waiting_tasks(o))
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -570,8 +570,10 @@
 	/* Ends come first, so that no ended run is adopted. */
 	process_ended(p, w, r);
 	warmed_up = process_running(p, w, r);
-	if (r->ended_count < ENDS_PER_REPORT_MAX)
+	if (r->ended_count < ENDS_PER_REPORT_MAX) {
+		w->all_ends_listed = true;
 		detach_unlisted_tasks(p, w, ev->u.renewal.sent_us);
+	}
 	pool_watch_tasks(p, w);
 	if (warmed_up)
 		pool_watch_evacuating(p);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -37,6 +37,8 @@
 	/* The worker has answered under this term's fence. */
 	bool fence_confirmed;
 	bool inherited; /* an earlier owner may have started runs on it */
+	/* Under this term's fence, an answer has listed its last end. */
+	bool all_ends_listed;
 	/*
 	 * Unix time by which all runs that were started on the worker have
 	 * ended; 0 while it answers.  Stored for the next owner.
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -77,9 +77,24 @@
 	    p->now_us >= w->cordon_until_us;
 }
 
+/*
+ * The worker answers, and has more ends of earlier owners' runs than it has
+ * listed yet: what it does not list may have ended.  Ends of before its lease
+ * expired count no more.
+ */
+static bool
+worker_has_unlisted_ends(const struct pool *p, const struct pool_worker *w)
+{
+	return w->inherited && w->fence_confirmed && !w->all_ends_listed &&
+	    (w->missed_renewals == 0 ||
+		!worker_lease_expired(w, p->ownership_confirmed_us));
+}
+
 bool
 worker_reconciled(const struct pool *p, const struct pool_worker *w)
 {
+	if (worker_has_unlisted_ends(p, w))
+		return false;
 	return w->fence_confirmed || !w->inherited ||
 	    p->now_us > w->reconciled_by_us;
 }
@@ -87,15 +102,15 @@
 bool
 pool_reconciled(const struct pool *p)
 {
+	bool time_over = p->now_us >= p->reconcile_end_us;
 	const struct pool_worker *w;
 
-	if (p->now_us >= p->reconcile_end_us)
-		return true;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
-		if (!worker_reconciled(p, w))
+		if (time_over ? worker_has_unlisted_ends(p, w)
+			      : !worker_reconciled(p, w))
 			return false;
 	}
-	return p->workers != NULL;
+	return time_over || p->workers != NULL;
 }
 
 /* Logs which workers inherited jobs wait for, once a second at most. */
@@ -116,9 +131,11 @@
 	}
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"inherited jobs wait for silent workers\" workers=%zu "
-	    "first=%s misses=%d silent_ms_left=%lld for_ms=%lld ms_left=%lld",
+	    "first=%s misses=%d ends=%lld silent_ms_left=%lld for_ms=%lld "
+	    "ms_left=%lld",
 	    n, first != NULL ? first->report.id : "none",
 	    first != NULL ? first->missed_renewals : 0,
+	    first != NULL ? (long long)first->last_end : 0,
 	    first != NULL ? (long long)(first->idle_by_ms - p->now_ms) : 0,
 	    (long long)((p->now_us - p->opts.now_us) / US_PER_MS),
 	    (long long)((p->reconcile_end_us - p->now_us) / US_PER_MS));
@@ -242,7 +259,7 @@
 		}
 		t->run_confirmed = false;
 	}
-	w->fence_confirmed = false;
+	w->fence_confirmed = w->all_ends_listed = false;
 	/*
 	 * The new incarnation does not have the fence.  An owner that has been
 	 * replaced must not command it, and is kept from that as the store
@@ -311,7 +328,7 @@
 	    (long long)((p->now_us - w->removal_known_us) / US_PER_MS),
 	    (long long)((p->now_us - p->entries_read_us) / US_PER_MS));
 	w->alive_us = p->entries_read_us;
-	w->fence_confirmed = false;
+	w->fence_confirmed = w->all_ends_listed = false;
 	w->renewal_due_us = p->now_us;
 }
 
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -52,6 +52,93 @@
 	jobs_world_free(world);
 }
 
+#define ENDS_UNSEEN 1200 /* more than two answers list */
+
+/* One worker with room for that many tasks at once. */
+static struct jobs_world *
+world_of_many_tasks(double fail)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = 1,
+	    .cpu = 64000,
+	    .memory_mb = 256000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .fail = fail,
+	    .said_guarded = true,
+	};
+
+	return jobs_world_new(&o);
+}
+
+static void
+submit_many(unsigned count, int64_t ms)
+{
+	struct job_spec *o = jobs_order(1, count, 50, ms);
+
+	o->steps[0].memory_mb = 10;
+	jobs_world_submit(world, o, NULL);
+	job_spec_unref(o);
+}
+
+/* All runs end while the owner cannot see it; another takes over. */
+static void
+end_unseen(void)
+{
+	jobs_world_run(world, 600);
+	cr_assert_eq(jobs_world_tasks_on(world, 0), ENDS_UNSEEN);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_run(world, 1500);
+	jobs_world_take_over(world, 0);
+	jobs_world_cut_worker(world, 0, false);
+}
+
+/*
+ * A worker lists 500 ends in an answer, and counted as known after the first:
+ * the new owner started again what the second one would have shown as done.
+ */
+Test(one_run, ends_beyond_the_first_answer_are_not_run_again)
+{
+	world = world_of_many_tasks(0);
+	submit_many(ENDS_UNSEEN, 1400);
+	end_unseen();
+	jobs_world_run(world, 6000);
+	cr_expect_eq(jobs_world_starts(world), ENDS_UNSEEN);
+	expect_one_run();
+}
+
+/* The same ends, of runs that have failed: their tasks had no attempt left. */
+Test(one_run, failed_ends_beyond_the_first_answer_are_not_run_again)
+{
+	const struct queue_settings once = {
+	    .name = "queue", .stretch = 3, .max_attempts = 1};
+
+	world = world_of_many_tasks(1);
+	jobs_world_terms(world, &once);
+	submit_many(ENDS_UNSEEN / 2, 1300);
+	submit_many(ENDS_UNSEEN / 2, 1400);
+	end_unseen();
+	jobs_world_run(world, 6000);
+	cr_expect_eq(jobs_world_starts(world), ENDS_UNSEEN);
+	expect_one_run();
+}
+
+/* It died before it had listed them all: its leases are over some time. */
+Test(one_run, a_worker_that_dies_with_ends_unlisted_holds_nobody_up)
+{
+	world = world_of_many_tasks(0);
+	submit_many(ENDS_UNSEEN, 1400);
+	end_unseen();
+	jobs_world_run(world, 6);
+	jobs_world_cut_worker(world, 0, true);
+	jobs_world_census(world, false);
+	jobs_world_run(world, 12000);
+	jobs_world_cut_worker(world, 0, false);
+	jobs_world_run(world, 12000);
+	expect_one_run();
+}
+
 /* The worker's clock had started from zero, so that it granted 6 s. */
 Test(one_run, a_start_that_an_unnoticed_restart_took_is_not_over_too_early)
 {
