roster: a list with malformed rows drops no machine

It forgot the machine's command, which is under way and counts for the cap of its wave, and ordered anew.

Change: machines are dropped only by a list whose rows were all read. Whether a machine's report is current is asked by machine, as its row may be the one that was left out.

Evidence: old_news::a_list_with_a_malformed_row_drops_no_machine fails without the condition in handle_machine_list().

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -146,9 +146,9 @@
 }
 
 bool
-machine_list_is_current(const struct roster *r, const struct machine *m)
+machine_report_is_current(const struct machine *m)
 {
-	return r->listed_us >= m->holdoff_until_us;
+	return m->listed_us >= m->holdoff_until_us;
 }
 
 bool
@@ -342,6 +342,7 @@
 	}
 	m->report = *report;
 	m->list_round = r->list_round;
+	m->listed_us = r->list_requested_us;
 	clear_finished_command(r, m);
 }
 
@@ -354,14 +355,15 @@
 	r->list_in_flight = false;
 	if (ev->u.machine_list.list == NULL)
 		return;
-	r->listed_us = r->list_requested_us;
 	r->list_round++;
 	r->list_received = true;
 	for (i = 0; i < ev->u.machine_list.count; i++)
 		update_machine(r, &ev->u.machine_list.list[i]);
 	HASH_ITER(hh, r->machines, m, next)
 	{
-		if (m->list_round == r->list_round)
+		/* a row that was left out may be this machine's */
+		if (m->list_round == r->list_round ||
+		    ev->u.machine_list.malformed_count > 0)
 			continue;
 		roster_log(r,
 		    "msg=\"machine is no longer listed; dropping it\" "
@@ -512,7 +514,7 @@
 static bool
 command_is_safe(const struct roster *r, const struct machine *m)
 {
-	return m->report.state == MACHINE_UP && machine_list_is_current(r, m) &&
+	return m->report.state == MACHINE_UP && machine_report_is_current(m) &&
 	    machine_drained(r, m);
 }
 
@@ -561,7 +563,7 @@
 			m->phase == COMMAND_PHASE_EXECUTING) ||
 		    m->report.state != MACHINE_UP ||
 		    (r->now_us >= m->holdoff_until_us &&
-			!machine_list_is_current(r, m)))
+			!machine_report_is_current(m)))
 			interval_ms = MACHINE_LIST_BUSY_INTERVAL_MS;
 	}
 	if (r->list_in_flight &&
@@ -635,15 +637,15 @@
 }
 
 /*
- * The machine's present worker is to get no new tasks: it has a command that
- * was not carried out, as far as the newest list shows.
+ * The machine's present worker is to get no new tasks: it has a command, and no
+ * list from after its acceptance shows the machine yet.
  */
 static bool
-worker_is_commanded(const struct roster *r, const struct machine *m)
+worker_is_commanded(const struct machine *m)
 {
 	return m->command != MACHINE_COMMAND_NONE &&
 	    (m->phase != COMMAND_PHASE_EXECUTING ||
-		r->listed_us < m->phase_since_us);
+		m->listed_us < m->phase_since_us);
 }
 
 void
@@ -669,7 +671,7 @@
 			continue;
 		memcpy(c.worker, m->report.worker, NAME_BYTES);
 		c.age_ms = 0;
-		if (worker_is_commanded(r, m)) {
+		if (worker_is_commanded(m)) {
 			c.kind = m->command == MACHINE_COMMAND_MAINTENANCE
 			    ? CORDON_EVACUATE
 			    : CORDON_NO_NEW_TASKS;
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -76,7 +76,7 @@
 
 enum roster_event_kind {
 	ROSTER_EVENT_TICK,
-	ROSTER_EVENT_MACHINE_LIST, /* the platform's complete list */
+	ROSTER_EVENT_MACHINE_LIST, /* the platform's list, read to its end */
 	ROSTER_EVENT_POOL_CONFIG, /* a pool of the configuration */
 	ROSTER_EVENT_POOL_REPORT, /* from the owner of a pool */
 	ROSTER_EVENT_WAVE_REQUEST, /* operators request a wave */
@@ -95,6 +95,7 @@
 			/* NULL: the list could not be read */
 			const struct machine_report *list;
 			size_t count;
+			size_t malformed_count; /* rows that were left out */
 		} machine_list;
 		struct roster_pool_event {
 			char name[NAME_BYTES];
--- a/src/roster/roster_moves.c
+++ b/src/roster/roster_moves.c
@@ -204,7 +204,7 @@
 	return m->command == MACHINE_COMMAND_NONE &&
 	    m->report.state == MACHINE_UP &&
 	    r->now_us >= m->command_not_before_us &&
-	    machine_list_is_current(r, m) && machine_idle(r, m);
+	    machine_report_is_current(m) && machine_idle(r, m);
 }
 
 static void
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -25,6 +25,7 @@
 struct machine {
 	struct machine_report report;
 	uint64_t list_round; /* of the newest list that contains it */
+	int64_t listed_us; /* when that list was requested */
 	enum machine_command command;
 	enum machine_command_phase phase;
 	char to_pool[NAME_BYTES]; /* MACHINE_COMMAND_MOVE */
@@ -138,7 +139,6 @@
 	int64_t pools_logged_us;
 	int64_t withheld_logged_us;
 	int64_t list_requested_us;
-	int64_t listed_us; /* when the newest list received was requested */
 	struct roster_pool pools[ROSTER_POOLS_MAX];
 	size_t pool_count;
 	LIST_HEAD(wave_list, wave) waves;
@@ -154,8 +154,8 @@
 struct machine *roster_find_machine(struct roster *r, const char *name);
 /* Its worker runs no tasks and is cordoned, or the machine is off. */
 bool machine_drained(const struct roster *r, const struct machine *m);
-/* The newest list shows the effect of any command of a predecessor. */
-bool machine_list_is_current(const struct roster *r, const struct machine *m);
+/* Its newest report shows the effect of any command of a predecessor. */
+bool machine_report_is_current(const struct machine *m);
 /* Its worker ran no tasks at the last report, or the machine is off. */
 bool machine_idle(const struct roster *r, const struct machine *m);
 /* Assigns a command, which begins with COMMAND_PHASE_CORDON. */
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -141,6 +141,7 @@
 	if (list != NULL) {
 		ev.u.machine_list.list = list->machines;
 		ev.u.machine_list.count = list->count;
+		ev.u.machine_list.malformed_count = list->malformed_count;
 	}
 	controller_handle_event(ctl, &ev);
 }
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -422,6 +422,28 @@
 	cr_expect_eq(n.age_ms, 1400);
 }
 
+/*
+ * A row that could not be read was left out of the list, and the controller
+ * forgot its machine, with the order that was under way there.
+ */
+Test(old_news, a_list_with_a_malformed_row_drops_no_machine)
+{
+	struct roster_event ev = {.kind = ROSTER_EVENT_MACHINE_LIST};
+
+	send_maintenance();
+	command_result("m-0", ROSTER_COMMAND_DONE);
+	now_us += 600 * US_PER_MS;
+	tick();
+	ev.u.machine_list.list = machines + 1;
+	ev.u.machine_list.count = machine_count - 1;
+	ev.u.machine_list.malformed_count = 1;
+	event(&ev);
+	cr_expect_eq(blue_cordons().held, 1);
+	machines[0].state = MACHINE_MAINTENANCE;
+	list_after(600);
+	cr_expect_eq(blue_cordons().removed, 1);
+}
+
 /* It has crashed and is back under its id; the order was never carried out. */
 Test(old_news, a_worker_that_is_named_again_has_not_ended)
 {
