peer_client: a rejection is no outcome of a request that was sent twice

The HTTP client sends an idempotent request once more where its reused connection closes without an answer. The first copy may have been read and stored; the owner's "not done", when it has lost its pool meanwhile, or "overloaded" is true of the second copy alone, and the caller got 503 or 429. The controller took "busy" for a command that was not carried out where the machine may be busy with the first copy.

Change: the client says of an answer that its request was sent twice. Such a rejection makes the outcome unknown, as does such a "busy".

Evidence: peer_client::a_rejection_is_no_outcome_of_a_request_that_was_sent_ twice fails without the condition in on_http_done().

--- a/src/core/request.h
+++ b/src/core/request.h
@@ -5,6 +5,7 @@
 #ifndef REQUEST_H
 #define REQUEST_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -46,6 +47,7 @@
 struct answer {
 	unsigned refs;
 	int status;
+	bool resent; /* to a request that may have been processed before */
 	struct headers headers;
 	struct buf *body;
 };
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -174,6 +174,10 @@
 		ev.u.command_result.result = machine_command_result(a->status,
 		    body != NULL ? body->data : NULL,
 		    body != NULL ? body->len : 0);
+	/* the machine may be busy with the first copy of the command */
+	if (end == HTTP_ANSWERED && a->resent &&
+	    ev.u.command_result.result == ROSTER_COMMAND_BUSY)
+		ev.u.command_result.result = ROSTER_COMMAND_UNKNOWN;
 	call_free(c);
 	if (ev.u.command_result.result != ROSTER_COMMAND_DONE)
 		daemon_log(LOG_LEVEL_INFO, "duty",
--- a/src/scheduler/peer_client.c
+++ b/src/scheduler/peer_client.c
@@ -12,6 +12,14 @@
 	struct endpoint to;
 };
 
+/* Says that the request has not been carried out, or never will be. */
+static bool
+reply_rejects(const struct job_reply *r)
+{
+	return r->kind == REPLY_NOT_DONE ||
+	    (r->kind == REPLY_ANSWER && r->answer == POOL_OVERLOADED);
+}
+
 static void
 on_http_done(void *arg, enum http_outcome end, struct answer *a)
 {
@@ -28,6 +36,13 @@
 		    "peer=%s:%d end=%d status=%d",
 		    c->to.addr, c->to.port, end,
 		    end == HTTP_ANSWERED ? a->status : 0);
+	} else if (a->resent && reply_rejects(&r)) {
+		/* true of the second copy; the first may have been stored */
+		daemon_log(LOG_LEVEL_INFO, "peers",
+		    "msg=\"the pool's owner rejects a request that was sent "
+		    "twice: its outcome is unknown\" peer=%s:%d kind=%d",
+		    c->to.addr, c->to.port, r.kind);
+		r.kind = REPLY_UNKNOWN;
 	}
 	c->reply(c->arg, &r);
 	free(c);
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -51,6 +51,7 @@
 	bool idempotent;
 	bool reset_on_abort;
 	bool retried;
+	bool resent; /* retried after part of the request was sent */
 	bool done; /* outcome is final; on_done is scheduled */
 	bool overdue; /* the time is over; the last pass reads the answer */
 	bool received; /* bytes of the answer, since the call is overdue */
@@ -204,10 +205,13 @@
 {
 	struct http_call *call =
 	    lws_container_of(sul, struct http_call, done_timer);
+	struct answer *a = NULL;
 
-	call->on_done(call->arg, call->outcome,
-	    call->outcome == HTTP_ANSWERED ? answer_reader_answer(call->reader)
-					   : NULL);
+	if (call->outcome == HTTP_ANSWERED) {
+		a = answer_reader_answer(call->reader);
+		a->resent = call->resent;
+	}
+	call->on_done(call->arg, call->outcome, a);
 	call_free(call);
 }
 
@@ -360,6 +364,7 @@
 	if (conn->reused && call->idempotent && !call->retried &&
 	    !answer_reader_started(call->reader)) {
 		call->retried = true;
+		call->resent = call->sent;
 		call->written_bytes = 0;
 		answer_reader_reset(call->reader);
 		call->conn = NULL;
