pool: a removed worker with unlisted ends is waited for no longer

Found on reading again, before any landing: a worker whose machine is taken away while it has ends to list gets no renewal any more, and inherited jobs waited for it for ever.

Change: the machine's removal ends the wait, as do an expired lease and a restart. A worker with unlisted ends is not forgotten while it answers.

--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -149,7 +149,10 @@
 void jobs_world_coming(struct jobs_world *w, size_t count, int within_ms);
 /* Its machine is taken away; its entry is still listed. */
 void jobs_world_take_worker(struct jobs_world *w, int worker);
-/* The keeper says so of a worker that is up, by news of so long ago. */
+/*
+ * The controller reports, by news of so long ago, that the machine of a worker
+ * was taken away, though the worker is up.
+ */
 void jobs_world_report_removed(struct jobs_world *w, int worker, int age_ms);
 /* Terms of the queue that jobs are handed in at from now on. */
 void jobs_world_terms(struct jobs_world *w, const struct queue_settings *terms);
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -250,6 +250,7 @@
 	if (!worker_present(p, w) && !w->machine_removed &&
 	    w->task_count == 0 && !w->renewal_in_flight &&
 	    p->now_us >= w->late_ack_until_us &&
+	    !worker_has_unlisted_ends(p, w) &&
 	    (w->fence_confirmed || !w->inherited ||
 		p->now_us >= p->reconcile_end_us)) {
 		worker_free(p, w);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -31,8 +31,8 @@
 	/* The worker's machine was removed: all its runs have ended. */
 	bool machine_removed;
 	int64_t removal_known_us; /* to the controller */
-	int64_t
-	    alive_us; /* newest answer or entry, which shows that it lived */
+	/* Its newest answer, or entry after a removal: it lived then. */
+	int64_t alive_us;
 	int64_t unlisted_us; /* when its entry was dropped; 0: it was not */
 	/* The worker has answered under this term's fence. */
 	bool fence_confirmed;
@@ -307,6 +307,9 @@
 void pool_update_reconciled(struct pool *p);
 /* The runs that earlier owners started on the worker are listed or over. */
 bool worker_reconciled(const struct pool *p, const struct pool_worker *w);
+/* The worker answers, and may have more ends of such runs to list. */
+bool worker_has_unlisted_ends(
+    const struct pool *p, const struct pool_worker *w);
 /* The worker is listed, or its entry may still come back. */
 bool worker_present(const struct pool *p, const struct pool_worker *w);
 /* The worker's record no longer matches its state, and is written again. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -77,15 +77,12 @@
 	    p->now_us >= w->cordon_until_us;
 }
 
-/*
- * The worker answers, and has more ends of earlier owners' runs than it has
- * listed yet: what it does not list may have ended.  Ends of before its lease
- * expired count no more.
- */
-static bool
+/* Ends from before its lease expired or its machine left do not count. */
+bool
 worker_has_unlisted_ends(const struct pool *p, const struct pool_worker *w)
 {
 	return w->inherited && w->fence_confirmed && !w->all_ends_listed &&
+	    !w->machine_removed &&
 	    (w->missed_renewals == 0 ||
 		!worker_lease_expired(w, p->ownership_confirmed_us));
 }
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -54,13 +54,13 @@
 
 #define ENDS_UNSEEN 1200 /* more than two answers list */
 
-/* One worker with room for that many tasks at once. */
+/* Workers with room for that many tasks at once. */
 static struct jobs_world *
-world_of_many_tasks(double fail)
+world_of_many_tasks(int workers, double fail)
 {
 	struct jobs_world_opts o = {
 	    .seed = 20261204,
-	    .workers = 1,
+	    .workers = workers,
 	    .cpu = 64000,
 	    .memory_mb = 256000,
 	    .link_ms = 2,
@@ -100,7 +100,7 @@
  */
 Test(one_run, ends_beyond_the_first_answer_are_not_run_again)
 {
-	world = world_of_many_tasks(0);
+	world = world_of_many_tasks(1, 0);
 	submit_many(ENDS_UNSEEN, 1400);
 	end_unseen();
 	jobs_world_run(world, 6000);
@@ -114,7 +114,7 @@
 	const struct queue_settings once = {
 	    .name = "queue", .stretch = 3, .max_attempts = 1};
 
-	world = world_of_many_tasks(1);
+	world = world_of_many_tasks(1, 1);
 	jobs_world_terms(world, &once);
 	submit_many(ENDS_UNSEEN / 2, 1300);
 	submit_many(ENDS_UNSEEN / 2, 1400);
@@ -127,7 +127,7 @@
 /* It died before it had listed them all: its leases are over some time. */
 Test(one_run, a_worker_that_dies_with_ends_unlisted_holds_nobody_up)
 {
-	world = world_of_many_tasks(0);
+	world = world_of_many_tasks(1, 0);
 	submit_many(ENDS_UNSEEN, 1400);
 	end_unseen();
 	jobs_world_run(world, 6);
@@ -139,6 +139,22 @@
 	expect_one_run();
 }
 
+/* Nor does one whose machine is taken away before it has listed them. */
+Test(one_run, a_worker_that_is_removed_with_ends_unlisted_holds_nobody_up)
+{
+	world = world_of_many_tasks(2, 0);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	submit_many(ENDS_UNSEEN, 1400);
+	end_unseen();
+	jobs_world_run(world, 6);
+	jobs_world_take_worker(world, 0);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+	jobs_world_run(world, 12000);
+	expect_one_run();
+}
+
 /* The worker's clock had started from zero, so that it granted 6 s. */
 Test(one_run, a_start_that_an_unnoticed_restart_took_is_not_over_too_early)
 {
