roster, job_frontend, tests: less state, one place for each step

Read again, behaviour as before: - roster: the time of the list that a machine was in says whether it was in the newest one; the number of the list beside it is gone. - job_frontend: that an attempt in flight makes an outcome unknown is asked where a request is given up, not by the one caller that meets it today. - jobs_world: a machine that is taken away is a crash and a report. - tests: one function sends a job on a connection, one orders a maintenance, one gives the usual options of a world; each was written twice or more.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1904,21 +1904,19 @@
 }
 
 void
-jobs_world_take_worker(struct jobs_world *w, int worker)
+jobs_world_report_removed(struct jobs_world *w, int worker, int age_ms)
 {
-	struct pool_event ev = {.u.cordon.machine_removed = true};
+	struct pool_event ev = {
+	    .u.cordon = {.machine_removed = true, .age_ms = age_ms}};
 
-	jobs_world_crash_worker(w, worker);
 	send_cordon(w, worker, &ev);
 }
 
 void
-jobs_world_report_removed(struct jobs_world *w, int worker, int age_ms)
+jobs_world_take_worker(struct jobs_world *w, int worker)
 {
-	struct pool_event ev = {
-	    .u.cordon = {.machine_removed = true, .age_ms = age_ms}};
-
-	send_cordon(w, worker, &ev);
+	jobs_world_crash_worker(w, worker);
+	jobs_world_report_removed(w, worker, 0);
 }
 
 void
--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -341,7 +341,6 @@
 		m->cordoned = false;
 	}
 	m->report = *report;
-	m->list_round = r->list_round;
 	m->listed_us = r->list_requested_us;
 	clear_finished_command(r, m);
 }
@@ -355,14 +354,13 @@
 	r->list_in_flight = false;
 	if (ev->u.machine_list.list == NULL)
 		return;
-	r->list_round++;
 	r->list_received = true;
 	for (i = 0; i < ev->u.machine_list.count; i++)
 		update_machine(r, &ev->u.machine_list.list[i]);
 	HASH_ITER(hh, r->machines, m, next)
 	{
 		/* a row that was left out may be this machine's */
-		if (m->list_round == r->list_round ||
+		if (m->listed_us == r->list_requested_us ||
 		    ev->u.machine_list.malformed_count > 0)
 			continue;
 		roster_log(r,
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -24,8 +24,8 @@
 
 struct machine {
 	struct machine_report report;
-	uint64_t list_round; /* of the newest list that contains it */
-	int64_t listed_us; /* when that list was requested */
+	/* when the newest list that contains it was requested */
+	int64_t listed_us;
 	enum machine_command command;
 	enum machine_command_phase phase;
 	char to_pool[NAME_BYTES]; /* MACHINE_COMMAND_MOVE */
@@ -132,7 +132,6 @@
 	int64_t now_us;
 	struct roster_effects *effects; /* of the step in progress */
 	struct machine *machines; /* by name */
-	uint64_t list_round; /* number of machine lists received */
 	bool list_received; /* at least once */
 	bool list_in_flight;
 	bool list_refresh_needed; /* before the regular interval is over */
--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -211,7 +211,8 @@
 static void
 finish_unserved(struct caller_request *c)
 {
-	if (c->outcome_unknown)
+	/* the pool's owner may carry out an attempt in flight */
+	if (c->outcome_unknown || c->peer_call != NULL)
 		finish(c, 504, NULL, 0, "owner-silent");
 	else
 		finish(c, 503, NULL, DEFAULT_RETRY_AFTER_MS, "no-owner");
@@ -616,8 +617,6 @@
 	f->exiting = true;
 	for (c = LIST_FIRST(&f->requests); c != NULL; c = next) {
 		next = LIST_NEXT(c, entries);
-		/* the pool's owner may carry out the attempt in flight */
-		c->outcome_unknown |= c->peer_call != NULL;
 		if (!c->local)
 			finish_unserved(c);
 		else if (!c->answered) /* else freed at the pool's reply */
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -244,17 +244,15 @@
 
 /* Sends a job of this number on an open connection. */
 static void
-send_job(int fd, size_t number)
+send_job(int fd, size_t number, const char *body)
 {
-	static const char body[] =
-	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}";
-	char request[256];
+	char request[2600];
 	int n;
 
 	n = snprintf(request, sizeof(request),
 	    "POST /blue/%016zx HTTP/1.1\r\nHost: jobs.example\r\n"
 	    "Content-Length: %zu\r\n\r\n%s",
-	    number, sizeof(body) - 1, body);
+	    number, strlen(body), body);
 	cr_assert_eq(send(fd, request, (size_t)n, MSG_NOSIGNAL), n);
 }
 
@@ -265,6 +263,7 @@
 Test(jobs, a_planned_stop_rejects_no_job_that_is_with_its_owner)
 {
 	const char *slow = "/store-slow?ms=400", *usual = "/store-slow?ms=0";
+	const char *job = "{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}";
 	int fds[STOP_CALLERS], status, unknown = 0, i;
 	char path[64];
 
@@ -275,7 +274,7 @@
 	cr_assert_eq(
 	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
 	for (i = 0; i < STOP_CALLERS; i++) {
-		send_job(fds[i], 0xf000 + (size_t)i);
+		send_job(fds[i], 0xf000 + (size_t)i, job);
 		sleep_ms(STOP_CALLER_EVERY_MS);
 	}
 	cr_expect_eq(proc_wait(fleet->daemons[0], LIMIT_MS), 0);
@@ -427,19 +426,15 @@
 static int
 send_large_job(size_t number)
 {
-	char body[2300], request[2600];
-	int fd = raw_connect(fleet->callers_port[0]), n;
+	char body[2300];
+	int fd = raw_connect(fleet->callers_port[0]);
 
-	n = snprintf(body, sizeof(body),
+	cr_assert_neq(fd, -1);
+	snprintf(body, sizeof(body),
 	    "{\"taskSpec\":\"%02000zu\",\"steps\":"
 	    "[{\"count\":1,\"estimateMs\":60}]}",
 	    number);
-	n = snprintf(request, sizeof(request),
-	    "POST /blue/%016zx HTTP/1.1\r\nHost: jobs.example\r\n"
-	    "Content-Length: %d\r\n\r\n%s",
-	    number, n, body);
-	cr_assert_neq(fd, -1);
-	cr_assert_eq(send(fd, request, (size_t)n, MSG_NOSIGNAL), n);
+	send_job(fd, number, body);
 	return fd;
 }
 
--- a/tests/unit/test_old_news.c
+++ b/tests/unit/test_old_news.c
@@ -216,13 +216,21 @@
 	cr_expect_eq(commands, 0);
 }
 
-/* The order's journal entry is stored seconds later: its news is old then. */
-Test(old_news, an_order_that_waited_for_its_journal_entry_is_checked_again)
+/* Orders the maintenance of "m-0", whose worker runs nothing. */
+static void
+send_maintenance(void)
 {
 	request_maintenance();
 	report_now("blue", 0, true);
 	tick();
 	cr_assert_eq(commands, 1);
+	cr_assert_str_eq(commanded, "m-0");
+}
+
+/* The order's journal entry is stored seconds later: its news is old then. */
+Test(old_news, an_order_that_waited_for_its_journal_entry_is_checked_again)
+{
+	send_maintenance();
 	cr_expect(roster_command_holds(roster, "m-0", now_us));
 	now_us += US_PER_S;
 	cr_expect_not(roster_command_holds(roster, "m-0", now_us));
@@ -323,17 +331,6 @@
 	cr_expect_eq(blue_cordons().removed, 1);
 }
 
-/* Orders the maintenance of "m-0", whose worker runs nothing. */
-static void
-send_maintenance(void)
-{
-	request_maintenance();
-	report_now("blue", 0, true);
-	tick();
-	cr_assert_eq(commands, 1);
-	cr_assert_str_eq(commanded, "m-0");
-}
-
 static void
 list_after(int ms)
 {
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -6,10 +6,10 @@
 
 static struct jobs_world *world;
 
-static struct jobs_world *
-world_of(int workers)
+static struct jobs_world_opts
+usual_opts(int workers)
 {
-	struct jobs_world_opts o = {
+	return (struct jobs_world_opts){
 	    .seed = 20261204,
 	    .workers = workers,
 	    .cpu = 8000,
@@ -18,6 +18,12 @@
 	    .store_ms = 4,
 	    .said_guarded = true,
 	};
+}
+
+static struct jobs_world *
+world_of(int workers)
+{
+	struct jobs_world_opts o = usual_opts(workers);
 
 	return jobs_world_new(&o);
 }
@@ -58,17 +64,11 @@
 static struct jobs_world *
 world_of_many_tasks(int workers, double fail)
 {
-	struct jobs_world_opts o = {
-	    .seed = 20261204,
-	    .workers = workers,
-	    .cpu = 64000,
-	    .memory_mb = 256000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .fail = fail,
-	    .said_guarded = true,
-	};
+	struct jobs_world_opts o = usual_opts(workers);
 
+	o.cpu = 64000;
+	o.memory_mb = 256000;
+	o.fail = fail;
 	return jobs_world_new(&o);
 }
 
@@ -178,14 +178,7 @@
 /* It made the new incarnation forget an end that the owner had not seen. */
 Test(one_run, an_end_is_not_lost_to_an_acknowledgement_of_before_a_restart)
 {
-	struct jobs_world_opts o = {
-	    .workers = 1,
-	    .cpu = 8000,
-	    .memory_mb = 16000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .said_guarded = true,
-	};
+	struct jobs_world_opts o = usual_opts(1);
 	uint64_t seed;
 	int i;
 
