--- a/bench/http_json.c
+++ b/bench/http_json.c
@@ -8,6 +8,8 @@
 
 #include "http_client.h"
 
+#define LISTEN_BACKLOG 16
+
 static const char *const kept_headers[] = {"mimosalead-outcome",
     "mimosalead-reason", "mimosalead-retry-after-ms", "retry-after",
     "x-upstream", "content-type", NULL};
@@ -79,6 +81,25 @@
 	return fd;
 }
 
+int
+raw_listen(int *port)
+{
+	struct sockaddr_in sin = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	socklen_t len = sizeof(sin);
+
+	if (fd != -1 &&
+	    (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1 ||
+		listen(fd, LISTEN_BACKLOG) == -1 ||
+		getsockname(fd, (struct sockaddr *)&sin, &len) == -1)) {
+		close(fd);
+		return -1;
+	}
+	*port = ntohs(sin.sin_port);
+	return fd;
+}
+
 struct json_object *
 json_at(struct json_object *o, const char *path)
 {
--- a/bench/http_json.h
+++ b/bench/http_json.h
@@ -20,6 +20,8 @@
     const struct headers *headers, const char *body, struct answer **answer);
 /* A connection to 127.0.0.1, or -1. */
 int raw_connect(int port);
+/* A listening socket on 127.0.0.1, whose port is set; or -1. */
+int raw_listen(int *port);
 /* An object's integer or string, through a '/'-separated path. */
 int64_t json_int(struct json_object *o, const char *path, int64_t missing);
 const char *json_string(struct json_object *o, const char *path);
--- a/tests/unit/test_peer_client.c
+++ b/tests/unit/test_peer_client.c
@@ -5,11 +5,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-
 #include <criterion/criterion.h>
 
 #include "http_context.h"
+#include "http_json.h"
 #include "peer_client.h"
 
 #define CALL_TIMEOUT_MS 5000
@@ -48,18 +47,11 @@
 owner_start(const struct job_reply *last, int *port)
 {
 	static const struct linger reset = {.l_onoff = 1, .l_linger = 0};
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	struct job_reply first = {.kind = REPLY_ANSWER};
-	int fd = socket(AF_INET, SOCK_STREAM, 0), conn;
-	socklen_t len = sizeof(sin);
+	int fd = raw_listen(port), conn;
 	pid_t pid;
 
-	cr_assert(fd >= 0 &&
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
-	    listen(fd, 16) == 0 &&
-	    getsockname(fd, (struct sockaddr *)&sin, &len) == 0);
-	*port = ntohs(sin.sin_port);
+	cr_assert_neq(fd, -1);
 	pid = fork();
 	cr_assert(pid >= 0);
 	if (pid > 0) {
--- a/tests/unit/test_shard.c
+++ b/tests/unit/test_shard.c
@@ -7,11 +7,10 @@
 #include <time.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-
 #include <criterion/criterion.h>
 
 #include "http_context.h"
+#include "http_json.h"
 #include "pool_state.h"
 #include "shard.h"
 #include "store_watch.h"
@@ -178,16 +177,9 @@
 static int
 listen_as_worker(void)
 {
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	cr_assert(fd >= 0 &&
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
-	    listen(fd, 16) == 0 &&
-	    getsockname(fd, (struct sockaddr *)&sin, &len) == 0);
-	entry.port = ntohs(sin.sin_port);
+	int fd = raw_listen(&entry.port);
+
+	cr_assert_neq(fd, -1);
 	return fd;
 }
 
--- a/tests/unit/test_shell_http.c
+++ b/tests/unit/test_shell_http.c
@@ -8,12 +8,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-
 #include <criterion/criterion.h>
 
 #include "http_client.h"
 #include "http_context.h"
+#include "http_json.h"
 
 #define UPLOAD_BYTES (8 * 1024 * 1024) /* more than sockets buffer */
 #define CALL_TIMEOUT_MS 5000
@@ -30,16 +29,9 @@
 static int
 listen_any(int *port)
 {
-	struct sockaddr_in sin = {
-	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	cr_assert(fd >= 0 &&
-	    bind(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
-	    listen(fd, 16) == 0 &&
-	    getsockname(fd, (struct sockaddr *)&sin, &len) == 0);
-	*port = ntohs(sin.sin_port);
+	int fd = raw_listen(port);
+
+	cr_assert_neq(fd, -1);
 	return fd;
 }
 
