pool: a fence for each incarnation of a worker

Its first start got no answer and was held up on the way; the owner stopped that run, which the worker confirmed, and started the task again. The worker crashed and came back under its id, the task went to another worker, and then the first start arrived.

Cause: what keeps a late start out, the fence and the stop that bars its run, is what a restarted worker has forgotten; the owner sent it the same fence again. Class: a permission that is not bound to the incarnation that it was given to.

Change: fences are numbered for each incarnation of a worker, a million to a term, and rise when a restart is noticed. The first answer under the new fence settles everything that was sent before: runs that it does not list can't begin any more. A worker that rejects an older fence of the same term has no other owner.

An older daemon that takes a pool over from this version is rejected by the workers, as its fences are lower: all daemons are upgraded together.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -118,6 +118,7 @@
 	int owner;
 	int worker;
 	int64_t born_ms; /* life of the worker it is meant for */
+	int64_t fence;
 	struct task_name task;
 	int64_t run;
 	struct job_spec *spec;
@@ -708,6 +709,7 @@
 	a->task = m->task;
 	a->run = m->run;
 	a->end = end;
+	a->fence = m->fence;
 	a->asked_us = m->asked_us;
 	a->clock_ms = clock_ms(w, &w->workers[m->worker]);
 	a->has_report = false;
@@ -768,7 +770,6 @@
 deliver_order(struct jobs_world *w, struct message *m)
 {
 	struct sim_worker *s = &w->workers[m->worker];
-	int64_t fence = w->owners[m->owner].fence;
 	enum command_result end;
 
 	if ((s->is_over || s->refuses) && !out_of_reach(s, m->owner)) {
@@ -777,20 +778,22 @@
 	}
 	if (!s->up || out_of_reach(s, m->owner) || !meant_for(w, s, m))
 		return true; /* nobody there: no answer */
-	if (fence < s->fence) {
+	if (m->fence < s->fence) {
 		if (m->kind == MESSAGE_HOLD) {
 			struct message *a = message_new(
 			    w, MESSAGE_HELD, w->ms + w->opts.link_ms);
 
 			a->owner = m->owner;
 			a->worker = m->worker;
+			a->fence = m->fence;
+			a->asked_us = m->asked_us;
 			a->end = COMMAND_FENCED;
 			return true;
 		}
 		answer_order(w, m, COMMAND_FENCED);
 		return true;
 	}
-	s->fence = fence;
+	s->fence = m->fence;
 	switch (m->kind) {
 	case MESSAGE_START:
 		end = worker_start(w, s, m);
@@ -957,10 +960,10 @@
 }
 
 static struct message *
-send_order(
-    struct jobs_world *w, int owner, enum message_kind kind, const char *worker)
+send_order(struct jobs_world *w, int owner, enum message_kind kind,
+    const struct worker_target *to)
 {
-	int i = worker_index(w, worker);
+	int i = worker_index(w, to->id);
 	int64_t at = w->ms + w->opts.link_ms + jitter(w);
 	struct message *m;
 
@@ -970,6 +973,7 @@
 	m->owner = owner;
 	m->worker = i;
 	m->born_ms = w->workers[i].born_ms;
+	m->fence = to->fence;
 	m->asked_us = w->ms * US_PER_MS;
 	if (chance(w) < w->opts.late) {
 		m->at_ms += LATE_MIN_MS +
@@ -1080,7 +1084,7 @@
 
 	switch (x->kind) {
 	case POOL_START:
-		m = send_order(w, owner, MESSAGE_START, x->u.start.worker.id);
+		m = send_order(w, owner, MESSAGE_START, &x->u.start.worker);
 		if (m == NULL)
 			return;
 		m->task = x->u.start.task;
@@ -1092,7 +1096,7 @@
 		time_out(w, m, ORDER_TIMEOUT_MS);
 		break;
 	case POOL_STOP:
-		m = send_order(w, owner, MESSAGE_STOP, x->u.command.worker.id);
+		m = send_order(w, owner, MESSAGE_STOP, &x->u.command.worker);
 		if (m == NULL)
 			return;
 		m->task = x->u.command.task;
@@ -1100,7 +1104,7 @@
 		time_out(w, m, ORDER_TIMEOUT_MS);
 		break;
 	case POOL_RENEW:
-		m = send_order(w, owner, MESSAGE_HOLD, x->u.renewal.worker.id);
+		m = send_order(w, owner, MESSAGE_HOLD, &x->u.renewal.worker);
 		if (m == NULL)
 			return;
 		m->acked_end = x->u.renewal.acked_end;
@@ -1384,7 +1388,9 @@
 		message_free(other);
 	}
 	memset(&ev, 0, sizeof(ev));
-	if (m->end == COMMAND_FENCED)
+	if (m->end == COMMAND_FENCED &&
+	    m->fence >= pool_worker_fence(
+			    w->owners[m->owner].pool, w->workers[m->worker].id))
 		w->owners[m->owner].alive = false;
 	if (m->kind == MESSAGE_HELD) {
 		ev.kind = POOL_RENEWAL_DONE;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -41,6 +41,7 @@
 	char id[NAME_BYTES];
 	char addr[ADDR_BYTES];
 	int port;
+	int64_t fence; /* of commands to this incarnation of the worker */
 };
 
 /* Result of a command to a worker. */
@@ -271,6 +272,11 @@
 /* Processes one event and appends its effects to "fx". */
 void pool_step(
     struct pool *p, const struct pool_event *ev, struct pool_effects *fx);
+/*
+ * Fence of commands that are sent to the worker now; 0: the pool does not have
+ * it.  A worker that rejects this one follows a later owner.
+ */
+int64_t pool_worker_fence(const struct pool *p, const char *worker);
 /* Monotonic time at which a POOL_TICK is due. */
 int64_t pool_next_us(const struct pool *p);
 
--- a/src/jobs/pool_effects.c
+++ b/src/jobs/pool_effects.c
@@ -101,6 +101,7 @@
 	snprintf(to->id, sizeof(to->id), "%s", w->report.id);
 	snprintf(to->addr, sizeof(to->addr), "%s", w->report.addr);
 	to->port = w->report.port;
+	to->fence = w->fence;
 }
 
 static struct pool_effect *
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -355,6 +355,10 @@
 {
 	int64_t pause_ms = RENEWAL_RETRY_MS;
 
+	if (result == COMMAND_FENCED) { /* it answers; the fence has risen */
+		w->renewal_due_us = p->now_us;
+		return;
+	}
 	if (w->missed_renewals++ == 0)
 		w->silent_since_us = p->now_us;
 	if (w->in_flight_ack_end > 0 && result != COMMAND_UNSENT)
@@ -385,9 +389,17 @@
 		worker_ended(p, w, "other-life");
 }
 
+/* The task's run has ended or will not begin: its worker has restarted. */
+static bool
+start_is_fenced(const struct task *t)
+{
+	return !t->run_confirmed && t->placed_us < t->worker->restarted_us;
+}
+
 /*
- * A run that the worker lists and that the pool has not placed there: resumes
- * an inherited task, and stops any other run.
+ * A run that the worker lists and that the pool has not placed there: resumes a
+ * task that is inherited, or that a restart has ended and a late start begun
+ * again, and stops any other run.
  */
 static void
 adopt_run(struct pool *p, struct pool_worker *w, const struct run_report *r)
@@ -395,6 +407,8 @@
 	struct job *j = pool_find_job(p, r->task.job);
 	struct task *t = j != NULL ? job_find_task(j, &r->task) : NULL;
 
+	if (t != NULL && t->worker == w && start_is_fenced(t))
+		task_detach(p, t);
 	if (t == NULL || job_final(j) || t->done || t->place != PLACE_NONE) {
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"stops an unwanted run\" job=%s "
@@ -538,7 +552,7 @@
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"worker accepts the fence\" worker=%s fence=%lld "
 		    "running=%zu ended=%zu",
-		    w->report.id, (long long)p->opts.fence, r->running_count,
+		    w->report.id, (long long)w->fence, r->running_count,
 		    r->ended_count);
 	/* an earlier owner may have granted a full lease just now */
 	if (!w->fence_confirmed &&
@@ -585,16 +599,26 @@
 	p->placement_due = true;
 }
 
+/* A later one is in flight, under the fence of a new incarnation. */
+static bool
+renewal_superseded(const struct pool_worker *w, int64_t sent_us)
+{
+	return sent_us < w->restarted_us &&
+	    (!w->renewal_in_flight || w->renewal_sent_us >= w->restarted_us);
+}
+
 void
 pool_renewal_done(struct pool *p, const struct pool_event *ev)
 {
 	struct pool_worker *w = pool_find_worker(p, ev->u.renewal.worker);
 
-	if (w == NULL)
+	if (w == NULL || renewal_superseded(w, ev->u.renewal.sent_us))
 		return;
 	w->renewal_in_flight = false;
-	if (ev->u.renewal.report != NULL)
-		renewal_answered(p, w, ev);
-	else
+	if (ev->u.renewal.report == NULL)
 		renewal_failed(p, w, ev->u.renewal.result);
+	else if (ev->u.renewal.sent_us < w->restarted_us)
+		w->renewal_due_us = p->now_us; /* it had the old fence */
+	else
+		renewal_answered(p, w, ev);
 }
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -358,6 +358,7 @@
 {
 	bool awaits_list = t->step->spec->long_running && !t->step->spec->gang;
 
+	worker_note_late_start(t->worker, t);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"start unanswered: %s\" job=%s task=%u.%u run=%lld worker=%s",
 	    awaits_list ? "waits for the worker's list" : "blocks the run",
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -10,6 +10,8 @@
 /* A worker that missed this many renewals in a row gets no new tasks. */
 #define SILENT_MISSED_RENEWALS 2
 #define RUNS_PER_TERM 1000 /* run numbers that one term may assign */
+/* Fences that one term may use: one for each incarnation of a worker. */
+#define FENCES_PER_TERM 1000000
 /* Tasks whose start the worker has outlived by less may crash it. */
 #define YOUNG_RUN_MS 100
 /* An unanswered command may arrive this long after it was sent. */
@@ -34,10 +36,15 @@
 	/* Its newest answer, or entry after a removal: it lived then. */
 	int64_t alive_us;
 	int64_t unlisted_us; /* when its entry was dropped; 0: it was not */
-	/* The worker has answered under this term's fence. */
+	/*
+	 * Of commands to the worker.  Rises when it restarts, so that the new
+	 * incarnation rejects commands that were sent before.
+	 */
+	int64_t fence;
+	/* The worker has answered under its fence. */
 	bool fence_confirmed;
 	bool inherited; /* an earlier owner may have started runs on it */
-	/* Under this term's fence, an answer has listed its last end. */
+	/* Under its fence, an answer has listed its last end. */
 	bool all_ends_listed;
 	/*
 	 * Unix time by which all runs that were started on the worker have
@@ -88,6 +95,8 @@
 	int64_t delivered_ack_end;
 	/* acked_end sent with the renewal in flight; 0: none is sent. */
 	int64_t in_flight_ack_end;
+	/* Latest arrival of an unanswered start. */
+	int64_t late_start_until_us;
 	/* Latest arrival of an unanswered renewal that has an acked_end. */
 	int64_t late_ack_until_us;
 	/* Becomes acked_end once write pending_ack_serial is stored. */
@@ -176,6 +185,7 @@
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
 	size_t active_count, finished_count;
 	struct pool_worker *workers; /* by id */
+	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
 	int64_t workers_checked_us; /* newest pass over all workers */
 	/*
@@ -285,6 +295,8 @@
 /* The runs of all these tasks on the worker have ended. */
 void worker_detach_tasks(struct pool *p, struct pool_worker *w,
     enum detach_scope scope, const char *why);
+/* The task's start has got no answer: it may still arrive. */
+void worker_note_late_start(struct pool_worker *w, const struct task *t);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
 /*
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -109,6 +109,8 @@
 	if (w == NULL)
 		abort(); /* tasks that it may run would be started again */
 	w->inherited = true;
+	w->late_start_until_us =
+	    p->opts.now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
 	w->unlisted_us = p->now_us; /* until its entry has been read */
 	if (idle_by_ms > w->idle_by_ms)
 		w->idle_by_ms = idle_by_ms;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -16,6 +16,31 @@
 	return w;
 }
 
+int64_t
+pool_worker_fence(const struct pool *p, const char *worker)
+{
+	const struct pool_worker *w = pool_find_worker(p, worker);
+
+	return w != NULL ? w->fence : 0;
+}
+
+static void
+worker_raise_fence(struct pool *p, struct pool_worker *w)
+{
+	if (p->fences_used < FENCES_PER_TERM - 1)
+		p->fences_used++;
+	w->fence = p->opts.fence * FENCES_PER_TERM + p->fences_used;
+}
+
+void
+worker_note_late_start(struct pool_worker *w, const struct task *t)
+{
+	int64_t until_us = t->placed_us + LATE_COMMAND_MAX_MS * US_PER_MS;
+
+	if (until_us > w->late_start_until_us)
+		w->late_start_until_us = until_us;
+}
+
 int64_t
 worker_clock_ms(const struct pool_worker *w, int64_t now_us)
 {
@@ -225,37 +250,38 @@
 }
 
 /*
- * The runs of the earlier incarnation have ended; unanswered commands may still
- * arrive at the new one.
+ * The runs of the earlier incarnation have ended.  Commands that were sent to
+ * it may still arrive at the new one until that has the new fence.
  */
 void
 worker_restarted(struct pool *p, struct pool_worker *w, int64_t clock_ms)
 {
+	bool late_starts = p->now_us < w->late_start_until_us;
 	struct task *t, *next;
 
 	fx_log(p, LOG_LEVEL_INFO,
-	    "msg=\"worker restarted\" worker=%s tasks=%zu", w->report.id,
-	    w->task_count);
+	    "msg=\"worker restarted\" worker=%s tasks=%zu late_starts=%d",
+	    w->report.id, w->task_count, late_starts);
 	worker_crashed(p, w);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
 		t->begun = false;
-		if (t->place == PLACE_STARTING ||
-		    t->place == PLACE_UNCONFIRMED) {
-			task_set_place(p, t, PLACE_UNCONFIRMED);
-			t->command_answered_us = 0;
-		} else if (!t->run_confirmed) {
-			/*
-			 * the new incarnation may have received the command:
-			 * its first report shows whether the run exists
-			 */
-			t->command_answered_us = p->now_us;
-		} else {
+		if (t->run_confirmed && !late_starts &&
+		    t->place != PLACE_STARTING &&
+		    t->place != PLACE_UNCONFIRMED) {
 			task_detach(p, t);
 			continue;
 		}
+		/* the first report under the new fence shows a run, or none */
+		if (t->place == PLACE_STARTING) {
+			task_set_place(p, t, PLACE_UNCONFIRMED);
+			worker_note_late_start(w, t);
+		}
+		t->command_answered_us = p->now_us;
 		t->run_confirmed = false;
+		t->progress_percent = 0;
 	}
+	worker_raise_fence(p, w);
 	w->fence_confirmed = w->all_ends_listed = false;
 	/*
 	 * The new incarnation does not have the fence.  An owner that has been
@@ -279,6 +305,9 @@
 	w->successor_wait_end_ms = 0;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
+	/* a start that arrives before the new fence is carried out */
+	if (late_starts)
+		w->renewal_in_flight = false;
 	w->renewal_due_us = p->now_us;
 }
 
@@ -291,6 +320,7 @@
 	if (w == NULL)
 		return NULL; /* its next entry retries */
 	w->report = *r;
+	worker_raise_fence(p, w);
 	w->clock_read_us = p->now_us;
 	w->last_reply_us = p->now_us;
 	w->renewal_due_us = p->now_us;
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -29,6 +29,7 @@
 	struct task_name
 	    task; /* POOL_QUERY_POLICY: its step; POOL_RENEW: unused */
 	int64_t run;
+	int64_t fence;
 	int64_t sent_us; /* boot clock */
 	int timeout_ms;
 	struct http_call *call;
@@ -159,6 +160,14 @@
 	shard_handle_event(sh, &ev);
 }
 
+/* A worker that rejects the fence of its newest commands has another owner. */
+static bool
+owner_replaced(const struct shard_command *cmd, enum command_result result)
+{
+	return result == COMMAND_FENCED &&
+	    cmd->fence >= pool_worker_fence(cmd->shard->pool, cmd->worker);
+}
+
 static void
 on_command_end(void *arg, enum http_outcome http_outcome, struct answer *a)
 {
@@ -167,6 +176,7 @@
 	int64_t clock_ms;
 	enum command_result end =
 	    result_of_http_end(http_outcome, a, &clock_ms);
+	bool replaced = owner_replaced(cmd, end);
 
 	LIST_REMOVE(cmd, entries);
 	if (http_outcome != HTTP_ANSWERED)
@@ -190,7 +200,7 @@
 	case POOL_LOG:
 		break;
 	}
-	if (end == COMMAND_FENCED)
+	if (replaced)
 		shard_end_term(sh, "later-owner-at-worker");
 	free(cmd);
 }
@@ -228,9 +238,11 @@
 	};
 
 	headers_add(&headers, "content-type", "application/json");
-	if (req->worker != NULL)
+	if (req->worker != NULL) {
 		headers_add(
 		    &headers, WORKER_HEADER_TARGET_INSTANCE, req->worker->id);
+		cmd->fence = req->worker->fence;
+	}
 	cmd->sent_us = sched_boottime_us();
 	cmd->timeout_ms = req->timeout_ms;
 	sh->scheduler->counters.worker_commands++;
@@ -268,7 +280,7 @@
 	    .run = x->u.start.run,
 	    .task_spec = x->u.start.spec->task_spec,
 	    .lease_end_ms = x->u.start.lease_end_ms,
-	    .fence = sh->fence,
+	    .fence = x->u.start.worker.fence,
 	    .checkpoint = x->u.start.checkpoint,
 	    .ticket = x->u.start.ticket,
 	};
@@ -310,8 +322,9 @@
 	struct command_request req = {
 	    .worker = &x->u.renewal.worker,
 	    .path = WORKER_PATH_RENEW,
-	    .body = worker_renewal_body(sh->fence, x->u.renewal.acked_end,
-		x->u.renewal.lease_end_ms, x->u.renewal.wait_ms),
+	    .body = worker_renewal_body(x->u.renewal.worker.fence,
+		x->u.renewal.acked_end, x->u.renewal.lease_end_ms,
+		x->u.renewal.wait_ms),
 	    .timeout_ms = x->u.renewal.wait_ms + RENEWAL_MARGIN_MS,
 	    .repeatable = true,
 	};
@@ -356,8 +369,8 @@
 		break;
 	case POOL_STOP:
 		send_run_command(sh, x, WORKER_PATH_STOP,
-		    worker_stop_body(
-			&x->u.command.task, x->u.command.run, sh->fence));
+		    worker_stop_body(&x->u.command.task, x->u.command.run,
+			x->u.command.worker.fence));
 		break;
 	case POOL_RENEW:
 		send_renewal(sh, x);
@@ -365,7 +378,7 @@
 	case POOL_THROTTLE:
 		send_run_command(sh, x, WORKER_PATH_THROTTLE,
 		    worker_throttle_body(&x->u.command.task, x->u.command.run,
-			x->u.command.percent, sh->fence));
+			x->u.command.percent, x->u.command.worker.fence));
 		break;
 	case POOL_QUERY_POLICY:
 		send_advice_request(sh, x);
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -312,3 +312,29 @@
 	}
 	expect_one_run();
 }
+
+/* The restarted worker had forgotten what kept the start out. */
+Test(one_run, a_start_from_before_a_restart_is_not_carried_out_after_it)
+{
+	struct jobs_world_opts o = usual_opts(2);
+
+	for (o.seed = 1; o.seed <= 20; o.seed++) {
+		world = jobs_world_new(&o);
+		jobs_world_late_orders_cross_restarts(world);
+		jobs_world_crash_worker(world, 1);
+		jobs_world_list_worker(world, 1, false);
+		jobs_world_late(world, 1.0);
+		submit_short(1, 20000);
+		jobs_world_run(world, 8); /* the start to w-0 is under way */
+		jobs_world_late(world, 0);
+		jobs_world_room(world, 0, 0);
+		jobs_world_restart_worker(world, 1);
+		jobs_world_list_worker(world, 1, true);
+		jobs_world_run(world, 3500);
+		cr_assert_eq(jobs_world_tasks_on(world, 1), 1);
+		jobs_world_room(world, 0, 8000);
+		jobs_world_restart_worker(world, 0);
+		jobs_world_run(world, 25000);
+		expect_one_run();
+	}
+}
