pool: an answer is not taken for the incarnation before by a small clock

What callers saw: two runs of a task at once. A worker restarted right after its first answer to a renewal and then took a start. The answer counted as one of the incarnation before, so that the restart, noticed after it, ended the run that lives, and the task was started elsewhere.

Cause: an answer was taken for one of the known incarnation where its clock was at least as high as the clock at the last renewal and the time from then until the start was sent. The clock of a young worker is about as small as that of its successor, and the start may take long to arrive. Class: an identity taken from a value that the next holder can have as well.

Change: the clock must be higher than that of any incarnation that began after the last answer can be. When that answer was made is known from the time at which its renewal was sent, and from the clock's rise since the answers before.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -532,6 +532,23 @@
 	}
 }
 
+/*
+ * The answer to a renewal of "sent_us" shows the clock.  By the clock itself,
+ * the worker may have made the answer late in the renewal's wait.
+ */
+static void
+worker_read_clock(
+    struct pool *p, struct pool_worker *w, int64_t clock_ms, int64_t sent_us)
+{
+	int64_t since_us =
+	    w->clock_since_us + (clock_ms - w->report.clock_ms) * US_PER_MS;
+
+	w->clock_since_us =
+	    w->clock_since_us != 0 && since_us > sent_us ? since_us : sent_us;
+	w->report.clock_ms = clock_ms;
+	w->clock_read_us = p->now_us;
+}
+
 static void
 renewal_answered(
     struct pool *p, struct pool_worker *w, const struct pool_event *ev)
@@ -579,8 +596,7 @@
 	    ? ev->u.renewal.sent_us
 	    : p->now_us;
 	w->alive_us = w->reported_us;
-	w->report.clock_ms = r->clock_ms;
-	w->clock_read_us = p->now_us;
+	worker_read_clock(p, w, r->clock_ms, ev->u.renewal.sent_us);
 	w->report_count++;
 	/* Ends come first, so that no ended run is adopted. */
 	process_ended(p, w, r);
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -4,6 +4,7 @@
 
 #include "pool_state.h"
 
+#define RESTART_MIN_MS 10 /* from the end of a worker to its next start */
 #define START_RETRY_MS 50 /* after a start failed or was refused */
 /* A worker that refused a start gets no new tasks for this time. */
 #define REFUSAL_PAUSE_MS 300
@@ -374,17 +375,16 @@
 
 /*
  * The answer to the task's start comes from the incarnation that answered the
- * last renewal: the clock of a later one is behind, as it starts from zero.
+ * last renewal: a later one is not as old as its clock would have to show.
  */
 static bool
-same_incarnation(const struct task *t, int64_t clock_ms)
+same_incarnation(
+    const struct pool *p, const struct pool_worker *w, int64_t clock_ms)
 {
-	const struct pool_worker *w = t->worker;
-	int64_t elapsed_us = t->placed_us - w->clock_read_us;
+	int64_t age_max_ms =
+	    (p->now_us - w->clock_since_us) / US_PER_MS - RESTART_MIN_MS;
 
-	return w->fence_confirmed && clock_ms >= 0 &&
-	    (double)clock_ms >= (double)w->report.clock_ms +
-		CLOCK_RATE_MIN * (double)elapsed_us / (double)US_PER_MS - 1;
+	return w->fence_confirmed && clock_ms > age_max_ms;
 }
 
 void
@@ -410,7 +410,8 @@
 			t->begun = true;
 			t->begun_clock_ms = ev->u.command.clock_ms;
 		}
-		t->run_confirmed |= same_incarnation(t, ev->u.command.clock_ms);
+		t->run_confirmed |=
+		    same_incarnation(p, t->worker, ev->u.command.clock_ms);
 		if (t->place == PLACE_STARTING) {
 			task_set_place(p, t, PLACE_RUNNING);
 			t->command_answered_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -65,6 +65,8 @@
 	 */
 	int64_t successor_wait_end_ms;
 	int64_t clock_read_us; /* when report.clock_ms was received */
+	/* The worker's clock showed report.clock_ms then or later. */
+	int64_t clock_since_us;
 	/* End of the latest lease sent, ms on the worker's clock. */
 	int64_t lease_end_ms;
 	/* Newest renewals could not extend the lease, which is logged. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -299,7 +299,7 @@
 	w->quarantined_until_us = w->late_ack_until_us;
 	w->report.clock_ms = clock_ms;
 	w->clock_read_us = p->now_us;
-	w->alive_clock_ms = 0;
+	w->clock_since_us = w->alive_clock_ms = 0;
 	w->restarted_us = p->now_us;
 	w->lease_end_ms = 0;
 	w->successor_wait_end_ms = 0;
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -338,3 +338,26 @@
 		expect_one_run();
 	}
 }
+
+/* Its clock was as small as that of the incarnation before. */
+Test(one_run, a_run_stays_on_a_worker_that_restarts_right_after_its_first_start)
+{
+	struct jobs_world_opts o = usual_opts(2);
+
+	for (o.seed = 1; o.seed <= 20; o.seed++) {
+		world = jobs_world_new(&o);
+		jobs_world_room(world, 1, 0);
+		jobs_world_list_worker(world, 0, false);
+		jobs_world_restart_worker(world, 0); /* its entry is not read */
+		jobs_world_jitter(world, 300);
+		submit_lasting();
+		jobs_world_run(world, 6);
+		jobs_world_jitter(world, 0);
+		jobs_world_run(world, 320);
+		cr_expect_eq(jobs_world_tasks_on(world, 0), 1);
+		jobs_world_room(world, 1, 8000);
+		jobs_world_list_worker(world, 0, true);
+		jobs_world_run(world, 5000);
+		expect_one_run();
+	}
+}
