pool, shards: second runs of a task and removed machines are logged and counted

From the logs it could not be told which of a task's two runs was the placed one, nor how old the news of a removed machine was against the worker's last answer.

"stops an unwanted run" says now where the task is placed, under which run, and whether it is done; pool_second_runs_total counts runs that are listed while their task is placed on another worker. "a worker's machine was removed" has the age of the removal and of the worker's last answer.

--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -291,6 +291,7 @@
 	uint64_t starts, starts_refused, ends_done, ends_failed, ends_other;
 	uint64_t crashes; /* unexpected ends of workers under tasks */
 	uint64_t trials, given_up; /* starts of suspects; jobs convicted */
+	uint64_t second_runs; /* listed by a worker while placed on another */
 };
 
 void pool_stats(const struct pool *p, struct pool_stats *s);
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -410,11 +410,18 @@
 	if (t != NULL && t->worker == w && start_is_fenced(t))
 		task_detach(p, t);
 	if (t == NULL || job_final(j) || t->done || t->place != PLACE_NONE) {
+		p->stats.second_runs +=
+		    t != NULL && t->worker != NULL && t->worker != w;
 		fx_log(p, LOG_LEVEL_INFO,
 		    "msg=\"stops an unwanted run\" job=%s "
-		    "task=%u.%u.%u run=%lld worker=%s known=%d",
+		    "task=%u.%u.%u run=%lld worker=%s known=%d done=%d "
+		    "placed_on=%s placed_run=%lld",
 		    r->task.job, r->task.occurrence, r->task.step,
-		    r->task.index, (long long)r->run, w->report.id, t != NULL);
+		    r->task.index, (long long)r->run, w->report.id, t != NULL,
+		    t != NULL && t->done,
+		    t != NULL && t->worker != NULL ? t->worker->report.id
+						   : "none",
+		    t != NULL ? (long long)t->run : 0);
 		if (t != NULL && t->step->spec->long_running)
 			pool_log_availability(p, t, w, r->run, "unwanted-run");
 		fx_stop(p, w, &r->task, r->run);
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -426,6 +426,12 @@
 worker_machine_removed(
     struct pool *p, struct pool_worker *w, int64_t removal_known_us)
 {
+	fx_log(p, LOG_LEVEL_INFO,
+	    "msg=\"a worker's machine was removed\" worker=%s tasks=%zu "
+	    "removal_known_ms_ago=%lld alive_ms_ago=%lld",
+	    w->report.id, w->task_count,
+	    (long long)((p->now_us - removal_known_us) / US_PER_MS),
+	    (long long)((p->now_us - w->alive_us) / US_PER_MS));
 	worker_detach_tasks(p, w, DETACH_ALL, "machine-taken-away");
 	w->machine_removed = true;
 	w->removal_known_us = removal_known_us;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -642,6 +642,8 @@
 		    out, "pool_trials_total", NULL, labels, st.trials);
 		metric_counter(
 		    out, "pool_jobs_given_up_total", NULL, labels, st.given_up);
+		metric_counter(out, "pool_second_runs_total", NULL, labels,
+		    st.second_runs);
 	}
 }
 
--- a/tests/unit/test_shard.c
+++ b/tests/unit/test_shard.c
@@ -229,3 +229,42 @@
 {
 	cr_expect_eq(workers_answered_after(SUSPENDED_MS), 0);
 }
+
+/* The pool's only worker rejects the fence of the renewal that it has got. */
+static void
+reject_fence(int worker)
+{
+	static const char answer[] =
+	    "HTTP/1.1 409 Conflict\r\nContent-Length: 33\r\n\r\n"
+	    "{\"clockMs\":4821,\"reason\":\"fence\"}";
+	int i, conn = accept(worker, NULL, NULL);
+
+	cr_assert_eq(write(conn, answer, sizeof(answer) - 1),
+	    (ssize_t)sizeof(answer) - 1);
+	for (i = 0; i < 50 && !shard->term_ended; i++)
+		service(1);
+}
+
+Test(shard, a_worker_that_rejects_the_fence_ends_the_term)
+{
+	int worker = listen_as_worker();
+
+	setup_unanswered();
+	service(50);
+	reject_fence(worker);
+	cr_expect(shard->term_ended);
+}
+
+Test(shard, a_fence_from_before_a_restart_that_is_rejected_ends_no_term)
+{
+	struct pool_event ev = {.kind = POOL_WORKER_ENTRY};
+	int worker = listen_as_worker();
+
+	setup_unanswered();
+	service(50);
+	entry.started_ms++;
+	ev.u.worker.report = &entry;
+	shard_handle_event(shard, &ev);
+	reject_fence(worker);
+	cr_expect_not(shard->term_ended);
+}
