pool: tasks that wait for a restarted worker's first answer do not stall

Their progress was from before the restart, so that the time without progress went on while they waited, and they could be stopped as stalled.

--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -280,6 +280,7 @@
 		t->command_answered_us = p->now_us;
 		t->run_confirmed = false;
 		t->progress_percent = 0;
+		t->progress_changed_us = p->now_us;
 	}
 	worker_raise_fence(p, w);
 	w->fence_confirmed = w->all_ends_listed = false;
