jobs_world: a new owner begins with the time of day that it has

Cause: jobs_world_clock_step() moved the time of day in all events of owners, but a new owner was made with the true time. A step was never seen by what an owner reads of its predecessor's records.

Change: owner_begin() counts the step in.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1293,7 +1293,7 @@
 	    .name = "pool",
 	    .fence = w->owner + 1,
 	    .now_us = w->ms * US_PER_MS,
-	    .now_ms = START_MS + w->ms,
+	    .now_ms = START_MS + w->ms + w->step_ms,
 	    .lease_ms = LEASE_MS,
 	    .reconcile_max_ms = w->owner > 0 ? SETTLE_MS : 0,
 	    .status_retention_ms = STATUS_KEEP_MS,
