pool: an answer of a removed worker is not taken for its runs

What callers saw: a lasting task stayed away for good (LOST).

Cause: an answer that was on its way, or waited for the owner's loop, when the notice of the worker's removal came was still read as the state of the worker. Its task, freed by the notice and without room elsewhere, was put back on the removed worker, to which nothing is sent any more; when the entry was dropped, the worker was freed with the task on it. Class: news from before a change that is taken for the state after it.

Change: answers of a removed worker are not read; if it lives, its next entry brings it back. A removed worker is freed in one place, once its entry is dropped and no renewal is in flight; it stayed in memory for good where one was.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -229,13 +229,6 @@
 	p->placement_due = true;
 }
 
-/* A renewal is to be sent at renewal_due_us. */
-static bool
-renewal_scheduled(const struct pool_worker *w)
-{
-	return !w->renewal_in_flight && !w->machine_removed;
-}
-
 int64_t
 pool_next_renewal_us(const struct pool *p, int64_t latest_us)
 {
@@ -246,10 +239,14 @@
 static void
 worker_update(struct pool *p, struct pool_worker *w)
 {
+	if (w->machine_removed) {
+		if (w->entry_dropped && !w->renewal_in_flight)
+			worker_free(p, w);
+		return;
+	}
 	worker_check_lease(p, w);
-	if (!worker_present(p, w) && !w->machine_removed &&
-	    w->task_count == 0 && !w->renewal_in_flight &&
-	    p->now_us >= w->late_ack_until_us &&
+	if (!worker_present(p, w) && w->task_count == 0 &&
+	    !w->renewal_in_flight && p->now_us >= w->late_ack_until_us &&
 	    !worker_has_unlisted_ends(p, w) &&
 	    (w->fence_confirmed || !w->inherited ||
 		p->now_us >= p->reconcile_end_us)) {
@@ -257,9 +254,9 @@
 		return;
 	}
 	worker_advance_acks(p, w);
-	if (renewal_scheduled(w) && p->now_us >= w->renewal_due_us)
+	if (!w->renewal_in_flight && p->now_us >= w->renewal_due_us)
 		renewal_send(p, w);
-	if (renewal_scheduled(w) && w->renewal_due_us < p->next_renewal_us)
+	if (!w->renewal_in_flight && w->renewal_due_us < p->next_renewal_us)
 		p->next_renewal_us = w->renewal_due_us;
 }
 
@@ -638,6 +635,8 @@
 	if (w == NULL || renewal_superseded(w, ev->u.renewal.sent_us))
 		return;
 	w->renewal_in_flight = false;
+	if (w->machine_removed) /* if it lives, its next entry shows that */
+		return;
 	if (ev->u.renewal.report == NULL)
 		renewal_failed(p, w, ev->u.renewal.result);
 	else if (ev->u.renewal.sent_us < w->restarted_us)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -30,6 +30,7 @@
 struct pool_worker {
 	struct worker_report report;
 	bool listed; /* the store has the worker's entry */
+	bool entry_dropped; /* the store had it */
 	/* The worker's machine was removed: all its runs have ended. */
 	bool machine_removed;
 	int64_t removal_known_us; /* to the controller */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -401,6 +401,7 @@
 	w->report.clock_ms = clock_ms;
 	w->report.started_ms = started_ms;
 	w->listed = true;
+	w->entry_dropped = false;
 	if (r->draining && !was_draining)
 		worker_begin_draining(p, w);
 	p->placement_due = true;
@@ -418,8 +419,7 @@
 	    id, w->task_count, w->missed_renewals);
 	w->listed = false;
 	w->unlisted_us = w->machine_removed ? 0 : p->now_us;
-	if (w->machine_removed && !w->renewal_in_flight)
-		worker_free(p, w);
+	w->entry_dropped = true;
 }
 
 /* All runs on the worker have ended; its entry expires later. */
