pool: the wait for a silent worker is stored as a duration

A zone was cut off, two owners in a row took the pool over, and the clock of the first of them was 2 s behind.

Cause: the time by which the runs on a silent worker have ended was stored as the writer's time of day, and the next owner compared it with its own, allowing for half a second of difference. Clocks that jump are among the disruptions that may come. Class: a time without the clock that it is on.

Change: the record holds how much longer the worker may run tasks, and the clock of a worker that answers the writer. The next owner counts the time from its take-over, less what that worker's clock has advanced since, once the worker answers it too. Owners in a row still do not wait anew. A silent worker whose time is over is recorded as such. An owner that finds a record of a silent worker extends no lease there before it has stored its own.

Evidence: two_runs::a_record_of_an_owner_whose_clock_is_behind_ends_no_run failed before and passes.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -83,8 +83,8 @@
 		return 0;
 	if (w->record_current && w->record_serial <= p->stored_serial)
 		return p->opts.lease_ms;
-	left_ms = (int64_t)((double)(w->successor_wait_end_ms - p->now_ms) *
-	    CLOCK_RATE_MIN);
+	left_ms = (int64_t)((double)(w->successor_wait_end_us - p->now_us) /
+	    (double)US_PER_MS * CLOCK_RATE_MIN);
 	return left_ms < p->opts.lease_ms ? left_ms : p->opts.lease_ms;
 }
 
@@ -223,7 +223,7 @@
 	worker_suspect_tasks(p, w, scope);
 	worker_detach_tasks(p, w, scope, "lease-over");
 	if (w->task_count == 0) {
-		w->idle_by_ms = p->now_ms;
+		w->idle_by_us = p->now_us;
 		worker_mark_record_stale(p, w);
 	}
 	p->placement_due = true;
@@ -253,6 +253,9 @@
 		worker_free(p, w);
 		return;
 	}
+	if (w->idle_by_us != 0 && p->now_us >= w->idle_by_us &&
+	    !w->recorded_idle)
+		worker_mark_record_stale(p, w);
 	worker_advance_acks(p, w);
 	if (!w->renewal_in_flight && p->now_us >= w->renewal_due_us)
 		renewal_send(p, w);
@@ -324,8 +327,8 @@
 	w->is_gone = true;
 	w->fence_confirmed = false;
 	w->inherited = false; /* runs of earlier terms have ended, too */
-	if (w->idle_by_ms == 0 || w->idle_by_ms > p->now_ms) {
-		w->idle_by_ms = p->now_ms;
+	if (w->idle_by_us == 0 || w->idle_by_us > p->now_us) {
+		w->idle_by_us = p->now_us;
 		worker_mark_record_stale(p, w);
 	}
 	w->renewal_due_us = p->now_us + RENEWAL_RETRY_MAX_MS * US_PER_MS;
@@ -369,11 +372,11 @@
 		    (long long)((p->now_us - w->last_reply_us) / US_PER_MS),
 		    result);
 	/*
-	 * Records idle_by_ms, so that a next owner waits no longer than this
-	 * one: the worker has no lease of this term, and gets none that ends
-	 * later until it has answered and the store has a record of that.
+	 * Records idle_by_us, so that a next owner waits little longer than
+	 * this one: the worker has no lease of this term, and gets none that
+	 * ends later until it has answered and the store has a record of that.
 	 */
-	if (w->idle_by_ms != 0 && w->idle_by_ms != w->recorded_idle_by_ms)
+	if (w->idle_by_us > p->now_us && w->recorded_idle_by_us == 0)
 		worker_mark_record_stale(p, w);
 	pause_ms *= w->missed_renewals;
 	if (pause_ms > RENEWAL_RETRY_MAX_MS)
@@ -584,10 +587,10 @@
 	w->renewal_cut_short = false;
 	w->silent_since_us = 0;
 	w->is_gone = w->fate_awaited = false;
-	if (w->idle_by_ms != 0) { /* recorded before leases are renewed */
-		w->idle_by_ms = 0;
-		if (w->recorded_idle_by_ms != 0) {
-			w->successor_wait_end_ms = w->recorded_idle_by_ms;
+	if (w->idle_by_us != 0) { /* recorded before leases are renewed */
+		w->idle_by_us = 0;
+		if (w->recorded_idle_by_us != 0) {
+			w->successor_wait_end_us = w->recorded_idle_by_us;
 			worker_mark_record_stale(p, w);
 		}
 	}
@@ -601,6 +604,7 @@
 	    : p->now_us;
 	w->alive_us = w->reported_us;
 	worker_read_clock(p, w, r->clock_ms, ev->u.renewal.sent_us);
+	pool_use_clock_reference(p, w);
 	w->report_count++;
 	/* Ends come first, so that no ended run is adopted. */
 	process_ended(p, w, r);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -23,6 +23,16 @@
 /* Added to the end of a lease, for rounding and message delivery. */
 #define LEASE_MARGIN_MS 100
 
+/*
+ * A worker's clock at the time of a record: tells the next owner how long ago
+ * that was, which no daemon's time of day does.
+ */
+struct clock_reference {
+	char worker[NAME_BYTES]; /* "": none */
+	int64_t worker_started_ms; /* identifies its incarnation */
+	int64_t clock_ms;
+};
+
 /*
  * A worker and what the owner of the pool has placed on it.  The *_us fields
  * are on the owner's monotonic clock unless their comment says otherwise.
@@ -48,23 +58,27 @@
 	/* Under its fence, an answer has listed its last end. */
 	bool all_ends_listed;
 	/*
-	 * Unix time by which all runs that were started on the worker have
-	 * ended; 0 while it answers.  Stored for the next owner.
+	 * All runs that were started on the worker have ended by then; 0 while
+	 * it answers.  The time that is left is stored for the next owner.
 	 */
-	int64_t idle_by_ms;
-	/* Monotonic counterpart of idle_by_ms, for an inherited worker. */
-	int64_t reconciled_by_us;
+	int64_t idle_by_us;
+	/* Of the record that idle_by_us is from, until its worker answers. */
+	struct clock_reference recorded_at;
 	bool has_record; /* the topic has a record of the worker */
 	/* The newest record written matches this state. */
 	bool record_current;
 	uint64_t record_serial; /* write of the newest record */
-	int64_t recorded_idle_by_ms; /* idle_by_ms in the newest record */
 	/*
-	 * idle_by_ms of the record that the store may still hold after the
-	 * worker has answered: Unix time at which a next owner would stop
-	 * waiting for the worker.
+	 * By the newest record, as a next owner would see it at the earliest;
+	 * 0: the worker was not silent.
 	 */
-	int64_t successor_wait_end_ms;
+	int64_t recorded_idle_by_us;
+	bool recorded_idle; /* by the newest record, its runs have ended */
+	/*
+	 * A next owner that reads the record from before the worker answered
+	 * waits for the worker until this time at least.
+	 */
+	int64_t successor_wait_end_us;
 	int64_t clock_read_us; /* when report.clock_ms was received */
 	/* The worker's clock showed report.clock_ms then or later. */
 	int64_t clock_since_us;
@@ -386,6 +400,11 @@
 void task_begin_trial(struct pool *p, struct task *t);
 
 /* pool_worker_records.c */
+/*
+ * The worker has answered: shortens the waits for silent workers whose records
+ * have its clock.
+ */
+void pool_use_clock_reference(struct pool *p, const struct pool_worker *w);
 /* Writes the records that are not current. */
 void pool_write_worker_records(struct pool *p);
 
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -9,8 +9,10 @@
 #include "pool_state.h"
 #include "wire.h"
 
-/* Fields without labels: started, address, port, idle by, three resources. */
+/* Fields without labels: started, address, port, wait, three resources. */
 #define RECORD_FIELD_COUNT 7
+#define REFERENCE_FIELD_COUNT 3
+#define RUNS_ENDED_WAIT_MS 1 /* for a silent worker whose runs have ended */
 
 #define LABEL_KEY_BYTES 32
 
@@ -22,19 +24,66 @@
 	return key;
 }
 
+/*
+ * Time that a next owner has to wait for a silent worker; 0: the worker
+ * answers.  Not a time of day: daemons' clocks may differ by seconds.
+ */
+static int64_t
+successor_wait_ms(const struct pool *p, const struct pool_worker *w)
+{
+	if (w->idle_by_us == 0)
+		return 0;
+	if (w->idle_by_us <= p->now_us)
+		return RUNS_ENDED_WAIT_MS;
+	return (w->idle_by_us - p->now_us) / US_PER_MS + RUNS_ENDED_WAIT_MS;
+}
+
+/* A worker that answers; NULL: there is none. */
+static const struct pool_worker *
+find_reference(const struct pool *p)
+{
+	const struct pool_worker *w;
+
+	for (w = p->workers; w != NULL; w = w->hh.next) {
+		if (w->fence_confirmed && w->missed_renewals == 0 &&
+		    !w->machine_removed && w->report.started_ms != 0)
+			return w;
+	}
+	return NULL;
+}
+
+/* "at" has answered; its clock is not ahead of what is written. */
+static void
+write_reference(
+    struct wire_writer *out, const struct pool *p, const struct pool_worker *at)
+{
+	wire_str(out, "at_worker", at->report.id);
+	wire_i64(out, "at_born", at->report.started_ms);
+	wire_i64(out, "at_clock",
+	    at->report.clock_ms + (p->now_us - at->clock_since_us) / US_PER_MS +
+		1);
+}
+
 static void
-write_worker_record(struct pool *p, struct pool_worker *w)
+write_worker_record(
+    struct pool *p, struct pool_worker *w, const struct pool_worker *at)
 {
+	int64_t wait_ms = successor_wait_ms(p, w);
+	bool has_reference = wait_ms > RUNS_ENDED_WAIT_MS && at != NULL;
 	char key[JOB_KEY_BYTES], label[LABEL_KEY_BYTES];
 	struct wire_writer out;
 	size_t i;
 
 	wire_writer_init(&out);
-	wire_map(&out, RECORD_FIELD_COUNT + (uint32_t)w->report.label_count);
+	wire_map(&out,
+	    RECORD_FIELD_COUNT + (uint32_t)w->report.label_count +
+		(has_reference ? REFERENCE_FIELD_COUNT : 0));
 	wire_i64(&out, "born", w->report.started_ms);
 	wire_str(&out, "addr", w->report.addr);
 	wire_u64(&out, "port", (uint64_t)w->report.port);
-	wire_i64(&out, "silent", w->idle_by_ms);
+	wire_i64(&out, "wait", wait_ms);
+	if (has_reference)
+		write_reference(&out, p, at);
 	wire_i64(&out, "cpu", w->report.cpu_milli);
 	wire_i64(&out, "memory", w->report.memory_mb);
 	wire_i64(&out, "accelerators", w->report.accelerators);
@@ -43,21 +92,24 @@
 	worker_record_key(key, w->report.id);
 	fx_write(p, key, wire_writer_finish(&out));
 	w->record_serial = p->write_serial;
-	w->recorded_idle_by_ms = w->idle_by_ms;
+	w->recorded_idle_by_us = w->idle_by_us;
+	w->recorded_idle = w->idle_by_us != 0 && w->idle_by_us <= p->now_us;
 	w->record_current = w->has_record = true;
 }
 
 void
 pool_write_worker_records(struct pool *p)
 {
+	const struct pool_worker *at;
 	struct pool_worker *w;
 
 	if (!p->records_stale)
 		return;
+	at = find_reference(p);
 	p->records_stale = false;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
 		if (!w->record_current)
-			write_worker_record(p, w);
+			write_worker_record(p, w, at);
 	}
 	if (p->has_worker_list_record) /* replaced by a record for each */
 		fx_write(p, KEY_WORKER_LIST, NULL);
@@ -85,8 +137,7 @@
 static struct pool_worker *
 load_worker(struct pool *p, const char *id, const msgpack_object *map)
 {
-	int64_t recorded_ms = 0,
-		idle_by_ms = p->opts.now_ms + p->opts.reconcile_max_ms;
+	int64_t wait_ms = p->opts.reconcile_max_ms, recorded_ms = 0;
 	struct worker_report r;
 	struct pool_worker *w;
 	uint64_t port;
@@ -99,9 +150,9 @@
 		return NULL;
 	r.port = (int)port;
 	load_resources(&r, map);
-	if (wire_get_i64(map, "silent", &recorded_ms) && recorded_ms != 0 &&
-	    recorded_ms < idle_by_ms)
-		idle_by_ms = recorded_ms;
+	if (wire_get_i64(map, "wait", &recorded_ms) && recorded_ms > 0 &&
+	    recorded_ms < wait_ms)
+		wait_ms = recorded_ms;
 	p->now_us = p->opts.now_us;
 	w = pool_find_worker(p, id);
 	if (w == NULL)
@@ -112,15 +163,42 @@
 	w->late_start_until_us =
 	    p->opts.now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
 	w->unlisted_us = p->now_us; /* until its entry has been read */
-	if (idle_by_ms > w->idle_by_ms)
-		w->idle_by_ms = idle_by_ms;
-	w->recorded_idle_by_ms = recorded_ms;
-	/* on the monotonic clock, as the system time may jump */
-	w->reconciled_by_us = p->opts.now_us +
-	    (w->idle_by_ms - p->opts.now_ms + CLOCK_OFFSET_MAX_MS) * US_PER_MS;
+	if (p->now_us + wait_ms * US_PER_MS > w->idle_by_us)
+		w->idle_by_us = p->now_us + wait_ms * US_PER_MS;
+	/* the record may be old: a next owner may wait no longer than this */
+	if (recorded_ms > 0)
+		w->recorded_idle_by_us = p->now_us;
+	w->recorded_idle = recorded_ms == RUNS_ENDED_WAIT_MS;
+	if (!wire_get_str(map, "at_worker", w->recorded_at.worker,
+		sizeof(w->recorded_at.worker)) ||
+	    !wire_get_i64(map, "at_born", &w->recorded_at.worker_started_ms) ||
+	    !wire_get_i64(map, "at_clock", &w->recorded_at.clock_ms))
+		w->recorded_at.worker[0] = '\0';
 	return w;
 }
 
+/* The record is as old as the clock has advanced, or older. */
+void
+pool_use_clock_reference(struct pool *p, const struct pool_worker *w)
+{
+	struct pool_worker *silent;
+	int64_t age_us, loaded_us = p->opts.now_us;
+
+	for (silent = p->workers; silent != NULL; silent = silent->hh.next) {
+		if (silent->idle_by_us <= p->now_us ||
+		    silent->recorded_at.worker_started_ms !=
+			w->report.started_ms ||
+		    strcmp(silent->recorded_at.worker, w->report.id) != 0)
+			continue;
+		silent->recorded_at.worker[0] = '\0';
+		age_us = (w->report.clock_ms - silent->recorded_at.clock_ms) *
+		    US_PER_MS;
+		if (age_us <= p->now_us - loaded_us)
+			continue;
+		silent->idle_by_us -= age_us - (p->now_us - loaded_us);
+	}
+}
+
 int
 pool_load_worker(
     struct pool *p, const char *id, const void *data, size_t len, struct err *e)
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -117,8 +117,7 @@
 {
 	if (worker_has_unlisted_ends(p, w))
 		return false;
-	return w->fence_confirmed || !w->inherited ||
-	    p->now_us > w->reconciled_by_us;
+	return w->fence_confirmed || !w->inherited || p->now_us > w->idle_by_us;
 }
 
 bool
@@ -158,7 +157,9 @@
 	    n, first != NULL ? first->report.id : "none",
 	    first != NULL ? first->missed_renewals : 0,
 	    first != NULL ? (long long)first->last_end : 0,
-	    first != NULL ? (long long)(first->idle_by_ms - p->now_ms) : 0,
+	    first != NULL
+		? (long long)((first->idle_by_us - p->now_us) / US_PER_MS)
+		: 0,
 	    (long long)((p->now_us - p->opts.now_us) / US_PER_MS),
 	    (long long)((p->reconcile_end_us - p->now_us) / US_PER_MS));
 }
@@ -303,7 +304,7 @@
 	w->clock_since_us = w->alive_clock_ms = 0;
 	w->restarted_us = p->now_us;
 	w->lease_end_ms = 0;
-	w->successor_wait_end_ms = 0;
+	w->successor_wait_end_us = 0;
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
 	/* a start that arrives before the new fence is carried out */
@@ -438,7 +439,7 @@
 	w->removal_known_us = removal_known_us;
 	w->listed = false;
 	w->unlisted_us = 0; /* its entry will not come back */
-	w->idle_by_ms = p->now_ms;
+	w->idle_by_us = p->now_us;
 	worker_mark_record_stale(p, w);
 	p->placement_due = true;
 }
