pool: the notice of a removed worker is not dated by a late loop

It needs a worker that is back under its id after its machine was taken away.

Cause: the age that the notice carries was counted back from the time at which the owner's loop read it, so that a loop that had stood still made the removal look younger than an answer of the worker in between. Class: news that is taken for present whatever its age.

Change: the time is counted back from when the loop stopped, for what it reads in the 0.3 s after that, and otherwise from its lag before. The time on the way is still not counted.

--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -192,6 +192,10 @@
 {
 	if (loop_late(p, ev))
 		p->loop_late_us = ev->now_us;
+	if (ev->now_us - p->now_us >= LOOP_LATE_MS * US_PER_MS) {
+		p->loop_stopped_us = p->now_us;
+		p->loop_resumed_us = ev->now_us;
+	}
 	p->now_us = ev->now_us;
 	p->now_ms = ev->now_ms;
 	p->loop_lag_us = ev->loop_lag_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -182,6 +182,8 @@
 	int64_t now_us, now_ms;
 	int64_t loop_lag_us;
 	int64_t loop_late_us; /* newest event that the loop was late for */
+	/* When the loop last stood still for long; 0: never. */
+	int64_t loop_stopped_us, loop_resumed_us;
 	int64_t ownership_confirmed_us;
 	int64_t entries_read_us;
 	bool workers_guarded;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -5,6 +5,8 @@
 
 /* A dropped entry comes back within this time or not at all. */
 #define ENTRY_RETURN_MAX_MS 2500
+/* What came while the loop stood still has been read by so long after. */
+#define LOOP_BACKLOG_MS 300
 #define CORDON_VALID_MS 2000 /* a cordon that is not renewed expires */
 
 struct pool_worker *
@@ -460,6 +462,21 @@
 	    (long long)((p->now_us - w->alive_us) / US_PER_MS));
 }
 
+/*
+ * When the controller knew of a removal that it noticed "age_ms" before it sent
+ * this: the notice may have waited for the loop.
+ */
+static int64_t
+removal_known_us(const struct pool *p, int64_t age_ms)
+{
+	int64_t sent_us = p->now_us - p->loop_lag_us;
+
+	if (p->loop_stopped_us != 0 &&
+	    p->now_us - p->loop_resumed_us < LOOP_BACKLOG_MS * US_PER_MS)
+		sent_us = p->loop_stopped_us;
+	return sent_us - age_ms * US_PER_MS;
+}
+
 void
 pool_cordon(struct pool *p, const struct pool_event *ev)
 {
@@ -469,7 +486,7 @@
 	if (w == NULL || w->machine_removed)
 		return;
 	if (ev->u.cordon.machine_removed) {
-		known_us = p->now_us - ev->u.cordon.age_ms * US_PER_MS;
+		known_us = removal_known_us(p, ev->u.cordon.age_ms);
 		if (w->alive_us <= known_us)
 			worker_machine_removed(p, w, known_us);
 		else
