roster: a machine is gone once two lists in a row lack it

Class: news that is taken for a change of state at its first word.

Change: a machine is dropped once two lists in a row lack it.

--- a/src/roster/roster.c
+++ b/src/roster/roster.c
@@ -28,6 +28,11 @@
 #define WORKER_REGISTRATION_MS 500
 /* A command is dropped when its machine is not listed as up by then. */
 #define EXECUTION_TIMEOUT_MS 15000
+/*
+ * A machine is gone if this many lists in a row lack it.  One list is not
+ * enough: its pages are not a consistent snapshot.
+ */
+#define MISSING_LISTS_MIN 2
 
 struct roster_effect *
 roster_add_effect(struct roster *r, enum roster_effect_kind kind)
@@ -342,6 +347,7 @@
 	}
 	m->report = *report;
 	m->listed_us = r->list_requested_us;
+	m->missing_from_lists = 0;
 	clear_finished_command(r, m);
 }
 
@@ -361,7 +367,8 @@
 	{
 		/* a row that was left out may be this machine's */
 		if (m->listed_us == r->list_requested_us ||
-		    ev->u.machine_list.malformed_count > 0)
+		    ev->u.machine_list.malformed_count > 0 ||
+		    ++m->missing_from_lists < MISSING_LISTS_MIN)
 			continue;
 		roster_log(r,
 		    "msg=\"machine is no longer listed; dropping it\" "
--- a/src/roster/roster_state.h
+++ b/src/roster/roster_state.h
@@ -26,6 +26,7 @@
 	struct machine_report report;
 	/* when the newest list that contains it was requested */
 	int64_t listed_us;
+	int missing_from_lists; /* newest lists in a row that lack it */
 	enum machine_command command;
 	enum machine_command_phase phase;
 	char to_pool[NAME_BYTES]; /* MACHINE_COMMAND_MOVE */
