pool: owners in a row do not wait anew where a record has no usable clock

What callers would have seen: after several changes of a pool's owner, tasks that a silent worker may still run started up to 3 s later than before (6550 ms where the first renewal was refused before any worker had answered, 5950 ms where the worker whose clock is in the record had restarted; 3500 ms are allowed), and lasting tasks stayed away for 19 s where their worker restarted within 12 s of a take-over and was then cut off. Inherited jobs no longer waited for a worker that restarted while another one's answer was awaited.

Cause: a wait was recorded once, whether or not another worker's clock was at hand; starts of an earlier owner kept the tasks of every worker that restarts; the end of the wait that was taken over was lost with the worker's first answer.

Change: a record without a clock, or whose clock is gone, is written again once a worker answers. Starts of an earlier owner only hurry the first renewal under the new fence. The inherited time (reconciled_by_us) is kept again.

--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -254,7 +254,7 @@
 		return;
 	}
 	if (w->idle_by_us != 0 && p->now_us >= w->idle_by_us &&
-	    !w->recorded_idle)
+	    w->recorded_wait_ms != RUNS_ENDED_WAIT_MS)
 		worker_mark_record_stale(p, w);
 	worker_advance_acks(p, w);
 	if (!w->renewal_in_flight && p->now_us >= w->renewal_due_us)
@@ -376,7 +376,7 @@
 	 * this one: the worker has no lease of this term, and gets none that
 	 * ends later until it has answered and the store has a record of that.
 	 */
-	if (w->idle_by_us > p->now_us && w->recorded_idle_by_us == 0)
+	if (worker_wait_unrecorded(p, w))
 		worker_mark_record_stale(p, w);
 	pause_ms *= w->missed_renewals;
 	if (pause_ms > RENEWAL_RETRY_MAX_MS)
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -62,8 +62,11 @@
 	 * it answers.  The time that is left is stored for the next owner.
 	 */
 	int64_t idle_by_us;
-	/* Of the record that idle_by_us is from, until its worker answers. */
+	/* idle_by_us of an inherited worker, also after it has answered. */
+	int64_t reconciled_by_us;
+	/* When the newest record was written, and the wait in it. */
 	struct clock_reference recorded_at;
+	int64_t recorded_wait_ms;
 	bool has_record; /* the topic has a record of the worker */
 	/* The newest record written matches this state. */
 	bool record_current;
@@ -73,7 +76,6 @@
 	 * 0: the worker was not silent.
 	 */
 	int64_t recorded_idle_by_us;
-	bool recorded_idle; /* by the newest record, its runs have ended */
 	/*
 	 * A next owner that reads the record from before the worker answered
 	 * waits for the worker until this time at least.
@@ -402,6 +404,9 @@
 void task_begin_trial(struct pool *p, struct task *t);
 
 /* pool_worker_records.c */
+#define RUNS_ENDED_WAIT_MS 1 /* for a silent worker whose runs have ended */
+/* The wait for a silent worker is to be recorded, or recorded better. */
+bool worker_wait_unrecorded(const struct pool *p, const struct pool_worker *w);
 /*
  * The worker has answered: shortens the waits for silent workers whose records
  * have its clock.
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -12,7 +12,6 @@
 /* Fields without labels: started, address, port, wait, three resources. */
 #define RECORD_FIELD_COUNT 7
 #define REFERENCE_FIELD_COUNT 3
-#define RUNS_ENDED_WAIT_MS 1 /* for a silent worker whose runs have ended */
 
 #define LABEL_KEY_BYTES 32
 
@@ -52,28 +51,49 @@
 	return NULL;
 }
 
-/* "at" has answered; its clock is not ahead of what is written. */
+/* Without a clock by which its age shows, a record is written again. */
+bool
+worker_wait_unrecorded(const struct pool *p, const struct pool_worker *w)
+{
+	if (w->idle_by_us <= p->now_us)
+		return false;
+	return w->recorded_wait_ms == 0 ||
+	    (w->recorded_at.worker[0] == '\0' && find_reference(p) != NULL);
+}
+
+/* "at" has answered; its clock is not ahead of the reference. */
+static void
+set_reference(const struct pool *p, struct clock_reference *r,
+    const struct pool_worker *at)
+{
+	snprintf(r->worker, sizeof(r->worker), "%s", at->report.id);
+	r->worker_started_ms = at->report.started_ms;
+	r->clock_ms = at->report.clock_ms +
+	    (p->now_us - at->clock_since_us) / US_PER_MS + 1;
+}
+
 static void
-write_reference(
-    struct wire_writer *out, const struct pool *p, const struct pool_worker *at)
+write_reference(struct wire_writer *out, const struct clock_reference *r)
 {
-	wire_str(out, "at_worker", at->report.id);
-	wire_i64(out, "at_born", at->report.started_ms);
-	wire_i64(out, "at_clock",
-	    at->report.clock_ms + (p->now_us - at->clock_since_us) / US_PER_MS +
-		1);
+	wire_str(out, "at_worker", r->worker);
+	wire_i64(out, "at_born", r->worker_started_ms);
+	wire_i64(out, "at_clock", r->clock_ms);
 }
 
 static void
 write_worker_record(
     struct pool *p, struct pool_worker *w, const struct pool_worker *at)
 {
-	int64_t wait_ms = successor_wait_ms(p, w);
-	bool has_reference = wait_ms > RUNS_ENDED_WAIT_MS && at != NULL;
+	bool has_reference;
 	char key[JOB_KEY_BYTES], label[LABEL_KEY_BYTES];
 	struct wire_writer out;
 	size_t i;
 
+	w->recorded_wait_ms = successor_wait_ms(p, w);
+	has_reference = w->recorded_wait_ms > RUNS_ENDED_WAIT_MS && at != NULL;
+	w->recorded_at.worker[0] = '\0';
+	if (has_reference)
+		set_reference(p, &w->recorded_at, at);
 	wire_writer_init(&out);
 	wire_map(&out,
 	    RECORD_FIELD_COUNT + (uint32_t)w->report.label_count +
@@ -81,9 +101,9 @@
 	wire_i64(&out, "born", w->report.started_ms);
 	wire_str(&out, "addr", w->report.addr);
 	wire_u64(&out, "port", (uint64_t)w->report.port);
-	wire_i64(&out, "wait", wait_ms);
+	wire_i64(&out, "wait", w->recorded_wait_ms);
 	if (has_reference)
-		write_reference(&out, p, at);
+		write_reference(&out, &w->recorded_at);
 	wire_i64(&out, "cpu", w->report.cpu_milli);
 	wire_i64(&out, "memory", w->report.memory_mb);
 	wire_i64(&out, "accelerators", w->report.accelerators);
@@ -93,7 +113,6 @@
 	fx_write(p, key, wire_writer_finish(&out));
 	w->record_serial = p->write_serial;
 	w->recorded_idle_by_us = w->idle_by_us;
-	w->recorded_idle = w->idle_by_us != 0 && w->idle_by_us <= p->now_us;
 	w->record_current = w->has_record = true;
 }
 
@@ -160,15 +179,14 @@
 	if (w == NULL)
 		abort(); /* tasks that it may run would be started again */
 	w->inherited = true;
-	w->late_start_until_us =
-	    p->opts.now_us + LATE_COMMAND_MAX_MS * US_PER_MS;
 	w->unlisted_us = p->now_us; /* until its entry has been read */
 	if (p->now_us + wait_ms * US_PER_MS > w->idle_by_us)
 		w->idle_by_us = p->now_us + wait_ms * US_PER_MS;
 	/* the record may be old: a next owner may wait no longer than this */
 	if (recorded_ms > 0)
 		w->recorded_idle_by_us = p->now_us;
-	w->recorded_idle = recorded_ms == RUNS_ENDED_WAIT_MS;
+	w->reconciled_by_us = w->idle_by_us;
+	w->recorded_wait_ms = recorded_ms;
 	if (!wire_get_str(map, "at_worker", w->recorded_at.worker,
 		sizeof(w->recorded_at.worker)) ||
 	    !wire_get_i64(map, "at_born", &w->recorded_at.worker_started_ms) ||
@@ -178,24 +196,33 @@
 }
 
 /* The record is as old as the clock has advanced, or older. */
+static void
+shorten_wait(struct pool *p, struct pool_worker *silent, int64_t clock_ms)
+{
+	int64_t age_ms = clock_ms - silent->recorded_at.clock_ms;
+	int64_t idle_by_us =
+	    p->now_us + (silent->recorded_wait_ms - age_ms) * US_PER_MS;
+
+	if (idle_by_us < silent->idle_by_us)
+		silent->idle_by_us = idle_by_us;
+	if (idle_by_us < silent->reconciled_by_us)
+		silent->reconciled_by_us = idle_by_us;
+}
+
 void
 pool_use_clock_reference(struct pool *p, const struct pool_worker *w)
 {
 	struct pool_worker *silent;
-	int64_t age_us, loaded_us = p->opts.now_us;
 
 	for (silent = p->workers; silent != NULL; silent = silent->hh.next) {
 		if (silent->idle_by_us <= p->now_us ||
-		    silent->recorded_at.worker_started_ms !=
-			w->report.started_ms ||
 		    strcmp(silent->recorded_at.worker, w->report.id) != 0)
 			continue;
-		silent->recorded_at.worker[0] = '\0';
-		age_us = (w->report.clock_ms - silent->recorded_at.clock_ms) *
-		    US_PER_MS;
-		if (age_us <= p->now_us - loaded_us)
-			continue;
-		silent->idle_by_us -= age_us - (p->now_us - loaded_us);
+		if (silent->recorded_at.worker_started_ms ==
+		    w->report.started_ms)
+			shorten_wait(p, silent, w->report.clock_ms);
+		else /* the clock is gone with its incarnation */
+			worker_mark_record_stale(p, silent);
 	}
 }
 
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -119,7 +119,8 @@
 {
 	if (worker_has_unlisted_ends(p, w))
 		return false;
-	return w->fence_confirmed || !w->inherited || p->now_us > w->idle_by_us;
+	return w->fence_confirmed || !w->inherited ||
+	    p->now_us > w->reconciled_by_us;
 }
 
 bool
@@ -252,6 +253,14 @@
 	}
 }
 
+/* Starts of the earlier owner may still arrive at the worker. */
+static bool
+earlier_owner_recent(const struct pool *p, const struct pool_worker *w)
+{
+	return w->inherited &&
+	    p->now_us - p->opts.now_us < LATE_COMMAND_MAX_MS * US_PER_MS;
+}
+
 /*
  * The runs of the earlier incarnation have ended.  Commands that were sent to
  * it may still arrive at the new one until that has the new fence.
@@ -310,7 +319,7 @@
 	w->drain_end_us = 0;
 	w->fail_streak = 0;
 	/* a start that arrives before the new fence is carried out */
-	if (late_starts)
+	if (late_starts || earlier_owner_recent(p, w))
 		w->renewal_in_flight = false;
 	w->renewal_due_us = p->now_us;
 }
