--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -2098,3 +2098,29 @@
 
 	feed_entry(w, w->owner, worker, later_ms >= 0 ? started_ms : 0);
 }
+
+int
+jobs_world_add_worker(struct jobs_world *w)
+{
+	int i = w->opts.workers;
+	struct sim_worker *s = &w->workers[i];
+
+	if (i == JOBS_WORLD_WORKERS)
+		return -1;
+	snprintf(s->id, NAME_BYTES, "w-%d", i);
+	s->born_ms = w->ms;
+	s->cpu = w->opts.cpu;
+	s->up = true;
+	LIST_INIT(&s->runs);
+	w->opts.workers++;
+	return i;
+}
+
+void
+jobs_world_cordon(
+    struct jobs_world *w, int worker, const struct pool_event_cordon *cordon)
+{
+	struct pool_event ev = {.u.cordon = *cordon};
+
+	send_cordon(w, worker, &ev);
+}
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -203,4 +203,13 @@
  */
 void jobs_world_entry(struct jobs_world *w, int worker, int64_t later_ms);
 
+/*
+ * Another worker joins, whose entry is not listed yet, under the id "w-N".
+ * Returns its number N; -1 when there are too many.
+ */
+int jobs_world_add_worker(struct jobs_world *w);
+/* A cordon of the controller's, as the present owner hears of it. */
+void jobs_world_cordon(
+    struct jobs_world *w, int worker, const struct pool_event_cordon *cordon);
+
 #endif
