pool: a worker that answers again keeps its lease while the store is down

What callers would have seen: where the owner before had recorded a worker as silent, and it answers the next owner while the store is down, its tasks lapsed and were started again (6 starts instead of 3).

Cause: how long a next owner would wait by the record that the store still has was no longer known, so that no lease was extended before a new record was stored.

Change: a record holds between which bounds the other worker's clock was; the oldest age that this allows bounds the leases that are extended meanwhile, with a margin of 0.1 s. A worker that the pool no longer has is commanded under the term's newest fence as far as rejections go, so that none of them ends the term.

--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -273,8 +273,8 @@
 void pool_step(
     struct pool *p, const struct pool_event *ev, struct pool_effects *fx);
 /*
- * Fence of commands that are sent to the worker now; 0: the pool does not have
- * it.  A worker that rejects this one follows a later owner.
+ * Fence of commands that are sent to the worker now; the term's newest if the
+ * pool does not have it.  A worker that rejects this one follows a later owner.
  */
 int64_t pool_worker_fence(const struct pool *p, const char *worker);
 /* Monotonic time at which a POOL_TICK is due. */
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -84,7 +84,8 @@
 	if (w->record_current && w->record_serial <= p->stored_serial)
 		return p->opts.lease_ms;
 	left_ms = (int64_t)((double)(w->successor_wait_end_us - p->now_us) /
-	    (double)US_PER_MS * CLOCK_RATE_MIN);
+		      (double)US_PER_MS * CLOCK_RATE_MIN) -
+	    LEASE_MARGIN_MS;
 	return left_ms < p->opts.lease_ms ? left_ms : p->opts.lease_ms;
 }
 
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -18,8 +18,6 @@
 #define LATE_COMMAND_MAX_MS 12000
 /* Lowest rate of a worker's clock: clocks run at most 2 % slow. */
 #define CLOCK_RATE_MIN 0.98
-/* Largest difference between two daemons' clocks: all are near true time. */
-#define CLOCK_OFFSET_MAX_MS 500
 /* Added to the end of a lease, for rounding and message delivery. */
 #define LEASE_MARGIN_MS 100
 
@@ -30,7 +28,7 @@
 struct clock_reference {
 	char worker[NAME_BYTES]; /* "": none */
 	int64_t worker_started_ms; /* identifies its incarnation */
-	int64_t clock_ms;
+	int64_t min_ms, max_ms; /* between which its clock was */
 };
 
 /*
--- a/src/jobs/pool_worker_records.c
+++ b/src/jobs/pool_worker_records.c
@@ -11,7 +11,7 @@
 
 /* Fields without labels: started, address, port, wait, three resources. */
 #define RECORD_FIELD_COUNT 7
-#define REFERENCE_FIELD_COUNT 3
+#define REFERENCE_FIELD_COUNT 4
 
 #define LABEL_KEY_BYTES 32
 
@@ -61,14 +61,17 @@
 	    (w->recorded_at.worker[0] == '\0' && find_reference(p) != NULL);
 }
 
-/* "at" has answered; its clock is not ahead of the reference. */
+/* "at" has answered. */
 static void
 set_reference(const struct pool *p, struct clock_reference *r,
     const struct pool_worker *at)
 {
 	snprintf(r->worker, sizeof(r->worker), "%s", at->report.id);
 	r->worker_started_ms = at->report.started_ms;
-	r->clock_ms = at->report.clock_ms +
+	r->min_ms = at->report.clock_ms +
+	    (int64_t)((double)(p->now_us - at->clock_read_us) /
+		(double)US_PER_MS * CLOCK_RATE_MIN);
+	r->max_ms = at->report.clock_ms +
 	    (p->now_us - at->clock_since_us) / US_PER_MS + 1;
 }
 
@@ -77,21 +80,24 @@
 {
 	wire_str(out, "at_worker", r->worker);
 	wire_i64(out, "at_born", r->worker_started_ms);
-	wire_i64(out, "at_clock", r->clock_ms);
+	wire_i64(out, "at_min", r->min_ms);
+	wire_i64(out, "at_max", r->max_ms);
 }
 
 static void
 write_worker_record(
     struct pool *p, struct pool_worker *w, const struct pool_worker *at)
 {
-	bool has_reference;
 	char key[JOB_KEY_BYTES], label[LABEL_KEY_BYTES];
+	int64_t wait_ms = successor_wait_ms(p, w);
+	bool has_reference = wait_ms > RUNS_ENDED_WAIT_MS && at != NULL;
 	struct wire_writer out;
 	size_t i;
 
-	w->recorded_wait_ms = successor_wait_ms(p, w);
-	has_reference = w->recorded_wait_ms > RUNS_ENDED_WAIT_MS && at != NULL;
-	w->recorded_at.worker[0] = '\0';
+	if (wait_ms > 0) {
+		w->recorded_wait_ms = wait_ms;
+		w->recorded_at.worker[0] = '\0';
+	}
 	if (has_reference)
 		set_reference(p, &w->recorded_at, at);
 	wire_writer_init(&out);
@@ -101,7 +107,7 @@
 	wire_i64(&out, "born", w->report.started_ms);
 	wire_str(&out, "addr", w->report.addr);
 	wire_u64(&out, "port", (uint64_t)w->report.port);
-	wire_i64(&out, "wait", w->recorded_wait_ms);
+	wire_i64(&out, "wait", wait_ms);
 	if (has_reference)
 		write_reference(&out, &w->recorded_at);
 	wire_i64(&out, "cpu", w->report.cpu_milli);
@@ -190,23 +196,51 @@
 	if (!wire_get_str(map, "at_worker", w->recorded_at.worker,
 		sizeof(w->recorded_at.worker)) ||
 	    !wire_get_i64(map, "at_born", &w->recorded_at.worker_started_ms) ||
-	    !wire_get_i64(map, "at_clock", &w->recorded_at.clock_ms))
+	    !wire_get_i64(map, "at_min", &w->recorded_at.min_ms) ||
+	    !wire_get_i64(map, "at_max", &w->recorded_at.max_ms))
 		w->recorded_at.worker[0] = '\0';
 	return w;
 }
 
-/* The record is as old as the clock has advanced, or older. */
+/*
+ * The clock of worker "at" shows between which bounds the age of the record
+ * lies: this owner waits by the lowest, and expects a next one to wait by the
+ * highest.
+ */
 static void
-shorten_wait(struct pool *p, struct pool_worker *silent, int64_t clock_ms)
+use_record_age(
+    struct pool *p, struct pool_worker *silent, const struct pool_worker *at)
 {
-	int64_t age_ms = clock_ms - silent->recorded_at.clock_ms;
-	int64_t idle_by_us =
-	    p->now_us + (silent->recorded_wait_ms - age_ms) * US_PER_MS;
+	int64_t left_ms = silent->recorded_wait_ms -
+	    (at->report.clock_ms - silent->recorded_at.max_ms);
+	int64_t clock_max_ms = at->report.clock_ms +
+	    (p->now_us - at->clock_since_us) / US_PER_MS + 1;
+	int64_t left_min_ms = silent->recorded_wait_ms -
+	    (int64_t)((double)(clock_max_ms - silent->recorded_at.min_ms) /
+		CLOCK_RATE_MIN);
+	int64_t idle_by_us = p->now_us + left_ms * US_PER_MS;
+	int64_t successor_us = p->now_us + left_min_ms * US_PER_MS;
 
+	if (silent->idle_by_us == 0) { /* it has answered */
+		if (successor_us > silent->successor_wait_end_us)
+			silent->successor_wait_end_us = successor_us;
+		return;
+	}
 	if (idle_by_us < silent->idle_by_us)
 		silent->idle_by_us = idle_by_us;
 	if (idle_by_us < silent->reconciled_by_us)
 		silent->reconciled_by_us = idle_by_us;
+	if (successor_us > silent->recorded_idle_by_us)
+		silent->recorded_idle_by_us = successor_us;
+}
+
+/* The store may still have the record that says that the worker is silent. */
+static bool
+silent_by_record(const struct pool *p, const struct pool_worker *w)
+{
+	return w->idle_by_us != 0
+	    ? w->idle_by_us > p->now_us
+	    : !w->record_current || w->record_serial > p->stored_serial;
 }
 
 void
@@ -215,13 +249,17 @@
 	struct pool_worker *silent;
 
 	for (silent = p->workers; silent != NULL; silent = silent->hh.next) {
-		if (silent->idle_by_us <= p->now_us ||
+		if (!silent_by_record(p, silent) ||
 		    strcmp(silent->recorded_at.worker, w->report.id) != 0)
 			continue;
 		if (silent->recorded_at.worker_started_ms ==
-		    w->report.started_ms)
-			shorten_wait(p, silent, w->report.clock_ms);
-		else /* the clock is gone with its incarnation */
+		    w->report.started_ms) {
+			use_record_age(p, silent, w);
+			continue;
+		}
+		/* the clock is gone with its incarnation */
+		silent->recorded_at.worker[0] = '\0';
+		if (silent->idle_by_us != 0)
 			worker_mark_record_stale(p, silent);
 	}
 }
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -23,7 +23,8 @@
 {
 	const struct pool_worker *w = pool_find_worker(p, worker);
 
-	return w != NULL ? w->fence : 0;
+	return w != NULL ? w->fence
+			 : p->opts.fence * FENCES_PER_TERM + p->fences_used;
 }
 
 static void
--- a/tests/unit/test_fixes_review.c
+++ b/tests/unit/test_fixes_review.c
@@ -182,3 +182,26 @@
 		take_over_across_a_restart(seed, 1, 0);
 	}
 }
+
+/*
+ * The worker was silent under the owner before.  It answers the new one, which
+ * can't store that for 4 s.
+ */
+Test(fixes_review, a_worker_that_answers_again_keeps_its_tasks_in_an_outage)
+{
+	int w;
+
+	w = run_three_lasting();
+	jobs_world_cut_worker(world, w, true);
+	jobs_world_take_over(world, 0);
+	jobs_world_run(world, 1500);
+	jobs_world_cut_worker(world, w, false);
+	jobs_world_take_over(world, 0);
+	jobs_world_store(world, true);
+	jobs_world_run(world, 4000);
+	jobs_world_store(world, false);
+	jobs_world_run(world, 5000);
+	cr_expect_eq(jobs_world_starts(world), 3, "%d starts",
+	    (int)jobs_world_starts(world));
+	expect_one_run();
+}
