jobs_world: starts after an end that is noted later are blamed

The judge blamed a start after a run had ended done only if the end had been taken note of before the start. TWICE counts it if the end is taken note of then or later, unless the worker's lease lapsed between the end and the note.

Each end now keeps when it came and how many starts of its task there were. When an acknowledgement reaches a done end, a later start is blamed, unless the worker had no lease at some time since. A worker that crashed has forgotten its ends, so they do not count. Starts of speculative steps and of tasks that last are not counted. The blame of a start after a noted end is as it was; it makes no exception for a lapsed lease and is stricter than the rule. run_workers() notes when a worker has no lease.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -65,6 +65,11 @@
 	UT_hash_handle hh;
 };
 
+struct end_mark { /* of a run that has ended */
+	int64_t ms; /* when it did */
+	int starts; /* of its task until then */
+};
+
 struct sim_worker {
 	char id[NAME_BYTES];
 	int64_t born_ms;
@@ -85,7 +90,9 @@
 	int64_t fence, lease_end_ms;
 	LIST_HEAD(sim_runs, sim_run) runs;
 	struct end_report *ended;
+	struct end_mark *end_marks; /* one for each of "ended" */
 	size_t ended_count;
+	int64_t lapsed_ms; /* it had no lease, the last time; 0: never */
 	int64_t ends;
 	struct sim_bar *bars;
 	int64_t slow_since_ms; /* its clock is slow since; 0: it is not */
@@ -146,6 +153,7 @@
 	char name[TASK_NAME_BYTES];
 	bool done; /* a run has ended so */
 	bool done_noted; /* … and the owner has taken note */
+	int starts; /* none may come after that end */
 	int failed;
 	bool deadly; /* crashes each worker that starts it */
 	int crashes, starts_after_crashes;
@@ -374,6 +382,10 @@
 	    (long long)r->run, hows[how]);
 	if (r->run > b->run)
 		b->run = r->run;
+	s->end_marks =
+	    realloc(s->end_marks, (s->ended_count + 1) * sizeof(*s->end_marks));
+	s->end_marks[s->ended_count].ms = w->ms;
+	s->end_marks[s->ended_count].starts = known_task(w, &r->task)->starts;
 	s->ended = realloc(s->ended, (s->ended_count + 1) * sizeof(*s->ended));
 	e = &s->ended[s->ended_count++];
 	memset(e, 0, sizeof(*e));
@@ -408,7 +420,9 @@
 
 	drop_runs(s);
 	free(s->ended);
+	free(s->end_marks);
 	s->ended = NULL;
+	s->end_marks = NULL;
 	s->ended_count = 0;
 	s->ends = s->fence = s->lease_end_ms = 0;
 	b = s->bars;
@@ -501,6 +515,9 @@
 	if (t->done_noted)
 		blame(w, &w->verdict.ran_twice, "%s run %lld after its end",
 		    t->name, (long long)m->run);
+	/* Copies may run after the end of one, tasks that last have to. */
+	if (!step->speculative && !step->long_running)
+		t->starts++;
 	if (t->failed >= w->terms.max_attempts)
 		blame(w, &w->verdict.over_budget, "%s run %lld", t->name,
 		    (long long)m->run);
@@ -628,6 +645,23 @@
 	return COMMAND_ACCEPTED;
 }
 
+/*
+ * A start after a run has ended done is one too many if that end is taken note
+ * of, be it after the start.  An end does not count as noted if the lease
+ * lapsed since.
+ */
+static void
+judge_noted_done(struct jobs_world *w, const struct sim_worker *s, size_t i)
+{
+	struct known_task *t = known_task(w, &s->ended[i].task);
+
+	if (t->starts > s->end_marks[i].starts &&
+	    s->lapsed_ms < s->end_marks[i].ms)
+		blame(w, &w->verdict.ran_twice,
+		    "%s was started after run %lld had ended done on %s",
+		    t->name, (long long)s->ended[i].run, s->id);
+}
+
 static void
 note_ends(struct jobs_world *w, struct sim_worker *s, int64_t acked_end)
 {
@@ -636,14 +670,17 @@
 
 	for (i = 0; i < s->ended_count; i++) {
 		if (s->ended[i].number > acked_end) {
+			s->end_marks[kept] = s->end_marks[i];
 			s->ended[kept++] = s->ended[i];
 			continue;
 		}
 		t = known_task(w, &s->ended[i].task);
-		if (s->ended[i].outcome == RUN_DONE)
+		if (s->ended[i].outcome == RUN_DONE) {
+			judge_noted_done(w, s, i);
 			t->done_noted = true;
-		else if (s->ended[i].outcome == RUN_FAILED)
+		} else if (s->ended[i].outcome == RUN_FAILED) {
 			t->failed++;
+		}
 	}
 	s->ended_count = kept;
 }
@@ -914,6 +951,8 @@
 			worker_revives(w, i);
 		if (!s->up || worker_crashes(w, i))
 			continue;
+		if (clock_ms(w, s) > s->lease_end_ms)
+			s->lapsed_ms = w->ms;
 		for (r = LIST_FIRST(&s->runs); r != NULL; r = next) {
 			next = LIST_NEXT(r, entries);
 			if (clock_ms(w, s) > s->lease_end_ms)
