--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -384,7 +384,7 @@
 	int64_t age_max_ms =
 	    (p->now_us - w->clock_since_us) / US_PER_MS - RESTART_MIN_MS;
 
-	return w->fence_confirmed && clock_ms > age_max_ms;
+	return w->fence_confirmed && clock_ms >= 0 && clock_ms > age_max_ms;
 }
 
 void
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -27,6 +27,7 @@
 			 : p->opts.fence * FENCES_PER_TERM + p->fences_used;
 }
 
+/* Without effect once the term has used all its fences. */
 static void
 worker_raise_fence(struct pool *p, struct pool_worker *w)
 {
@@ -473,8 +474,8 @@
 }
 
 /*
- * When the controller knew of a removal that it noticed "age_ms" before it sent
- * this: the notice may have waited for the loop.
+ * When the controller knew of a removal, by a notice that was sent "age_ms"
+ * later and may have waited for the loop.
  */
 static int64_t
 removal_known_us(const struct pool *p, int64_t age_ms)
