--- a/tests/unit/test_fixes_review.c
+++ b/tests/unit/test_fixes_review.c
@@ -7,6 +7,22 @@
 
 static struct jobs_world *world;
 
+static struct jobs_world *
+world_of_three(uint64_t seed)
+{
+	struct jobs_world_opts o = {
+	    .seed = seed,
+	    .workers = 3,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .said_guarded = true,
+	};
+
+	return jobs_world_new(&o);
+}
+
 static void
 submit_lasting(unsigned count)
 {
@@ -22,18 +38,9 @@
 static int
 run_three_lasting(void)
 {
-	struct jobs_world_opts o = {
-	    .seed = 20261206,
-	    .workers = 3,
-	    .cpu = 8000,
-	    .memory_mb = 16000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .said_guarded = true,
-	};
 	int i;
 
-	world = jobs_world_new(&o);
+	world = world_of_three(20261206);
 	submit_lasting(3);
 	jobs_world_run(world, 500);
 	for (i = 0; i < 3 && jobs_world_tasks_on(world, i) == 0; i++)
@@ -136,17 +143,8 @@
 static void
 take_over_across_a_restart(uint64_t seed, int restarted, int cut)
 {
-	struct jobs_world_opts o = {
-	    .seed = seed,
-	    .workers = 3,
-	    .cpu = 8000,
-	    .memory_mb = 16000,
-	    .link_ms = 2,
-	    .store_ms = 4,
-	    .said_guarded = true,
-	};
 
-	world = jobs_world_new(&o);
+	world = world_of_three(seed);
 	jobs_world_late_orders_cross_restarts(world);
 	jobs_world_crash_worker(world, 2);
 	jobs_world_list_worker(world, 2, false);
