--- a/review/fleet/lib.sh
+++ b/review/fleet/lib.sh
@@ -18,6 +18,7 @@
 finish() {
 	for p in $PIDS; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
 	wait 2>/dev/null
+	[ -z "${KEEP:-}" ] || cp "$TMP"/* "$KEEP"
 	rm -rf "$TMP"
 }
 trap finish EXIT
