--- a/review/fleet/platform.c
+++ b/review/fleet/platform.c
@@ -180,8 +180,9 @@
 		m->upkept_wave = order->wave;
 	else
 		snprintf(m->pool, sizeof(m->pool), "%s", order->pool);
-	note("begins %s %s holder %s token %" PRId64 " late %d until %" PRId64,
-	    what, m->name, order->holder, order->fence, x == NULL,
+	note("begins %s %s holder %s token %" PRId64
+	     " late %d pool %s until %" PRId64,
+	    what, m->name, order->holder, order->fence, x == NULL, m->pool,
 	    m->busy_until_ms);
 	if (x != NULL)
 		exchange_answer(x, 200, NULL);
@@ -252,10 +253,11 @@
 		m = &world.machines[world.machine_count++];
 		snprintf(m->name, sizeof(m->name), "%s", name);
 		exchange_str(x, "pool", m->pool, sizeof(m->pool));
-		exchange_str(x, "worker", m->worker, sizeof(m->worker));
 	}
-	if (m != NULL)
+	if (m != NULL) {
+		exchange_str(x, "worker", m->worker, sizeof(m->worker));
 		m->down = exchange_int(x, "down", 0) != 0;
+	}
 	exchange_answer(x, 200, NULL);
 }
 
