--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,5 +13,7 @@
 	# shellcheck disable=SC2086
 	${CC:-gcc} $FLAGS -o target/review-2/$name review/fleet/$name.c $OBJECTS $LIBS
 done
-${CC:-gcc} -D_GNU_SOURCE -std=gnu11 -O2 -g -Wall -Wextra \
-    -o target/review-2/call review/fleet/call.c
+for name in call network; do
+	${CC:-gcc} -D_GNU_SOURCE -std=gnu11 -O2 -g -Wall -Wextra \
+	    -o target/review-2/$name review/fleet/$name.c
+done
--- a/review/fleet/lib.sh
+++ b/review/fleet/lib.sh
@@ -25,6 +25,8 @@
 trap 'exit 2' INT TERM
 
 now_ms() { echo $(($(date +%s%N) / 1000000)); }
+# The clock of the record, in steps of 10 ms
+up_ms() { awk '{ printf "%.0f", $1 * 1000 }' /proc/uptime; }
 say() { echo "script: $*" >>"$RECORD"; }
 pause() { sleep "$1"; }
 control() { "$BIN/call" - "$@" >/dev/null; }
@@ -38,10 +40,11 @@
 	pause 0.5
 }
 
-# start_worker N POOL KIND RACK CPU [BORN-OFFSET-MS]; sets WORKER_PID
+# start_worker N POOL KIND RACK CPU [BORN-OFFSET-MS [PORT]]; sets WORKER_PID
+# Its entry names its own port, which differs from PORT where a link is between.
 start_worker() {
-	"$BIN/worker" "w-$1" "$2" "127.0.0.1:$(port_of "$1")" "127.0.0.1:$STORE" \
-	    "$3" "$4" "$5" "$RECORD" "${6:-0}" 2>/dev/null &
+	"$BIN/worker" "w-$1" "$2" "127.0.0.1:${7:-$(port_of "$1")}" "127.0.0.1:$STORE" \
+	    "$3" "$4" "$5" "$RECORD" "${6:-0}" "$(port_of "$1")" 2>/dev/null &
 	WORKER_PID=$!
 	PIDS="$PIDS $WORKER_PID"
 }
--- a/review/fleet/platform.c
+++ b/review/fleet/platform.c
@@ -41,6 +41,7 @@
 	struct late_order late;
 	int machine_count;
 	int64_t late_ms; /* of the next upkeep; 0: it is answered at once */
+	int64_t silent_until_ms; /* calls for machines get no answer */
 	int64_t upkeep_ms, move_ms;
 	lws_sorted_usec_list_t tick;
 	FILE *record;
@@ -181,8 +182,8 @@
 	else
 		snprintf(m->pool, sizeof(m->pool), "%s", order->pool);
 	note("begins %s %s holder %s token %" PRId64
-	     " late %d pool %s until %" PRId64,
-	    what, m->name, order->holder, order->fence, x == NULL, m->pool,
+	     " answered %d pool %s until %" PRId64,
+	    what, m->name, order->holder, order->fence, x != NULL, m->pool,
 	    m->busy_until_ms);
 	if (x != NULL)
 		exchange_answer(x, 200, NULL);
@@ -217,6 +218,10 @@
 		    order.holder);
 		return; /* "x" ends when the caller closes */
 	}
+	if (now_ms() < world.silent_until_ms) {
+		carry_out(NULL, &order);
+		return;
+	}
 	carry_out(x, &order);
 }
 
@@ -268,7 +273,8 @@
 	if (job_store_request(world.store, x))
 		return;
 	if (strcmp(x->path, "/machines") == 0) {
-		list_machines(x);
+		if (now_ms() >= world.silent_until_ms)
+			list_machines(x);
 	} else if (strcmp(x->path, "/machine-upkeep") == 0 ||
 	    strcmp(x->path, "/machine-move") == 0) {
 		take_order(x);
@@ -279,6 +285,11 @@
 	} else if (strcmp(x->path, "/fleet/late") == 0) {
 		world.late_ms = exchange_int(x, "ms", 0);
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/fleet/silent") == 0) {
+		world.silent_until_ms = now_ms() + exchange_int(x, "ms", 0);
+		note("machines' service is silent for %d ms",
+		    (int)exchange_int(x, "ms", 0));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/fleet/store") == 0) {
 		job_store_refuse(
 		    world.store, (int)exchange_int(x, "refuse", 0));
--- a/review/fleet/worker.c
+++ b/review/fleet/worker.c
@@ -54,6 +54,7 @@
 	struct http_server *server;
 	struct listen_addr listen, store;
 	const char *id, *pool, *kind, *rack;
+	int entry_port; /* that its entry names */
 	int64_t cpu, started_ms, born_ms, beat_ms;
 	int64_t fence, lease_end_ms, end_count;
 	struct end *ended;
@@ -362,7 +363,7 @@
 	    "\"state\":\"ready\",\"born\":%" PRId64 ",\"clockMs\":%" PRId64
 	    ",\"capacity\":{\"cpu\":%" PRId64 ",\"memMb\":16000},"
 	    "\"labels\":[\"%s\",\"%s\"]}",
-	    me.pool, me.listen.addr, me.listen.port, me.born_ms, clock_ms(),
+	    me.pool, me.listen.addr, me.entry_port, me.born_ms, clock_ms(),
 	    me.cpu, me.kind, me.rack);
 	n = snprintf(text, sizeof(text),
 	    "POST /fleet/put?topic=keyed.servers&key=%s HTTP/1.1\r\n"
@@ -408,7 +409,10 @@
 	}
 }
 
-/* worker ID POOL ADDR:PORT STORE KIND RACK CPU RECORD [BORN-OFFSET-MS] */
+/*
+ * worker ID POOL ADDR:PORT STORE KIND RACK CPU RECORD [BORN-OFFSET-MS
+ *     [PORT-OF-ITS-ENTRY]]
+ */
 int
 main(int argc, char **argv)
 {
@@ -431,6 +435,8 @@
 	me.started_ms = now_ms();
 	me.born_ms = clock_read_us(CLOCK_REALTIME) / US_PER_MS +
 	    (argc > 9 ? strtoll(argv[9], NULL, 10) : 0);
+	me.entry_port =
+	    argc > 10 ? (int)strtol(argv[10], NULL, 10) : me.listen.port;
 	LIST_INIT(&me.runs);
 	LIST_INIT(&me.holds);
 	o.addr = me.listen.addr;
