--- a/review/fleet/lib.sh
+++ b/review/fleet/lib.sh
@@ -6,7 +6,15 @@
 BIN=$ROOT/target/review-2
 RECORD=$HERE/record.txt
 TMP=$(mktemp -d)
-BASE=${BASE:-$((20000 + $$ % 200 * 50))}
+# ports_free FIRST: nothing uses the 50 ports from FIRST
+ports_free() {
+	for p in $(seq "$1" $(($1 + 49))); do
+		grep -qi "$(printf '^ *[0-9]*: [0-9A-F]*:%04X ' "$p")" /proc/net/tcp && return 1
+	done
+	return 0
+}
+BASE=$((20000 + $$ % 200 * 50))
+until ports_free $BASE; do BASE=$((20000 + (BASE - 20000 + 50) % 10000)); done
 STORE=$((BASE + 1))
 PIDS=
 cd "$ROOT" || exit 2
