review: stand-ins hold only what the cases use

Cause: the platform's stand-in had calls of a case that was taken out, and a script would have blamed a worker that had ended by itself.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -69,6 +69,7 @@
 *) say "the ordinary job was not accepted"; exit 2 ;;
 esac
 follow 20000
+need $worker_1 $worker_2
 state=$(ask GET 1 /seats/0000000000000aa2)
 say "20 s later the ordinary job is shown as: $state"
 case $state in
--- a/review/fleet/lib.sh
+++ b/review/fleet/lib.sh
@@ -37,6 +37,8 @@
 up_ms() { awk '{ printf "%.0f", $1 * 1000 }' /proc/uptime; }
 say() { echo "script: $*" >>"$RECORD"; }
 pause() { sleep "$1"; }
+# need PID...: the case cannot be judged where one of these has ended by itself
+need() { kill -0 "$@" 2>/dev/null || { echo "a stand-in has ended by itself"; exit 2; }; }
 control() { "$BIN/call" - "$@" >/dev/null; }
 
 # port_of N: the port of worker N
--- a/review/fleet/platform.c
+++ b/review/fleet/platform.c
@@ -26,11 +26,10 @@
 	int64_t fence, upkept_wave;
 };
 
-/* An order that gets no answer and is carried out late. */
-struct late_order {
+/* An order for a machine: an upkeep, or a move where "wave" is 0. */
+struct order {
 	char machine[TEXT_BYTES], holder[TEXT_BYTES], pool[TEXT_BYTES];
-	int64_t due_ms, fence, wave;
-	bool used;
+	int64_t fence, wave;
 };
 
 static struct {
@@ -38,10 +37,7 @@
 	struct job_store *store;
 	struct listen_addr listen;
 	struct machine machines[MACHINES_MAX];
-	struct late_order late;
 	int machine_count;
-	int64_t late_ms; /* of the next upkeep; 0: it is answered at once */
-	int64_t silent_until_ms; /* calls for machines get no answer */
 	int64_t upkeep_ms, move_ms;
 	lws_sorted_usec_list_t tick;
 	FILE *record;
@@ -137,22 +133,17 @@
 	struct json_object *o = json_object_new_object();
 
 	json_object_object_add(o, "reason", json_object_new_string(reason));
-	if (x != NULL)
-		exchange_json(x, 409, o, 1);
-	else
-		json_object_put(o);
+	exchange_json(x, 409, o, 1);
 }
 
-/* Carries out an order; "x" is NULL where it is late. */
 static void
-carry_out(struct exchange *x, const struct late_order *order)
+carry_out(struct exchange *x, const struct order *order)
 {
 	struct machine *m = find_machine(order->machine);
 	const char *what = order->wave != 0 ? "upkeep" : "move";
 
 	if (m == NULL) {
-		if (x != NULL)
-			exchange_answer(x, 400, NULL);
+		exchange_answer(x, 400, NULL);
 		return;
 	}
 	if (order->fence < m->fence) {
@@ -166,8 +157,7 @@
 	    (order->wave == 0 && strcmp(m->pool, order->pool) == 0)) {
 		note("repeated %s %s holder %s token %" PRId64, what, m->name,
 		    order->holder, order->fence);
-		if (x != NULL)
-			exchange_answer(x, 200, NULL);
+		exchange_answer(x, 200, NULL);
 		return;
 	}
 	if (m->busy_until_ms > now_ms()) {
@@ -181,19 +171,17 @@
 		m->upkept_wave = order->wave;
 	else
 		snprintf(m->pool, sizeof(m->pool), "%s", order->pool);
-	note("begins %s %s holder %s token %" PRId64
-	     " answered %d pool %s until %" PRId64,
-	    what, m->name, order->holder, order->fence, x != NULL, m->pool,
+	note("begins %s %s holder %s token %" PRId64 " pool %s until %" PRId64,
+	    what, m->name, order->holder, order->fence, m->pool,
 	    m->busy_until_ms);
-	if (x != NULL)
-		exchange_answer(x, 200, NULL);
+	exchange_answer(x, 200, NULL);
 }
 
 static void
 take_order(struct exchange *x)
 {
 	struct json_object *in = exchange_body_json(x);
-	struct late_order order = {.used = true};
+	struct order order = {0};
 	const char *holder, *token;
 
 	holder = headers_get(&x->headers, "mimosalead-lease-holder");
@@ -210,18 +198,6 @@
 	note("order %s %s holder %s token %" PRId64,
 	    order.wave != 0 ? "upkeep" : "move", order.machine, order.holder,
 	    order.fence);
-	if (order.wave != 0 && world.late_ms > 0) {
-		order.due_ms = now_ms() + world.late_ms;
-		world.late_ms = 0;
-		world.late = order;
-		note("unanswered upkeep %s holder %s", order.machine,
-		    order.holder);
-		return; /* "x" ends when the caller closes */
-	}
-	if (now_ms() < world.silent_until_ms) {
-		carry_out(NULL, &order);
-		return;
-	}
 	carry_out(x, &order);
 }
 
@@ -273,8 +249,7 @@
 	if (job_store_request(world.store, x))
 		return;
 	if (strcmp(x->path, "/machines") == 0) {
-		if (now_ms() >= world.silent_until_ms)
-			list_machines(x);
+		list_machines(x);
 	} else if (strcmp(x->path, "/machine-upkeep") == 0 ||
 	    strcmp(x->path, "/machine-move") == 0) {
 		take_order(x);
@@ -282,20 +257,6 @@
 		put(x);
 	} else if (strcmp(x->path, "/fleet/machine") == 0) {
 		set_machine(x);
-	} else if (strcmp(x->path, "/fleet/late") == 0) {
-		world.late_ms = exchange_int(x, "ms", 0);
-		exchange_answer(x, 200, NULL);
-	} else if (strcmp(x->path, "/fleet/silent") == 0) {
-		world.silent_until_ms = now_ms() + exchange_int(x, "ms", 0);
-		note("machines' service is silent for %d ms",
-		    (int)exchange_int(x, "ms", 0));
-		exchange_answer(x, 200, NULL);
-	} else if (strcmp(x->path, "/fleet/store") == 0) {
-		job_store_refuse(
-		    world.store, (int)exchange_int(x, "refuse", 0));
-		note("store answers with %d (0: it serves)",
-		    (int)exchange_int(x, "refuse", 0));
-		exchange_answer(x, 200, NULL);
 	} else {
 		exchange_answer(x, 404, NULL);
 	}
@@ -314,10 +275,6 @@
 	lws_sul_schedule(http_server_context(world.server), 0, sul, on_tick,
 	    TICK_MS * US_PER_MS);
 	job_store_tick(world.store);
-	if (world.late.used && now_ms() >= world.late.due_ms) {
-		world.late.used = false;
-		carry_out(NULL, &world.late);
-	}
 }
 
 /* platform ADDR:PORT RECORD */
