jobs: a task waits while a start of it may still reach its worker

Its start got no answer and was held up for 3.7 s; a stop barred the run; the worker crashed, was taken for ended by the platform's lists, and the task was started elsewhere. The start then reached the next incarnation, which knew neither the stop nor the new fence.

Cause: only a restart that is noticed before its tasks are freed made them wait for the first answer of the new incarnation. A worker that was taken for ended first, by lists or by its lease, freed them at once, and the owner forgot that a start was under way.

Ruled out: a late renewal alone. With renewals of such a worker every 0.1 s the new fence is earlier, but not always before the start.

Change: a task keeps its unanswered starts for 12 s and is placed only while the worker of each answers, or once that worker's machine is removed. A start that was listed has arrived and does not count. The worker is renewed every 0.1 s meanwhile, and stays known while its entry is away. A long-running task waits 2 s, or 5 s where the worker has answered since the start was sent: callers miss it all the while.

--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -21,16 +21,27 @@
 	return j;
 }
 
+static void
+task_uninit(struct task *t)
+{
+	struct late_start *l;
+
+	while ((l = LIST_FIRST(&t->late_starts)) != NULL) {
+		LIST_REMOVE(l, entries);
+		free(l);
+	}
+	free(t->checkpoint);
+	free(t->crashes);
+}
+
 static void
 step_uninit(struct job_step *s)
 {
 	struct step_verdict *v, *next;
 	unsigned i;
 
-	for (i = 0; s->tasks != NULL && i < s->spec->task_count; i++) {
-		free(s->tasks[i].checkpoint);
-		free(s->tasks[i].crashes);
-	}
+	for (i = 0; s->tasks != NULL && i < s->spec->task_count; i++)
+		task_uninit(&s->tasks[i]);
 	free(s->tasks);
 	free(s->advice.queried);
 	HASH_ITER(hh, s->advice.verdicts, v, next)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -81,6 +81,15 @@
 	bool fate_begun; /* the run had begun there */
 };
 
+/* A start of a task that got no answer, and may still reach its worker. */
+struct late_start {
+	char worker[NAME_BYTES];
+	int64_t run;
+	int64_t sent_us;
+	bool wait_logged; /* that the task waits for it */
+	LIST_ENTRY(late_start) entries;
+};
+
 struct task {
 	struct job_step *step;
 	unsigned index;
@@ -110,6 +119,7 @@
 	bool stop_sent; /* it is a stop */
 	int64_t unconfirmed_us; /* when it was known that it got no answer */
 	int64_t start_not_before_us; /* back-off after a refused start */
+	LIST_HEAD(late_starts, late_start) late_starts;
 	int throttle_percent; /* share of full speed; 0: halted */
 	/* report_count of the worker when it last listed the task. */
 	uint64_t last_listed_in;
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -209,7 +209,7 @@
 		return;
 	pool_update_reconciled(p);
 	pool_note_workers_answered(p);
-	if (p->now_ms >= p->next_occurrence_ms)
+	if (p->now_ms >= p->next_occurrence_ms || p->now_us >= p->wait_end_us)
 		p->placement_due = true;
 	if (p->placement_due && p->now_us >= p->placement_not_before_us) {
 		p->placement_due = false;
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -423,7 +423,8 @@
 		return;
 	}
 	for (n = 0; n < spec->task_count; n++) {
-		w = p->now_us >= s->tasks[n].start_not_before_us
+		w = p->now_us >= s->tasks[n].start_not_before_us &&
+			!task_awaits_late_start(p, &s->tasks[n])
 		    ? choose_worker(p, &s->tasks[n])
 		    : NULL;
 		if (w == NULL)
@@ -459,7 +460,8 @@
 	for (i = 0; i < s->spec->task_count; i++) {
 		t = &s->tasks[i];
 		if (t->done || t->place != PLACE_NONE ||
-		    p->now_us < t->start_not_before_us)
+		    p->now_us < t->start_not_before_us ||
+		    task_awaits_late_start(p, t))
 			continue;
 		if (!start_window_has_room(p, 1)) {
 			p->start_limit_reached = true;
@@ -518,6 +520,7 @@
 	if (list == NULL)
 		return; /* out of memory: the next event retries */
 	p->waiting_occurrences = n;
+	p->wait_end_us = INT64_MAX;
 	p->max_free.valid = false;
 	p->start_limit_reached = false;
 	for (i = 0; i < n; i++) {
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -248,6 +248,7 @@
 	worker_check_lease(p, w);
 	if (!worker_present(p, w) && w->task_count == 0 &&
 	    !w->renewal_in_flight && p->now_us >= w->late_ack_until_us &&
+	    p->now_us >= w->late_start_until_us &&
 	    !worker_has_unlisted_ends(p, w) &&
 	    (w->fence_confirmed || !w->inherited ||
 		p->now_us >= p->reconcile_end_us)) {
@@ -382,6 +383,9 @@
 	pause_ms *= w->missed_renewals;
 	if (pause_ms > RENEWAL_RETRY_MAX_MS)
 		pause_ms = RENEWAL_RETRY_MAX_MS;
+	/* a late start may reach a new incarnation before its fence does */
+	if (p->now_us < w->late_start_until_us)
+		pause_ms = RENEWAL_RETRY_MS;
 	w->renewal_cut_short = renewal_cut_short(p, w, result);
 	if (w->renewal_cut_short)
 		pause_ms = 0;
@@ -480,6 +484,7 @@
 			t->command_answered_us = p->now_us;
 		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
+		task_start_arrived(t, w->report.id, r->run);
 		t->run_confirmed = true;
 		if (!t->begun) {
 			t->begun = true;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -280,6 +280,7 @@
 	    (long long)t->step->spec->estimate_ms);
 	if (r->outcome == RUN_LEASE_EXPIRED && t->step->spec->long_running)
 		log_lease_expired(p, w, t);
+	task_start_arrived(t, w->report.id, r->run);
 	if (r->run > t->run)
 		t->run = r->run;
 	if (r->checkpoint[0] != '\0') {
@@ -312,12 +313,19 @@
 	job_drop_finished(j);
 }
 
+static struct task *
+find_named_task(struct pool *p, const struct task_name *n)
+{
+	struct job *j = pool_find_job(p, n->job);
+
+	return j != NULL ? job_find_task(j, n) : NULL;
+}
+
+/* NULL if the task is no longer placed as it was when the command was sent. */
 static struct task *
 find_commanded_task(struct pool *p, const struct pool_event *ev)
 {
-	struct job *j = pool_find_job(p, ev->u.command.task.job);
-	struct task *t =
-	    j != NULL ? job_find_task(j, &ev->u.command.task) : NULL;
+	struct task *t = find_named_task(p, &ev->u.command.task);
 
 	if (t == NULL || t->worker == NULL || t->run != ev->u.command.run ||
 	    strcmp(t->worker->report.id, ev->u.command.worker) != 0)
@@ -359,7 +367,7 @@
 {
 	bool awaits_list = t->step->spec->long_running && !t->step->spec->gang;
 
-	worker_note_late_start(t->worker, t);
+	task_note_late_start(t);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"start unanswered: %s\" job=%s task=%u.%u run=%lld worker=%s",
 	    awaits_list ? "waits for the worker's list" : "blocks the run",
@@ -387,12 +395,23 @@
 	return w->fence_confirmed && clock_ms >= 0 && clock_ms > age_max_ms;
 }
 
+/* The task may have been taken off the worker before the start's answer. */
+static void
+note_start_answer(struct pool *p, const struct pool_event *ev)
+{
+	struct task *t = find_named_task(p, &ev->u.command.task);
+
+	if (t != NULL && ev->u.command.result != COMMAND_UNANSWERED)
+		task_start_arrived(t, ev->u.command.worker, ev->u.command.run);
+}
+
 void
 pool_start_done(struct pool *p, const struct pool_event *ev)
 {
 	struct task *t = find_commanded_task(p, ev);
 	struct job *j;
 
+	note_start_answer(p, ev);
 	if (t == NULL ||
 	    (t->place != PLACE_STARTING && t->place != PLACE_UNCONFIRMED))
 		return;
@@ -432,6 +451,7 @@
 		return;
 	case COMMAND_OTHER_INCARNATION:
 		worker_ended(p, t->worker, "other-life");
+		note_start_answer(p, ev);
 		return;
 	case COMMAND_UNSENT:
 	case COMMAND_FENCED:
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -259,6 +259,8 @@
 	/* Capacity or work has changed since the last scheduling pass. */
 	bool placement_due;
 	int64_t placement_not_before_us; /* earliest next scheduling pass */
+	/* When a task stops waiting for a late start; INT64_MAX: none waits. */
+	int64_t wait_end_us;
 	/* Occurrences with tasks to place, in the last scheduling pass. */
 	size_t waiting_occurrences;
 	int64_t next_occurrence_ms; /* Unix time; of any timed job */
@@ -314,8 +316,6 @@
 /* The runs of all these tasks on the worker have ended. */
 void worker_detach_tasks(struct pool *p, struct pool_worker *w,
     enum detach_scope scope, const char *why);
-/* The task's start has got no answer: it may still arrive. */
-void worker_note_late_start(struct pool_worker *w, const struct task *t);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
 /*
@@ -349,6 +349,17 @@
 void worker_restarted(struct pool *p, struct pool_worker *w, int64_t clock_ms);
 void worker_free(struct pool *p, struct pool_worker *w);
 
+/* pool_late_starts.c */
+/* The start of the task's run has got no answer: it may still arrive. */
+void task_note_late_start(struct task *t);
+/* A start of this run has arrived at the worker, and cannot do so again. */
+void task_start_arrived(struct task *t, const char *worker, int64_t run);
+/*
+ * An earlier start may be carried out, by a new incarnation of its worker: the
+ * task must not start elsewhere yet.
+ */
+bool task_awaits_late_start(struct pool *p, struct task *t);
+
 /* pool_renewals.c */
 void pool_renewal_done(struct pool *p, const struct pool_event *ev);
 /* Sends the renewals that are due and checks leases. */
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -36,15 +36,6 @@
 	w->fence = p->opts.fence * FENCES_PER_TERM + p->fences_used;
 }
 
-void
-worker_note_late_start(struct pool_worker *w, const struct task *t)
-{
-	int64_t until_us = t->placed_us + LATE_COMMAND_MAX_MS * US_PER_MS;
-
-	if (until_us > w->late_start_until_us)
-		w->late_start_until_us = until_us;
-}
-
 int64_t
 worker_clock_ms(const struct pool_worker *w, int64_t now_us)
 {
@@ -250,8 +241,11 @@
 		log_runs_over(p, w, scope, why);
 	for (t = TAILQ_FIRST(&w->tasks); t != NULL; t = next) {
 		next = TAILQ_NEXT(t, on_worker);
-		if (detach_scope_has(scope, t))
-			task_detach(p, t);
+		if (!detach_scope_has(scope, t))
+			continue;
+		if (t->place == PLACE_STARTING)
+			task_note_late_start(t);
+		task_detach(p, t);
 	}
 }
 
@@ -289,7 +283,7 @@
 		/* the first report under the new fence shows a run, or none */
 		if (t->place == PLACE_STARTING) {
 			task_set_place(p, t, PLACE_UNCONFIRMED);
-			worker_note_late_start(w, t);
+			task_note_late_start(t);
 		}
 		t->command_answered_us = p->now_us;
 		t->run_confirmed = false;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -33,6 +33,11 @@
 	export RC_PARAMS="seed=20261205 max_success=2500"
 	run_program "$build/prop_jobs"
 )
+# A late start that reached a restarted worker, its task running elsewhere.
+[ -x "$build/prop_one_run" ] && (
+	export RC_PARAMS="seed=20261206 max_success=300"
+	run_program "$build/prop_one_run"
+)
 for t in unit process; do
 	[ -x "$build/$t" ] && run_program "$build/$t" --tap=- -j4
 done
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -339,6 +339,73 @@
 	}
 }
 
+/* The only worker crashes while a start to it is held up; another joins. */
+static void
+crash_with_a_start_held_up(const struct jobs_world_opts *o, bool lasting)
+{
+	world = jobs_world_new(o);
+	jobs_world_late_orders_cross_restarts(world);
+	jobs_world_crash_worker(world, 1);
+	jobs_world_list_worker(world, 1, false);
+	jobs_world_late(world, 1.0);
+	if (lasting)
+		submit_lasting();
+	else
+		submit_short(1, 20000);
+	jobs_world_run(world, 8); /* the start to w-0 is under way */
+	jobs_world_late(world, 0);
+	jobs_world_run(world, 500);
+	jobs_world_end_worker(world, 0, COMMAND_UNSENT);
+	jobs_world_list_worker(world, 0, false);
+	jobs_world_restart_worker(world, 1);
+	jobs_world_list_worker(world, 1, true);
+}
+
+/*
+ * Its worker was taken for ended, and the task was started elsewhere; the start
+ * then reached the worker's next incarnation ahead of the new fence.
+ */
+Test(one_run, a_start_held_up_over_a_crash_and_its_task_do_not_run_both)
+{
+	struct jobs_world_opts o = usual_opts(2);
+	int lasting;
+
+	for (lasting = 0; lasting < 2; lasting++) {
+		for (o.seed = 1; o.seed <= 60; o.seed++) {
+			crash_with_a_start_held_up(&o, lasting > 0);
+			jobs_world_run(world, 2500);
+			jobs_world_restart_worker(world, 0);
+			jobs_world_run(world, 150);
+			jobs_world_list_worker(world, 0, true);
+			jobs_world_run(world, 25000);
+			expect_one_run();
+		}
+	}
+}
+
+/* The worker stays away: its task is not kept waiting for good. */
+Test(one_run, a_start_held_up_holds_its_task_for_12_s)
+{
+	struct jobs_world_opts o = usual_opts(2);
+
+	crash_with_a_start_held_up(&o, false);
+	jobs_world_run(world, 12000);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	jobs_world_run(world, 20000);
+	expect_one_run();
+}
+
+/* A long-running task is missed by its callers meanwhile: it waits less. */
+Test(one_run, a_start_held_up_holds_a_long_running_task_for_5_s)
+{
+	struct jobs_world_opts o = usual_opts(2);
+
+	crash_with_a_start_held_up(&o, true);
+	jobs_world_run(world, 5000);
+	cr_expect_eq(jobs_world_tasks_on(world, 1), 1);
+	expect_one_run();
+}
+
 /* Its clock was as small as that of the incarnation before. */
 Test(one_run, a_run_stays_on_a_worker_that_restarts_right_after_its_first_start)
 {
