jobs: a long-running task that may be missed leaves without another worker

With an evacuation withdrawn, later jobs run; the wave itself was not carried out, as neither worker can send its task to the other and no machine is spare.

Cause: a long-running task left an evacuated worker only once another worker had room for it, though its step says how many of its tasks may be unavailable by our doing.

Steps that may miss none are not ended.

--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -216,6 +216,30 @@
 	return false;
 }
 
+/*
+ * Their steps may miss all long-running tasks of the worker at once, for the
+ * time of its maintenance.
+ */
+static bool
+worker_may_be_missed(const struct pool *p, const struct pool_worker *w)
+{
+	const struct task *t, *other;
+	unsigned i, missing;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (!t->step->spec->long_running)
+			continue;
+		missing = 0;
+		for (i = 0; i < t->step->spec->task_count; i++) {
+			other = &t->step->tasks[i];
+			missing += other->worker == w || !task_at_work(p, other);
+		}
+		if (missing > t->step->spec->max_unavailable)
+			return false;
+	}
+	return true;
+}
+
 /* The worker is evacuated for maintenance, and its cordon has not expired. */
 static bool
 worker_evacuating(const struct pool *p, const struct pool_worker *w)
@@ -225,7 +249,8 @@
 
 /*
  * The task has to leave a worker that is evacuated: long-running tasks move one
- * after the other; other tasks may end first, up to a time limit.
+ * after the other; other tasks may end first, up to a time limit.  After that
+ * time, long-running tasks that may be missed end without another worker.
  */
 static bool
 task_must_evacuate(struct pool *p, const struct pool_worker *w, struct task *t)
@@ -234,11 +259,12 @@
 
 	if (!worker_evacuating(p, w) || t->place != PLACE_RUNNING)
 		return false;
+	waited_ms = (p->now_us - w->evacuating_since_us) / US_PER_MS;
 	if (t->step->spec->long_running) {
 		p->moves_until_us = p->now_us + MOVES_MS * US_PER_MS;
-		return long_running_may_move(p, w, t);
+		return long_running_may_move(p, w, t) ||
+		    (waited_ms > EVACUATE_MAX_MS && worker_may_be_missed(p, w));
 	}
-	waited_ms = (p->now_us - w->evacuating_since_us) / US_PER_MS;
 	if (waited_ms > EVACUATE_MAX_MS)
 		return true;
 	return waited_ms > EVACUATE_SOFT_MS &&
--- a/tests/unit/test_evacuation.c
+++ b/tests/unit/test_evacuation.c
@@ -108,6 +108,8 @@
 		cr_expect_eq(jobs_world_state(jobs, id), JOB_COMPLETED,
 		    "after %d ms", ms);
 		machines_world_run(machines, 22000);
+		cr_expect(!machines_world_wave_is_open(machines));
+		cr_expect_eq(machines_world_carried_out(machines), 2);
 		expect_kept(2);
 	}
 }
