jobs: an answer to a start does not tell the worker's incarnation

Cause: same_incarnation() took an answer for one of the known incarnation where its clock was at least as high as that one's would be. That holds only if the clock of a worker starts near 0.

Change: a run belongs to an incarnation once that has listed it; a task whose run it has not listed waits for the first answer of the next one. What the clock does tell is kept apart (lease_known): where the clock in an answer is not behind the known one, the run ends with the lease as reckoned, whichever incarnation has it.

Evidence: one_run::a_run_stays_on_a_restarted_worker_whatever_its_clock_shows failed before.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -95,6 +95,7 @@
 	int64_t lapsed_ms; /* it had no lease, the last time; 0: never */
 	int64_t ends;
 	struct sim_bar *bars;
+	int64_t clock_start_ms; /* its clock when it started */
 	int64_t slow_since_ms; /* its clock is slow since; 0: it is not */
 	int lists_missing; /* the next lists of the platform lack it */
 };
@@ -305,7 +306,21 @@
 		slow_ms = w->ms -
 		    (s->slow_since_ms > s->born_ms ? s->slow_since_ms
 						   : s->born_ms);
-	return w->ms - s->born_ms - slow_ms * CLOCK_SLOW_PERCENT / 100;
+	return s->clock_start_ms + w->ms - s->born_ms -
+	    slow_ms * CLOCK_SLOW_PERCENT / 100;
+}
+
+/* A new incarnation of the worker. */
+static void
+start_life(struct jobs_world *w, struct sim_worker *s)
+{
+	s->up = true;
+	s->is_over = false;
+	s->born_ms = w->ms;
+	s->revive_ms = 0;
+	if (w->opts.clock_start_max_ms > 0)
+		s->clock_start_ms =
+		    (int64_t)(chance(w) * (double)w->opts.clock_start_max_ms);
 }
 
 static void
@@ -570,6 +585,18 @@
 					       : 0;
 }
 
+/* A lease of an order, which the worker shortens to LEASE_MAX_MS. */
+static void
+extend_lease(struct jobs_world *w, struct sim_worker *s, int64_t end_ms)
+{
+	int64_t end_max_ms = clock_ms(w, s) + LEASE_MAX_MS;
+
+	if (end_ms > end_max_ms)
+		end_ms = end_max_ms;
+	if (end_ms > s->lease_end_ms)
+		s->lease_end_ms = end_ms;
+}
+
 static enum command_result
 worker_start(struct jobs_world *w, struct sim_worker *s, struct message *m)
 {
@@ -584,10 +611,7 @@
 		return COMMAND_RUN_ENDED;
 	if (m->lease_end_ms <= clock_ms(w, s))
 		return COMMAND_REFUSED;
-	if (m->lease_end_ms > clock_ms(w, s) + LEASE_MAX_MS)
-		m->lease_end_ms = clock_ms(w, s) + LEASE_MAX_MS;
-	if (m->lease_end_ms > s->lease_end_ms)
-		s->lease_end_ms = m->lease_end_ms;
+	extend_lease(w, s, m->lease_end_ms);
 	if (!has_room(w, s, step)) {
 		trace(w, "%s has no room for %s", s->id, short_name(&m->task));
 		if (w->opts.guarded)
@@ -759,8 +783,8 @@
 {
 	struct message *a;
 
-	if (m->lease_end_ms > s->lease_end_ms)
-		s->lease_end_ms = m->lease_end_ms;
+	extend_lease(w, s, m->lease_end_ms);
+	m->lease_end_ms = 0; /* once, also where the answer waits */
 	note_ends(w, s, m->acked_end);
 	m->acked_end = 0; /* it forgets no end that comes while it waits */
 	if (s->ended_count == 0 && w->ms < m->until_ms)
@@ -905,12 +929,10 @@
 {
 	struct sim_worker *s = &w->workers[i];
 
-	s->revive_ms = 0;
 	if (!w->opts.revives_same_id)
 		snprintf(s->id, sizeof(s->id), "w-%d.%u", i, ++s->lives);
-	s->up = s->listed = true;
-	s->is_over = false;
-	s->born_ms = w->ms;
+	start_life(w, s);
+	s->listed = true;
 	feed_worker(w, w->owner, i);
 }
 
@@ -1586,9 +1608,9 @@
 	LIST_INIT(&w->messages);
 	for (i = 0; i < opts->workers; i++) {
 		snprintf(w->workers[i].id, NAME_BYTES, "w-%d", i);
-		w->workers[i].born_ms = 1;
+		start_life(w, &w->workers[i]);
 		w->workers[i].cpu = opts->cpu;
-		w->workers[i].up = w->workers[i].listed = true;
+		w->workers[i].listed = true;
 		LIST_INIT(&w->workers[i].runs);
 	}
 	owner_begin(w);
@@ -1846,10 +1868,7 @@
 
 	note_lost_worker(w, worker);
 	worker_forget(s);
-	s->up = true;
-	s->is_over = false;
-	s->born_ms = w->ms;
-	s->revive_ms = 0;
+	start_life(w, s);
 	if (s->listed)
 		feed_worker(w, w->owner, worker);
 }
@@ -2147,9 +2166,8 @@
 	if (i == JOBS_WORLD_WORKERS)
 		return -1;
 	snprintf(s->id, NAME_BYTES, "w-%d", i);
-	s->born_ms = w->ms;
+	start_life(w, s);
 	s->cpu = w->opts.cpu;
-	s->up = true;
 	LIST_INIT(&s->runs);
 	w->opts.workers++;
 	return i;
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -48,6 +48,8 @@
 	int policy_ms; /* until it answers */
 	/* A late loop reads answers that have arrived before time-outs run. */
 	bool answers_first;
+	/* A worker's clock starts at up to this; 0: at 0. */
+	int64_t clock_start_max_ms;
 	bool timed; /* the reducer's processor time is measured */
 	int64_t accelerators; /* of a worker */
 	/* What workers, callers and the policy see, a line each; NULL: none. */
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -98,8 +98,17 @@
 	bool adopted;
 	bool begun; /* its worker has accepted or listed the run */
 	int64_t begun_clock_ms; /* when at the latest, on the worker's clock */
-	/* The worker's known incarnation has accepted or listed it. */
+	/*
+	 * The worker's known incarnation has listed it.  An answer to a start
+	 * does not tell the incarnation, nor does the clock in it, as clocks
+	 * start anywhere.
+	 */
 	bool run_confirmed;
+	/*
+	 * The run ends with the lease that the worker has by the clock of its
+	 * known incarnation, whichever incarnation accepted the start.
+	 */
+	bool lease_known;
 	enum placement place;
 	struct pool_worker *worker; /* NULL for PLACE_NONE */
 	TAILQ_ENTRY(task) on_worker;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -167,8 +167,8 @@
 
 /*
  * For a worker that has not answered in this incarnation.  An unanswered start
- * may arrive late at a new incarnation, whose clock starts from zero; the
- * worker limits its lease to LEASE_MAX_MS from then on.
+ * may arrive late at a new incarnation, whose clock may be behind; the worker
+ * limits its lease to LEASE_MAX_MS from then on.
  */
 static bool
 unconfirmed_lease_expired(const struct pool *p, const struct pool_worker *w)
@@ -179,7 +179,7 @@
 
 /*
  * The worker may have restarted since its last answer and then accepted starts.
- * Its clock starts from zero, so that it shortens their leases to LEASE_MAX_MS.
+ * Its clock may be behind that of before: it shortens leases to LEASE_MAX_MS.
  */
 static bool
 unconfirmed_run_lease_expired(const struct pool *p, const struct pool_worker *w)
@@ -189,12 +189,12 @@
 }
 
 static bool
-has_confirmed_task(const struct pool_worker *w)
+has_task_of_known_lease(const struct pool_worker *w)
 {
 	const struct task *t;
 
 	TAILQ_FOREACH(t, &w->tasks, on_worker) {
-		if (t->run_confirmed)
+		if (t->lease_known)
 			return true;
 	}
 	return false;
@@ -217,9 +217,9 @@
 		: !unconfirmed_lease_expired(p, w))
 		return;
 	if (w->fence_confirmed && !unconfirmed_run_lease_expired(p, w)) {
-		if (!has_confirmed_task(w))
+		if (!has_task_of_known_lease(w))
 			return;
-		scope = DETACH_CONFIRMED;
+		scope = DETACH_LEASE_KNOWN;
 	}
 	worker_suspect_tasks(p, w, scope);
 	worker_detach_tasks(p, w, scope, "lease-over");
@@ -485,7 +485,7 @@
 		if (t->place == PLACE_STARTING || task_awaits_list(t))
 			task_set_place(p, t, PLACE_RUNNING);
 		task_start_arrived(t, w->report.id, r->run);
-		t->run_confirmed = true;
+		t->run_confirmed = t->lease_known = true;
 		if (!t->begun) {
 			t->begun = true;
 			t->begun_clock_ms = report->clock_ms;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -4,8 +4,9 @@
 
 #include "pool_state.h"
 
-#define RESTART_MIN_MS 10 /* from the end of a worker to its next start */
 #define START_RETRY_MS 50 /* after a start failed or was refused */
+/* By the time that answers take; LEASE_MARGIN_MS includes it. */
+#define CLOCK_BEHIND_MAX_MS 50
 /* A worker that refused a start gets no new tasks for this time. */
 #define REFUSAL_PAUSE_MS 300
 /*
@@ -84,7 +85,7 @@
 	task_set_place(p, t, PLACE_STARTING);
 	t->adopted = false;
 	t->begun = false;
-	t->run_confirmed = false;
+	t->run_confirmed = t->lease_known = false;
 	t->run = run;
 	t->placed_us = t->progress_changed_us = t->command_sent_us = p->now_us;
 	t->command_answered_us = 0;
@@ -382,17 +383,15 @@
 }
 
 /*
- * The answer to the task's start comes from the incarnation that answered the
- * last renewal: a later one is not as old as its clock would have to show.
+ * The clock in an answer is not behind that of the worker's known incarnation,
+ * so that a lease is over by the latter's reckoning at the latest.
  */
 static bool
-same_incarnation(
+clock_keeps_up(
     const struct pool *p, const struct pool_worker *w, int64_t clock_ms)
 {
-	int64_t age_max_ms =
-	    (p->now_us - w->clock_since_us) / US_PER_MS - RESTART_MIN_MS;
-
-	return w->fence_confirmed && clock_ms >= 0 && clock_ms > age_max_ms;
+	return w->fence_confirmed && clock_ms >= 0 &&
+	    clock_ms + CLOCK_BEHIND_MAX_MS >= worker_clock_min_ms(w, p->now_us);
 }
 
 /* The task may have been taken off the worker before the start's answer. */
@@ -429,8 +428,8 @@
 			t->begun = true;
 			t->begun_clock_ms = ev->u.command.clock_ms;
 		}
-		t->run_confirmed |=
-		    same_incarnation(p, t->worker, ev->u.command.clock_ms);
+		t->lease_known |=
+		    clock_keeps_up(p, t->worker, ev->u.command.clock_ms);
 		if (t->place == PLACE_STARTING) {
 			task_set_place(p, t, PLACE_RUNNING);
 			t->command_answered_us = p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -287,13 +287,13 @@
 /* Which of a worker's tasks are detached. */
 enum detach_scope {
 	DETACH_ALL,
-	DETACH_CONFIRMED /* those with run_confirmed */
+	DETACH_LEASE_KNOWN /* those with lease_known */
 };
 
 static inline bool
 detach_scope_has(enum detach_scope scope, const struct task *t)
 {
-	return scope == DETACH_ALL || t->run_confirmed;
+	return scope == DETACH_ALL || t->lease_known;
 }
 
 /* pool_effects.c */
@@ -318,6 +318,8 @@
     enum detach_scope scope, const char *why);
 /* Estimate of the worker's clock, ms. */
 int64_t worker_clock_ms(const struct pool_worker *w, int64_t now_us);
+/* Lowest time that the worker's clock may show, ms. */
+int64_t worker_clock_min_ms(const struct pool_worker *w, int64_t now_us);
 /*
  * The answer to a command of "sent_us" carried this time of the worker's clock;
  * -1: none.  False if it may be of an earlier incarnation.
--- a/src/jobs/pool_watch.c
+++ b/src/jobs/pool_watch.c
@@ -232,7 +232,8 @@
 		missing = 0;
 		for (i = 0; i < t->step->spec->task_count; i++) {
 			other = &t->step->tasks[i];
-			missing += other->worker == w || !task_at_work(p, other);
+			missing +=
+			    other->worker == w || !task_at_work(p, other);
 		}
 		if (missing > t->step->spec->max_unavailable)
 			return false;
--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -52,14 +52,20 @@
 	return true;
 }
 
-bool
-worker_lease_expired(const struct pool_worker *w, int64_t now_us)
+int64_t
+worker_clock_min_ms(const struct pool_worker *w, int64_t now_us)
 {
 	double elapsed_ms =
 	    (double)(now_us - w->clock_read_us) / (double)US_PER_MS;
 
-	return (double)w->report.clock_ms + elapsed_ms * CLOCK_RATE_MIN >
-	    (double)(w->lease_end_ms + LEASE_MARGIN_MS);
+	return w->report.clock_ms + (int64_t)(elapsed_ms * CLOCK_RATE_MIN);
+}
+
+bool
+worker_lease_expired(const struct pool_worker *w, int64_t now_us)
+{
+	return worker_clock_min_ms(w, now_us) >
+	    w->lease_end_ms + LEASE_MARGIN_MS;
 }
 
 /*
@@ -286,7 +292,7 @@
 			task_note_late_start(t);
 		}
 		t->command_answered_us = p->now_us;
-		t->run_confirmed = false;
+		t->run_confirmed = t->lease_known = false;
 		t->progress_percent = 0;
 		t->progress_changed_us = p->now_us;
 	}
--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -428,3 +428,28 @@
 		expect_one_run();
 	}
 }
+
+/*
+ * An answer to a start does not tell its incarnation.  The clock of the new one
+ * was ahead of the one before, and the run counted as over with that.
+ */
+Test(one_run, a_run_stays_on_a_restarted_worker_whatever_its_clock_shows)
+{
+	struct jobs_world_opts o = usual_opts(2);
+
+	o.clock_start_max_ms = 2000000;
+	for (o.seed = 1; o.seed <= 20; o.seed++) {
+		world = jobs_world_new(&o);
+		jobs_world_late_orders_cross_restarts(world);
+		jobs_world_room(world, 1, 0);
+		jobs_world_run(world, 3000);
+		jobs_world_list_worker(world, 0, false);
+		jobs_world_restart_worker(world, 0); /* its entry is not read */
+		submit_lasting();
+		jobs_world_run(world, 20);
+		jobs_world_room(world, 1, 8000);
+		jobs_world_list_worker(world, 0, true);
+		jobs_world_run(world, 5000);
+		expect_one_run();
+	}
+}
