--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -5,7 +5,7 @@
 #include "pool_state.h"
 
 #define START_RETRY_MS 50 /* after a start failed or was refused */
-/* By the time that answers take; LEASE_MARGIN_MS includes it. */
+/* From an answer until it is read, usually; part of LEASE_MARGIN_MS. */
 #define CLOCK_BEHIND_MAX_MS 50
 /* A worker that refused a start gets no new tasks for this time. */
 #define REFUSAL_PAUSE_MS 300
