--- a/tests/unit/test_one_run.c
+++ b/tests/unit/test_one_run.c
@@ -361,6 +361,17 @@
 	jobs_world_list_worker(world, 1, true);
 }
 
+/* It is taken for ended, and is back for a while before its entry is read. */
+static void
+return_ahead_of_the_entry(void)
+{
+	jobs_world_run(world, 2500);
+	jobs_world_restart_worker(world, 0);
+	jobs_world_run(world, 500);
+	jobs_world_list_worker(world, 0, true);
+	jobs_world_run(world, 25000);
+}
+
 /*
  * Its worker was taken for ended, and the task was started elsewhere; the start
  * then reached the worker's next incarnation ahead of the new fence.
@@ -373,11 +384,7 @@
 	for (lasting = 0; lasting < 2; lasting++) {
 		for (o.seed = 1; o.seed <= 60; o.seed++) {
 			crash_with_a_start_held_up(&o, lasting > 0);
-			jobs_world_run(world, 2500);
-			jobs_world_restart_worker(world, 0);
-			jobs_world_run(world, 500);
-			jobs_world_list_worker(world, 0, true);
-			jobs_world_run(world, 25000);
+			return_ahead_of_the_entry();
 			expect_one_run();
 		}
 	}
@@ -391,11 +398,7 @@
 	for (o.seed = 1; o.seed <= 60; o.seed++) {
 		crash_with_a_start_held_up(&o, false);
 		jobs_world_take_over(world, 0);
-		jobs_world_run(world, 2500);
-		jobs_world_restart_worker(world, 0);
-		jobs_world_run(world, 500);
-		jobs_world_list_worker(world, 0, true);
-		jobs_world_run(world, 25000);
+		return_ahead_of_the_entry();
 		expect_one_run();
 	}
 }
