--- a/src/jobs/pool_advice.c
+++ b/src/jobs/pool_advice.c
@@ -152,9 +152,7 @@
 void
 pool_policy_answered(struct pool *p, const struct pool_event *ev)
 {
-	struct job *j = pool_find_job(p, ev->u.policy_answer.step.job);
-	struct task *t =
-	    j != NULL ? job_find_task(j, &ev->u.policy_answer.step) : NULL;
+	struct task *t = pool_find_task(p, &ev->u.policy_answer.step);
 	struct step_advice *a;
 	size_t i;
 
@@ -171,6 +169,7 @@
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"policy answered a query\" job=%s step=%u workers=%zu of=%zu "
 	    "took_ms=%lld",
-	    j->id, t->step->number, ev->u.policy_answer.count, a->queried_count,
+	    t->step->occurrence->job->id, t->step->number,
+	    ev->u.policy_answer.count, a->queried_count,
 	    (long long)((p->now_us - a->queried_us) / US_PER_MS));
 }
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -30,6 +30,14 @@
 	return j;
 }
 
+struct task *
+pool_find_task(const struct pool *p, const struct task_name *n)
+{
+	struct job *j = pool_find_job(p, n->job);
+
+	return j != NULL ? job_find_task(j, n) : NULL;
+}
+
 static void
 answer_when_stored(
     struct pool *p, uint64_t token, enum pool_answer answer, uint64_t serial)
--- a/src/jobs/pool_late_starts.c
+++ b/src/jobs/pool_late_starts.c
@@ -67,22 +67,19 @@
 		late_start_free(l);
 }
 
-/* The worker would not carry out the start, which arrives now. */
+/* "w", which may be NULL, would not carry out a start that arrives now. */
 static bool
-start_kept_out(const struct pool *p, const struct late_start *l)
+keeps_late_starts_out(const struct pool_worker *w)
 {
-	const struct pool_worker *w = pool_find_worker(p, l->worker);
-
 	return w != NULL &&
 	    (w->machine_removed ||
 		(w->fence_confirmed && w->missed_renewals == 0));
 }
 
 static void
-log_waiting(struct pool *p, const struct task *t, const struct late_start *l)
+log_waiting(struct pool *p, const struct task *t, const struct late_start *l,
+    const struct pool_worker *w)
 {
-	const struct pool_worker *w = pool_find_worker(p, l->worker);
-
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"a start may still arrive: its task waits\" job=%s "
 	    "task=%u.%u.%u run=%lld worker=%s sent_ms_ago=%lld known=%d "
@@ -96,11 +93,9 @@
 
 /* How long the task waits at most, from the start. */
 static int64_t
-late_start_wait_ms(
-    const struct pool *p, const struct task *t, const struct late_start *l)
+late_start_wait_ms(const struct task *t, const struct late_start *l,
+    const struct pool_worker *w)
 {
-	const struct pool_worker *w = pool_find_worker(p, l->worker);
-
 	if (!t->step->spec->long_running)
 		return LATE_COMMAND_MAX_MS;
 	return w != NULL && w->alive_us > l->sent_us
@@ -111,6 +106,7 @@
 bool
 task_awaits_late_start(struct pool *p, struct task *t)
 {
+	const struct pool_worker *w;
 	struct late_start *l, *next;
 	bool waits = false;
 	int64_t end_us;
@@ -121,13 +117,14 @@
 			late_start_free(l);
 			continue;
 		}
-		end_us = l->sent_us + late_start_wait_ms(p, t, l) * US_PER_MS;
-		if (p->now_us >= end_us || start_kept_out(p, l))
+		w = pool_find_worker(p, l->worker);
+		end_us = l->sent_us + late_start_wait_ms(t, l, w) * US_PER_MS;
+		if (p->now_us >= end_us || keeps_late_starts_out(w))
 			continue;
 		if (end_us < p->wait_end_us)
 			p->wait_end_us = end_us;
 		if (!l->wait_logged)
-			log_waiting(p, t, l);
+			log_waiting(p, t, l, w);
 		l->wait_logged = true;
 		waits = true;
 	}
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -408,8 +408,8 @@
 static void
 adopt_run(struct pool *p, struct pool_worker *w, const struct run_report *r)
 {
-	struct job *j = pool_find_job(p, r->task.job);
-	struct task *t = j != NULL ? job_find_task(j, &r->task) : NULL;
+	struct task *t = pool_find_task(p, &r->task);
+	struct job *j = t != NULL ? t->step->occurrence->job : NULL;
 
 	if (t != NULL && t->worker == w && start_is_fenced(t))
 		task_detach(p, t);
@@ -451,8 +451,7 @@
 find_listed_task(
     struct pool *p, struct pool_worker *w, const struct run_report *r)
 {
-	struct job *j = pool_find_job(p, r->task.job);
-	struct task *t = j != NULL ? job_find_task(j, &r->task) : NULL;
+	struct task *t = pool_find_task(p, &r->task);
 
 	if (t == NULL || t->worker != w || t->run != r->run)
 		return NULL;
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -264,12 +264,13 @@
 pool_run_ended(
     struct pool *p, struct pool_worker *w, const struct end_report *r)
 {
-	struct job *j = pool_find_job(p, r->task.job);
-	struct task *t = j != NULL ? job_find_task(j, &r->task) : NULL;
+	struct task *t = pool_find_task(p, &r->task);
+	struct job *j;
 	bool placed;
 
 	if (t == NULL) /* its job or occurrence is over */
 		return;
+	j = t->step->occurrence->job;
 	pool_mark_job_changed(p, j);
 	placed = t->worker == w && t->run == r->run;
 	fx_log(p, LOG_LEVEL_INFO,
@@ -314,24 +315,13 @@
 	job_drop_finished(j);
 }
 
-static struct task *
-find_named_task(struct pool *p, const struct task_name *n)
-{
-	struct job *j = pool_find_job(p, n->job);
-
-	return j != NULL ? job_find_task(j, n) : NULL;
-}
-
-/* NULL if the task is no longer placed as it was when the command was sent. */
-static struct task *
-find_commanded_task(struct pool *p, const struct pool_event *ev)
+/* The task is placed as it was when the command was sent. */
+static bool
+placed_as_commanded(
+    const struct task *t, const struct pool_event_command *command)
 {
-	struct task *t = find_named_task(p, &ev->u.command.task);
-
-	if (t == NULL || t->worker == NULL || t->run != ev->u.command.run ||
-	    strcmp(t->worker->report.id, ev->u.command.worker) != 0)
-		return NULL;
-	return t;
+	return t->worker != NULL && t->run == command->run &&
+	    strcmp(t->worker->report.id, command->worker) == 0;
 }
 
 static void
@@ -394,24 +384,16 @@
 	    clock_ms + CLOCK_BEHIND_MAX_MS >= worker_clock_min_ms(w, p->now_us);
 }
 
-/* The task may have been taken off the worker before the start's answer. */
-static void
-note_start_answer(struct pool *p, const struct pool_event *ev)
-{
-	struct task *t = find_named_task(p, &ev->u.command.task);
-
-	if (t != NULL && ev->u.command.result != COMMAND_UNANSWERED)
-		task_start_arrived(t, ev->u.command.worker, ev->u.command.run);
-}
-
 void
 pool_start_done(struct pool *p, const struct pool_event *ev)
 {
-	struct task *t = find_commanded_task(p, ev);
+	struct task *t = pool_find_task(p, &ev->u.command.task);
 	struct job *j;
 
-	note_start_answer(p, ev);
-	if (t == NULL ||
+	/* the task may have been taken off the worker before the answer */
+	if (t != NULL && ev->u.command.result != COMMAND_UNANSWERED)
+		task_start_arrived(t, ev->u.command.worker, ev->u.command.run);
+	if (t == NULL || !placed_as_commanded(t, &ev->u.command) ||
 	    (t->place != PLACE_STARTING && t->place != PLACE_UNCONFIRMED))
 		return;
 	if (ev->u.command.result == COMMAND_UNANSWERED)
@@ -450,7 +432,11 @@
 		return;
 	case COMMAND_OTHER_INCARNATION:
 		worker_ended(p, t->worker, "other-life");
-		note_start_answer(p, ev);
+		/* which took this start for unanswered */
+		t = pool_find_task(p, &ev->u.command.task);
+		if (t != NULL)
+			task_start_arrived(
+			    t, ev->u.command.worker, ev->u.command.run);
 		return;
 	case COMMAND_UNSENT:
 	case COMMAND_FENCED:
@@ -471,9 +457,9 @@
 void
 pool_stop_done(struct pool *p, const struct pool_event *ev)
 {
-	struct task *t = find_commanded_task(p, ev);
+	struct task *t = pool_find_task(p, &ev->u.command.task);
 
-	if (t == NULL ||
+	if (t == NULL || !placed_as_commanded(t, &ev->u.command) ||
 	    (t->place != PLACE_STOPPING && t->place != PLACE_UNCONFIRMED))
 		return;
 	switch (ev->u.command.result) {
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -448,6 +448,8 @@
 
 /* pool_jobs.c */
 struct job *pool_find_job(const struct pool *p, const char *id);
+/* NULL: its job is not known, or its occurrence not in progress. */
+struct task *pool_find_task(const struct pool *p, const struct task_name *n);
 void pool_submit(struct pool *p, const struct pool_event *ev);
 void pool_cancel(struct pool *p, const struct pool_event *ev);
 void pool_answer_job_query(struct pool *p, const struct pool_event *ev);
