accounts: client accounts of the configuration, and a job's account

The scheduler knew no client account. Foundation for API keys, caps and fair shares (docs/design/client-accounts.md): a reference-counted table of accounts with look-ups by name and key, decoded from the configuration; the account of a job in its record ("ac"), in a forwarded request ("acct") and in the pool, which counts what an account's tasks occupy.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,8 @@
 	-fno-sanitize-recover=undefined
 endif
 
-INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/jobs -Isrc/roster -Isrc/platform \
-	-Isrc/scheduler
+INCLUDES = -Isrc/core -Isrc/shell -Isrc/cli -Isrc/accounts -Isrc/jobs -Isrc/roster \
+	-Isrc/platform -Isrc/scheduler
 CPPFLAGS = -D_GNU_SOURCE $(INCLUDES)
 WARN = -Wall -Wextra -Wshadow -Wmissing-prototypes -Wpointer-arith
 CFLAGS = -std=gnu11 -O2 -g $(WARN) -MMD -MP $(SANFLAGS)
@@ -23,7 +23,7 @@
 CORE_LIBS = -ljson-c -lmsgpackc -lxxhash -lm
 SHELL_LIBS = -lwebsockets -lhttp_parser -llog4c $(CORE_LIBS)
 
-core_src := $(wildcard src/core/*.c src/jobs/*.c src/roster/*.c)
+core_src := $(wildcard src/core/*.c src/accounts/*.c src/jobs/*.c src/roster/*.c)
 shell_src := $(wildcard src/shell/*.c src/platform/*.c src/scheduler/*.c)
 cli_src := $(wildcard src/cli/*.c)
 standin_src := $(wildcard standin/*.c)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -45,6 +45,7 @@
 #define FAILED_RUNS_KEPT 8
 
 struct pool_worker; /* pool_state.h */
+struct pool_account; /* pool_state.h */
 struct job_step;
 
 /*
@@ -186,6 +187,7 @@
 struct job {
 	char id[JOB_ID_BYTES];
 	struct queue_settings queue;
+	struct pool_account *account; /* NULL: it belongs to none */
 	struct job_spec *spec;
 	enum job_state state; /* set before it is stored */
 	uint64_t state_serial; /* write that stores the final state */
@@ -215,6 +217,8 @@
 	return j->state >= JOB_COMPLETED;
 }
 
+/* Name of its account; "": none.  In pool_accounts.c. */
+const char *job_account_name(const struct job *j);
 /* Starts the next occurrence; NULL when out of memory. */
 struct occurrence *job_start_occurrence(struct job *j);
 /* Unix time at which the next occurrence is due; INT64_MAX: none is left. */
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -106,14 +106,17 @@
 struct buf *
 job_spec_encode(const struct job *j)
 {
+	const char *account = job_account_name(j);
 	struct wire_writer w;
 
 	wire_writer_init(&w);
-	wire_map(&w, 3);
+	wire_map(&w, account[0] != '\0' ? 4 : 3);
 	wire_i64(&w, "a", j->submitted_ms);
 	wire_key(&w, "t");
 	queue_settings_write(&w, &j->queue);
 	wire_bin(&w, "b", j->spec->text->data, j->spec->text->len);
+	if (account[0] != '\0')
+		wire_str(&w, "ac", account);
 	return wire_writer_finish(&w);
 }
 
@@ -133,6 +136,8 @@
 	    wire_get(in.root, "t", &map) &&
 	    queue_settings_read(map, &r.queue) &&
 	    wire_get_bin(in.root, "b", &r.text, &r.text_len)) {
+		/* missing: no account */
+		wire_get_str(in.root, "ac", r.account, sizeof(r.account));
 		found(arg, &r);
 		ret = 0;
 	} else {
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -46,6 +46,7 @@
 /* Content of a specification's record; the record owns "text". */
 struct job_spec_record {
 	struct queue_settings queue;
+	char account[NAME_BYTES]; /* "": none */
 	int64_t submitted_ms;
 	const uint8_t *text;
 	size_t text_len;
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -66,6 +66,7 @@
 	}
 	run_time_free(p->run_times);
 	pool_refused_free(p);
+	pool_accounts_free(p);
 	free(p);
 }
 
@@ -111,6 +112,9 @@
 	case POOL_QUEUE_CHANGE:
 		apply_queue_settings(p, ev->u.queue_change.settings);
 		break;
+	case POOL_ACCOUNT_CHANGE:
+		pool_account_change(p, ev);
+		break;
 	case POOL_WORKER_ENTRY:
 		pool_worker_entry(p, ev->u.worker.report);
 		break;
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "account.h"
 #include "demand.h"
 #include "effect.h"
 #include "job.h"
@@ -63,6 +64,7 @@
 	POOL_TICK,
 	POOL_LOADED, /* all records of earlier terms are loaded */
 	POOL_QUEUE_CHANGE, /* a queue's settings have changed */
+	POOL_ACCOUNT_CHANGE, /* an account's settings have changed */
 	POOL_WORKER_ENTRY, /* a worker's entry, new or changed */
 	POOL_WORKER_UNLISTED, /* a worker's entry was dropped */
 	POOL_CORDON, /* cordon, maintenance or removal of a worker */
@@ -92,6 +94,10 @@
 		struct pool_event_queue_settings {
 			const struct queue_settings *settings;
 		} queue_change;
+		struct pool_event_account {
+			const struct account_settings *settings;
+			bool removed; /* the configuration has it no longer */
+		} account_change;
 		struct pool_event_worker {
 			const struct worker_report *report;
 		} worker;
@@ -132,6 +138,7 @@
 			uint64_t token; /* returned with the answer */
 			char id[JOB_ID_BYTES];
 			const struct queue_settings *queue;
+			char account[NAME_BYTES]; /* "": none */
 			struct job_spec *spec;
 			/*
 			 * If not 0, the store takes no new jobs now, and the
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -278,6 +278,7 @@
 	switch (kind) {
 	case POOL_TICK:
 	case POOL_QUEUE_CHANGE:
+	case POOL_ACCOUNT_CHANGE:
 	case POOL_RENEWAL_DONE: /* only its own worker is checked */
 	case POOL_START_DONE:
 	case POOL_STOP_DONE: /* may have set next_renewal_us to now */
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -48,6 +48,7 @@
 	w->memory_mb += s->memory_mb;
 	w->accelerators += s->accelerators;
 	t->step->placed_count++;
+	account_note_placed(t);
 }
 
 void
@@ -59,6 +60,7 @@
 	if (w == NULL)
 		return;
 	task_abort_trial(t);
+	account_note_detached(t);
 	TAILQ_REMOVE(&w->tasks, t, on_worker);
 	w->task_count--;
 	w->cpu_milli -= step_spec_reserved_cpu_milli(s);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -181,6 +181,23 @@
 	UT_hash_handle hh; /* by id */
 };
 
+/*
+ * An account with jobs in the pool, or in the configuration.  Kept until the
+ * pool is freed, as jobs refer to it.
+ */
+struct pool_account {
+	/* Weight 1 and no cap unless it is in the configuration. */
+	struct account_settings settings;
+	bool configured; /* it is in the configuration */
+	/*
+	 * What its tasks on workers occupy, from the start that is sent until
+	 * the run's end is known.  Best-effort tasks count with their CPU.
+	 */
+	struct account_cap usage;
+	size_t active_jobs; /* unfinished jobs in the pool */
+	UT_hash_handle hh; /* by settings.name */
+};
+
 struct pool {
 	struct pool_opts opts;
 	/* Copied from the event that is being processed. */
@@ -208,6 +225,7 @@
 	struct refused_job *refused; /* by id, oldest first */
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
 	size_t active_count, finished_count;
+	struct pool_account *accounts; /* by name */
 	struct pool_worker *workers; /* by id */
 	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
@@ -467,6 +485,21 @@
 /* Deletes finished jobs after opts.status_retention_ms. */
 void pool_drop_old_jobs(struct pool *p);
 
+/* pool_accounts.c */
+/* NULL for the name ""; adds the account unless the pool has it. */
+struct pool_account *pool_account_get(struct pool *p, const char *name);
+void pool_account_change(struct pool *p, const struct pool_event *ev);
+/* The task has been placed on a worker, or taken off it. */
+void account_note_placed(const struct task *t);
+void account_note_detached(const struct task *t);
+void pool_accounts_free(struct pool *p);
+
+/* pool_admission.c */
+#define SUBMIT_RETRY_MAX_MS 10000 /* upper bound of a refusal's retry time */
+/* Returns the retry time of a refused job and the reason; 0: accepted. */
+int pool_submit_refusal_ms(
+    const struct pool *p, const struct pool_event *ev, const char **why);
+
 /* pool_refused.c */
 void pool_note_refused(struct pool *p, const char *id);
 /* Unix time of the first submission of a job that is now accepted. */
@@ -482,13 +515,25 @@
 /* So many further starts may be sent now. */
 bool start_window_has_room(const struct pool *p, size_t count);
 
+/* pool_rank.c */
+void pool_rank_occurrence(
+    const struct pool *p, struct candidate *c, struct occurrence *o);
+bool step_has_waiting_tasks(const struct job_step *s);
+/*
+ * The occurrences with tasks to place, first to place first; starts those that
+ * are due.  Free the list; NULL when out of memory.
+ */
+struct candidate *pool_gather_candidates(struct pool *p, size_t *count);
+
+/* pool_caps.c */
+/* The pool's share of its account's cap has room for the task. */
+bool caps_allow_start(const struct pool *p, const struct task *t);
+
 /* pool_place.c */
 /* The worker has capacity for the task and may run it. */
 bool worker_may_run(
     const struct pool *p, const struct pool_worker *w, const struct task *t);
 void place_task(struct pool *p, struct task *t, struct pool_worker *w);
-void pool_rank_occurrence(
-    const struct pool *p, struct candidate *c, struct occurrence *o);
 /* A scheduling pass: starts the waiting tasks that find capacity. */
 void pool_place(struct pool *p);
 /* Another worker has capacity for a placed task. */
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -23,6 +23,7 @@
 {
 	free(c->queues);
 	free(c->pools);
+	account_table_unref(c->accounts);
 	free(c);
 }
 
@@ -57,6 +58,7 @@
 	q->settings.stretch =
 	    json_get_real_clamped(o, "stretch", 1, CONFIG_COUNT_MAX);
 	advice = json_get_member(o, "advice", json_type_object);
+	q->public_access = json_get_bool(o, "public");
 	q->settings.has_policy = advice != NULL;
 	q->settings.policy_base_ms =
 	    json_get_int_clamped(advice, "decideMs", 0, CONFIG_TIME_MAX_MS);
@@ -80,6 +82,57 @@
 	return true;
 }
 
+static void
+parse_account_keys(
+    struct account_table *t, const char *account, struct json_object *keys)
+{
+	char key[ACCOUNT_KEY_MAX_BYTES];
+	size_t i, n = keys != NULL ? json_object_array_length(keys) : 0;
+
+	for (i = 0; i < n; i++) {
+		if (json_copy_text(
+			json_object_array_get_idx(keys, i), key, sizeof(key)))
+			account_table_add_key(t, account, key);
+	}
+}
+
+static void
+parse_account(struct account_table *t, struct json_object *o)
+{
+	struct json_object *cap = json_get_member(o, "cap", json_type_object);
+	struct account_settings a = {.weight = 1};
+
+	if (!json_get_text(o, "name", a.name, sizeof(a.name)))
+		return;
+	a.priority = json_get_int_clamped(o, "priority", 0, CONFIG_COUNT_MAX);
+	a.weight = json_get_real_clamped(o, "weight", 1, ACCOUNT_WEIGHT_MAX);
+	json_get_int_within(cap, "cpu", 0, ACCOUNT_CAP_MAX, &a.cap.cpu_milli);
+	json_get_int_within(cap, "memMb", 0, ACCOUNT_CAP_MAX, &a.cap.memory_mb);
+	json_get_int_within(
+	    cap, "gpu", 0, ACCOUNT_CAP_MAX, &a.cap.accelerators);
+	if (account_table_add(t, &a) == ACCOUNT_ADDED)
+		parse_account_keys(
+		    t, a.name, json_get_member(o, "apiKeys", json_type_array));
+}
+
+/* A missing or empty list means that calls need no key. */
+static int
+parse_accounts(struct config *c, struct json_object *root)
+{
+	struct json_object *list =
+	    json_get_member(root, "tenants", json_type_array);
+	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
+
+	if (list == NULL)
+		return 0;
+	c->accounts = account_table_new();
+	if (c->accounts == NULL)
+		return -1;
+	for (i = 0; i < n; i++)
+		parse_account(c->accounts, json_object_array_get_idx(list, i));
+	return 0;
+}
+
 static int
 parse_lists(struct config *c, struct json_object *root)
 {
@@ -106,7 +159,7 @@
 			json_object_array_get_idx(services, i)))
 			c->pool_count++;
 	}
-	return 0;
+	return parse_accounts(c, root);
 }
 
 struct config *
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "account.h"
 #include "bounds.h"
 #include "errors.h"
 #include "queue_settings.h"
@@ -24,6 +25,7 @@
 	char host[HOST_BYTES];
 	char path_prefix[PATH_PREFIX_BYTES];
 	int request_timeout_ms; /* 0: not set */
+	bool public_access; /* calls need no key, jobs have no account */
 };
 
 struct config_pool {
@@ -39,6 +41,8 @@
 	size_t queue_count;
 	struct config_pool *pools;
 	size_t pool_count;
+	/* NULL: the configuration has none, and calls need no key. */
+	struct account_table *accounts;
 };
 
 /*
--- a/src/scheduler/job_call.c
+++ b/src/scheduler/job_call.c
@@ -29,7 +29,7 @@
 	struct wire_writer w;
 
 	wire_writer_init(&w);
-	wire_map(&w, 5);
+	wire_map(&w, r->account[0] != '\0' ? 6 : 5);
 	wire_u64(&w, "op", r->op);
 	wire_str(&w, "pool", r->pool);
 	wire_str(&w, "id", r->id);
@@ -37,6 +37,8 @@
 	queue_settings_write(&w, &r->settings);
 	wire_bin(&w, "body", r->body != NULL ? r->body->data : NULL,
 	    r->body != NULL ? r->body->len : 0);
+	if (r->account[0] != '\0')
+		wire_str(&w, "acct", r->account);
 	return wire_writer_finish(&w);
 }
 
@@ -61,6 +63,8 @@
 	    queue_settings_read(settings, &r->settings) &&
 	    wire_get_bin(in.root, "body", &body, &body_len);
 	if (ok) {
+		/* missing: no account */
+		wire_get_str(in.root, "acct", r->account, sizeof(r->account));
 		r->op = (enum job_op)op;
 		r->body = buf_from(body, body_len);
 		ok = r->body != NULL;
--- a/src/scheduler/job_call.h
+++ b/src/scheduler/job_call.h
@@ -22,6 +22,7 @@
 	char id[JOB_ID_BYTES]; /* "" for JOB_COUNT_WAITING */
 	/* of the job's queue, from the forwarding daemon's config */
 	struct queue_settings settings;
+	char account[NAME_BYTES]; /* of the caller; "": none */
 	struct buf *body; /* JOB_SUBMIT; NULL otherwise */
 };
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -93,11 +93,16 @@
 }
 
 void
-scheduler_config_changed(struct scheduler *s)
+scheduler_set_config(struct scheduler *s, struct config *c)
 {
-	shards_config_changed(s->shards);
+	struct config *before = s->config;
+
+	s->config = c;
+	shards_config_changed(
+	    s->shards, before != NULL ? before->accounts : NULL);
 	membership_config_changed(s->membership);
 	controller_config_changed(s->controller);
+	config_unref(before);
 }
 
 /*
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -76,8 +76,11 @@
 
 /* Runs the daemon until a stop requested by SIGTERM or SIGINT is complete. */
 int scheduler_run(const char *settings_path, struct err *e);
-/* Notifies the modules that s->config was replaced. */
-void scheduler_config_changed(struct scheduler *s);
+/*
+ * Replaces the configuration by a newer one and notifies the modules.  Takes
+ * over the reference to "c".
+ */
+void scheduler_set_config(struct scheduler *s, struct config *c);
 void scheduler_metrics(const struct scheduler *s, struct buf *out);
 
 #endif
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -248,6 +248,59 @@
 	}
 }
 
+/* A change of the configuration's accounts, for one pool. */
+struct accounts_change {
+	struct shard *shard;
+	/* NULL: no accounts */
+	const struct account_table *before, *now;
+};
+
+static const struct account_settings *
+find_account(const struct account_table *t, const char *name)
+{
+	return t != NULL ? account_table_find(t, name) : NULL;
+}
+
+static void
+apply_account(void *arg, const struct account_settings *a)
+{
+	const struct accounts_change *c = arg;
+	const struct account_settings *before =
+	    find_account(c->before, a->name);
+	struct pool_event ev = {.kind = POOL_ACCOUNT_CHANGE};
+
+	if (before != NULL && account_settings_equal(a, before))
+		return;
+	ev.u.account_change.settings = a;
+	shard_handle_event(c->shard, &ev);
+}
+
+static void
+apply_removed_account(void *arg, const struct account_settings *a)
+{
+	const struct accounts_change *c = arg;
+	struct pool_event ev = {.kind = POOL_ACCOUNT_CHANGE};
+
+	if (find_account(c->now, a->name) != NULL)
+		return;
+	ev.u.account_change.settings = a;
+	ev.u.account_change.removed = true;
+	shard_handle_event(c->shard, &ev);
+}
+
+static void
+apply_accounts(struct shard *sh, const struct account_table *before)
+{
+	struct accounts_change c = {
+	    .shard = sh,
+	    .before = before,
+	    .now = sh->scheduler->config->accounts,
+	};
+
+	account_table_each(c.now, apply_account, &c);
+	account_table_each(c.before, apply_removed_account, &c);
+}
+
 void
 shard_takeover_done(struct shard *sh)
 {
@@ -272,6 +325,7 @@
 	store_watch_each_worker(
 	    sh->scheduler->watcher, sh->pool_name, handle_worker_report, sh);
 	apply_queue_settings(sh);
+	apply_accounts(sh, NULL);
 	shard_handle_event(sh, &ev);
 }
 
@@ -397,13 +451,16 @@
 }
 
 void
-shards_config_changed(struct shards *all)
+shards_config_changed(
+    struct shards *all, const struct account_table *accounts_before)
 {
 	struct shard *sh;
 
 	LIST_FOREACH(sh, &all->list, entries) {
-		if (sh->pool != NULL)
-			apply_queue_settings(sh);
+		if (sh->pool == NULL)
+			continue;
+		apply_queue_settings(sh);
+		apply_accounts(sh, accounts_before);
 	}
 }
 
@@ -455,6 +512,7 @@
 	ev.u.submit.token = token;
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", r->id);
 	ev.u.submit.queue = &r->settings;
+	snprintf(ev.u.submit.account, NAME_BYTES, "%s", r->account);
 	ev.u.submit.spec = job_spec;
 	if (store_writer_stalled_ms(sh->writer) >= STORE_STALL_LIMIT_MS)
 		ev.u.submit.refuse_ms = STORE_STALL_RETRY_MS;
--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -36,7 +36,9 @@
     struct shards *all, const char *pool, const char *id);
 /* All workers' entries have been read. */
 void shards_workers_loaded(struct shards *all);
-void shards_config_changed(struct shards *all);
+/* "accounts_before": of the configuration before; NULL: it had none. */
+void shards_config_changed(
+    struct shards *all, const struct account_table *accounts_before);
 /*
  * Releases pools whose ownership has expired.  Called regularly, as shards'
  * own timers stand still while the process is suspended.
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -279,9 +279,7 @@
 	    (long long)c->version,
 	    (long long)(s->config != NULL ? s->config->version : -1),
 	    c->queue_count, c->pool_count, (long long)r->offset);
-	config_unref(s->config);
-	s->config = c;
-	scheduler_config_changed(s);
+	scheduler_set_config(s, c);
 }
 
 static void
