shell: the listener notes faults of one header

libwebsockets returns only the first header of a name, and one that does not fit into the buffer looks like a missing one.

libwebsockets 4.1 has no call for the second header of a name.

--- a/src/core/request.h
+++ b/src/core/request.h
@@ -30,12 +30,20 @@
 const char *headers_get(const struct headers *h, const char *name);
 void headers_uninit(struct headers *h);
 
+/* What is wrong with a header that the listener checks. */
+enum header_fault {
+	HEADER_SOUND, /* or missing */
+	HEADER_TOO_LONG,
+	HEADER_CONFLICTING /* present more than once, with different values */
+};
+
 struct request {
 	unsigned refs;
 	char method[16];
 	char *path; /* with the query string */
 	struct headers headers;
 	struct buf *body; /* NULL where empty */
+	enum header_fault checked_header_fault;
 };
 
 struct request *request_new(const char *method, const char *path);
--- a/src/shell/http_context.c
+++ b/src/shell/http_context.c
@@ -4,6 +4,7 @@
 
 #include "bounds.h"
 #include "http_client.h"
+#include "http_header.h"
 
 /* libwebsockets' buffer for request headers */
 #define HEADER_BUFFER_BYTES 32768
@@ -25,7 +26,7 @@
 	    LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS | address_options(opts);
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
-	info.max_http_header_data2 = 2 * HEADERS_MAX_BYTES;
+	info.max_http_header_data2 = HEADER_MEMORY_BYTES;
 	info.max_http_header_pool2 = opts->header_pool_size;
 	info.pt_serv_buf_size = HEADER_BUFFER_BYTES;
 	info.timeout_secs = IO_TIMEOUT_S;
--- a/src/shell/http_head.c
+++ b/src/shell/http_head.c
@@ -20,6 +20,8 @@
 		return "Not Modified";
 	case 400:
 		return "Bad Request";
+	case 401:
+		return "Unauthorized";
 	case 404:
 		return "Not Found";
 	case 408:
@@ -98,6 +100,8 @@
 {
 	char value[HEADER_VALUE_BYTES], name[HEADER_NAME_BYTES];
 
+	if (n->checked && n->token == -1)
+		r->checked_header_fault = header_name_check(n, wsi);
 	if (header_name_copy(n, wsi, value, sizeof(value)) <= 0)
 		return;
 	memcpy(name, n->text, (size_t)n->len - 1);
--- a/src/shell/http_listener.c
+++ b/src/shell/http_listener.c
@@ -208,10 +208,14 @@
 	l->opts = *opts;
 	l->listen_fd = -1;
 	for (i = 0; i < opts->header_count; i++) {
-		if (l->header_count < LISTENER_HEADERS_MAX &&
+		if (l->header_count == LISTENER_HEADERS_MAX ||
 		    header_name_init(
-			&l->headers[l->header_count], opts->headers[i]) == 0)
-			l->header_count++;
+			&l->headers[l->header_count], opts->headers[i]) == -1)
+			continue;
+		l->headers[l->header_count].checked =
+		    opts->checked_header != NULL &&
+		    strcmp(opts->headers[i], opts->checked_header) == 0;
+		l->header_count++;
 	}
 	if (listener_open(l, e) == -1) {
 		free(l);
--- a/src/shell/http_listener.h
+++ b/src/shell/http_listener.h
@@ -29,6 +29,11 @@
 	/* lower-case names of the request headers to keep */
 	const char *const *headers;
 	size_t header_count;
+	/*
+	 * One of them, which libwebsockets does not know, whose faults are
+	 * noted in the request; NULL: none.
+	 */
+	const char *checked_header;
 	/*
 	 * Called before the headers of each request are read, so that
 	 * http_listener_set_extra_header() applies to that request; may be
