platform: accounts of the configuration in a file of their own

Malformed weights and caps were taken for 1 and no cap, which lifted limits; a list of accounts of the wrong type counted as none, which would have let calls without keys in. They are noted in the configuration now, and config_inherit_accounts() gives them the values of the version before. A cap of a fraction is rounded up, since 0 means no limit; a weight of 0 counts as missing; a list of the wrong type makes the whole configuration invalid. Accounts without a name of their own are left out, and keys of two accounts belong to the first; both are counted for the log. A key may have 128 bytes.

--- a/src/accounts/account.c
+++ b/src/accounts/account.c
@@ -11,7 +11,7 @@
 };
 
 struct account_key {
-	char text[ACCOUNT_KEY_MAX_BYTES];
+	char text[ACCOUNT_KEY_MAX_BYTES + 1];
 	const struct account_entry *account;
 	UT_hash_handle hh; /* by text */
 };
@@ -86,6 +86,15 @@
 	return ACCOUNT_ADDED;
 }
 
+void
+account_table_update(struct account_table *t, const struct account_settings *s)
+{
+	struct account_entry *a = find_entry(t, s->name);
+
+	if (a != NULL)
+		a->settings = *s;
+}
+
 enum account_add_result
 account_table_add_key(
     struct account_table *t, const char *account, const char *key)
@@ -93,7 +102,7 @@
 	size_t len = strlen(key);
 	struct account_key *k;
 
-	if (len == 0 || len >= ACCOUNT_KEY_MAX_BYTES)
+	if (len == 0 || len > ACCOUNT_KEY_MAX_BYTES)
 		return ACCOUNT_INVALID;
 	if (account_table_find_key(t, key) != NULL)
 		return ACCOUNT_DUPLICATE;
--- a/src/accounts/account.h
+++ b/src/accounts/account.h
@@ -11,7 +11,7 @@
 
 #include "bounds.h"
 
-#define ACCOUNT_KEY_MAX_BYTES 128 /* longer keys are unknown */
+#define ACCOUNT_KEY_MAX_BYTES 128 /* without NUL; longer keys are unknown */
 #define ACCOUNT_WEIGHT_MAX 1e6
 /* Larger caps mean no more than this, in any unit. */
 #define ACCOUNT_CAP_MAX INT64_C(1000000000000)
@@ -32,8 +32,8 @@
 };
 
 /*
- * The accounts of one configuration, by name and by key.  Immutable once it is
- * filled in; reference-counted.
+ * The accounts of one configuration, by name and by key.  Immutable once the
+ * configuration is in force; reference-counted.
  */
 struct account_table;
 
@@ -51,6 +51,9 @@
 
 enum account_add_result account_table_add(
     struct account_table *t, const struct account_settings *a);
+/* Replaces the settings of an account that has been added, if there is one. */
+void account_table_update(
+    struct account_table *t, const struct account_settings *a);
 /* "account" has been added before. */
 enum account_add_result account_table_add_key(
     struct account_table *t, const char *account, const char *key);
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -24,6 +24,7 @@
 	free(c->queues);
 	free(c->pools);
 	account_table_unref(c->accounts);
+	account_faults_uninit(&c->account_faults);
 	free(c);
 }
 
@@ -82,57 +83,6 @@
 	return true;
 }
 
-static void
-parse_account_keys(
-    struct account_table *t, const char *account, struct json_object *keys)
-{
-	char key[ACCOUNT_KEY_MAX_BYTES];
-	size_t i, n = keys != NULL ? json_object_array_length(keys) : 0;
-
-	for (i = 0; i < n; i++) {
-		if (json_copy_text(
-			json_object_array_get_idx(keys, i), key, sizeof(key)))
-			account_table_add_key(t, account, key);
-	}
-}
-
-static void
-parse_account(struct account_table *t, struct json_object *o)
-{
-	struct json_object *cap = json_get_member(o, "cap", json_type_object);
-	struct account_settings a = {.weight = 1};
-
-	if (!json_get_text(o, "name", a.name, sizeof(a.name)))
-		return;
-	a.priority = json_get_int_clamped(o, "priority", 0, CONFIG_COUNT_MAX);
-	a.weight = json_get_real_clamped(o, "weight", 1, ACCOUNT_WEIGHT_MAX);
-	json_get_int_within(cap, "cpu", 0, ACCOUNT_CAP_MAX, &a.cap.cpu_milli);
-	json_get_int_within(cap, "memMb", 0, ACCOUNT_CAP_MAX, &a.cap.memory_mb);
-	json_get_int_within(
-	    cap, "gpu", 0, ACCOUNT_CAP_MAX, &a.cap.accelerators);
-	if (account_table_add(t, &a) == ACCOUNT_ADDED)
-		parse_account_keys(
-		    t, a.name, json_get_member(o, "apiKeys", json_type_array));
-}
-
-/* A missing or empty list means that calls need no key. */
-static int
-parse_accounts(struct config *c, struct json_object *root)
-{
-	struct json_object *list =
-	    json_get_member(root, "tenants", json_type_array);
-	size_t i, n = list != NULL ? json_object_array_length(list) : 0;
-
-	if (list == NULL)
-		return 0;
-	c->accounts = account_table_new();
-	if (c->accounts == NULL)
-		return -1;
-	for (i = 0; i < n; i++)
-		parse_account(c->accounts, json_object_array_get_idx(list, i));
-	return 0;
-}
-
 static int
 parse_lists(struct config *c, struct json_object *root)
 {
@@ -159,7 +109,8 @@
 			json_object_array_get_idx(services, i)))
 			c->pool_count++;
 	}
-	return parse_accounts(c, root);
+	return accounts_parse(&c->accounts, &c->account_faults,
+	    json_get_member(root, "tenants", json_type_array));
 }
 
 struct config *
@@ -179,12 +130,14 @@
 	if (!json_get_whole_within(
 		root, "configVersion", 0, JSON_INT_MAX, &c->version) ||
 	    !json_has_type(root, "routes", json_type_array) ||
-	    !json_has_type(root, "services", json_type_array)) {
+	    !json_has_type(root, "services", json_type_array) ||
+	    /* taken for a missing list, it would let calls without keys in */
+	    !json_has_type(root, "tenants", json_type_array)) {
 		config_free(c);
 		c = NULL;
 		err_set(e, ERR_TYPE, 0, "publish the configuration again",
-		    "\"configVersion\", \"routes\" or \"services\" is "
-		    "malformed");
+		    "\"configVersion\", \"routes\", \"services\" or "
+		    "\"tenants\" is malformed");
 	} else if (parse_lists(c, root) == -1) {
 		config_free(c);
 		c = NULL;
@@ -195,6 +148,14 @@
 	return c;
 }
 
+void
+config_inherit_accounts(struct config *c, const struct config *before)
+{
+	if (c->accounts != NULL)
+		accounts_inherit(c->accounts, &c->account_faults,
+		    before != NULL ? before->accounts : NULL);
+}
+
 const struct config_pool *
 config_find_pool(const struct config *c, const char *name)
 {
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "account.h"
+#include "account_wire.h"
 #include "bounds.h"
 #include "errors.h"
 #include "queue_settings.h"
@@ -43,6 +44,7 @@
 	size_t pool_count;
 	/* NULL: the configuration has none, and calls need no key. */
 	struct account_table *accounts;
+	struct account_faults account_faults;
 };
 
 /*
@@ -51,6 +53,11 @@
  */
 struct config *config_parse(const void *data, size_t len, struct err *e);
 void config_unref(struct config *c);
+/*
+ * Gives accounts whose weight or cap is malformed the values of "before", the
+ * configuration that is in force until now; NULL: none.
+ */
+void config_inherit_accounts(struct config *c, const struct config *before);
 /*
  * Finds the queue of a request: of the queues of its host ("Host" header, with
  * or without a port), that with the longest prefix of the path.  NULL: none.
--- a/src/platform/job_spec_wire.h
+++ b/src/platform/job_spec_wire.h
@@ -11,6 +11,8 @@
 
 /* Header: how long the caller waits for the response, in ms. */
 #define CALLER_HEADER_DEADLINE "mimosalead-deadline-ms"
+/* Header: key of the caller's account. */
+#define CALLER_HEADER_KEY "x-api-key"
 
 /*
  * Parses a job specification, which keeps a copy of the bytes.  NULL when it is
