jobs: a job answers to its own account only

A query or a cancellation by another account, or without one, gets the answer for an unknown job, and a submission under the id of another account's job is refused like one of an overloaded pool. Jobs without an account answer to all, and so does every job while the configuration has no accounts. An account name in a peer's request that cannot be read makes the request invalid; it passed for none.

--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -139,6 +139,7 @@
 			char id[JOB_ID_BYTES];
 			const struct queue_settings *queue;
 			char account[NAME_BYTES]; /* "": none */
+			bool isolated; /* as for queries and cancellations */
 			struct job_spec *spec;
 			/*
 			 * If not 0, the store takes no new jobs now, and the
@@ -149,6 +150,12 @@
 		struct pool_event_job {
 			uint64_t token;
 			char id[JOB_ID_BYTES];
+			char account[NAME_BYTES]; /* of the caller; "": none */
+			/*
+			 * The configuration has accounts: callers without one
+			 * reach only jobs without one.
+			 */
+			bool isolated;
 		} job;
 		struct pool_event_count {
 			uint64_t token;
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -22,6 +22,30 @@
 	return j != NULL ? job_find_task(j, n) : NULL;
 }
 
+/*
+ * Whether the job exists for the caller.  Callers of a configuration without
+ * accounts reach all jobs, also those that an account submitted before.
+ */
+static bool
+job_visible(const struct job *j, const char *account, bool isolated)
+{
+	if (j->account == NULL || (account[0] == '\0' && !isolated))
+		return true;
+	return strcmp(job_account_name(j), account) == 0;
+}
+
+/* NULL when there is no such job for the caller. */
+static struct job *
+find_callers_job(const struct pool *p, const struct pool_event *ev)
+{
+	struct job *j = pool_find_job(p, ev->u.job.id);
+
+	return j != NULL &&
+		job_visible(j, ev->u.job.account, ev->u.job.isolated)
+	    ? j
+	    : NULL;
+}
+
 static void
 answer_when_stored(
     struct pool *p, uint64_t token, enum pool_answer answer, uint64_t serial)
@@ -49,7 +73,6 @@
 	struct pool_effect *x;
 
 	p->stats.refused++;
-	pool_note_refused(p, ev->u.submit.id);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job submission refused\" why=%s job=%s queue=%s active=%zu "
 	    "lag_ms=%lld retry_ms=%d",
@@ -90,6 +113,12 @@
 	const char *why;
 	int retry_ms;
 
+	if (j != NULL &&
+	    !job_visible(j, ev->u.submit.account, ev->u.submit.isolated)) {
+		/* the answer of an overloaded pool tells nothing of the job */
+		refuse_job(p, ev, "id-of-another-account", SUBMIT_RETRY_MAX_MS);
+		return;
+	}
 	if (j != NULL) { /* a repeated submission: same job, same answer */
 		answer_when_stored(
 		    p, ev->u.submit.token, POOL_ACCEPTED, j->spec_serial);
@@ -102,6 +131,7 @@
 	    : job_new(ev->u.submit.id, ev->u.submit.queue, ev->u.submit.spec,
 		  pool_remove_refused(p, ev->u.submit.id));
 	if (j == NULL) {
+		pool_note_refused(p, ev->u.submit.id);
 		refuse_job(p, ev, retry_ms > 0 ? why : "memory",
 		    retry_ms > 0 ? retry_ms : SUBMIT_RETRY_MAX_MS);
 		return;
@@ -167,7 +197,7 @@
 void
 pool_cancel(struct pool *p, const struct pool_event *ev)
 {
-	struct job *j = pool_find_job(p, ev->u.job.id);
+	struct job *j = find_callers_job(p, ev);
 
 	if (j == NULL) {
 		fx_answer(p, ev->u.job.token, POOL_NO_JOB);
@@ -197,7 +227,7 @@
 void
 pool_answer_job_query(struct pool *p, const struct pool_event *ev)
 {
-	const struct job *j = pool_find_job(p, ev->u.job.id);
+	const struct job *j = find_callers_job(p, ev);
 
 	if (j == NULL) {
 		fx_answer(p, ev->u.job.token, POOL_NO_JOB);
--- a/src/scheduler/job_call.c
+++ b/src/scheduler/job_call.c
@@ -46,7 +46,7 @@
 job_request_decode(
     struct job_request *r, const void *data, size_t len, struct err *e)
 {
-	const msgpack_object *settings;
+	const msgpack_object *settings, *account;
 	struct wire_reader in;
 	const uint8_t *body;
 	size_t body_len;
@@ -61,10 +61,11 @@
 	    wire_get_str(in.root, "id", r->id, sizeof(r->id)) &&
 	    wire_get(in.root, "terms", &settings) &&
 	    queue_settings_read(settings, &r->settings) &&
-	    wire_get_bin(in.root, "body", &body, &body_len);
+	    wire_get_bin(in.root, "body", &body, &body_len) &&
+	    /* missing: no account; a malformed one must not pass for that */
+	    (!wire_get(in.root, "acct", &account) ||
+		wire_get_str(in.root, "acct", r->account, sizeof(r->account)));
 	if (ok) {
-		/* missing: no account */
-		wire_get_str(in.root, "acct", r->account, sizeof(r->account));
 		r->op = (enum job_op)op;
 		r->body = buf_from(body, body_len);
 		ok = r->body != NULL;
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -483,6 +483,14 @@
 	    : 0;
 }
 
+static bool
+accounts_configured(const struct shard *sh)
+{
+	const struct config *c = sh->scheduler->config;
+
+	return c != NULL && c->accounts != NULL;
+}
+
 static void
 submit_job(struct shard *sh, const struct job_request *r, uint64_t token)
 {
@@ -513,6 +521,7 @@
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", r->id);
 	ev.u.submit.queue = &r->settings;
 	snprintf(ev.u.submit.account, NAME_BYTES, "%s", r->account);
+	ev.u.submit.isolated = accounts_configured(sh);
 	ev.u.submit.spec = job_spec;
 	if (store_writer_stalled_ms(sh->writer) >= STORE_STALL_LIMIT_MS)
 		ev.u.submit.refuse_ms = STORE_STALL_RETRY_MS;
@@ -535,6 +544,8 @@
 		ev.kind = r->op == JOB_CANCEL ? POOL_CANCEL : POOL_JOB_QUERY;
 		ev.u.job.token = token;
 		snprintf(ev.u.job.id, JOB_ID_BYTES, "%s", r->id);
+		snprintf(ev.u.job.account, NAME_BYTES, "%s", r->account);
+		ev.u.job.isolated = accounts_configured(sh);
 		break;
 	case JOB_COUNT_WAITING:
 		ev.kind = POOL_COUNT_WAITING;
