scheduler: callers' keys are checked at the door

caller_auth.c decides whose request it is, counts the outcomes (mimosalead_key_checks_total) and logs at most four refusals a second, with the first four characters of the key. Without a key that an account holds, queues that are not public answer 401. What is malformed in the accounts of a configuration is logged once for each version that comes into force.

build/unit: 330 of 332 pass, the two known red ones fail as before. By hand against a daemon: 401 for missing, unknown, conflicting keys and keys of 128, 300 and 10,000 bytes; 200 with a key, with the same key twice, and on a public queue with a key of 10,000 bytes.

--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "caller_auth.h"
 #include "caller_request.h"
 #include "job_spec_wire.h"
 
@@ -53,9 +54,34 @@
 	return is_job_id(rest) ? 0 : 404;
 }
 
+/* Finds the caller's account.  False: the request has been refused. */
+static bool
+authenticate(struct job_frontend *f, uint64_t id, const struct request *r,
+    const struct config_queue *q, const struct account_settings **account)
+{
+	const struct config *config = f->scheduler->config;
+	struct caller_key key = {
+	    .value = headers_get(&r->headers, CALLER_HEADER_KEY),
+	    .fault = r->checked_header_fault,
+	};
+	struct caller_auth_decision d =
+	    caller_auth_decide(q, config->accounts, &key);
+	struct err e;
+
+	*account = d.account;
+	caller_auth_record(&f->scheduler->caller_auth, &d, &key,
+	    q->settings.name, config->version);
+	if (d.status == 0)
+		return true;
+	caller_auth_error(d.outcome, &e);
+	frontend_answer(f, id, d.status, error_body(&e), 0);
+	return false;
+}
+
 static void
 start_request(struct job_frontend *f, uint64_t id, const struct request *r,
-    const struct config_queue *q, enum job_op op, const char *rest)
+    const struct config_queue *q, const struct account_settings *account,
+    enum job_op op, const char *rest)
 {
 	struct caller_request *c;
 
@@ -73,6 +99,8 @@
 	snprintf(c->request.id, JOB_ID_BYTES, "%s",
 	    op == JOB_COUNT_WAITING ? "" : rest);
 	c->request.settings = q->settings;
+	if (account != NULL)
+		snprintf(c->request.account, NAME_BYTES, "%s", account->name);
 	c->request.body = op == JOB_SUBMIT ? buf_ref(r->body) : NULL;
 	LIST_INSERT_HEAD(&f->requests, c, entries);
 	f->pending_count++;
@@ -85,6 +113,7 @@
 	struct job_frontend *f = arg;
 	const struct config *config = f->scheduler->config;
 	const char *host = headers_get(&r->headers, "host"), *rest;
+	const struct account_settings *account;
 	const struct config_queue *q;
 	enum job_op op;
 	char *query;
@@ -104,12 +133,14 @@
 		frontend_answer(f, id, 404, NULL, 0);
 		return;
 	}
+	if (!authenticate(f, id, r, q, &account))
+		return;
 	rest = r->path + strlen(q->path_prefix);
 	status = parse_operation(r, rest, &op);
 	if (status != 0)
 		frontend_answer(f, id, status, NULL, 0);
 	else
-		start_request(f, id, r, q, op, rest);
+		start_request(f, id, r, q, account, op, rest);
 }
 
 /* The caller has disconnected: its request still runs to completion. */
@@ -161,7 +192,8 @@
 struct job_frontend *
 job_frontend_new(struct scheduler *s, struct err *e)
 {
-	static const char *const headers[] = {"host", CALLER_HEADER_DEADLINE};
+	static const char *const headers[] = {
+	    "host", CALLER_HEADER_DEADLINE, CALLER_HEADER_KEY};
 	struct http_listener_opts o = {
 	    .context = s->context,
 	    .name = "callers",
@@ -171,6 +203,7 @@
 	    .connections_max = CONNECTIONS_MAX,
 	    .headers = headers,
 	    .header_count = sizeof(headers) / sizeof(headers[0]),
+	    .checked_header = CALLER_HEADER_KEY,
 	    .on_request = on_request,
 	    .on_gone = on_caller_gone,
 	    .refusal_lines = "",
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -97,6 +97,8 @@
 {
 	struct config *before = s->config;
 
+	config_inherit_accounts(c, before);
+	caller_auth_log_config(c);
 	s->config = c;
 	shards_config_changed(
 	    s->shards, before != NULL ? before->accounts : NULL);
@@ -347,6 +349,7 @@
 	    out, "requests_total", "callers' requests", "", n->requests);
 	metric_counter(
 	    out, "accepted_total", "jobs stored for callers", "", n->accepted);
+	caller_auth_metrics(&s->caller_auth, out);
 	metric_counter(
 	    out, "refused_total", "answered 429 or 503", "", n->refused);
 	metric_counter(
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -11,6 +11,7 @@
 
 #include <libwebsockets.h>
 
+#include "caller_auth.h"
 #include "platform_settings.h"
 #include "config_wire.h"
 #include "daemon_log.h"
@@ -62,6 +63,7 @@
 	struct store_health store_state; /* derived from its answers */
 	struct repeat_timer append_timer;
 	struct reachability owner_reachability; /* from callers' requests */
+	struct caller_auth caller_auth;
 	struct scheduler_counters counters;
 };
 
