--- a/tests/unit/test_shell_listener.c
+++ b/tests/unit/test_shell_listener.c
@@ -62,6 +62,7 @@
 	rig.requests++;
 	buf_printf(b, "<%s %s %s %zu>", r->method, r->path,
 	    member != NULL ? member : "-", r->body != NULL ? r->body->len : 0);
+	buf_printf(b, "fault=%d", r->checked_header_fault);
 	if (rig.answer_delay_ms == 0) {
 		answer_now(id, b);
 		buf_unref(b);
@@ -111,6 +112,7 @@
 	o.connections_max = 4;
 	o.headers = names;
 	o.header_count = 1;
+	o.checked_header = names[0];
 	o.on_request = on_request;
 	o.on_gone = on_gone;
 	o.refusal_lines = REFUSAL;
@@ -237,6 +239,53 @@
 	rig_close();
 }
 
+/*
+ * libwebsockets shows the first header of a name only: a second key would not
+ * be seen.  The text of the header in another's value is none.
+ */
+Test(shell_listener, a_repeated_header_is_compared, .timeout = 20)
+{
+	static const struct {
+		const char *headers;
+		enum header_fault fault;
+		const char *value;
+	} cases[] = {
+	    {"x-member: m\r\n", HEADER_SOUND, " m "},
+	    {"X-Member:  m \t\r\n", HEADER_SOUND, " m "},
+	    {"x-member: m\r\nHost: a\r\nX-MEMBER: m\r\n", HEADER_SOUND, " m "},
+	    {"x-member: m\r\nx-member: m\r\nx-member: n\r\n",
+		HEADER_CONFLICTING, " m "},
+	    {"x-member: m\r\nx-b: c\r\nx-member: mm\r\nAccept: d\r\n",
+		HEADER_CONFLICTING, " m "},
+	    {"x-member: mm\r\nx-member: m\r\n", HEADER_CONFLICTING, " mm "},
+	    {"x-member: m\r\nx-member:\r\n", HEADER_CONFLICTING, " m "},
+	    {"x-b: x-member:n\r\nx-member: m\r\nx-b: x-member:n\r\n",
+		HEADER_SOUND, " m "},
+	    {"x-b: x-member:m\r\nx-member: m\r\nx-member: n\r\n",
+		HEADER_CONFLICTING, " m "},
+	};
+	char text[3 * HEADER_VALUE_BYTES], out[4096], fault[16];
+	size_t i;
+
+	rig_open(0);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		snprintf(text, sizeof(text), "GET /a HTTP/1.1\r\n%s\r\n",
+		    cases[i].headers);
+		say(text, out, sizeof(out));
+		snprintf(fault, sizeof(fault), "fault=%d", cases[i].fault);
+		cr_expect_not_null(strstr(out, fault), "%zu: %s", i, out);
+		cr_expect_not_null(
+		    strstr(out, cases[i].value), "%zu: %s", i, out);
+	}
+	i = (size_t)sprintf(text, "GET /a HTTP/1.1\r\nx-member: ");
+	memset(text + i, 'm', HEADER_VALUE_BYTES);
+	strcpy(text + i + HEADER_VALUE_BYTES, "\r\n\r\n");
+	say(text, out, sizeof(out));
+	snprintf(fault, sizeof(fault), "fault=%d", HEADER_TOO_LONG);
+	cr_expect_not_null(strstr(out, fault), "%s", out);
+	rig_close();
+}
+
 Test(shell_listener, what_is_refused_is_told_and_never_handed_over,
     .timeout = 20)
 {
