--- a/tests/unit/test_caller_auth.c
+++ b/tests/unit/test_caller_auth.c
@@ -6,6 +6,7 @@
 
 #include "bounds.h"
 #include "caller_auth.h"
+#include "job_call.h"
 #include "job_spec_wire.h"
 #include "pool.h"
 
@@ -271,3 +272,23 @@
 	pool_free(p);
 	pool_effects_uninit(&effects);
 }
+
+/* A name that is cut or left out would be another account, or none. */
+Test(caller_auth, a_peers_request_with_a_malformed_account_is_refused)
+{
+	static const char name[] = "a123456789b123456789c123456789d12345678";
+	struct job_request r = {.op = JOB_QUERY}, out;
+	struct buf *b;
+	struct err e;
+
+	memcpy(r.account, name, sizeof(name));
+	b = job_request_encode(&r);
+	cr_assert_eq(job_request_decode(&out, b->data, b->len, &e), 0);
+	cr_expect_str_eq(out.account, name);
+	buf_unref(out.body);
+	/* the name is the last of the message: of 39 bytes, then of 40 */
+	b->data[b->len - sizeof(name)]++;
+	buf_append(b, "9", 1);
+	cr_expect_eq(job_request_decode(&out, b->data, b->len, &e), -1);
+	buf_unref(b);
+}
