caller_request: an attempt lasts while the pool's owner is alive

An attempt of a forwarded request ended after 700 ms. While an append takes 0.24 s, that is just before its answer; the request began again.

After 350 ms of silence the daemon asks the owner for the length of a queue, which is answered without the store; one such query per owner and pool is in flight. An owner that is gone, or that the group no longer names, is noticed 700 ms after its last answer. With a usual store no query is sent.

A forwarded request carries the time left until its caller's deadline ("left", optional). http_call_set_timeout() changes the timeout of a call in flight. Queries are counted in owner_queries_total.

--- a/src/scheduler/caller_request.c
+++ b/src/scheduler/caller_request.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "attempt_check.h"
 #include "job_spec_wire.h"
 #include "membership.h"
 #include "peer_client.h"
@@ -11,16 +12,26 @@
 
 #define RETRY_DELAY_MS 60 /* between attempts of one request */
 #define TAKEOVER_WAIT_MS 1500 /* how long to wait for a pool's new owner */
-#define ATTEMPT_TIMEOUT_MS 700 /* of one forwarded attempt */
-/* While owners are unreachable: ten times the usual answer time. */
+/* Of an attempt while owners are unreachable: ten times the usual time. */
 #define ATTEMPT_TIMEOUT_UNREACHABLE_MS 150
 #define HEADER_LINES_BYTES 128
 #define BREAKERS_MAX 512 /* above, idle breakers are evicted */
 
+static void
+cancel_alive_query(struct caller_request *c)
+{
+	if (c->alive_query == NULL)
+		return;
+	peer_call_cancel(c->alive_query);
+	c->alive_query = NULL;
+	c->in_flight_breaker->query_in_flight = false;
+}
+
 void
 caller_request_free(struct caller_request *c)
 {
 	LIST_REMOVE(c, entries);
+	cancel_alive_query(c);
 	c->frontend->pending_count--;
 	lws_sul_cancel(&c->timer);
 	peer_call_cancel(c->peer_call);
@@ -237,6 +248,10 @@
 	struct owner_breaker *tried = c->in_flight_breaker;
 
 	c->peer_call = NULL;
+	lws_sul_cancel(&c->timer);
+	cancel_alive_query(c);
+	if (tried != NULL && job_reply_decided(r))
+		tried->heard_us = sched_monotonic_us();
 	if (c->in_flight_breaker != NULL)
 		circuit_breaker_complete(&c->in_flight_breaker->breaker,
 		    sched_monotonic_us(), breaker_class_of(c), c->verdict,
@@ -246,8 +261,6 @@
 		caller_request_free(c);
 		return;
 	}
-	if (c->local)
-		lws_sul_cancel(&c->timer);
 	c->local = false;
 	switch (r->kind) {
 	case REPLY_ANSWER:
@@ -307,6 +320,90 @@
 	return b;
 }
 
+static void
+on_alive_reply(void *arg, const struct job_reply *r)
+{
+	struct caller_request *c = arg;
+	struct owner_breaker *b = c->in_flight_breaker;
+
+	c->alive_query = NULL;
+	b->query_in_flight = false;
+	if (job_reply_decided(r))
+		b->heard_us = sched_monotonic_us();
+}
+
+/*
+ * Asks the owner something that it answers without the store.  One query at a
+ * time is enough for all requests that wait for the owner.
+ */
+static void
+query_owner(struct caller_request *c, int timeout_ms)
+{
+	struct scheduler *s = c->frontend->scheduler;
+	struct owner_breaker *b = c->in_flight_breaker;
+	struct job_request r = c->request;
+
+	if (b->query_in_flight || circuit_breaker_is_open(&b->breaker))
+		return;
+	r.op = JOB_COUNT_WAITING;
+	r.id[0] = '\0';
+	r.body = NULL;
+	c->alive_query =
+	    peer_call_start(s, &b->owner, &r, timeout_ms, on_alive_reply, c);
+	b->query_in_flight = c->alive_query != NULL;
+	s->counters.owner_queries += b->query_in_flight;
+}
+
+/* False if the group names another owner; it may name none for a while. */
+static bool
+is_still_owner(const struct caller_request *c)
+{
+	const struct endpoint *tried = &c->in_flight_breaker->owner;
+	struct endpoint to;
+	bool self;
+
+	if (!membership_owner_of(c->frontend->scheduler->membership,
+		c->request.pool, &to, &self))
+		return true;
+	return !self && to.port == tried->port &&
+	    strcmp(to.addr, tried->addr) == 0;
+}
+
+static void on_attempt_check(lws_sorted_usec_list_t *sul);
+
+static void
+schedule_check(struct caller_request *c, int64_t now_us, int64_t check_us)
+{
+	lws_sul_schedule(c->frontend->scheduler->context, 0, &c->timer,
+	    on_attempt_check, check_us > now_us ? check_us - now_us : 1);
+}
+
+static void
+on_attempt_check(lws_sorted_usec_list_t *sul)
+{
+	struct caller_request *c =
+	    lws_container_of(sul, struct caller_request, timer);
+	struct attempt a = {
+	    .sent_us = c->sent_us,
+	    .deadline_us = c->deadline_us,
+	    .heard_us = c->in_flight_breaker->heard_us,
+	    .is_owner = is_still_owner(c),
+	};
+	int64_t now = sched_monotonic_us();
+	struct attempt_check check = attempt_check(&a, now);
+	int left_ms = (int)((check.end_us - now) / US_PER_MS);
+
+	if (left_ms < 1)
+		left_ms = 1;
+	if (now >= c->sent_us + ATTEMPT_SILENCE_MAX_MS * US_PER_MS)
+		membership_refresh_owners(c->frontend->scheduler->membership);
+	peer_call_set_timeout(c->peer_call, left_ms);
+	if (check.query)
+		query_owner(c, left_ms);
+	if (check.end_us > now)
+		schedule_check(c, now, check.check_us);
+}
+
 /* Forwards the request to the owner, or retries later if deferred. */
 static void
 send_to_owner(
@@ -329,10 +426,15 @@
 	}
 	c->attempts++;
 	c->in_flight_breaker = b;
+	c->sent_us = now;
 	c->peer_call =
 	    peer_call_start(s, to, &c->request, timeout_ms, on_reply, c);
-	if (c->peer_call != NULL)
+	if (c->peer_call != NULL) {
+		if (timeout_ms > ATTEMPT_QUERY_AFTER_MS)
+			schedule_check(
+			    c, now, now + ATTEMPT_QUERY_AFTER_MS * US_PER_MS);
 		return;
+	}
 	c->in_flight_breaker = NULL;
 	circuit_breaker_complete(
 	    &b->breaker, now, breaker_class_of(c), c->verdict, false);
@@ -344,10 +446,11 @@
 {
 	struct scheduler *s = c->frontend->scheduler;
 	int64_t left_ms = (c->deadline_us - sched_monotonic_us()) / US_PER_MS;
-	int timeout_ms = ATTEMPT_TIMEOUT_MS;
+	int timeout_ms = ATTEMPT_SILENCE_MAX_MS;
 	struct endpoint to;
 	bool self;
 
+	c->request.left_ms = left_ms > 0 ? (int)left_ms : 0;
 	if (shards_owns(s->shards, c->request.pool) && left_ms > 0) {
 		c->attempts++;
 		c->local = true;
--- a/src/scheduler/caller_request.h
+++ b/src/scheduler/caller_request.h
@@ -18,6 +18,8 @@
 	struct endpoint owner;
 	char pool[NAME_BYTES];
 	struct circuit_breaker breaker;
+	int64_t heard_us; /* latest answer to any request; 0: none yet */
+	bool query_in_flight; /* a caller_request's alive_query */
 	LIST_ENTRY(owner_breaker) entries;
 };
 
@@ -35,9 +37,13 @@
 	bool local; /* in progress at a pool owned by this daemon */
 	bool answered; /* with 504 at the deadline; freed at the pool's reply */
 	struct peer_call *peer_call; /* attempt in flight, or NULL */
+	int64_t sent_us; /* of peer_call */
+	/* asks whether the owner is alive while peer_call has no answer */
+	struct peer_call *alive_query;
 	struct owner_breaker *in_flight_breaker; /* that admitted peer_call */
 	enum breaker_verdict verdict; /* of in_flight_breaker */
-	lws_sorted_usec_list_t timer; /* next attempt, or local deadline */
+	/* next attempt, check of the attempt in flight, or local deadline */
+	lws_sorted_usec_list_t timer;
 	LIST_ENTRY(caller_request) entries;
 };
 
--- a/src/scheduler/job_call.c
+++ b/src/scheduler/job_call.c
@@ -29,7 +29,7 @@
 	struct wire_writer w;
 
 	wire_writer_init(&w);
-	wire_map(&w, r->account[0] != '\0' ? 6 : 5);
+	wire_map(&w, 5 + (r->account[0] != '\0') + (r->left_ms > 0));
 	wire_u64(&w, "op", r->op);
 	wire_str(&w, "pool", r->pool);
 	wire_str(&w, "id", r->id);
@@ -39,6 +39,8 @@
 	    r->body != NULL ? r->body->len : 0);
 	if (r->account[0] != '\0')
 		wire_str(&w, "acct", r->account);
+	if (r->left_ms > 0)
+		wire_u64(&w, "left", (uint64_t)r->left_ms);
 	return wire_writer_finish(&w);
 }
 
@@ -50,7 +52,7 @@
 	struct wire_reader in;
 	const uint8_t *body;
 	size_t body_len;
-	uint64_t op;
+	uint64_t op, left_ms;
 	bool ok;
 
 	memset(r, 0, sizeof(*r));
@@ -65,6 +67,10 @@
 	if (ok) {
 		/* missing: no account */
 		wire_get_str(in.root, "acct", r->account, sizeof(r->account));
+		/* missing: an earlier version's daemon forwards it */
+		if (wire_get_u64(in.root, "left", &left_ms) &&
+		    left_ms <= INT32_MAX)
+			r->left_ms = (int)left_ms;
 		r->op = (enum job_op)op;
 		r->body = buf_from(body, body_len);
 		ok = r->body != NULL;
--- a/src/scheduler/job_call.h
+++ b/src/scheduler/job_call.h
@@ -23,6 +23,7 @@
 	/* of the job's queue, from the forwarding daemon's config */
 	struct queue_settings settings;
 	char account[NAME_BYTES]; /* of the caller; "": none */
+	int left_ms; /* until the caller's deadline; 0: unknown */
 	struct buf *body; /* JOB_SUBMIT; NULL otherwise */
 };
 
--- a/src/scheduler/peer_client.c
+++ b/src/scheduler/peer_client.c
@@ -87,6 +87,12 @@
 	return NULL;
 }
 
+void
+peer_call_set_timeout(struct peer_call *c, int timeout_ms)
+{
+	http_call_set_timeout(c->call, timeout_ms);
+}
+
 void
 peer_call_cancel(struct peer_call *c)
 {
--- a/src/scheduler/peer_client.h
+++ b/src/scheduler/peer_client.h
@@ -17,6 +17,8 @@
 struct peer_call *peer_call_start(struct scheduler *s,
     const struct endpoint *to, const struct job_request *r, int timeout_ms,
     job_reply_fn *reply, void *arg);
+/* The call may last "timeout_ms" from now on. */
+void peer_call_set_timeout(struct peer_call *c, int timeout_ms);
 /* "reply" is not called afterwards.  Accepts NULL. */
 void peer_call_cancel(struct peer_call *c);
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -367,6 +367,9 @@
 	    "orders without an answer", "", n->worker_commands_unanswered);
 	metric_counter(out, "forwarded_total", "requests handed to owners", "",
 	    n->requests_forwarded);
+	metric_counter(out, "owner_queries_total",
+	    "requests to owners that had not answered others", "",
+	    n->owner_queries);
 	metric_counter(out, "held_back_total",
 	    "tries that waited for a silent or busy owner", "",
 	    n->forwards_deferred);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -37,6 +37,8 @@
 	uint64_t worker_commands, worker_commands_unanswered;
 	/* attempts delayed because the owner was unresponsive or busy */
 	uint64_t forwards_deferred;
+	/* to learn whether an owner without an answer is alive */
+	uint64_t owner_queries;
 	uint64_t requests_forwarded, forwards_failed, takeovers, pools_released;
 	/* latency from a submission's arrival until the job is stored */
 	uint64_t submit_ms_sum, submit_count;
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -584,6 +584,14 @@
 	return call;
 }
 
+void
+http_call_set_timeout(struct http_call *call, int timeout_ms)
+{
+	if (!call->done)
+		lws_sul_schedule(call->context, 0, &call->timeout_timer,
+		    call_timed_out, timeout_ms * US_PER_MS);
+}
+
 void
 http_call_cancel(struct http_call *call)
 {
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -82,6 +82,8 @@
 
 struct http_call *http_call_start(
     const struct http_call_opts *opts, struct err *e);
+/* The call may last "timeout_ms" from now on, whatever it was given before. */
+void http_call_set_timeout(struct http_call *call, int timeout_ms);
 /* Closes the connection and frees the call; on_done is not called. */
 void http_call_cancel(struct http_call *call);
 
