append_window: depth and retransmission follow a slow store

While an append takes 0.24 s, three appends of a topic wait behind each other in the store, their retransmissions take its time again, and submissions are refused after 400 ms without progress although they would be stored in time.

While it is slow (50 ms or more): appends in flight are the round trip divided by that time; a retransmission waits for four round trips; an append takes up to 192 KB; a submission is refused if the expected wait exceeds what is left of its caller's deadline. Until a late answer has shown the store to be slow, only the topic's oldest append is retransmitted, unless answers were lost in the last 10 s. The first attempt of an append is not cancelled by later ones: a store of 0.9 s never answered before.

--- a/src/scheduler/append_op.h
+++ b/src/scheduler/append_op.h
@@ -6,6 +6,7 @@
 #ifndef APPEND_OP_H
 #define APPEND_OP_H
 
+#include "append_window.h"
 #include "scheduler.h"
 
 struct append_op;
@@ -21,6 +22,12 @@
  */
 struct append_op *append_op_start(struct scheduler *s,
     const struct store_append_opts *opts, append_done_fn *done, void *arg);
+/*
+ * The append belongs to the window: its answers count towards the window's
+ * pace, which delays retransmissions while the store is slow.  The window must
+ * outlive the append.
+ */
+void append_op_set_window(struct append_op *a, struct append_window *w);
 /* "done" is not called afterwards.  Accepts NULL. */
 void append_op_cancel(struct append_op *a);
 
--- a/src/scheduler/append_window.c
+++ b/src/scheduler/append_window.c
@@ -18,7 +18,11 @@
  * first attempt.
  */
 #define APPEND_MAX_BYTES (64 * 1024)
+/* As many bytes as the usual appends in flight; retransmitted later. */
+#define APPEND_SLOW_MAX_BYTES (APPENDS_IN_FLIGHT_MAX * APPEND_MAX_BYTES)
 #define RECORD_HEADER_BYTES 4 /* length prefix of a record */
+/* Without progress for this long, the store is taken to be out of reach. */
+#define STALL_LIMIT_US (400 * US_PER_MS)
 
 /* Size of a record as framed by store_record_add(). */
 static size_t
@@ -120,8 +124,8 @@
 			return -1;
 	}
 	if (STAILQ_EMPTY(&w->pending) ||
-	    w->append_count ==
-		(w->epoch_established ? APPENDS_IN_FLIGHT_MAX : 1))
+	    w->append_count >=
+		(w->epoch_established ? append_pace_depth(&w->pace) : 1))
 		return -1;
 	if (w->append_count > 0 &&
 	    due_us < w->last_append_us + APPEND_INTERVAL_US)
@@ -129,6 +133,16 @@
 	return due_us;
 }
 
+/* Largest append of more than one record. */
+static size_t
+append_max_bytes(const struct append_window *w)
+{
+	size_t max = w->pace.slow ? APPEND_SLOW_MAX_BYTES : APPEND_MAX_BYTES;
+
+	return max < w->opts.request_max_bytes ? max
+					       : w->opts.request_max_bytes;
+}
+
 /*
  * Frames the oldest pending records up to the size limit.  NULL if out of
  * memory.
@@ -136,9 +150,7 @@
 static struct buf *
 frame_pending_records(struct append_window *w)
 {
-	size_t max_bytes = APPEND_MAX_BYTES < w->opts.request_max_bytes
-	    ? APPEND_MAX_BYTES
-	    : w->opts.request_max_bytes;
+	size_t max_bytes = append_max_bytes(w);
 	struct pending_record *r;
 	struct buf *b = buf_new(1024);
 
@@ -239,6 +251,8 @@
 	switch (outcome) {
 	case STORE_DONE:
 		*serial = a->last_serial;
+		if (i > 0 && w->appends[0].in_flight)
+			append_pace_add_overtaken(&w->pace, now_us);
 		remove_stored(w, i + 1, now_us);
 		return WINDOW_STORED;
 	case STORE_OUT_OF_SEQUENCE:
@@ -264,6 +278,40 @@
 	return WINDOW_PENDING;
 }
 
+bool
+append_window_is_oldest(const struct append_window *w, int64_t seq)
+{
+	return w->append_count == 0 || seq <= w->appends[0].seq;
+}
+
+/* Time until a write that is made now is stored. */
+static int64_t
+expected_wait_us(const struct append_window *w, int64_t stalled_us)
+{
+	int64_t left_us = w->append_count * w->pace.append_us - stalled_us;
+	int64_t appends = 1 + (int64_t)(w->pending_bytes / append_max_bytes(w));
+
+	if (left_us < 0)
+		left_us = 0;
+	return left_us + w->pace.base_us + appends * w->pace.append_us;
+}
+
+bool
+append_window_overdue(
+    const struct append_window *w, int64_t now_us, int64_t left_us)
+{
+	int64_t stalled_us =
+	    w->last_progress_us != 0 ? now_us - w->last_progress_us : 0;
+	int64_t limit_us = STALL_LIMIT_US;
+
+	if (left_us <= 0 || !w->pace.slow)
+		return stalled_us >= limit_us;
+	if (limit_us < append_pace_patience_us(&w->pace))
+		limit_us = append_pace_patience_us(&w->pace);
+	return stalled_us >= limit_us ||
+	    expected_wait_us(w, stalled_us) > left_us;
+}
+
 bool
 append_window_idle(const struct append_window *w)
 {
--- a/src/scheduler/append_window.h
+++ b/src/scheduler/append_window.h
@@ -14,12 +14,10 @@
 
 #include <uthash.h>
 
+#include "append_pace.h"
 #include "buf.h"
 #include "store_wire.h"
 
-/* The round trip takes three times as long as the store's own append. */
-#define APPENDS_IN_FLIGHT_MAX 3
-
 /* A record that is not part of an append yet. */
 struct pending_record {
 	char key[STORE_KEY_MAX_BYTES + 1];
@@ -52,6 +50,7 @@
 	struct append_window_opts opts;
 	struct window_append appends[APPENDS_IN_FLIGHT_MAX]; /* oldest first */
 	int append_count;
+	struct append_pace pace;
 	int64_t next_seq;
 	int64_t last_append_us; /* when the newest append was created */
 	/* the store has an append of this epoch and rejects gaps in numbers */
@@ -104,6 +103,14 @@
  */
 enum append_window_result append_window_complete(struct append_window *w,
     int64_t now_us, int64_t seq, enum store_outcome outcome, uint64_t *serial);
+/* No append before "seq" is unconfirmed. */
+bool append_window_is_oldest(const struct append_window *w, int64_t seq);
+/*
+ * Whether a write that a caller waits for cannot be expected to be stored
+ * within "left_us"; 0 if that is not known.
+ */
+bool append_window_overdue(
+    const struct append_window *w, int64_t now_us, int64_t left_us);
 /* No write is pending or unconfirmed. */
 bool append_window_idle(const struct append_window *w);
 
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -11,9 +11,8 @@
 #include "topic_claim.h"
 #include "store_watch.h"
 
-/* Jobs are refused once a write has waited this long for the store. */
-#define STORE_STALL_LIMIT_MS 400
-#define STORE_STALL_RETRY_MS 1000 /* delay given to refused callers */
+/* Delay given to callers whose jobs the store would not take in time. */
+#define STORE_STALL_RETRY_MS 1000
 /* Upper bound of what a job's record holds besides the caller's text. */
 #define JOB_RECORD_OVERHEAD_BYTES 1024
 
@@ -514,7 +513,7 @@
 	ev.u.submit.queue = &r->settings;
 	snprintf(ev.u.submit.account, NAME_BYTES, "%s", r->account);
 	ev.u.submit.spec = job_spec;
-	if (store_writer_stalled_ms(sh->writer) >= STORE_STALL_LIMIT_MS)
+	if (store_writer_overdue(sh->writer, r->left_ms))
 		ev.u.submit.refuse_ms = STORE_STALL_RETRY_MS;
 	shard_handle_event(sh, &ev);
 	job_spec_unref(job_spec);
@@ -672,6 +671,8 @@
 		    (int64_t)st.jobs_waiting);
 		metric_gauge(out, "pool_tasks_placed", NULL, labels,
 		    (int64_t)st.tasks_placed);
+		metric_gauge(out, "pool_append_depth", NULL, labels,
+		    store_writer_depth(sh->writer));
 		metric_gauge(out, "pool_loop_lag_us", NULL, labels,
 		    all->scheduler->loop_lag.lag_us);
 		metric_gauge(
--- a/src/scheduler/store_writer.c
+++ b/src/scheduler/store_writer.c
@@ -114,7 +114,9 @@
 		o.records = next->records;
 		a->op =
 		    append_op_start(w->opts.scheduler, &o, on_append_done, a);
-		if (a->op == NULL)
+		if (a->op != NULL)
+			append_op_set_window(a->op, &w->window);
+		else
 			append_window_complete(&w->window, now_us, a->seq,
 			    STORE_NOT_DONE, &serial);
 	}
@@ -207,3 +209,16 @@
 		return 0;
 	return (sched_monotonic_us() - w->window.last_progress_us) / US_PER_MS;
 }
+
+bool
+store_writer_overdue(const struct store_writer *w, int64_t left_ms)
+{
+	return append_window_overdue(
+	    &w->window, sched_monotonic_us(), left_ms * US_PER_MS);
+}
+
+int
+store_writer_depth(const struct store_writer *w)
+{
+	return append_pace_depth(&w->window.pace);
+}
--- a/src/scheduler/store_writer.h
+++ b/src/scheduler/store_writer.h
@@ -40,5 +40,12 @@
  * 0 if none is waiting.
  */
 int64_t store_writer_stalled_ms(const struct store_writer *w);
+/*
+ * Whether a job that is submitted now cannot be expected to be stored within
+ * "left_ms", the rest of its caller's deadline; 0: unknown.
+ */
+bool store_writer_overdue(const struct store_writer *w, int64_t left_ms);
+/* Number of appends that are kept in flight. */
+int store_writer_depth(const struct store_writer *w);
 
 #endif
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -422,6 +422,59 @@
 	cr_expect_eq(judged("twice"), 0);
 }
 
+/* Sum of a counter over all daemons. */
+static int64_t
+counter_sum(const char *name)
+{
+	struct answer *a = NULL;
+	int64_t sum = 0;
+	char line[128];
+	const char *at;
+	int i;
+
+	snprintf(line, sizeof(line), "\nmimosalead_%s ", name);
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		cr_assert_eq(http_raw(fleet->peer_port[i], "GET", "/metrics",
+				 NULL, NULL, &a),
+		    200);
+		buf_append(a->body, "", 1);
+		at = strstr((const char *)a->body->data, line);
+		cr_assert_not_null(at, "no %s", name);
+		sum += strtoll(at + strlen(line), NULL, 10);
+		answer_unref(a);
+	}
+	return sum;
+}
+
+/*
+ * An attempt at the owner ended after 700 ms, just before its answer, and began
+ * again: a caller waited for the second one.
+ */
+Test(jobs, a_slow_store_makes_no_second_attempt_at_an_owner_that_is_alive)
+{
+	const char *slow = "/store-slow?ms=900", *usual = "/store-slow?ms=0";
+	int64_t attempts = counter_sum("forwarded_total");
+	char path[64];
+	int i;
+
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", slow, "", NULL), 200);
+	for (i = 0; i < JOB_DAEMONS; i++) { /* one of them is not the owner */
+		snprintf(path, sizeof(path), "/blue/%016x", 800 + i);
+		cr_expect_eq(
+		    call(i, "POST", path,
+			"{\"taskSpec\":\"w\",\"steps\":[{\"count\":1}]}", NULL,
+			0),
+		    200);
+	}
+	attempts = counter_sum("forwarded_total") - attempts;
+	cr_expect_geq(counter_sum("owner_queries_total"), 1);
+	cr_expect_eq(attempts, 1 + counter_sum("owner_queries_total"));
+	cr_assert_eq(
+	    http_json(fleet->platform_port, "POST", usual, "", NULL), 200);
+	cr_expect_eq(judged("twice"), 0);
+}
+
 /* One caller's job with a text of 2,000 bytes; the socket of its answer. */
 static int
 send_large_job(size_t number)
