append_pace: one copy of an append until the store is known to be slow

Before the first late answer the oldest append was retransmitted twice; the second copy adds 0.24 s to the queue in the store. It now waits up to 300 ms as well, unless answers were lost in the last 10 s.

A pause of the daemon's own loop looked like a slow store: the longest delay of the loop in the last 0.1 s (loop_lag.c) is subtracted, instead of four times its average, which hid a slow store from owners that are a little late.

--- a/src/scheduler/append_op.c
+++ b/src/scheduler/append_op.c
@@ -7,8 +7,6 @@
 
 /* Allows for a store about 50 times slower than usual. */
 #define ATTEMPT_TIMEOUT_MS 1500
-/* The average of the loop's lag shows a quarter of a single pause. */
-#define LOOP_LAG_FACTOR 4
 /*
  * A fifth attempt cancels the second: a slow store answers the first attempt
  * first, and copies behind it only after their own time.
@@ -109,7 +107,7 @@
 	    a->topic, (long long)(latency_us / US_PER_MS),
 	    (long long)(p->append_us / US_PER_MS),
 	    (long long)(p->base_us / US_PER_MS),
-	    (long long)(a->scheduler->loop_lag.lag_us / US_PER_MS),
+	    (long long)(a->scheduler->loop_lag.peak_us / US_PER_MS),
 	    append_pace_depth(p), a->attempts_sent);
 }
 
@@ -120,7 +118,7 @@
 	    .now_us = sched_monotonic_us(),
 	    .sent_us = t->sent_us,
 	    .retransmitted = t->sent_us > a->started_us && any_in_flight(a),
-	    .loop_lag_us = a->scheduler->loop_lag.lag_us * LOOP_LAG_FACTOR,
+	    .loop_lag_us = a->scheduler->loop_lag.peak_us,
 	    .stored = stored,
 	};
 
--- a/src/scheduler/append_pace.c
+++ b/src/scheduler/append_pace.c
@@ -128,7 +128,7 @@
 
 /*
  * Whether nothing tells a slow store from lost answers yet.  The store answers
- * the appends of a topic in order, so retransmitting the oldest is enough.
+ * the appends of a topic in order, so one copy of the oldest is enough.
  */
 static bool
 is_held_back(
@@ -137,7 +137,10 @@
 	bool loses_answers =
 	    p->lost_us != 0 && now_us - p->lost_us < LOSS_MEMORY_MS * US_PER_MS;
 
-	return !w->oldest && !loses_answers && p->heard_us < w->first_sent_us &&
+	bool retransmitted = w->sent_us > w->first_sent_us;
+
+	return (!w->oldest || retransmitted) && !loses_answers &&
+	    p->heard_us < w->first_sent_us &&
 	    now_us - w->first_sent_us < HOLD_MAX_MS * US_PER_MS;
 }
 
--- a/src/scheduler/loop_lag.c
+++ b/src/scheduler/loop_lag.c
@@ -19,9 +19,10 @@
 on_probe(lws_sorted_usec_list_t *sul)
 {
 	struct loop_lag *l = lws_container_of(sul, struct loop_lag, probe_sul);
+	int64_t late_us = sched_monotonic_us() - l->due_us;
 
-	l->lag_us +=
-	    (sched_monotonic_us() - l->due_us - l->lag_us) / LAG_EWMA_DIVISOR;
+	l->lag_us += (late_us - l->lag_us) / LAG_EWMA_DIVISOR;
+	l->peak_us = late_us > l->peak_us / 2 ? late_us : l->peak_us / 2;
 	schedule_probe(l);
 }
 
--- a/tests/unit/test_slow_store.c
+++ b/tests/unit/test_slow_store.c
@@ -361,6 +361,22 @@
 	cr_expect_eq(play.changes, 0);
 }
 
+/* A daemon whose loop was paused took the store for slow. */
+Test(slow_store, a_late_loop_is_no_slow_store)
+{
+	struct append_answer a = {.now_us = US_PER_S,
+	    .sent_us = US_PER_S - 250 * US_PER_MS,
+	    .loop_lag_us = 200 * US_PER_MS,
+	    .stored = true};
+	struct append_pace p = {.base_us = 14 * US_PER_MS};
+
+	cr_expect_eq(append_pace_add_answer(&p, &a), APPEND_PACE_UNCHANGED);
+	a.sent_us = a.now_us;
+	a.now_us += 250 * US_PER_MS;
+	a.loop_lag_us = 20 * US_PER_MS;
+	cr_expect_eq(append_pace_add_answer(&p, &a), APPEND_PACE_SLOW);
+}
+
 /* When an attempt ends; its owner answers others until it is gone. */
 static int64_t
 attempt_ends_ms(int answers_every_ms, int gone_ms, bool is_owner, int *queries)
