jobs: load selection in scheduling passes and at submission

pool_selection.c describes the waiting and running work of each pass to load_select() and puts the candidates in its order; pool_admission.c uses the same result for submissions, with a token bucket for each account. It is in effect where accounts are configured or pool_opts.select_by_cost is set, and only if the tasks that could start exceed the free capacity. Refusals log account-rate, account-share or backlog with their figures, and pressure is logged when it begins and ends.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -181,6 +181,8 @@
 	int64_t due_ms; /* Unix time; 0: due when submitted */
 	struct job_step *steps;
 	size_t done_step_count;
+	bool deferred; /* has been, under overload */
+	bool in_turn; /* has gone ahead of others because it was overdue */
 	LIST_ENTRY(occurrence) entries;
 };
 
@@ -189,6 +191,7 @@
 	struct queue_settings queue;
 	struct pool_account *account; /* NULL: it belongs to none */
 	struct job_spec *spec;
+	double value; /* relative to a mean job of its queue */
 	enum job_state state; /* set before it is stored */
 	uint64_t state_serial; /* write that stores the final state */
 	/* Unix time of the first submission, even if it was refused. */
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "pool_state.h"
+#include "pool_selection.h"
 
 #define TICK_INTERVAL_MAX_US (50 * US_PER_MS)
 /*
@@ -27,6 +27,11 @@
 	p = calloc(1, sizeof(*p));
 	if (p == NULL)
 		return NULL;
+	p->selection = selection_new();
+	if (p->selection == NULL) {
+		free(p);
+		return NULL;
+	}
 	p->opts = *opts;
 	p->now_us = opts->now_us;
 	p->now_ms = opts->now_ms;
@@ -67,6 +72,7 @@
 	run_time_free(p->run_times);
 	pool_refused_free(p);
 	pool_accounts_free(p);
+	selection_free(p->selection);
 	free(p);
 }
 
@@ -254,6 +260,7 @@
 	s->jobs = p->active_count;
 	s->jobs_finished = p->finished_count;
 	s->starts_in_flight = p->starts_in_flight;
+	s->under_pressure = p->selection->pressure;
 	TAILQ_FOREACH(j, &p->active, entries)
 		s->jobs_waiting += !j->started;
 	for (w = p->workers; w != NULL; w = w->hh.next) {
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -37,6 +37,11 @@
 	/* Run time away from the data's rack, relative to that on it. */
 	double remote_factor;
 	size_t record_max_bytes; /* limit of the store; 0: none */
+	/*
+	 * Overload is resolved by load_select() also where no accounts are
+	 * configured.  For trials.
+	 */
+	bool select_by_cost;
 };
 
 struct worker_target {
@@ -295,6 +300,10 @@
 	size_t tasks_placed;
 	size_t starts_in_flight; /* sent and not answered */
 	uint64_t accepted, refused, completed, failed, cancelled;
+	/* Refused by selection: an account's rate, its share, the backlog. */
+	uint64_t refused_rate, refused_share, refused_backlog;
+	uint64_t deferred; /* occurrences that were deferred at least once */
+	bool under_pressure; /* work is deferred */
 	uint64_t worker_scans; /* workers examined to place tasks */
 	uint64_t starts, starts_refused, ends_done, ends_failed, ends_other;
 	uint64_t crashes; /* unexpected ends of workers under tasks */
--- a/src/jobs/pool_accounts.c
+++ b/src/jobs/pool_accounts.c
@@ -36,7 +36,9 @@
 
 	if (a == NULL)
 		return;
+	p->configured_accounts -= a->configured;
 	a->configured = !ev->u.account_change.removed;
+	p->configured_accounts += a->configured;
 	if (a->configured)
 		a->settings = *s;
 	p->placement_due = true;
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "pool_state.h"
+#include "pool_selection.h"
 
 struct job *
 pool_find_job(const struct pool *p, const char *id)
@@ -52,9 +52,10 @@
 	pool_note_refused(p, ev->u.submit.id);
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"job submission refused\" why=%s job=%s queue=%s active=%zu "
-	    "lag_ms=%lld retry_ms=%d",
+	    "lag_ms=%lld retry_ms=%d%s",
 	    why, ev->u.submit.id, ev->u.submit.queue->name, p->active_count,
-	    (long long)(p->loop_lag_us / US_PER_MS), retry_ms);
+	    (long long)(p->loop_lag_us / US_PER_MS), retry_ms,
+	    pool_refusal_figures(p));
 	fx_answer(p, ev->u.submit.token, POOL_OVERLOADED);
 	x = &p->fx->list[p->fx->count - 1];
 	x->u.answer.retry_ms = retry_ms;
@@ -107,6 +108,7 @@
 		return;
 	}
 	j->account = pool_account_get(p, ev->u.submit.account);
+	selection_note_job(p, j);
 	add_active(p, j);
 	write_spec(p, j);
 	answer_when_stored(
@@ -324,6 +326,7 @@
 	}
 	pool_note_arrival(p, spec, &r->queue, p->now_ms - r->submitted_ms);
 	j->account = pool_account_get(p, r->account);
+	selection_note_job(p, j);
 	j->inherited = true;
 	j->started = j->state != JOB_QUEUED;
 	if (!job_final(j)) {
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "pool_state.h"
+#include "pool_selection.h"
 
 /* Wait for the data's rack, as a share of the time lost on another rack. */
 #define RACK_WAIT_SHARE 0.5
@@ -279,6 +279,8 @@
 		return;
 	if (!gang_store_trial(p, s))
 		return;
+	if (!selection_allows_start(p, s, spec->task_count))
+		return;
 	/* a gang above the limit starts when no other start is in flight */
 	if (p->starts_in_flight > 0 &&
 	    !start_window_has_room(p, spec->task_count)) {
@@ -327,7 +329,7 @@
 		    p->now_us < t->start_not_before_us ||
 		    task_awaits_late_start(p, t))
 			continue;
-		if (!caps_allow_start(p, t))
+		if (!caps_allow_start(p, t) || !selection_allows_start(p, s, 1))
 			return; /* the other tasks occupy as much */
 		if (!start_window_has_room(p, 1)) {
 			p->start_limit_reached = true;
@@ -390,6 +392,7 @@
 	p->max_free.valid = false;
 	p->start_limit_reached = false;
 	for (i = 0; i < n; i++) {
+		p->placing_in_turn = list[i].in_turn;
 		place_occurrence(p, list[i].occurrence);
 		if (p->start_limit_reached)
 			break; /* the rest is not tried: it may find capacity */
--- a/src/jobs/pool_rank.c
+++ b/src/jobs/pool_rank.c
@@ -5,7 +5,7 @@
  */
 #include <stdlib.h>
 
-#include "pool_state.h"
+#include "pool_selection.h"
 
 /* A job that ends after this many times its objective has no value. */
 #define LATENESS_MAX 3.0
@@ -15,8 +15,9 @@
  */
 #define START_SLACK_SHARE 0.1
 #define START_SLACK_MS 80
-static int
-compare_candidates(const void *a, const void *b)
+
+int
+pool_compare_candidates(const void *a, const void *b)
 {
 	const struct candidate *x = a, *y = b;
 
@@ -45,6 +46,12 @@
 	return false;
 }
 
+double
+rank_margin_ms(double left_ms)
+{
+	return left_ms * START_SLACK_SHARE + START_SLACK_MS;
+}
+
 void
 pool_rank_occurrence(
     const struct pool *p, struct candidate *c, struct occurrence *o)
@@ -54,9 +61,11 @@
 	int64_t from_ms;
 
 	c->occurrence = o;
+	c->in_turn = false;
 	c->priority = j->queue.priority;
 	occurrence_expect(o, run_time_find(p->run_times, j->queue.name));
 	left_ms = occurrence_critical_path_left_ms(o, p->now_us);
+	c->left_ms = left_ms;
 	span_ms = (double)occurrence_objective_span_ms(o);
 	from_ms = o->due_ms > 0 ? o->due_ms : j->submitted_ms;
 	c->slack_ms = (double)(from_ms - p->now_ms) + span_ms - left_ms;
@@ -64,7 +73,7 @@
 		c->class = RANK_LONG_RUNNING;
 	else if (occurrence_started(o) && c->slack_ms >= 0)
 		c->class = RANK_STARTED;
-	else if (c->slack_ms >= left_ms * START_SLACK_SHARE + START_SLACK_MS)
+	else if (c->slack_ms >= rank_margin_ms(left_ms))
 		c->class = RANK_ON_TIME;
 	else
 		c->class = c->slack_ms >= -(LATENESS_MAX - 1) * span_ms
@@ -122,7 +131,8 @@
 		LIST_FOREACH(o, &j->occurrences, entries)
 			capacity++;
 	}
-	list = calloc(capacity + 1, sizeof(*list));
+	/* selection_order() may double the list */
+	list = calloc(2 * capacity + 1, sizeof(*list));
 	if (list == NULL)
 		return NULL;
 	TAILQ_FOREACH(j, &p->active, entries) {
@@ -135,7 +145,8 @@
 				pool_rank_occurrence(p, &list[n++], o);
 		}
 	}
-	qsort(list, n, sizeof(*list), compare_candidates);
+	if (!selection_order(p, list, &n))
+		qsort(list, n, sizeof(*list), pool_compare_candidates);
 	*count = n;
 	return list;
 }
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -195,6 +195,13 @@
 	 */
 	struct account_cap usage;
 	size_t active_jobs; /* unfinished jobs in the pool */
+	/* Submissions that it may make; see pool_admission.c. */
+	double tokens;
+	int64_t tokens_us; /* when they were counted; 0: never */
+	int64_t next_token_us; /* first time not named to a refused caller */
+	/* Its index in the load_problem of this pass. */
+	uint64_t load_pass;
+	size_t load_index;
 	UT_hash_handle hh; /* by settings.name */
 };
 
@@ -226,6 +233,9 @@
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
 	size_t active_count, finished_count;
 	struct pool_account *accounts; /* by name */
+	size_t configured_accounts;
+	struct pool_selection *selection;
+	bool placing_in_turn; /* see candidate.in_turn */
 	struct pool_worker *workers; /* by id */
 	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
@@ -305,6 +315,8 @@
 	enum rank_class class;
 	int priority; /* of its queue; 0 comes first */
 	double slack_ms; /* time that it can wait and meet its objective */
+	double left_ms; /* expected time of its critical path */
+	bool in_turn; /* goes ahead of others because it is overdue */
 };
 
 /* Which of a worker's tasks are detached. */
@@ -498,7 +510,9 @@
 #define SUBMIT_RETRY_MAX_MS 10000 /* upper bound of a refusal's retry time */
 /* Returns the retry time of a refused job and the reason; 0: accepted. */
 int pool_submit_refusal_ms(
-    const struct pool *p, const struct pool_event *ev, const char **why);
+    struct pool *p, const struct pool_event *ev, const char **why);
+/* The figures behind the last refusal, as log fields; "": none. */
+const char *pool_refusal_figures(const struct pool *p);
 
 /* pool_refused.c */
 void pool_note_refused(struct pool *p, const char *id);
@@ -519,6 +533,9 @@
 void pool_rank_occurrence(
     const struct pool *p, struct candidate *c, struct occurrence *o);
 bool step_has_waiting_tasks(const struct job_step *s);
+/* Slack that a job with this critical path needs to rank as on time. */
+double rank_margin_ms(double left_ms);
+int pool_compare_candidates(const void *a, const void *b);
 /*
  * The occurrences with tasks to place, first to place first; starts those that
  * are due.  Free the list; NULL when out of memory.
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -17,6 +17,8 @@
  * reads of them take, and then continues without.
  */
 #define WORKERS_LOAD_TIMEOUT_MS 400
+/* Load selection also without client accounts; see pool_opts. */
+#define SELECT_BY_COST_WITHOUT_ACCOUNTS false
 
 /* Newest records of one job; offsets are -1 where none was read. */
 struct stored_job {
@@ -221,6 +223,7 @@
 	    .restore_ms = settings->checkpoint_restore_ms,
 	    .remote_factor = settings->remote_data_factor,
 	    .record_max_bytes = (size_t)settings->store_record_max_bytes,
+	    .select_by_cost = SELECT_BY_COST_WITHOUT_ACCOUNTS,
 	};
 
 	snprintf(o.name, sizeof(o.name), "%s", sh->pool_name);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -686,6 +686,16 @@
 		    out, "pool_jobs_failed_total", NULL, labels, st.failed);
 		metric_counter(
 		    out, "pool_jobs_refused_total", NULL, labels, st.refused);
+		metric_counter(out, "pool_refused_account_rate_total", NULL,
+		    labels, st.refused_rate);
+		metric_counter(out, "pool_refused_account_share_total", NULL,
+		    labels, st.refused_share);
+		metric_counter(out, "pool_refused_backlog_total", NULL, labels,
+		    st.refused_backlog);
+		metric_counter(out, "pool_jobs_deferred_total", NULL, labels,
+		    st.deferred);
+		metric_gauge(out, "pool_under_pressure", NULL, labels,
+		    st.under_pressure);
 		metric_counter(
 		    out, "pool_starts_total", NULL, labels, st.starts);
 		metric_counter(
