--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -172,6 +172,8 @@
 	int64_t cancel_sent_ms; /* 0: it was not cancelled */
 	bool deadly; /* one of its tasks is */
 	bool may_be_given_up; /* enough workers ended under one of its tasks */
+	char account[NAME_BYTES];
+	int retry_ms; /* of its newest refusal; 0: accepted */
 	UT_hash_handle hh;
 };
 
@@ -205,6 +207,9 @@
 	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
 	struct queue_settings terms;
+	char caller[NAME_BYTES]; /* account of new jobs */
+	struct account_settings *accounts;
+	size_t account_count;
 	int jitter_ms; /* further delay of a message, at most */
 	bool late_orders_cross_restarts;
 };
@@ -1086,10 +1091,12 @@
 		if (!j->accepted)
 			w->accepted++;
 		j->accepted = true;
+		j->retry_ms = 0;
 		trace(w, "caller of %llu: accepted", strtoull(j->id, NULL, 16));
 		break;
 	case POOL_OVERLOADED:
 		w->refused++;
+		j->retry_ms = x->u.answer.retry_ms;
 		trace(w, "caller of %llu: refused, again after %d ms",
 		    strtoull(j->id, NULL, 16), x->u.answer.retry_ms);
 		break;
@@ -1345,6 +1352,15 @@
 	    progress != NULL ? progress->value : NULL, &e);
 }
 
+static void
+feed_account(struct jobs_world *w, const struct account_settings *settings)
+{
+	struct pool_event ev = {.kind = POOL_ACCOUNT_CHANGE};
+
+	ev.u.account_change.settings = settings;
+	step(w, w->owner, &ev);
+}
+
 static void
 owner_begin(struct jobs_world *w)
 {
@@ -1363,6 +1379,7 @@
 	    .capacity_valid_ms = CONTACT_MS,
 	    .restore_ms = RESTORE_MS,
 	    .remote_factor = 2,
+	    .select_by_cost = w->opts.select_by_cost,
 	};
 	char id[NAME_BYTES];
 	struct stored *r;
@@ -1372,6 +1389,8 @@
 	o->pool = pool_new(&opts);
 	o->fence = opts.fence;
 	o->alive = true;
+	for (i = 0; i < (int)w->account_count; i++)
+		feed_account(w, &w->accounts[i]);
 	for (r = w->records; r != NULL; r = r->hh.next) {
 		if (strncmp(r->key, "j/", 2) == 0)
 			job_spec_decode(
@@ -1654,6 +1673,7 @@
 		free(r);
 	}
 	free(w->tokens);
+	free(w->accounts);
 	free(w);
 }
 
@@ -1702,6 +1722,8 @@
 	ev.u.submit.token = token_new(w, known_job(w, id));
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
 	w->terms.has_policy = w->opts.allowed_from > 0;
+	snprintf(
+	    ev.u.submit.account, NAME_BYTES, "%s", known_job(w, id)->account);
 	ev.u.submit.queue = &w->terms;
 	ev.u.submit.spec = job_spec;
 	ev.u.submit.refuse_ms = w->refuse_ms;
@@ -1718,6 +1740,7 @@
 	    j->id, sizeof(j->id), "%016llx", (unsigned long long)++w->next_id);
 	j->spec = job_spec_ref(job_spec);
 	j->first_ms = w->ms;
+	memcpy(j->account, w->caller, sizeof(j->account));
 	HASH_ADD_STR(w->jobs, id, j);
 	/* the text names the order, for the records of a take-over */
 	buf_unref(job_spec->text);
@@ -1755,6 +1778,40 @@
 	return w->looked_state;
 }
 
+void
+jobs_world_account(
+    struct jobs_world *w, const struct account_settings *settings)
+{
+	w->accounts =
+	    realloc(w->accounts, (w->account_count + 1) * sizeof(*w->accounts));
+	w->accounts[w->account_count++] = *settings;
+	feed_account(w, settings);
+}
+
+void
+jobs_world_caller(struct jobs_world *w, const char *account)
+{
+	snprintf(w->caller, sizeof(w->caller), "%s", account);
+}
+
+int
+jobs_world_retry_ms(const struct jobs_world *w, const char *id)
+{
+	const struct known_job *j;
+
+	HASH_FIND_STR(w->jobs, id, j);
+	return j->retry_ms;
+}
+
+int64_t
+jobs_world_took_ms(const struct jobs_world *w, const char *id)
+{
+	const struct known_job *j;
+
+	HASH_FIND_STR(w->jobs, id, j);
+	return j->done_ms != 0 ? j->done_ms - j->first_ms : -1;
+}
+
 int
 jobs_world_accepted(const struct jobs_world *w)
 {
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -52,6 +52,7 @@
 	int64_t clock_start_max_ms;
 	bool timed; /* the reducer's processor time is measured */
 	int64_t accelerators; /* of a worker */
+	bool select_by_cost; /* see struct pool_opts */
 	/* What workers, callers and the policy see, a line each; NULL: none. */
 	void (*trace)(void *arg, int64_t ms, const char *line);
 	void *trace_arg;
@@ -99,6 +100,15 @@
 void jobs_world_cancel(struct jobs_world *w, const char *id);
 /* State as the present owner shows it; -1: no such job. */
 int jobs_world_state(struct jobs_world *w, const char *id);
+/* Settings of an account, for this owner and later ones. */
+void jobs_world_account(
+    struct jobs_world *w, const struct account_settings *settings);
+/* Account of jobs that are submitted from now on; "": none. */
+void jobs_world_caller(struct jobs_world *w, const char *account);
+/* Retry time of the newest refusal of the job in ms; 0: it was accepted. */
+int jobs_world_retry_ms(const struct jobs_world *w, const char *id);
+/* From the first submission to the end in ms; -1: it has not completed. */
+int64_t jobs_world_took_ms(const struct jobs_world *w, const char *id);
 /* Jobs whose submission was acknowledged. */
 int jobs_world_accepted(const struct jobs_world *w);
 int jobs_world_refused(const struct jobs_world *w);
