jobs: overdue jobs get workers reserved, and time left counts as it ends

The first fluid model took what runs for work to be done before anything else, so that with half of the pool idle a job with little slack counted as late. Running tasks are now taken to end evenly over twice the mean of their time left.

A job that is 10 s beyond its objective goes first, but a task as large as a worker never found one empty between small ones: workers are reserved for one such job at a time.

--- a/bench/pressure.c
+++ b/bench/pressure.c
@@ -1,5 +1,6 @@
 #include "pressure.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -45,19 +46,20 @@
 	struct jobs_world *world;
 	struct played_job *jobs;
 	size_t count, room;
-	uint64_t random;
+	uint64_t
+	    random[PRESSURE_ACCOUNTS]; /* so that one does not change another */
 	double due[PRESSURE_ACCOUNTS]; /* fractions of jobs to submit */
 	double owed[PRESSURE_ACCOUNTS]; /* jobs that are owed by now */
 	double mean_work;
 };
 
 static double
-chance(struct play *p)
+chance(uint64_t *random)
 {
-	p->random ^= p->random << 13;
-	p->random ^= p->random >> 7;
-	p->random ^= p->random << 17;
-	return (double)(p->random >> 11) / (double)(1ULL << 53);
+	*random ^= *random << 13;
+	*random ^= *random >> 7;
+	*random ^= *random << 17;
+	return (double)(*random >> 11) / (double)(1ULL << 53);
 }
 
 /* The largest account sends a third of all jobs. */
@@ -114,7 +116,7 @@
 submit_new(struct play *p, size_t account)
 {
 	struct played_job *j;
-	double draw = chance(p);
+	double draw = chance(&p->random[account]);
 	size_t size = 0;
 
 	while (size + 1 < SIZES && draw >= sizes[size].part)
@@ -166,13 +168,13 @@
 submit_due(struct play *p, int64_t ms, double rate)
 {
 	struct played_job *j;
+	double weight;
 	size_t i;
 
 	for (i = 0; i < PRESSURE_ACCOUNTS; i++) {
 		/* owed: SURGE_FACTOR times its mean, as its weight says */
-		p->owed[i] += SURGE_FACTOR * account_part(i) * rate / 1000;
-		if (p->owed[i] > 1 + SURGE_FACTOR * account_part(i) * rate)
-			p->owed[i] = 1 + SURGE_FACTOR * account_part(i) * rate;
+		weight = SURGE_FACTOR * account_part(i) * rate;
+		p->owed[i] = fmin(p->owed[i] + weight / 1000, fmax(weight, 1));
 		p->due[i] +=
 		    load_factor(p, i, ms) * account_part(i) * rate / 1000;
 		while (p->due[i] >= 1) {
@@ -272,7 +274,7 @@
 	    .timed = true,
 	};
 	struct account_settings a;
-	struct play p = {.opts = opts, .random = opts->seed * 2 + 1};
+	struct play p = {.opts = opts};
 	double rate;
 	size_t i;
 	int ms;
@@ -281,6 +283,12 @@
 	for (i = 0; i < SIZES; i++)
 		p.mean_work += sizes[i].part * size_work(&sizes[i]);
 	rate = mean_rate(p.mean_work);
+	for (i = 0; i < PRESSURE_ACCOUNTS; i++) {
+		p.owed[i] = 1;
+		p.random[i] =
+		    (opts->seed * PRESSURE_ACCOUNTS + i) * 2654435761u +
+		    88172645463325252u;
+	}
 	p.world = jobs_world_new(&world_opts);
 	for (i = 0; opts->mode == PRESSURE_BY_ACCOUNT && i < PRESSURE_ACCOUNTS;
 	     i++) {
--- a/src/jobs/load_admission.c
+++ b/src/jobs/load_admission.c
@@ -28,7 +28,7 @@
 fits_in_time(const struct load_problem *p, const struct load_decision *d,
     const struct load_candidate *job, struct load_admission *a)
 {
-	struct load_vector before = d->fixed;
+	struct load_vector before = d->started;
 	const struct load_candidate *c;
 	size_t i;
 
@@ -48,7 +48,7 @@
     const struct load_candidate *job, struct load_vector own,
     const struct load_vector *rates)
 {
-	struct load_vector before = d->fixed;
+	struct load_vector before = d->started;
 	const struct load_candidate *c;
 	double own_ms;
 	size_t i;
@@ -101,7 +101,7 @@
 			vector_add(&all, &c->work, 1);
 	}
 	a->own_ms = load_share_ms(&all, &rates);
-	all = d->fixed;
+	all = d->started;
 	for (i = 0; i < p->candidate_count; i++) {
 		if (admission_counts(&p->candidates[i]))
 			vector_add(&all, &p->candidates[i].work, 1);
--- a/src/jobs/load_fluid.c
+++ b/src/jobs/load_fluid.c
@@ -8,36 +8,42 @@
  */
 #define SHARE_LEFT_MIN 0.05
 
-/* Capacity times time, until "ms" from now. */
+/*
+ * What waiting work can use until "ms" from now.  Running tasks are taken to
+ * end evenly over twice the mean of their time left.
+ */
 static double
-capacity_until(const struct load_capacity *c, int dimension, double ms)
+available_until(const struct load_capacity *c, int dimension, double ms)
 {
-	double work;
+	double used = c->used.in[dimension], work;
+	double last_ms = used > 0 ? 2 * c->running.in[dimension] / used : 0;
 
 	if (ms <= 0)
 		return 0;
 	work = fmax(c->total.in[dimension] - c->held.in[dimension], 0) * ms;
+	work -= ms < last_ms ? used * (ms - ms * ms / (2 * last_ms))
+			     : c->running.in[dimension];
 	if (ms > c->incoming_within_ms)
 		work +=
 		    c->incoming.in[dimension] * (ms - c->incoming_within_ms);
-	return work;
+	return fmax(work, 0);
 }
 
 double
 load_duration_ms(const struct load_capacity *c, const struct load_vector *work)
 {
-	double longest = 0, rate, ms, within = c->incoming_within_ms;
+	double longest = 0, all, rate, ms, within = c->incoming_within_ms;
 	int i;
 
 	for (i = 0; i < LOAD_DIMENSIONS; i++) {
+		all = work->in[i] + c->running.in[i];
 		if (work->in[i] <= 0)
 			continue;
 		rate = fmax(c->total.in[i] - c->held.in[i], 0);
-		ms = rate > 0 ? work->in[i] / rate : INFINITY;
+		ms = rate > 0 ? all / rate : INFINITY;
 		if (ms > within && c->incoming.in[i] > 0)
 			ms = within +
-			    (work->in[i] - rate * within) /
-				(rate + c->incoming.in[i]);
+			    (all - rate * within) / (rate + c->incoming.in[i]);
 		longest = fmax(longest, ms);
 	}
 	return longest;
@@ -76,15 +82,15 @@
 double
 load_scaled_time(const struct load_capacity *c, double ms)
 {
-	double longest = 0, all;
+	double longest = 0, all, work;
 	int i;
 
 	for (i = 0; i < LOAD_DIMENSIONS; i++) {
 		all = c->total.in[i] + c->incoming.in[i];
+		work = c->total.in[i] * ms +
+		    c->incoming.in[i] * fmax(ms - c->incoming_within_ms, 0);
 		if (all > 0)
-			longest = fmax(longest,
-			    (capacity_until(c, i, ms) + c->held.in[i] * ms) /
-				all);
+			longest = fmax(longest, work / all);
 	}
 	return longest;
 }
@@ -114,17 +120,17 @@
 
 enum shortage
 load_shortage(const struct load_problem *p, const struct load_candidate *c,
-    const struct load_vector *prefix)
+    const struct load_vector *before)
 {
 	enum shortage found = SHORT_OF_NONE;
 	int i;
 
 	for (i = 0; i < LOAD_DIMENSIONS; i++) {
 		if (c->work.in[i] <= 0 ||
-		    (prefix->in[i] <=
-			    capacity_until(&p->capacity, i, c->slack_ms) &&
-			prefix->in[i] + c->work.in[i] <=
-			    capacity_until(
+		    (before->in[i] <=
+			    available_until(&p->capacity, i, c->slack_ms) &&
+			before->in[i] + c->work.in[i] <=
+			    available_until(
 				&p->capacity, i, c->slack_ms + c->left_ms)))
 			continue;
 		if (i != LOAD_ACCELERATORS)
--- a/src/jobs/load_fluid.h
+++ b/src/jobs/load_fluid.h
@@ -35,11 +35,8 @@
 /* Work for value: of the dimension that the candidate needs most of, in ms. */
 double load_work_density(
     const struct load_problem *p, const struct load_candidate *c);
-/*
- * What the candidate lacks to start and to end in time, if "prefix" is done
- * before it.
- */
+/* What the candidate lacks to start and to end in time after this work. */
 enum shortage load_shortage(const struct load_problem *p,
-    const struct load_candidate *c, const struct load_vector *prefix);
+    const struct load_candidate *c, const struct load_vector *before);
 
 #endif
--- a/src/jobs/load_selection.c
+++ b/src/jobs/load_selection.c
@@ -34,7 +34,7 @@
 	struct load_problem *problem;
 	struct load_vector *rates; /* each account's share of the capacity */
 	struct load_vector *work; /* running and selected, of each account */
-	struct load_vector prefix; /* of all accounts */
+	struct load_vector prefix; /* selected, of all accounts */
 	struct group *groups; /* KINDS for each account */
 	/* Groups that are not empty, by excess and by cost. */
 	struct index_heap by_excess[KINDS], by_cost[KINDS];
@@ -189,15 +189,16 @@
 /* Takes a candidate, and defers the cheapest ones until it is on time. */
 static void
 select_one(
-    struct selection *s, size_t candidate, const struct load_vector *fixed)
+    struct selection *s, size_t candidate, const struct load_vector *started)
 {
 	struct load_problem *p = s->problem;
 	const struct load_candidate *c = &p->candidates[candidate];
 	struct load_vector before;
 	enum shortage lack;
+	double ms;
 	size_t group;
 
-	if (load_shortage(p, c, fixed) != SHORT_OF_NONE)
+	if (load_shortage(p, c, started) != SHORT_OF_NONE)
 		return; /* late even if all others were deferred */
 	take(s, candidate);
 	for (;;) {
@@ -210,8 +211,9 @@
 		    lack == SHORT_OF_ACCELERATORS, further_beyond);
 		if (group == SIZE_MAX)
 			return;
-		if (s->excess[group] <=
-		    load_scaled_time(&p->capacity, c->slack_ms))
+		/* by then, half of what is in progress is done */
+		ms = c->slack_ms + c->left_ms / 2;
+		if (s->excess[group] <= load_scaled_time(&p->capacity, ms))
 			group = first_group(s, s->by_cost,
 			    lack == SHORT_OF_ACCELERATORS, cheaper_group);
 		if (defer_first(s, group) == candidate)
@@ -350,6 +352,7 @@
 	struct load_problem *p = s->problem;
 	struct load_capacity *cap = &p->capacity;
 	struct load_candidate *c;
+	struct load_vector started;
 	size_t i, n, hopeless;
 	int k;
 
@@ -360,13 +363,15 @@
 			continue;
 		c->verdict = LOAD_SERVED;
 		vector_add(&s->work[c->account], &c->work, 1);
-		vector_add(&d->fixed, &c->work, 1);
+		vector_add(&s->prefix, &c->work, 1);
 		list[n++] = i;
 	}
 	qsort_r(list, n, sizeof(*list), compare_slack, p->candidates);
 	for (i = 0; i < n; i++)
 		d->order[d->order_count++] = list[i];
 	d->served = n;
+	started = s->prefix;
+	d->started = started;
 	for (i = 0, n = 0; i < p->candidate_count; i++) {
 		if (p->candidates[i].class == LOAD_OVERDUE)
 			list[n++] = i;
@@ -381,9 +386,8 @@
 			list[n++] = i;
 	}
 	qsort_r(list, n, sizeof(*list), compare_slack, p->candidates);
-	s->prefix = d->fixed;
 	for (i = 0; i < n; i++)
-		select_one(s, list[i], &d->fixed);
+		select_one(s, list[i], &started);
 	for (i = 0; i < n; i++) {
 		c = &p->candidates[list[i]];
 		if (c->verdict == LOAD_SERVED) {
@@ -422,7 +426,7 @@
 	size_t n = p->candidate_count, accounts = p->account_count;
 	size_t groups = accounts * KINDS, i, k, *offsets, *list, *heap;
 	struct selection s = {.problem = p};
-	struct load_capacity capacity = p->capacity;
+	struct load_vector held = p->capacity.held;
 	struct turn *turns;
 	double weights = load_weight_sum(p);
 	char *block, *next;
@@ -455,13 +459,13 @@
 
 	d->order_count = d->served = d->in_turn = 0;
 	d->deferred = d->deferred_on_time = d->deferred_late = 0;
-	memset(&d->fixed, 0, sizeof(d->fixed));
 	memset(&d->waiting, 0, sizeof(d->waiting));
+	memset(&p->capacity.running, 0, sizeof(p->capacity.running));
 	for (i = 0; i < accounts; i++) {
 		load_account_rates(
 		    &p->capacity, &p->accounts[i], weights, &s.rates[i]);
 		s.work[i] = p->accounts[i].running;
-		vector_add(&d->fixed, &s.work[i], 1);
+		vector_add(&p->capacity.running, &s.work[i], 1);
 	}
 	for (i = 0; i < n; i++) {
 		p->candidates[i].verdict = LOAD_DEFERRED;
@@ -475,7 +479,7 @@
 		s.groups[i].candidates.count = 0;
 	}
 	decide(&s, d, list, turns, heap);
-	p->capacity = capacity;
+	p->capacity.held = held;
 	free(block);
 	return 0;
 }
--- a/src/jobs/load_selection.h
+++ b/src/jobs/load_selection.h
@@ -46,7 +46,10 @@
 /* Capacity that work can use, and that which joins it. */
 struct load_capacity {
 	struct load_vector total; /* of the workers in use */
-	struct load_vector held; /* of it, by long-running tasks */
+	struct load_vector held; /* of it, by long-running tasks … */
+	struct load_vector used; /* … and by other running tasks */
+	struct load_vector
+	    running; /* work left of the latter, by load_select() */
 	struct load_vector incoming; /* of workers that join the pool … */
 	double incoming_within_ms; /* … after this time */
 };
@@ -98,8 +101,7 @@
 	size_t served, in_turn, deferred; /* candidates */
 	/* Deferred candidates of the classes LOAD_ON_TIME and LOAD_LATE. */
 	size_t deferred_on_time, deferred_late;
-	/* Work of running tasks and of candidates that have started. */
-	struct load_vector fixed;
+	struct load_vector started; /* work of candidates that have started */
 	struct load_vector waiting; /* work of all candidates */
 };
 
@@ -133,7 +135,7 @@
 void load_admit(const struct load_problem *p, const struct load_decision *d,
     const struct load_submission *s, struct load_admission *a);
 
-/* Time in which the capacity does the work, in ms. */
+/* Time in which the capacity does what runs and the work, in ms. */
 double load_duration_ms(
     const struct load_capacity *c, const struct load_vector *work);
 
--- a/src/jobs/pool_admission.c
+++ b/src/jobs/pool_admission.c
@@ -126,24 +126,25 @@
 }
 
 /*
- * Time until a token that was not promised to an earlier caller; 0: the account
- * has one now.
+ * Time until a token that was not named to an earlier caller, so that callers
+ * do not all return at once; 0: the account has one now.  Those who return have
+ * no precedence: under lasting overload, their jobs would be late by then, and
+ * would make new ones late, too.
  */
 static double
 rate_refusal_ms(const struct pool *p, struct pool_account *a)
 {
-	double weight = a->settings.weight;
-	int64_t at_us;
+	double weight = a->settings.weight, wait_us;
 
 	if (!a->configured || a->tokens >= 1)
 		return 0;
-	at_us = p->now_us + (int64_t)((1 - a->tokens) / weight * US_PER_S);
-	if (a->next_token_us > at_us)
-		at_us = a->next_token_us;
-	if (at_us - p->now_us > SUBMIT_RETRY_MAX_MS * US_PER_MS)
-		at_us = p->now_us + SUBMIT_RETRY_MAX_MS * US_PER_MS;
-	a->next_token_us = at_us + (int64_t)(US_PER_S / weight);
-	return fmax((double)(at_us - p->now_us) / US_PER_MS, 1);
+	wait_us = fmax((1 - a->tokens) / weight * US_PER_S,
+	    (double)(a->next_token_us - p->now_us));
+	wait_us = fmin(wait_us, SUBMIT_RETRY_MAX_MS * US_PER_MS);
+	a->next_token_us = p->now_us +
+	    (int64_t)(wait_us +
+		fmin(US_PER_S / weight, SUBMIT_RETRY_MAX_MS * US_PER_MS));
+	return fmax(wait_us / US_PER_MS, 1);
 }
 
 static void
@@ -231,8 +232,6 @@
 		return SUBMIT_RETRY_MAX_MS;
 	if (account != NULL)
 		count_tokens(p, account);
-	if (account != NULL && selection_defers(p->selection))
-		rate_ms = rate_refusal_ms(p, account);
 	judged = p->selection->decided && spec->repetitions == 0 &&
 	    !job_spec_long_running(spec) &&
 	    p->active_count >= BACKLOG_JOBS_MIN &&
@@ -242,16 +241,18 @@
 		load_admit(
 		    &p->selection->problem, &p->selection->decision, &sub, &a);
 	}
+	/* what is on time within the account's share harms nobody */
+	if (account != NULL && selection_defers(p->selection) &&
+	    !(judged && a.verdict == LOAD_SERVED))
+		rate_ms = rate_refusal_ms(p, account);
 	if (rate_ms > 0 || a.verdict == LOAD_REFUSED) {
 		note_refusal(p, account, rate_ms, &a, why);
 		retry_ms = fmax(rate_ms, a.retry_ms);
 		return (int)fmin(
 		    fmax(retry_ms, ACCOUNT_RETRY_MIN_MS), SUBMIT_RETRY_MAX_MS);
 	}
-	if (account != NULL && account->tokens >= 1)
-		account->tokens--;
-	else if (account != NULL)
-		account->tokens = 0;
+	if (account != NULL)
+		account->tokens = fmax(account->tokens - 1, 0);
 	if (judged)
 		add_admitted(p, &sub, &a);
 	return 0;
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -29,9 +29,8 @@
 	    w->accelerators + s->accelerators <= w->report.accelerators;
 }
 
-/* The worker would have capacity for a task if it ran nothing. */
-static bool
-fits_if_empty(const struct pool_worker *w, const struct step_spec *s)
+bool
+worker_fits_if_empty(const struct pool_worker *w, const struct step_spec *s)
 {
 	return step_spec_reserved_cpu_milli(s) <= w->report.cpu_milli &&
 	    s->memory_mb <= w->report.memory_mb &&
@@ -50,7 +49,8 @@
 		if (!step_has_waiting_tasks(&o->steps[i]))
 			continue;
 		for (w = p->workers; w != NULL; w = w->hh.next) {
-			if (w->listed && fits_if_empty(w, o->steps[i].spec))
+			if (w->listed &&
+			    worker_fits_if_empty(w, o->steps[i].spec))
 				return true;
 		}
 	}
@@ -87,7 +87,8 @@
 
 	if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
 	    !worker_has_capacity(w, s) ||
-	    worker_on_trial(p, w, t->step->occurrence->job))
+	    worker_on_trial(p, w, t->step->occurrence->job) ||
+	    worker_reserved(p, w, t->step->occurrence->job))
 		return false;
 	if (s->gang && task_suspect(t) &&
 	    !worker_runs_proven(w, t->step->occurrence->job))
@@ -184,7 +185,7 @@
 	p->stats.worker_scans += HASH_COUNT(p->workers);
 	for (w = p->workers; w != NULL; w = w->hh.next) {
 		if (!worker_usable(p, w) || p->now_us < w->full_until_us ||
-		    worker_on_trial(p, w, NULL))
+		    worker_on_trial(p, w, NULL) || worker_reserved(p, w, NULL))
 			continue;
 		if (w->report.cpu_milli - w->cpu_milli > p->max_free.cpu_milli)
 			p->max_free.cpu_milli =
@@ -219,7 +220,7 @@
 	struct pool_worker *w, *best = NULL;
 	double points, best_points = 0;
 
-	if (!may_fit(p, t->step->spec))
+	if (!p->placing_in_turn && !may_fit(p, t->step->spec))
 		return NULL;
 	p->stats.worker_scans += HASH_COUNT(p->workers);
 	for (w = p->workers; w != NULL; w = w->hh.next) {
@@ -394,6 +395,8 @@
 	for (i = 0; i < n; i++) {
 		p->placing_in_turn = list[i].in_turn;
 		place_occurrence(p, list[i].occurrence);
+		if (p->placing_in_turn)
+			selection_reserve_workers(p, list[i].occurrence);
 		if (p->start_limit_reached)
 			break; /* the rest is not tried: it may find capacity */
 		if (list[i].class > RANK_ON_TIME ||
--- a/src/jobs/pool_selection.c
+++ b/src/jobs/pool_selection.c
@@ -170,6 +170,8 @@
 			    &problem->capacity.held, s->spec, s->placed_count);
 			continue;
 		}
+		selection_add_step(
+		    &problem->capacity.used, s->spec, s->placed_count);
 		/* its tasks have run for half of their time in the mean */
 		left_ms = s->expected_ms > 0 ? s->expected_ms / 2
 					     : (double)s->spec->estimate_ms / 2;
--- a/src/jobs/pool_selection.h
+++ b/src/jobs/pool_selection.h
@@ -32,6 +32,9 @@
 	int64_t pressure_since_us, deferred_us; /* newest deferral */
 	size_t deferred_max, served_max; /* since then */
 	int64_t deferred_logged_us;
+	/* It has workers reserved until this time. */
+	char reserved_job[JOB_ID_BYTES];
+	int64_t reserved_until_us;
 	char figures[POOL_LOG_BYTES];
 };
 
@@ -51,6 +54,15 @@
  */
 bool selection_allows_start(
     struct pool *p, const struct job_step *s, unsigned count);
+/*
+ * The occurrence, which goes ahead of others, has been tried: reserves workers
+ * for its tasks if they find none, as smaller tasks would take what becomes
+ * free.  One job at a time has them.
+ */
+void selection_reserve_workers(struct pool *p, struct occurrence *o);
+/* The worker is reserved for another job. */
+bool worker_reserved(
+    const struct pool *p, const struct pool_worker *w, const struct job *j);
 /* A job was accepted, or loaded from the store. */
 void selection_note_job(struct pool *p, struct job *j);
 /* Index of the account among those with work; adds it. */
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -145,6 +145,9 @@
 	int64_t full_until_us;
 	/* Earliest end of a draining worker; 0: not draining. */
 	int64_t drain_end_us;
+	/* No new tasks of other jobs before this time. */
+	int64_t reserved_until_us;
+	char reserved_job[JOB_ID_BYTES];
 	int64_t throttle_changed_us; /* newest change of a throttle */
 	/* No new tasks before this time: the worker is cordoned. */
 	int64_t cordon_until_us;
@@ -300,25 +303,6 @@
 	struct pool_stats stats;
 };
 
-/* Classes of work, in the order in which they are placed. */
-enum rank_class {
-	RANK_LONG_RUNNING,
-	RANK_STARTED, /* has started tasks, and can meet its objective */
-	RANK_ON_TIME, /* not started, and can meet its objective */
-	RANK_LATE, /* misses its objective, but still has some value */
-	RANK_HOPELESS /* too late to have any value */
-};
-
-/* An occurrence with tasks to place. */
-struct candidate {
-	struct occurrence *occurrence;
-	enum rank_class class;
-	int priority; /* of its queue; 0 comes first */
-	double slack_ms; /* time that it can wait and meet its objective */
-	double left_ms; /* expected time of its critical path */
-	bool in_turn; /* goes ahead of others because it is overdue */
-};
-
 /* Which of a worker's tasks are detached. */
 enum detach_scope {
 	DETACH_ALL,
@@ -529,19 +513,6 @@
 /* So many further starts may be sent now. */
 bool start_window_has_room(const struct pool *p, size_t count);
 
-/* pool_rank.c */
-void pool_rank_occurrence(
-    const struct pool *p, struct candidate *c, struct occurrence *o);
-bool step_has_waiting_tasks(const struct job_step *s);
-/* Slack that a job with this critical path needs to rank as on time. */
-double rank_margin_ms(double left_ms);
-int pool_compare_candidates(const void *a, const void *b);
-/*
- * The occurrences with tasks to place, first to place first; starts those that
- * are due.  Free the list; NULL when out of memory.
- */
-struct candidate *pool_gather_candidates(struct pool *p, size_t *count);
-
 /* pool_caps.c */
 /* The pool's share of its account's cap has room for the task. */
 bool caps_allow_start(const struct pool *p, const struct task *t);
@@ -555,6 +526,9 @@
 void pool_place(struct pool *p);
 /* Another worker has capacity for a placed task. */
 bool task_fits_elsewhere(struct pool *p, const struct task *t);
+/* The worker would have capacity for a task if it ran nothing. */
+bool worker_fits_if_empty(
+    const struct pool_worker *w, const struct step_spec *s);
 size_t worker_long_running_tasks(const struct pool_worker *w);
 bool worker_has_capacity(
     const struct pool_worker *w, const struct step_spec *s);
@@ -593,4 +567,6 @@
 bool task_warming_up(const struct task *t);
 void pool_throttle_best_effort(struct pool *p, struct pool_worker *w);
 
+#include "pool_rank.h"
+
 #endif
