jobs: overdue jobs take turns by account, and none passes a large one

The test of a saturated pool found three faults: overdue jobs of one account with older deadlines kept all others waiting; small overdue jobs kept the share for such jobs in use, so that a large one never got its turn; and workers were reserved for jobs that only had to wait for that share, also in an idle pool. Accounts now take turns, a job that does not fit the share stops those behind it, and workers are reserved only for a job that found no capacity.

--- a/src/jobs/load_fluid.c
+++ b/src/jobs/load_fluid.c
@@ -139,3 +139,19 @@
 	}
 	return found;
 }
+
+bool
+load_turn_denied(const struct load_capacity *c, const struct load_vector *used,
+    const struct load_vector *unit)
+{
+	bool some = false, beyond = false;
+	int i;
+
+	for (i = 0; i < LOAD_DIMENSIONS; i++) {
+		some |= used->in[i] > 0;
+		beyond |= unit->in[i] > 0 &&
+		    used->in[i] + unit->in[i] >
+			LOAD_OVERDUE_SHARE * c->total.in[i];
+	}
+	return some && beyond;
+}
--- a/src/jobs/load_selection.c
+++ b/src/jobs/load_selection.c
@@ -321,25 +321,47 @@
 	}
 }
 
-/* Overdue candidates, longest overdue first, within their share. */
+/* Overdue candidates: "share_ms" is their number within their accounts. */
+static int
+compare_turns(const void *a, const void *b, void *arg)
+{
+	const struct load_problem *p = arg;
+	const struct load_candidate *x = &p->candidates[*(const size_t *)a];
+	const struct load_candidate *y = &p->candidates[*(const size_t *)b];
+	int diff = compare_doubles(x->share_ms, y->share_ms);
+
+	if (diff == 0)
+		diff = compare_doubles(p->accounts[x->account].last_turn,
+		    p->accounts[y->account].last_turn);
+	return diff != 0 ? diff : compare_slack(a, b, p->candidates);
+}
+
+/*
+ * Overdue candidates within their share: the longest overdue one of each
+ * account, in turn.  None goes ahead of one that does not fit, so that a large
+ * job gets its turn.
+ */
 static void
-select_in_turn(
-    struct load_problem *p, struct load_decision *d, size_t *list, size_t count)
+select_in_turn(struct load_problem *p, struct load_decision *d, size_t *list,
+    size_t count, size_t *numbers)
 {
 	struct load_vector used = p->overdue_usage;
+	struct load_candidate *c;
 	size_t i;
-	int k;
 
 	qsort_r(list, count, sizeof(*list), compare_slack, p->candidates);
+	memset(numbers, 0, p->account_count * sizeof(*numbers));
+	for (i = 0; i < count; i++) {
+		c = &p->candidates[list[i]];
+		c->share_ms = (double)numbers[c->account]++;
+	}
+	qsort_r(list, count, sizeof(*list), compare_turns, p);
 	for (i = 0; i < count; i++) {
-		for (k = 0; k < LOAD_DIMENSIONS; k++) {
-			if (used.in[k] > 0 &&
-			    used.in[k] >=
-				LOAD_OVERDUE_SHARE * p->capacity.total.in[k])
-				return;
-		}
-		p->candidates[list[i]].verdict = LOAD_IN_TURN;
-		vector_add(&used, &p->candidates[list[i]].demand, 1);
+		c = &p->candidates[list[i]];
+		if (load_turn_denied(&p->capacity, &used, &c->unit))
+			return;
+		c->verdict = LOAD_IN_TURN;
+		vector_add(&used, &c->demand, 1);
 		d->order[d->order_count++] = list[i];
 		d->in_turn++;
 	}
@@ -376,7 +398,7 @@
 		if (p->candidates[i].class == LOAD_OVERDUE)
 			list[n++] = i;
 	}
-	select_in_turn(p, d, list, n);
+	select_in_turn(p, d, list, n, heap);
 	/* what overdue jobs take is not there for others */
 	for (k = 0; d->in_turn > 0 && k < LOAD_DIMENSIONS; k++)
 		cap->held.in[k] += LOAD_OVERDUE_SHARE *
--- a/src/jobs/load_selection.h
+++ b/src/jobs/load_selection.h
@@ -60,6 +60,8 @@
 	int priority; /* 0 comes first */
 	struct load_vector held; /* by its long-running tasks */
 	struct load_vector running; /* work left of its other running tasks */
+	/* When an overdue job of it was in turn, on any clock; 0: never. */
+	double last_turn;
 };
 
 /* A job, or an occurrence of one, with tasks that wait. */
@@ -72,6 +74,7 @@
 	double value;
 	struct load_vector work; /* of its tasks that are not placed */
 	struct load_vector demand; /* of those that could start now */
+	struct load_vector unit; /* of one of them, or of one gang */
 	/* Set by load_select(). */
 	enum load_verdict verdict;
 	double cost; /* work for value */
@@ -111,6 +114,13 @@
  */
 int load_select(struct load_problem *p, struct load_decision *d);
 
+/*
+ * Overdue jobs that go ahead of others use "used": another task, or gang, would
+ * exceed their share.  A single one may.
+ */
+bool load_turn_denied(const struct load_capacity *c,
+    const struct load_vector *used, const struct load_vector *unit);
+
 /* A job that is being submitted. */
 struct load_submission {
 	struct load_candidate job; /* account: an index, or account_count … */
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -396,7 +396,7 @@
 		p->placing_in_turn = list[i].in_turn;
 		place_occurrence(p, list[i].occurrence);
 		if (p->placing_in_turn)
-			selection_reserve_workers(p, list[i].occurrence);
+			selection_turn_taken(p, list[i].occurrence);
 		if (p->start_limit_reached)
 			break; /* the rest is not tried: it may find capacity */
 		if (list[i].class > RANK_ON_TIME ||
--- a/src/jobs/pool_reservation.c
+++ b/src/jobs/pool_reservation.c
@@ -110,24 +110,52 @@
 	p->max_free.valid = false;
 }
 
+/* Tasks of the occurrence have been started in this pass. */
+static bool
+started_now(const struct pool *p, const struct occurrence *o)
+{
+	const struct job_step *s;
+	size_t i;
+	unsigned k;
+
+	for (i = 0; i < o->job->spec->step_count; i++) {
+		s = &o->steps[i];
+		for (k = 0; s->placed_count > 0 && k < s->spec->task_count;
+		     k++) {
+			if (s->tasks[k].place != PLACE_NONE &&
+			    s->tasks[k].placed_us == p->now_us)
+				return true;
+		}
+	}
+	return false;
+}
+
 void
-selection_reserve_workers(struct pool *p, struct occurrence *o)
+selection_turn_taken(struct pool *p, struct occurrence *o)
 {
 	struct pool_selection *sel = p->selection;
-	bool has = p->now_us < sel->reserved_until_us;
+	struct pool_account *a = o->job->account;
+	bool holds = p->now_us < sel->reserved_until_us;
 	struct job_step *s;
 	size_t i;
 
-	if (has && strcmp(sel->reserved_job, o->job->id) != 0)
+	if (holds && strcmp(sel->reserved_job, o->job->id) != 0)
 		return;
+	if (started_now(p, o)) {
+		(a != NULL ? a : &sel->no_account)->last_turn_us = p->now_us;
+		if (holds)
+			release_workers(p);
+		return;
+	}
+	if (sel->turn_denied || p->start_limit_reached)
+		return; /* it has not been tried on workers */
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = &o->steps[i];
 		if (step_has_waiting_tasks(s) && s->placed_count == 0 &&
+		    p->now_us >= s->tasks[0].start_not_before_us &&
 		    caps_allow_start(p, &s->tasks[0])) {
 			reserve(p, s);
 			return;
 		}
 	}
-	if (has)
-		release_workers(p);
 }
--- a/src/jobs/pool_selection.c
+++ b/src/jobs/pool_selection.c
@@ -141,7 +141,10 @@
 	a->load_pass = sel->pass;
 	a->load_index = problem->account_count++;
 	problem->accounts[a->load_index] = (struct load_account){
-	    .weight = a->settings.weight, .priority = a->settings.priority};
+	    .weight = a->settings.weight,
+	    .priority = a->settings.priority,
+	    .last_turn = (double)a->last_turn_us,
+	};
 	return a->load_index;
 }
 
@@ -255,6 +258,18 @@
 	}
 }
 
+/* One task of its first step that has some waiting, or one gang. */
+static void
+add_unit(const struct occurrence *o, struct load_vector *unit)
+{
+	const struct job_step *s = o->steps;
+
+	while (!step_has_waiting_tasks(s))
+		s++;
+	selection_add_step(
+	    unit, s->spec, s->spec->gang ? s->spec->task_count : 1);
+}
+
 static void
 fill_candidate(struct pool *p, struct load_candidate *to, struct candidate *c)
 {
@@ -280,6 +295,7 @@
 		selection_add_step(&to->work, s->spec, count * s->expected_ms);
 	}
 	add_demand(c, &to->demand);
+	add_unit(o, &to->unit);
 }
 
 static bool
@@ -435,7 +451,6 @@
 	size_t first, i, n, in_turn;
 
 	sel->decided = false;
-	memset(&sel->overdue_usage, 0, sizeof(sel->overdue_usage));
 	if (!selection_active(p))
 		return false;
 	first = move_long_running(list, *count);
@@ -451,6 +466,7 @@
 		return false;
 	}
 	sel->overdue_usage = sel->problem.overdue_usage;
+	sel->turn_denied = false;
 	log_deferred(p, list, first);
 	memcpy(copy, list + first, n * sizeof(*copy));
 	in_turn = d->in_turn;
@@ -480,21 +496,16 @@
 selection_allows_start(struct pool *p, const struct job_step *s, unsigned count)
 {
 	struct pool_selection *sel = p->selection;
-	struct load_vector after = sel->overdue_usage;
-	bool first = true;
-	int i;
+	struct load_vector unit = {{0}};
 
 	if (!p->placing_in_turn)
 		return true;
-	selection_add_step(&after, s->spec, count);
-	for (i = 0; i < LOAD_DIMENSIONS; i++)
-		first &= sel->overdue_usage.in[i] <= 0;
-	for (i = 0; !first && i < LOAD_DIMENSIONS; i++) {
-		if (after.in[i] > sel->overdue_usage.in[i] &&
-		    after.in[i] >
-			LOAD_OVERDUE_SHARE * sel->problem.capacity.total.in[i])
-			return false;
+	selection_add_step(&unit, s->spec, count);
+	if (load_turn_denied(
+		&sel->problem.capacity, &sel->overdue_usage, &unit)) {
+		sel->turn_denied = true;
+		return false;
 	}
-	sel->overdue_usage = after;
+	selection_add_step(&sel->overdue_usage, s->spec, count);
 	return true;
 }
--- a/src/jobs/pool_selection.h
+++ b/src/jobs/pool_selection.h
@@ -26,8 +26,8 @@
 	uint64_t pass; /* number of the newest pass */
 	struct pool_account no_account; /* of jobs that belong to none */
 	struct queue_mean *queue_means;
-	/* Nothing more starts in turn in this pass, beyond this usage. */
-	struct load_vector overdue_usage;
+	struct load_vector overdue_usage; /* of tasks that were in turn */
+	bool turn_denied; /* some had to wait for their share in this pass */
 	bool pressure;
 	int64_t pressure_since_us, deferred_us; /* newest deferral */
 	size_t deferred_max, served_max; /* since then */
@@ -55,11 +55,11 @@
 bool selection_allows_start(
     struct pool *p, const struct job_step *s, unsigned count);
 /*
- * The occurrence, which goes ahead of others, has been tried: reserves workers
- * for its tasks if they find none, as smaller tasks would take what becomes
+ * The occurrence, which goes ahead of others, has been tried.  Reserves workers
+ * for its tasks if they found none, as smaller tasks would take what becomes
  * free.  One job at a time has them.
  */
-void selection_reserve_workers(struct pool *p, struct occurrence *o);
+void selection_turn_taken(struct pool *p, struct occurrence *o);
 /* The worker is reserved for another job. */
 bool worker_reserved(
     const struct pool *p, const struct pool_worker *w, const struct job *j);
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -201,6 +201,7 @@
 	/* Submissions that it may make; see pool_admission.c. */
 	double tokens;
 	int64_t tokens_us; /* when they were counted; 0: never */
+	int64_t last_turn_us; /* an overdue job of it went ahead; 0: never */
 	int64_t next_token_us; /* first time not named to a refused caller */
 	/* Its index in the load_problem of this pass. */
 	uint64_t load_pass;
