--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1718,8 +1718,9 @@
     struct jobs_world *w, struct job_spec *job_spec, const char *id)
 {
 	struct pool_event ev = {.kind = POOL_SUBMIT};
+	struct known_job *j = known_job(w, id);
 
-	ev.u.submit.token = token_new(w, known_job(w, id));
+	ev.u.submit.token = token_new(w, j);
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
 	w->terms.has_policy = w->opts.allowed_from > 0;
 	snprintf(
@@ -1800,7 +1801,7 @@
 	const struct known_job *j;
 
 	HASH_FIND_STR(w->jobs, id, j);
-	return j->retry_ms;
+	return j != NULL ? j->retry_ms : 0;
 }
 
 int64_t
@@ -1809,7 +1810,7 @@
 	const struct known_job *j;
 
 	HASH_FIND_STR(w->jobs, id, j);
-	return j->done_ms != 0 ? j->done_ms - j->first_ms : -1;
+	return j != NULL && j->done_ms != 0 ? j->done_ms - j->first_ms : -1;
 }
 
 int
--- a/bench/pressure.c
+++ b/bench/pressure.c
@@ -27,6 +27,7 @@
 #define LATE_VALUE 0.07
 #define LATENESS_MAX 3.0
 #define RETRIES_MAX 6
+#define WORST_ACCOUNTS 2 /* a tenth of them */
 /* Sizes of jobs: tasks, and time of one in ms. */
 #define TASK_CPU 1000
 
@@ -252,8 +253,8 @@
 	for (i = 0; i < PRESSURE_ACCOUNTS; i++)
 		shares[i] = pressure_share(&r->accounts[i]);
 	qsort(shares, PRESSURE_ACCOUNTS, sizeof(shares[0]), compare_shares);
-	for (i = 0; i < PRESSURE_ACCOUNTS / 10; i++)
-		r->worst_tenth += shares[i] / (PRESSURE_ACCOUNTS / 10);
+	for (i = 0; i < WORST_ACCOUNTS; i++)
+		r->worst_tenth += shares[i] / WORST_ACCOUNTS;
 	jobs_world_judge(p->world, &v);
 	snprintf(r->broken, sizeof(r->broken), "%s", v.first);
 }
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -692,8 +692,8 @@
 		    labels, st.refused_share);
 		metric_counter(out, "pool_refused_backlog_total", NULL, labels,
 		    st.refused_backlog);
-		metric_counter(out, "pool_jobs_deferred_total", NULL, labels,
-		    st.deferred);
+		metric_counter(
+		    out, "pool_jobs_deferred_total", NULL, labels, st.deferred);
 		metric_gauge(out, "pool_under_pressure", NULL, labels,
 		    st.under_pressure);
 		metric_counter(
