jobs: merge load selection

Where the configuration has accounts, load_select() decides which waiting jobs are served, deferred or refused (docs/design/load-selection.md).

--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -145,6 +145,9 @@
 	int64_t full_until_us;
 	/* Earliest end of a draining worker; 0: not draining. */
 	int64_t drain_end_us;
+	/* No new tasks of other jobs before this time. */
+	int64_t reserved_until_us;
+	char reserved_job[JOB_ID_BYTES];
 	int64_t throttle_changed_us; /* newest change of a throttle */
 	/* No new tasks before this time: the worker is cordoned. */
 	int64_t cordon_until_us;
@@ -195,6 +198,14 @@
 	 */
 	struct account_cap usage;
 	size_t active_jobs; /* unfinished jobs in the pool */
+	/* Submissions that it may make; see pool_admission.c. */
+	double tokens;
+	int64_t tokens_us; /* when they were counted; 0: never */
+	int64_t last_turn_us; /* an overdue job of it went ahead; 0: never */
+	int64_t next_token_us; /* first time not named to a refused caller */
+	/* Its index in the load_problem of this pass. */
+	uint64_t load_pass;
+	size_t load_index;
 	UT_hash_handle hh; /* by settings.name */
 };
 
@@ -226,6 +237,9 @@
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
 	size_t active_count, finished_count;
 	struct pool_account *accounts; /* by name */
+	size_t configured_accounts;
+	struct pool_selection *selection;
+	bool placing_in_turn; /* see candidate.in_turn */
 	struct pool_worker *workers; /* by id */
 	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
@@ -290,23 +304,6 @@
 	struct pool_stats stats;
 };
 
-/* Classes of work, in the order in which they are placed. */
-enum rank_class {
-	RANK_LONG_RUNNING,
-	RANK_STARTED, /* has started tasks, and can meet its objective */
-	RANK_ON_TIME, /* not started, and can meet its objective */
-	RANK_LATE, /* misses its objective, but still has some value */
-	RANK_HOPELESS /* too late to have any value */
-};
-
-/* An occurrence with tasks to place. */
-struct candidate {
-	struct occurrence *occurrence;
-	enum rank_class class;
-	int priority; /* of its queue; 0 comes first */
-	double slack_ms; /* time that it can wait and meet its objective */
-};
-
 /* Which of a worker's tasks are detached. */
 enum detach_scope {
 	DETACH_ALL,
@@ -498,7 +495,9 @@
 #define SUBMIT_RETRY_MAX_MS 10000 /* upper bound of a refusal's retry time */
 /* Returns the retry time of a refused job and the reason; 0: accepted. */
 int pool_submit_refusal_ms(
-    const struct pool *p, const struct pool_event *ev, const char **why);
+    struct pool *p, const struct pool_event *ev, const char **why);
+/* The figures behind the last refusal, as log fields; "": none. */
+const char *pool_refusal_figures(const struct pool *p);
 
 /* pool_refused.c */
 void pool_note_refused(struct pool *p, const char *id);
@@ -515,16 +514,6 @@
 /* So many further starts may be sent now. */
 bool start_window_has_room(const struct pool *p, size_t count);
 
-/* pool_rank.c */
-void pool_rank_occurrence(
-    const struct pool *p, struct candidate *c, struct occurrence *o);
-bool step_has_waiting_tasks(const struct job_step *s);
-/*
- * The occurrences with tasks to place, first to place first; starts those that
- * are due.  Free the list; NULL when out of memory.
- */
-struct candidate *pool_gather_candidates(struct pool *p, size_t *count);
-
 /* pool_caps.c */
 /* The pool's share of its account's cap has room for the task. */
 bool caps_allow_start(const struct pool *p, const struct task *t);
@@ -538,6 +527,9 @@
 void pool_place(struct pool *p);
 /* Another worker has capacity for a placed task. */
 bool task_fits_elsewhere(struct pool *p, const struct task *t);
+/* The worker would have capacity for a task if it ran nothing. */
+bool worker_fits_if_empty(
+    const struct pool_worker *w, const struct step_spec *s);
 size_t worker_long_running_tasks(const struct pool_worker *w);
 bool worker_has_capacity(
     const struct pool_worker *w, const struct step_spec *s);
@@ -576,4 +568,6 @@
 bool task_warming_up(const struct task *t);
 void pool_throttle_best_effort(struct pool *p, struct pool_worker *w);
 
+#include "pool_rank.h"
+
 #endif
