relay: configuration from other daemons while the store serves not this one

A daemon whose reads of the operators' topic fail kept its configuration for ever: removed keys and routes stayed in use, added ones were refused.

config_trust.c decides (no I/O, no clock): which peer is asked when, as of when the configuration is confirmed, and whether calls that need a key are taken. config_relay.c asks with POST /config, answers it, and puts a peer's record in force through store_watch.c like one that was read. The answer brings the pools' owners, and membership.c adopts them if they were read later. Replies to forwarded requests carry the version of a configuration with accounts. Active only where the configuration has accounts or there is none yet, and nothing is sent while reads succeed.

--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -12,7 +12,7 @@
 #define CONFIG_VERSION 3
 
 static const char settings_format[] =
-    "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
+    "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.%d\","
     "\"listen\":{\"front\":\"127.0.0.1:%d\",\"ready\":\"127.0.0.1:%d\"},"
     "\"portRange\":[%d,%d],\"heartbeatMs\":1000,"
     "\"bounds\":{\"holdMaxMs\":6000,\"stopTimeoutMs\":200,\"status_s\":60,"
@@ -53,6 +53,16 @@
 	return job_fleet_put(f, "keyed.op", "config", text);
 }
 
+int
+job_fleet_turn_away(const struct job_fleet *f, int daemon, int status)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "/store-away?port=%d&status=%d",
+	    f->store_port[daemon], status);
+	return http_json(f->platform_port, "POST", path, "", NULL);
+}
+
 static bool
 platform_answers(void *arg)
 {
@@ -73,7 +83,8 @@
 struct job_fleet *
 job_fleet_new_with(const struct job_fleet_opts *o)
 {
-	char listen[32];
+	char listen[32], ports[8 * JOB_DAEMONS_MAX] = "";
+	size_t len = 0;
 	const char *argv[PROC_ARGS_MAX] = {
 	    "--listen", listen, "--workers", "4", "--task-ms", "60"};
 	struct job_fleet *f;
@@ -88,20 +99,29 @@
 	if (f == NULL)
 		err(1, "no memory for the fleet");
 	f->procs = o->procs != NULL ? o->procs : procs_new();
+	f->own_addresses = o->own_addresses;
 	f->daemon_count = o->daemons;
 	f->platform_port = o->platform_port;
+	for (i = 0; i < f->daemon_count; i++) {
+		f->store_port[i] =
+		    f->own_addresses ? free_port() : f->platform_port;
+		f->callers_port[i] = free_port();
+		f->ready_port[i] = free_port();
+		f->peer_port[i] = i > 0 && f->own_addresses ? f->peer_port[0]
+							    : free_port();
+		len += (size_t)snprintf(ports + len, sizeof(ports) - len,
+		    "%d,", f->store_port[i]);
+	}
+	if (f->own_addresses && n < PROC_ARGS_MAX - 2) {
+		argv[n++] = "--store-ports";
+		argv[n++] = ports;
+	}
 	snprintf(listen, sizeof(listen), "127.0.0.1:%d", f->platform_port);
 	if (proc_start(f->procs, "platform", "standin-jobs", argv) == NULL ||
 	    !wait_until(platform_answers, f, START_LIMIT_MS))
 		errx(1, "the stand-in of the platform does not answer");
 	if (job_fleet_configure(f, CONFIG_VERSION, "") != 200)
 		errx(1, "the stand-in does not take the configuration");
-	for (i = 0; i < f->daemon_count; i++) {
-		f->store_port[i] = f->platform_port;
-		f->callers_port[i] = free_port();
-		f->ready_port[i] = free_port();
-		f->peer_port[i] = free_port();
-	}
 	return f;
 }
 
@@ -119,7 +139,8 @@
 {
 	char name[32], path[160], text[2048];
 
-	snprintf(text, sizeof(text), settings_format, i, f->callers_port[i],
+	snprintf(text, sizeof(text), settings_format, i,
+	    f->own_addresses ? i + 1 : 1, f->callers_port[i],
 	    f->ready_port[i], f->peer_port[i], f->peer_port[i],
 	    f->store_port[i], f->store_port[i], f->store_port[i]);
 	snprintf(name, sizeof(name), "boot-%d.json", i);
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -24,6 +24,7 @@
 	int callers_port[JOB_DAEMONS_MAX], ready_port[JOB_DAEMONS_MAX];
 	int peer_port[JOB_DAEMONS_MAX];
 	int store_port[JOB_DAEMONS_MAX]; /* where a daemon finds the platform */
+	bool own_addresses; /* see job_fleet_opts */
 };
 
 struct job_fleet_opts {
@@ -31,6 +32,11 @@
 	int platform_port;
 	struct procs *procs; /* of the fleet from now on; NULL: new ones */
 	const char *const *platform_args; /* more of them; ends with NULL */
+	/*
+	 * As on the platform, daemon i has an address of its own, 127.0.0.(i+1),
+	 * with one peer port for all; and a port of its own at the store.
+	 */
+	bool own_addresses;
 };
 
 /* The stand-in alone, with a configuration; exits where it does not start. */
@@ -44,6 +50,11 @@
 bool job_fleet_ready(const struct job_fleet *f, int daemon);
 /* Both daemons reach an owner of each pool. */
 bool job_fleet_owned(const struct job_fleet *f);
+/*
+ * The store answers this daemon with the status, or not at all with 0, and
+ * serves the others; 200: it is served again.  For own_addresses.
+ */
+int job_fleet_turn_away(const struct job_fleet *f, int daemon, int status);
 /* A record of the operators'; the stand-in's status. */
 int job_fleet_put(const struct job_fleet *f, const char *topic, const char *key,
     const char *value);
--- a/src/platform/platform_settings.c
+++ b/src/platform/platform_settings.c
@@ -6,6 +6,7 @@
 #include "json_get.h"
 
 #define SETTINGS_MAX_BYTES (256 * 1024)
+#define BOUND_MAX_MS (24 * 3600 * 1000)
 
 static int
 parse_endpoint(
@@ -82,6 +83,10 @@
 	s->maintenance_ms = get_seconds_ms(o, "maintenanceS", 2);
 	s->latency_violation_ms = (int)json_get_int(o, "harmMs", 4000);
 	s->controller_lease_ms = (int)json_get_int(o, "leaseMs", 3000);
+	s->config_apply_ms =
+	    json_get_int_clamped(o, "configApplyMs", 3000, BOUND_MAX_MS);
+	s->max_stretch_ms =
+	    json_get_int_clamped(o, "maxStretchMs", 6000, BOUND_MAX_MS);
 	s->remote_data_factor = json_get_real(o, "remoteFactor", 1);
 }
 
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -53,6 +53,9 @@
 	int latency_violation_ms; /* tail latency above its target this long */
 	/* another controller may take over when this has expired */
 	int controller_lease_ms;
+	/* a stored configuration applies after this time at the latest ... */
+	int config_apply_ms;
+	int max_stretch_ms; /* ... and this later if the whole store is out */
 	/* run time away from the data, relative to run time near it */
 	double remote_data_factor;
 };
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -263,6 +263,12 @@
 	return p == end ? malformed : -1;
 }
 
+int64_t
+store_read_end(const void *body, size_t len)
+{
+	return len < READ_HEADER_BYTES ? -1 : (int64_t)get_be(body, 8);
+}
+
 /* Decodes the base64 value of a newest record; the caller frees it. */
 static uint8_t *
 value_decode(const char *text, size_t *len)
--- a/src/platform/store_wire.h
+++ b/src/platform/store_wire.h
@@ -101,6 +101,9 @@
 int store_read_each(const void *body, size_t len, int64_t from, int64_t *next,
     void (*each)(void *arg, const struct store_record *r), void *arg);
 
+/* Offset after the topic's last record, as the response says; -1: malformed. */
+int64_t store_read_end(const void *body, size_t len);
+
 struct store_page {
 	bool has_more; /* the next page begins after "last_key" */
 	/* Last one that could be read; "" if none could. */
--- a/src/scheduler/job_call.c
+++ b/src/scheduler/job_call.c
@@ -83,7 +83,7 @@
 	struct wire_writer w;
 
 	wire_writer_init(&w);
-	wire_map(&w, 7);
+	wire_map(&w, r->config_version > 0 ? 8 : 7);
 	wire_u64(&w, "kind", r->kind);
 	wire_u64(&w, "answer", r->answer);
 	wire_u64(&w, "state", r->state);
@@ -91,6 +91,8 @@
 	wire_i64(&w, "retry", r->retry_after_ms);
 	wire_str(&w, "error", r->kind == REPLY_INVALID ? r->error.message : "");
 	wire_str(&w, "remedy", r->kind == REPLY_INVALID ? r->error.remedy : "");
+	if (r->config_version > 0)
+		wire_i64(&w, "config", r->config_version);
 	return wire_writer_finish(&w);
 }
 
@@ -116,6 +118,9 @@
 		in.root, "error", r->error.message, sizeof(r->error.message)) &&
 	    wire_get_str(
 		in.root, "remedy", r->error.remedy, sizeof(r->error.remedy));
+	if (!wire_get_i64(in.root, "config", &r->config_version) ||
+	    r->config_version < 0)
+		r->config_version = 0;
 	wire_reader_uninit(&in);
 	if (!ok)
 		return err_set(e, ERR_PROTOCOL, 0,
--- a/src/scheduler/job_call.h
+++ b/src/scheduler/job_call.h
@@ -40,6 +40,8 @@
 	enum job_state state;
 	size_t waiting_count;
 	int retry_after_ms;
+	/* Of the owner's configuration with accounts; 0: not given. */
+	int64_t config_version;
 	struct err error;
 };
 
--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "caller_request.h"
+#include "config_relay.h"
 #include "job_spec_wire.h"
 
 #define JOB_BODY_MAX_BYTES (256 * 1024)
@@ -99,6 +100,13 @@
 	if (query != NULL)
 		*query = '\0';
 	q = config_find_queue(config, host != NULL ? host : "", r->path);
+	/* a newer configuration may have the queue, or another key */
+	if ((q == NULL || !q->public_access) &&
+	    !config_relay_trusts(f->scheduler->relay)) {
+		f->scheduler->counters.config_unconfirmed++;
+		frontend_answer(f, id, 503, NULL, DEFAULT_RETRY_AFTER_MS);
+		return;
+	}
 	if (q == NULL) {
 		f->scheduler->counters.not_found++;
 		frontend_answer(f, id, 404, NULL, 0);
--- a/src/scheduler/membership.c
+++ b/src/scheduler/membership.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "candidacy.h"
+#include "config_relay.h"
 #include "controller.h"
 #include "join_pace.h"
 #include "shards.h"
@@ -24,7 +25,6 @@
 #define STANDBY_READ_INTERVAL_MS 1000
 #define OWNERS_READ_SPACING_MS 200 /* least time between requested reads */
 #define STEP_DOWN_RETRY_MS 50 /* until the writes of owned pools are stored */
-#define PARTITIONS_MAX 64
 
 struct join_attempt {
 	struct membership *membership;
@@ -46,10 +46,14 @@
 	lws_sorted_usec_list_t join_sul;
 	lws_sorted_usec_list_t owners_sul;
 	/* Member that owns each partition; "" unknown. */
-	char partition_owners[PARTITIONS_MAX][MEMBER_BYTES];
+	char partition_owners[GROUP_PARTITIONS_MAX][MEMBER_BYTES];
 	char (*pools)[NAME_BYTES]; /* assigned to this daemon */
 	size_t pool_count;
 	int64_t owners_read_us; /* when the last read was sent */
+	int64_t owners_read_boot_us; /* the same on the boot clock */
+	/* When the read was sent that shows partition_owners; 0: never. */
+	int64_t owners_known_boot_us;
+	int64_t owners_generation; /* of partition_owners; 0: unknown */
 	bool leaving;
 };
 
@@ -58,7 +62,9 @@
 {
 	int parts = m->scheduler->settings.store_partition_count;
 
-	return parts < 1 ? 1 : parts > PARTITIONS_MAX ? PARTITIONS_MAX : parts;
+	return parts < 1                   ? 1
+	    : parts > GROUP_PARTITIONS_MAX ? GROUP_PARTITIONS_MAX
+					   : parts;
 }
 
 int
@@ -302,6 +308,17 @@
 		    0); /* else the answer in flight schedules the next join */
 }
 
+/* Owners are peers to ask for the configuration, also once replaced. */
+static void
+set_owner(struct membership *m, int part, const char *member)
+{
+	struct endpoint at;
+
+	snprintf(m->partition_owners[part], MEMBER_BYTES, "%s", member);
+	if (member_parse(member, at.addr, sizeof(at.addr), &at.port, NULL))
+		config_relay_add_peer(m->scheduler->relay, &at);
+}
+
 static void
 on_owners_read(void *arg, int status, bool sent, const void *body, size_t len)
 {
@@ -309,7 +326,7 @@
 	struct store_assignments assignments;
 	struct endpoint to;
 	struct store_assignment *a;
-	bool eligible, eligible_seen = false;
+	bool eligible, eligible_seen = false, newer;
 	size_t i;
 
 	(void)sent;
@@ -319,16 +336,21 @@
 				  : STANDBY_READ_INTERVAL_MS);
 	if (status != 200 || store_owners_parse(&assignments, body, len) == -1)
 		return;
+	/* a peer may have read them since */
+	newer = m->owners_read_boot_us >= m->owners_known_boot_us;
 	for (i = 0; i < assignments.count; i++) {
 		a = &assignments.list[i];
-		if (strcmp(a->topic, GROUP_TOPIC) == 0 && a->partition >= 0 &&
-		    a->partition < PARTITIONS_MAX)
-			snprintf(m->partition_owners[a->partition],
-			    MEMBER_BYTES, "%s", a->member);
+		if (newer && strcmp(a->topic, GROUP_TOPIC) == 0 &&
+		    a->partition >= 0 && a->partition < GROUP_PARTITIONS_MAX)
+			set_owner(m, a->partition, a->member);
 		eligible_seen |= member_parse(a->member, to.addr,
 				     sizeof(to.addr), &to.port, &eligible) &&
 		    eligible;
 	}
+	if (newer) {
+		m->owners_known_boot_us = m->owners_read_boot_us;
+		m->owners_generation = assignments.generation;
+	}
 	store_assignments_uninit(&assignments);
 	update_candidacy(m, eligible_seen);
 }
@@ -343,6 +365,7 @@
 	if (m->owners_op != NULL)
 		return;
 	m->owners_read_us = sched_monotonic_us();
+	m->owners_read_boot_us = sched_boottime_us();
 	store_owners_call(&c, GROUP_NAME);
 	m->owners_op = store_op_start(
 	    m->scheduler, &c, GROUP_CALL_TIMEOUT_MS, on_owners_read, m);
@@ -392,6 +415,41 @@
 			: OWNERS_READ_SPACING_MS - (int)ago_ms);
 }
 
+void
+membership_known_owners(const struct membership *m, struct group_owners *out)
+{
+	int64_t age_us = sched_boottime_us() - m->owners_known_boot_us;
+	size_t i;
+
+	out->generation = m->owners_generation;
+	out->age_ms = m->owners_known_boot_us != 0
+	    ? (age_us + US_PER_MS - 1) / US_PER_MS
+	    : -1;
+	out->count = 0;
+	for (i = 0; i < GROUP_PARTITIONS_MAX; i++) {
+		memcpy(out->members[i], m->partition_owners[i], MEMBER_BYTES);
+		if (out->members[i][0] != '\0')
+			out->count = i + 1;
+	}
+}
+
+void
+membership_adopt_owners(
+    struct membership *m, const struct group_owners *o, int64_t read_boot_us)
+{
+	size_t i;
+
+	if (read_boot_us <= m->owners_known_boot_us ||
+	    (o->generation != 0 && o->generation < m->owners_generation))
+		return;
+	for (i = 0; i < o->count; i++) {
+		if (o->members[i][0] != '\0')
+			set_owner(m, (int)i, o->members[i]);
+	}
+	m->owners_known_boot_us = read_boot_us;
+	m->owners_generation = o->generation;
+}
+
 void
 membership_config_changed(struct membership *m)
 {
--- a/src/scheduler/membership.h
+++ b/src/scheduler/membership.h
@@ -7,6 +7,7 @@
 #ifndef MEMBERSHIP_H
 #define MEMBERSHIP_H
 
+#include "config_call.h"
 #include "scheduler.h"
 
 struct membership;
@@ -30,6 +31,15 @@
  * found no owner or got no answer from it.
  */
 void membership_refresh_owners(struct membership *m);
+/* Owners as last known, for a peer; "age_ms" is -1 where none is known. */
+void membership_known_owners(
+    const struct membership *m, struct group_owners *out);
+/*
+ * Takes a peer's word for the owners if it read them, at "read_boot_us", later
+ * than this daemon did.
+ */
+void membership_adopt_owners(
+    struct membership *m, const struct group_owners *o, int64_t read_boot_us);
 /* Sends a join at once, as the new configuration may have other pools. */
 void membership_config_changed(struct membership *m);
 /* Leaves the group before a planned stop.  All pools must be released. */
--- a/src/scheduler/peer_client.c
+++ b/src/scheduler/peer_client.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "config_relay.h"
+
 #define REPLY_MAX_BYTES 65536
 
 struct peer_call {
@@ -30,6 +32,7 @@
 	if (end != HTTP_ANSWERED || a->status != 200 || a->body == NULL ||
 	    job_reply_decode(&r, a->body->data, a->body->len, &e) == -1) {
 		r.kind = end == HTTP_UNSENT ? REPLY_NOT_DONE : REPLY_UNKNOWN;
+		r.config_version = 0;
 		c->scheduler->counters.forwards_failed++;
 		daemon_log(LOG_LEVEL_INFO, "peers",
 		    "msg=\"no usable answer from the pool's owner\" "
@@ -44,6 +47,9 @@
 		    c->to.addr, c->to.port, r.kind);
 		r.kind = REPLY_UNKNOWN;
 	}
+	if (r.config_version != 0)
+		config_relay_version_seen(
+		    c->scheduler->relay, &c->to, r.config_version);
 	c->reply(c->arg, &r);
 	free(c);
 }
--- a/src/scheduler/peer_server.c
+++ b/src/scheduler/peer_server.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "config_call.h"
+#include "config_relay.h"
 #include "peer_client.h"
 #include "shards.h"
 
@@ -32,8 +34,10 @@
 on_reply(void *arg, const struct job_reply *reply)
 {
 	struct peer_request *q = arg;
+	struct job_reply r = *reply;
 
-	answer(q->server, q->id, 200, job_reply_encode(reply));
+	r.config_version = config_relay_shown_version(q->server->scheduler);
+	answer(q->server, q->id, 200, job_reply_encode(&r));
 	free(q);
 }
 
@@ -87,12 +91,41 @@
 	pool_report_uninit(&report);
 }
 
+static void
+handle_config(struct peer_server *p, uint64_t id, const struct request *r)
+{
+	struct buf *out = config_relay_answer(p->scheduler->relay, r->body);
+
+	if (out == NULL)
+		daemon_log(LOG_LEVEL_WARN, "peers",
+		    "msg=\"cannot answer a peer's configuration request: "
+		    "answered 400\" bytes=%zu",
+		    r->body != NULL ? r->body->len : 0);
+	answer(p, id, out != NULL ? 200 : 400, out);
+}
+
+/* A daemon that has no configuration learns of others from their calls. */
+static void
+note_peer(struct peer_server *p, uint64_t id)
+{
+	char addr[ADDR_BYTES];
+
+	if (http_listener_remote_addr(p->listener, id, addr, sizeof(addr)))
+		config_relay_heard_from(p->scheduler->relay, addr);
+}
+
 static void
 on_request(void *arg, uint64_t id, struct request *r)
 {
 	struct peer_server *p = arg;
 	struct buf *out;
 
+	if (strcmp(r->method, "POST") == 0)
+		note_peer(p, id);
+	if (strcmp(r->path, PEER_PATH_CONFIG) == 0) {
+		handle_config(p, id, r);
+		return;
+	}
 	if (strcmp(r->path, PEER_PATH_JOBS) == 0) {
 		handle_job(p, id, r);
 		return;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -8,6 +8,7 @@
 #include <sys/stat.h>
 
 #include "clock.h"
+#include "config_relay.h"
 #include "controller.h"
 #include "job_frontend.h"
 #include "metric.h"
@@ -102,6 +103,7 @@
 	    s->shards, before != NULL ? before->accounts : NULL);
 	membership_config_changed(s->membership);
 	controller_config_changed(s->controller);
+	config_relay_config_changed(s->relay);
 	config_unref(before);
 }
 
@@ -196,10 +198,11 @@
 	s->http_connections = http_pool_new(IDLE_CONNECTION_MS);
 	s->shards = shards_new(s);
 	s->controller = controller_new(s);
+	s->relay = config_relay_new(s);
 	s->watcher = store_watch_new(s);
 	s->membership = membership_new(s);
 	if (s->http_connections == NULL || s->shards == NULL ||
-	    s->controller == NULL || s->watcher == NULL ||
+	    s->controller == NULL || s->relay == NULL || s->watcher == NULL ||
 	    s->membership == NULL)
 		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
 		    "out of memory for the daemon's state");
@@ -220,6 +223,7 @@
 	job_frontend_cancel_requests(s->frontend);
 	membership_free(s->membership);
 	store_watch_free(s->watcher);
+	config_relay_free(s->relay);
 	http_pool_free(s->http_connections);
 	if (s->context != NULL)
 		lws_context_destroy(s->context);
@@ -349,6 +353,9 @@
 	    out, "accepted_total", "jobs stored for callers", "", n->accepted);
 	metric_counter(
 	    out, "refused_total", "answered 429 or 503", "", n->refused);
+	metric_counter(out, "config_unconfirmed_total",
+	    "answered 503, as the configuration was not confirmed", "",
+	    n->config_unconfirmed);
 	metric_counter(
 	    out, "unknown_total", "answered 504", "", n->outcome_unknown);
 	metric_counter(
@@ -380,5 +387,6 @@
 	    store_health_answer_age_us(&s->store_state, sched_monotonic_us()) /
 		US_PER_MS);
 	write_histogram(n, out);
+	config_relay_metrics(s->relay, out);
 	shards_metrics(s->shards, out);
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -22,6 +22,7 @@
 #include "store_health.h"
 #include "store_wire.h"
 
+struct config_relay;
 struct controller;
 struct job_frontend;
 struct membership;
@@ -32,6 +33,8 @@
 /* Totals since the process started; served as metrics. */
 struct scheduler_counters {
 	uint64_t requests, accepted, refused, outcome_unknown, not_found;
+	/* refused, since the configuration is not known to be current */
+	uint64_t config_unconfirmed;
 	uint64_t store_calls, store_calls_failed, appends_repeated;
 	uint64_t records_too_large, appends_unreadable;
 	uint64_t worker_commands, worker_commands_unanswered;
@@ -51,6 +54,7 @@
 	struct http_pool *http_connections; /* idle, shared by all calls */
 	struct config *config; /* NULL until the first one is read */
 	struct store_watch *watcher;
+	struct config_relay *relay;
 	struct membership *membership;
 	struct shards *shards;
 	struct controller *controller;
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#include "config_relay.h"
 #include "controller.h"
 #include "shards.h"
 #include "store_client.h"
@@ -47,6 +48,10 @@
 	lws_sorted_usec_list_t timer;
 	void (*on_record)(struct store_watch *w, const struct store_record *r);
 	void (*on_loaded)(struct store_watch *w); /* a scan is complete */
+	/* Of each read's end; NULL: not needed. */
+	void (*on_read_end)(struct store_watch *w, enum config_read_end end);
+	/* A read was sent that the store holds for so long. */
+	void (*on_read_start)(struct store_watch *w, int long_poll_ms);
 };
 
 struct worker_entry {
@@ -61,6 +66,7 @@
 	struct topic_follower operators;
 	struct topic_follower workers;
 	struct worker_entry *entries_by_id;
+	struct buf *config_record; /* of the configuration in force */
 };
 
 static void on_follower_due(lws_sorted_usec_list_t *sul);
@@ -72,6 +78,20 @@
 	    on_follower_due, ms > 0 ? ms * US_PER_MS : 1);
 }
 
+static void
+read_started(struct topic_follower *f, int long_poll_ms)
+{
+	if (f->on_read_start != NULL)
+		f->on_read_start(f->watcher, long_poll_ms);
+}
+
+static void
+read_ended(struct topic_follower *f, enum config_read_end end)
+{
+	if (f->on_read_end != NULL)
+		f->on_read_end(f->watcher, end);
+}
+
 static void
 forward_record(void *arg, const struct store_record *r)
 {
@@ -143,12 +163,14 @@
 	(void)sent;
 	f->op = NULL;
 	if (status != 200) {
+		read_ended(f, CONFIG_READ_FAILED);
 		f->first_page = true;
 		follower_schedule(f, RETRY_DELAY_MS);
 		return;
 	}
 	malformed = store_newest_each(body, len, &page, forward_record, f);
 	if (malformed < 0) {
+		read_ended(f, CONFIG_READ_FAILED);
 		f->malformed_answers++;
 		log_malformed(f, malformed);
 		f->first_page = true;
@@ -160,13 +182,17 @@
 	if (f->first_page)
 		f->snapshot_end_offset = page.end_offset;
 	f->first_page = false;
-	if (page.has_more && next_page(f, &page))
+	if (page.has_more && next_page(f, &page)) {
+		read_ended(f, CONFIG_READ_PARTIAL);
 		return;
+	}
 	f->next_offset = f->snapshot_end_offset;
 	f->first_page = true;
 	f->loaded = true;
 	f->last_read_boottime_us = f->read_sent_boottime_us;
 	f->on_loaded(f->watcher);
+	read_ended(
+	    f, f->scan_incomplete ? CONFIG_READ_FAILED : CONFIG_READ_COMPLETE);
 	follower_schedule(f, f->poll_interval_ms);
 }
 
@@ -184,8 +210,12 @@
 	store_newest_call(&c, f->topic, f->first_page ? NULL : f->last_key);
 	f->op = store_op_start(
 	    f->watcher->scheduler, &c, READ_TIMEOUT_MS, on_newest_done, f);
-	if (f->op == NULL)
-		follower_schedule(f, RETRY_DELAY_MS);
+	if (f->op != NULL) {
+		read_started(f, 0);
+		return;
+	}
+	read_ended(f, CONFIG_READ_FAILED);
+	follower_schedule(f, RETRY_DELAY_MS);
 }
 
 static void
@@ -203,10 +233,13 @@
 		    "records\" topic=%s from=%lld",
 		    f->topic, (long long)f->next_offset);
 		f->next_offset = -1;
+		read_ended(f,
+		    status == 410 ? CONFIG_READ_PARTIAL : CONFIG_READ_FAILED);
 		follower_schedule(f, status == 410 ? 0 : RETRY_DELAY_MS);
 		return;
 	}
 	if (status != 200) {
+		read_ended(f, CONFIG_READ_FAILED);
 		follower_schedule(f, RETRY_DELAY_MS);
 		return;
 	}
@@ -219,9 +252,13 @@
 	log_malformed(f, malformed);
 	if (malformed >= 0) {
 		f->last_read_boottime_us = f->read_sent_boottime_us;
+		read_ended(f,
+		    next >= store_read_end(body, len) ? CONFIG_READ_COMPLETE
+						      : CONFIG_READ_PARTIAL);
 		follower_schedule(f, f->poll_interval_ms);
 		return;
 	}
+	read_ended(f, CONFIG_READ_FAILED);
 	if (f->malformed_answers >= MALFORMED_READS_MAX) {
 		daemon_log(LOG_LEVEL_WARN, "watch",
 		    "msg=\"records cannot be decoded: reads the newest of each "
@@ -250,36 +287,60 @@
 	store_read_call(&c, f->topic, f->next_offset, f->long_poll_ms);
 	f->op = store_op_start(f->watcher->scheduler, &c,
 	    f->long_poll_ms + READ_TIMEOUT_MS, on_read_done, f);
-	if (f->op == NULL)
-		follower_schedule(f, RETRY_DELAY_MS);
+	if (f->op != NULL) {
+		read_started(f, f->long_poll_ms);
+		return;
+	}
+	read_ended(f, CONFIG_READ_FAILED);
+	follower_schedule(f, RETRY_DELAY_MS);
 }
 
-static void
-apply_config(struct store_watch *w, const struct store_record *r)
+/* "offset" -1: from a peer. */
+static enum config_take
+apply_config(
+    struct store_watch *w, const void *data, size_t len, int64_t offset)
 {
 	struct scheduler *s = w->scheduler;
+	int64_t before = s->config != NULL ? s->config->version : -1;
+	struct buf *record;
 	struct config *c;
 	struct err e;
 
-	c = config_parse(r->value, r->value_len, &e);
+	c = config_parse(data, len, &e);
 	if (c == NULL) {
 		daemon_log(LOG_LEVEL_ERROR, "watch",
 		    "msg=\"configuration is invalid: ignored\" offset=%lld "
 		    "error=\"%s\" remedy=\"%s\"",
-		    (long long)r->offset, e.message, e.remedy);
-		return;
+		    (long long)offset, e.message, e.remedy);
+		return CONFIG_MALFORMED;
 	}
-	if (s->config != NULL && c->version <= s->config->version) {
+	if (!config_trust_supersedes(c->version, before)) {
 		config_unref(c);
-		return;
+		return CONFIG_NOT_NEWER;
 	}
+	/* out of memory: peers are given none until the next version */
+	record = buf_from(data, len);
+	buf_unref(w->config_record);
+	w->config_record = record;
 	daemon_log(LOG_LEVEL_INFO, "watch",
 	    "msg=\"configuration in force\" version=%lld before=%lld "
 	    "queues=%zu pools=%zu offset=%lld",
-	    (long long)c->version,
-	    (long long)(s->config != NULL ? s->config->version : -1),
-	    c->queue_count, c->pool_count, (long long)r->offset);
+	    (long long)c->version, (long long)before, c->queue_count,
+	    c->pool_count, (long long)offset);
 	scheduler_set_config(s, c);
+	return CONFIG_TAKEN;
+}
+
+enum config_take
+store_watch_take_config(struct store_watch *w, const void *data, size_t len)
+{
+	return apply_config(w, data, len, -1);
+}
+
+struct buf *
+store_watch_config_record(const struct store_watch *w)
+{
+	return w->config_record;
 }
 
 static void
@@ -288,7 +349,7 @@
 	if (r->value == NULL)
 		return;
 	if (strcmp(r->key, KEY_CONFIG) == 0)
-		apply_config(w, r);
+		apply_config(w, r->value, r->value_len, r->offset);
 	else if (strncmp(r->key, KEY_WAVE_PREFIX, strlen(KEY_WAVE_PREFIX)) == 0)
 		controller_add_wave(w->scheduler->controller, r);
 }
@@ -299,6 +360,19 @@
 	(void)w;
 }
 
+static void
+on_operators_read_start(struct store_watch *w, int long_poll_ms)
+{
+	config_relay_read_started(w->scheduler->relay, long_poll_ms);
+}
+
+static void
+on_operators_read_end(struct store_watch *w, enum config_read_end end)
+{
+	config_relay_read_ended(
+	    w->scheduler->relay, end, w->operators.read_sent_boottime_us);
+}
+
 static void
 remove_worker(struct store_watch *w, struct worker_entry *e)
 {
@@ -427,6 +501,8 @@
 	w->operators.long_poll_ms = OPERATORS_LONG_POLL_MS;
 	w->operators.on_record = on_operators_record;
 	w->operators.on_loaded = on_operators_loaded;
+	w->operators.on_read_start = on_operators_read_start;
+	w->operators.on_read_end = on_operators_read_end;
 	w->operators.active = true;
 	follower_init(&w->workers, w, TOPIC_WORKERS);
 	w->workers.poll_interval_ms = WORKERS_POLL_INTERVAL_MS;
@@ -452,6 +528,7 @@
 		HASH_DEL(w->entries_by_id, e);
 		free(e);
 	}
+	buf_unref(w->config_record);
 	free(w);
 }
 
--- a/src/shell/http_listener.c
+++ b/src/shell/http_listener.c
@@ -1,5 +1,6 @@
 #include "http_listener.h"
 
+#include <netdb.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -251,6 +252,22 @@
 	http_conn_answer(c, reply);
 }
 
+bool
+http_listener_remote_addr(
+    struct http_listener *l, uint64_t id, char *out, size_t size)
+{
+	struct sockaddr_storage sa;
+	socklen_t len = sizeof(sa);
+	struct http_conn *c;
+
+	HASH_FIND(hh, l->awaiting_answer, &id, sizeof(id), c);
+	return c != NULL &&
+	    getpeername(
+		lws_get_socket_fd(c->wsi), (struct sockaddr *)&sa, &len) == 0 &&
+	    getnameinfo((struct sockaddr *)&sa, len, out, (socklen_t)size, NULL,
+		0, NI_NUMERICHOST) == 0;
+}
+
 size_t
 http_listener_busy_count(const struct http_listener *l)
 {
--- a/src/shell/http_listener.h
+++ b/src/shell/http_listener.h
@@ -63,6 +63,12 @@
 /* Does nothing if the caller has disconnected. */
 void http_listener_answer(
     struct http_listener *l, uint64_t id, const struct http_reply *reply);
+/*
+ * Address of the peer whose request awaits an answer.  False when it has
+ * disconnected or its address does not fit.
+ */
+bool http_listener_remote_addr(
+    struct http_listener *l, uint64_t id, char *out, size_t size);
 /* Number of connections with a request or an answer in progress. */
 size_t http_listener_busy_count(const struct http_listener *l);
 size_t http_listener_connection_count(const struct http_listener *l);
--- a/standin/http_server.c
+++ b/standin/http_server.c
@@ -104,6 +104,7 @@
 		return NULL;
 	x->server = s;
 	x->wsi = wsi;
+	x->port = lws_get_vhost_port(lws_get_vhost(wsi));
 	x->body = buf_new(0);
 	method = lws_http_get_uri_and_method(wsi, &uri, &len);
 	if (method < 0 || method > LWSHUMETH_HEAD || x->body == NULL) {
@@ -319,6 +320,8 @@
 {
 	struct lws_context_creation_info info;
 	struct http_server *s;
+	const int *port;
+	char name[16];
 
 	s = calloc(1, sizeof(*s));
 	if (s == NULL)
@@ -340,6 +343,15 @@
 		free(s);
 		return NULL;
 	}
+	for (port = opts->more_ports; port != NULL && *port != 0; port++) {
+		snprintf(name, sizeof(name), "port-%d", *port);
+		info.vhost_name = name;
+		info.port = *port;
+		if (lws_create_vhost(s->context, &info) == NULL) {
+			http_server_free(s);
+			return NULL;
+		}
+	}
 	return s;
 }
 
--- a/standin/http_server.h
+++ b/standin/http_server.h
@@ -23,6 +23,7 @@
 	char query[EXCHANGE_PATH_BYTES];
 	struct headers headers; /* those named in keep_headers */
 	struct buf *body; /* never NULL */
+	int port; /* at which the request came in */
 	void *user; /* the application's own; it frees it */
 	/* Set before the answer: close after half of its body. */
 	bool truncate;
@@ -42,6 +43,7 @@
 struct http_server_opts {
 	const char *addr; /* numeric IP */
 	int port;
+	const int *more_ports; /* served as well; ends with 0, may be NULL */
 	int connections_max; /* further ones are closed when accepted */
 	size_t body_max; /* bytes; a larger request is answered with 413 */
 	const char *const *keep_headers; /* lower case, NULL-terminated */
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -69,6 +69,12 @@
 	STAILQ_ENTRY(slow_append) entries;
 };
 
+/* Calls at this port are turned away. */
+struct turned_away {
+	int port; /* 0: unused */
+	int status; /* 0: no answer */
+};
+
 struct job_store {
 	struct topic topics[TOPICS_MAX];
 	size_t topic_count;
@@ -82,6 +88,7 @@
 	int refuse; /* status of every answer; 0: calls are served */
 	int refuse_of; /* one in so many topics, and which; 0: all */
 	int refuse_rest;
+	struct turned_away turned_away[MEMBERS_MAX];
 	int lose; /* tries of each append that get no answer */
 	int unreadable; /* appends refused for good */
 	int page_items; /* of a page of newest records; 0: all */
@@ -640,14 +647,34 @@
 	    (int)(t - s->topics) % s->refuse_of == s->refuse_rest;
 }
 
+/* NULL where calls at the port are served. */
+static struct turned_away *
+turned_away_at(struct job_store *s, int port)
+{
+	size_t i;
+
+	for (i = 0; i < MEMBERS_MAX; i++) {
+		if (s->turned_away[i].port == port)
+			return &s->turned_away[i];
+	}
+	return NULL;
+}
+
 bool
 job_store_request(struct job_store *s, struct exchange *x)
 {
 	char name[NAME_MAX_BYTES];
+	const struct turned_away *away;
 	struct topic *t = NULL;
 
 	if (strncmp(x->path, "/log-", 5) != 0)
 		return false;
+	away = turned_away_at(s, x->port);
+	if (away != NULL) {
+		if (away->status != 0)
+			exchange_answer(x, away->status, NULL);
+		return true;
+	}
 	if (exchange_str(x, "topic", name, sizeof(name)))
 		t = topic_of(s, name);
 	if (is_refused(s, t)) {
@@ -734,6 +761,19 @@
 	    s, status, TOPICS_MAX, (int)(topic_of(s, name) - s->topics));
 }
 
+void
+job_store_turn_away(struct job_store *s, int port, int status)
+{
+	struct turned_away *away = turned_away_at(s, port);
+
+	if (away == NULL)
+		away = turned_away_at(s, 0);
+	if (away == NULL)
+		return;
+	away->port = status == 200 ? 0 : port;
+	away->status = status;
+}
+
 void
 job_store_forget(struct job_store *s)
 {
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -39,6 +39,11 @@
 void job_store_refuse_some(struct job_store *s, int status, int of, int rest);
 /* The same for the topic of this name only. */
 void job_store_refuse_topic(struct job_store *s, int status, const char *name);
+/*
+ * Calls that come in at the port are answered with the status, or not at all
+ * with 0; 200: they are served again.
+ */
+void job_store_turn_away(struct job_store *s, int port, int status);
 /* Reads from before this moment are told that their records are gone. */
 void job_store_forget(struct job_store *s);
 /* One in so many appends of jobs is acknowledged and not kept. */
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -21,6 +21,7 @@
 #include "listen.h"
 
 #define WORKERS_MAX 32
+#define STORE_PORTS_MAX 48
 #define TICK_MS 2
 #define NAME_MAX_BYTES 80
 #define BEAT_MS 1000 /* between entries of a worker */
@@ -118,6 +119,7 @@
 	int64_t starts, twice, ended, upkeeps, moves, advised;
 	FILE *log;
 	const char *ports; /* of the workers' entries, with commas */
+	int store_ports[STORE_PORTS_MAX + 1]; /* also served; ends with 0 */
 	enum mutation mutation;
 } world;
 
@@ -733,6 +735,10 @@
 			    (int)exchange_int(x, "of", 1),
 			    (int)exchange_int(x, "rest", 0));
 		exchange_answer(x, 200, NULL);
+	} else if (strcmp(x->path, "/store-away") == 0) {
+		job_store_turn_away(world.store, (int)exchange_int(x, "port", 0),
+		    (int)exchange_int(x, "status", 503));
+		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-forget") == 0) {
 		job_store_forget(world.store);
 		exchange_answer(x, 200, NULL);
@@ -878,10 +884,24 @@
     {"task-ms", 't', "MS", 0, "Time of one task", 0},
     {"log", 'L', "FILE", 0, "Write down what workers see", 0},
     {"ports", 'P', "A,B", 0, "Ports that the workers' entries name", 0},
+    {"store-ports", 'S', "A,B", 0, "Further ports, by which the store tells "
+				   "its clients apart", 0},
     {"mutate", 'M', "N", OPTION_HIDDEN, "Be wrong", 0},
     {0},
 };
 
+static void
+parse_store_ports(const char *text)
+{
+	char *end;
+	int i;
+
+	for (i = 0; i < STORE_PORTS_MAX && *text != '\0'; i++) {
+		world.store_ports[i] = (int)strtol(text, &end, 10);
+		text = *end == ',' ? end + 1 : end;
+	}
+}
+
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
@@ -900,6 +920,9 @@
 	case 'P':
 		world.ports = arg;
 		break;
+	case 'S':
+		parse_store_ports(arg);
+		break;
 	case 'M':
 		world.mutation = (enum mutation)strtol(arg, NULL, 10);
 		break;
@@ -963,6 +986,7 @@
 	make_workers();
 	o.addr = world.listen.addr;
 	o.port = world.listen.port;
+	o.more_ports = world.store_ports;
 	world.server = http_server_new(&o);
 	if (world.server == NULL || world.store == NULL)
 		return 1;
