--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -107,10 +107,10 @@
 		    f->own_addresses ? free_port() : f->platform_port;
 		f->callers_port[i] = free_port();
 		f->ready_port[i] = free_port();
-		f->peer_port[i] = i > 0 && f->own_addresses ? f->peer_port[0]
-							    : free_port();
-		len += (size_t)snprintf(ports + len, sizeof(ports) - len,
-		    "%d,", f->store_port[i]);
+		f->peer_port[i] =
+		    i > 0 && f->own_addresses ? f->peer_port[0] : free_port();
+		len += (size_t)snprintf(
+		    ports + len, sizeof(ports) - len, "%d,", f->store_port[i]);
 	}
 	if (f->own_addresses && n < PROC_ARGS_MAX - 2) {
 		argv[n++] = "--store-ports";
@@ -140,9 +140,9 @@
 	char name[32], path[160], text[2048];
 
 	snprintf(text, sizeof(text), settings_format, i,
-	    f->own_addresses ? i + 1 : 1, f->callers_port[i],
-	    f->ready_port[i], f->peer_port[i], f->peer_port[i],
-	    f->store_port[i], f->store_port[i], f->store_port[i]);
+	    f->own_addresses ? i + 1 : 1, f->callers_port[i], f->ready_port[i],
+	    f->peer_port[i], f->peer_port[i], f->store_port[i],
+	    f->store_port[i], f->store_port[i]);
 	snprintf(name, sizeof(name), "boot-%d.json", i);
 	procs_write(f->procs, name, text, path, sizeof(path));
 }
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -33,8 +33,9 @@
 	struct procs *procs; /* of the fleet from now on; NULL: new ones */
 	const char *const *platform_args; /* more of them; ends with NULL */
 	/*
-	 * As on the platform, daemon i has an address of its own, 127.0.0.(i+1),
-	 * with one peer port for all; and a port of its own at the store.
+	 * As on the platform, daemon i has an address of its own,
+	 * 127.0.0.(i+1), with one peer port for all; and a port of its own at
+	 * the store.
 	 */
 	bool own_addresses;
 };
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -736,7 +736,8 @@
 			    (int)exchange_int(x, "rest", 0));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-away") == 0) {
-		job_store_turn_away(world.store, (int)exchange_int(x, "port", 0),
+		job_store_turn_away(world.store,
+		    (int)exchange_int(x, "port", 0),
 		    (int)exchange_int(x, "status", 503));
 		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/store-forget") == 0) {
@@ -884,8 +885,10 @@
     {"task-ms", 't', "MS", 0, "Time of one task", 0},
     {"log", 'L', "FILE", 0, "Write down what workers see", 0},
     {"ports", 'P', "A,B", 0, "Ports that the workers' entries name", 0},
-    {"store-ports", 'S', "A,B", 0, "Further ports, by which the store tells "
-				   "its clients apart", 0},
+    {"store-ports", 'S', "A,B", 0,
+	"Further ports, by which the store tells "
+	"its clients apart",
+	0},
     {"mutate", 'M', "N", OPTION_HIDDEN, "Be wrong", 0},
     {0},
 };
