--- a/tests/unit/test_config_trust.c
+++ b/tests/unit/test_config_trust.c
@@ -256,8 +256,9 @@
 	cr_expect_eq(world.list[3].changes, 2);
 }
 
-/* Without this, two that know only each other would stretch the bound alone. */
-Test(config_trust, fresh_answers_end_the_stretch_of_the_bound)
+/* One or two turned-away peers must not pass for an outage of the whole store.
+ */
+Test(config_trust, three_answers_without_a_recent_read_stretch_the_bound)
 {
 	struct config_trust t;
 	struct endpoint at = address(1), to;
