caps: shares of accounts' caps for each pool, and their allocator

An account's cap is a limit over all pools, and no daemon knows what runs in all of them. Each pool's owner holds a share, stored in the pool's topic; the controller's allocator proposes changes by the owners' reports. Starts, a pool's demand for machines and submissions keep to the share or the cap.

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -24,6 +24,7 @@
 #define LATE_MAX_MS 12000
 #define STATUS_KEEP_MS 120000
 #define OWNERS_MAX 32
+#define ACCOUNTS_MAX 8
 #define LOOK_MS 20 /* between two looks at what has been completed */
 /* Crashes under a task after which its further starts are counted. */
 #define CRASHES_COUNTED 3
@@ -167,6 +168,7 @@
 struct known_job {
 	char id[JOB_ID_BYTES];
 	struct job_spec *spec;
+	char account[NAME_BYTES]; /* "": none */
 	bool accepted;
 	int64_t first_ms, done_ms, cancel_ms;
 	int64_t cancel_sent_ms; /* 0: it was not cancelled */
@@ -205,6 +207,9 @@
 	int64_t answer_ms; /* … then; 0: it was not asked */
 	double step_us;
 	struct queue_settings terms;
+	char caller[NAME_BYTES]; /* account of new jobs */
+	struct account_settings accounts[ACCOUNTS_MAX];
+	int account_count;
 	int jitter_ms; /* further delay of a message, at most */
 	bool late_orders_cross_restarts;
 };
@@ -1345,6 +1350,31 @@
 	    progress != NULL ? progress->value : NULL, &e);
 }
 
+static void
+load_caps(struct jobs_world *w, struct pool *pool)
+{
+	char account[NAME_BYTES];
+	struct stored *r;
+	struct err e;
+
+	for (r = w->records; r != NULL; r = r->hh.next) {
+		if (share_key_account(r->key, account) ||
+		    strcmp(r->key, KEY_CAP_CONTROLLER) == 0)
+			pool_load_cap_record(
+			    pool, r->key, r->value->data, r->value->len, &e);
+	}
+}
+
+static void
+change_account(
+    struct jobs_world *w, int owner, const struct account_settings *settings)
+{
+	struct pool_event ev = {.kind = POOL_ACCOUNT_CHANGE};
+
+	ev.u.account_change.settings = settings;
+	step(w, owner, &ev);
+}
+
 static void
 owner_begin(struct jobs_world *w)
 {
@@ -1371,6 +1401,7 @@
 
 	o->pool = pool_new(&opts);
 	o->fence = opts.fence;
+	load_caps(w, o->pool);
 	o->alive = true;
 	for (r = w->records; r != NULL; r = r->hh.next) {
 		if (strncmp(r->key, "j/", 2) == 0)
@@ -1384,6 +1415,8 @@
 		if (w->workers[i].listed)
 			feed_worker(w, w->owner, i);
 	}
+	for (i = 0; i < w->account_count; i++)
+		change_account(w, w->owner, &w->accounts[i]);
 	step(w, w->owner, &ev);
 }
 
@@ -1703,6 +1736,7 @@
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
 	w->terms.has_policy = w->opts.allowed_from > 0;
 	ev.u.submit.queue = &w->terms;
+	memcpy(ev.u.submit.account, known_job(w, id)->account, NAME_BYTES);
 	ev.u.submit.spec = job_spec;
 	ev.u.submit.refuse_ms = w->refuse_ms;
 	step(w, w->owner, &ev);
@@ -1718,6 +1752,7 @@
 	    j->id, sizeof(j->id), "%016llx", (unsigned long long)++w->next_id);
 	j->spec = job_spec_ref(job_spec);
 	j->first_ms = w->ms;
+	memcpy(j->account, w->caller, NAME_BYTES);
 	HASH_ADD_STR(w->jobs, id, j);
 	/* the text names the order, for the records of a take-over */
 	buf_unref(job_spec->text);
@@ -2182,3 +2217,71 @@
 
 	send_cordon(w, worker, &ev);
 }
+
+void
+jobs_world_caller(struct jobs_world *w, const char *account)
+{
+	snprintf(w->caller, sizeof(w->caller), "%s", account);
+}
+
+void
+jobs_world_account(
+    struct jobs_world *w, const struct account_settings *settings)
+{
+	int i = 0;
+
+	while (i < w->account_count &&
+	    strcmp(w->accounts[i].name, settings->name) != 0)
+		i++;
+	if (i == ACCOUNTS_MAX)
+		return;
+	w->accounts[i] = *settings;
+	w->account_count += i == w->account_count;
+	for (i = 0; i <= w->owner; i++) {
+		if (w->owners[i].alive)
+			change_account(w, i, settings);
+	}
+}
+
+struct account_cap
+jobs_world_usage(const struct jobs_world *w, const char *account)
+{
+	struct account_cap sum = {0};
+	const struct known_job *j;
+	const struct sim_run *r;
+	int i;
+
+	for (i = 0; i < w->opts.workers; i++) {
+		LIST_FOREACH(r, &w->workers[i].runs, entries) {
+			HASH_FIND_STR(w->jobs, r->task.job, j);
+			if (j == NULL || strcmp(j->account, account) != 0)
+				continue;
+			sum.cpu_milli += r->cpu;
+			sum.memory_mb += r->memory_mb;
+			sum.accelerators += r->accelerators;
+		}
+	}
+	return sum;
+}
+
+int
+jobs_world_owner(const struct jobs_world *w)
+{
+	return w->owner;
+}
+
+bool
+jobs_world_cap_request(struct jobs_world *w, int owner,
+    const struct cap_request *r, struct cap_report *report)
+{
+	struct pool_event ev = {.kind = POOL_CAP_REQUEST};
+	struct owner *o = &w->owners[owner];
+
+	if (!o->alive || w->ms < o->stalled_until_ms ||
+	    w->ms < o->suspended_until_ms)
+		return false;
+	ev.u.cap_request = r;
+	if (r != NULL)
+		step(w, owner, &ev);
+	return o->alive && pool_cap_report(o->pool, r, report);
+}
--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -210,6 +210,23 @@
  * Returns its number N; -1 when there are too many.
  */
 int jobs_world_add_worker(struct jobs_world *w);
+/* Jobs are handed in for this account from now on; "": for none. */
+void jobs_world_caller(struct jobs_world *w, const char *account);
+/* Settings of an account, as all owners read them from now on. */
+void jobs_world_account(
+    struct jobs_world *w, const struct account_settings *settings);
+/* What runs of the account, as the workers see it. */
+struct account_cap jobs_world_usage(
+    const struct jobs_world *w, const char *account);
+/* The number of the present owner, from 0. */
+int jobs_world_owner(const struct jobs_world *w);
+/*
+ * A request of the allocator reaches an owner; false: it does not answer.  "r"
+ * may be NULL, for an update without one.
+ */
+bool jobs_world_cap_request(struct jobs_world *w, int owner,
+    const struct cap_request *r, struct cap_report *report);
+
 /* A cordon of the controller's, as the present owner hears of it. */
 void jobs_world_cordon(
     struct jobs_world *w, int worker, const struct pool_event_cordon *cordon);
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -53,6 +53,110 @@
 	return true;
 }
 
+void
+share_record_key(char key[JOB_KEY_BYTES], const char *account)
+{
+	snprintf(key, JOB_KEY_BYTES, KEY_SHARE_PREFIX "%s", account);
+}
+
+bool
+share_key_account(const char *key, char account[NAME_BYTES])
+{
+	if (strncmp(key, KEY_SHARE_PREFIX, PREFIX_BYTES) != 0 ||
+	    key[PREFIX_BYTES] == '\0' ||
+	    strlen(key + PREFIX_BYTES) >= NAME_BYTES)
+		return false;
+	snprintf(account, NAME_BYTES, "%s", key + PREFIX_BYTES);
+	return true;
+}
+
+static const struct codec_field share_fields[] = {
+    CODEC_FIELD("c", CODEC_I64, struct cap_share, share.cpu_milli),
+    CODEC_FIELD("m", CODEC_I64, struct cap_share, share.memory_mb),
+    CODEC_FIELD("g", CODEC_I64, struct cap_share, share.accelerators),
+    CODEC_FIELD("rc", CODEC_I64, struct cap_share, cap.cpu_milli),
+    CODEC_FIELD("rm", CODEC_I64, struct cap_share, cap.memory_mb),
+    CODEC_FIELD("rg", CODEC_I64, struct cap_share, cap.accelerators),
+};
+
+#define SHARE_FIELDS (sizeof(share_fields) / sizeof(share_fields[0]))
+
+struct buf *
+share_record_encode(const struct cap_share *s)
+{
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	codec_write(&w, share_fields, SHARE_FIELDS, s);
+	return wire_writer_finish(&w);
+}
+
+/* The share of each dimension is a part of the cap. */
+static bool
+share_valid(const struct cap_share *s)
+{
+	int64_t share, cap;
+	int d;
+
+	for (d = 0; d < CAP_DIMENSIONS; d++) {
+		share = cap_get(&s->share, d);
+		cap = cap_get(&s->cap, d);
+		if (share < 0 || share > cap || cap > ACCOUNT_CAP_MAX)
+			return false;
+	}
+	return true;
+}
+
+int
+share_record_decode(
+    struct cap_share *s, const void *data, size_t len, struct err *e)
+{
+	struct wire_reader in;
+	bool ok;
+
+	memset(s, 0, sizeof(*s));
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = codec_read(in.root, share_fields, SHARE_FIELDS, s) &&
+	    share_valid(s);
+	wire_reader_uninit(&in);
+	if (ok)
+		return 0;
+	memset(s, 0, sizeof(*s));
+	return err_set(e, ERR_PROTOCOL, 0,
+	    "check which processes write to the pool's topic",
+	    "the record of an account's share is out of range");
+}
+
+struct buf *
+cap_controller_encode(int64_t fence)
+{
+	struct wire_writer w;
+
+	wire_writer_init(&w);
+	wire_map(&w, 1);
+	wire_i64(&w, "f", fence);
+	return wire_writer_finish(&w);
+}
+
+int
+cap_controller_decode(
+    int64_t *fence, const void *data, size_t len, struct err *e)
+{
+	struct wire_reader in;
+	bool ok;
+
+	if (wire_reader_init(&in, data, len, e) == -1)
+		return -1;
+	ok = wire_get_i64(in.root, "f", fence) && *fence > 0;
+	wire_reader_uninit(&in);
+	if (ok)
+		return 0;
+	return err_set(e, ERR_PROTOCOL, 0,
+	    "check which processes write to the pool's topic",
+	    "the record of the controller that proposed shares is damaged");
+}
+
 /* "stretch" is written in thousandths. */
 struct queue_settings_record {
 	struct queue_settings settings;
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 
 #include "buf.h"
+#include "cap_share.h"
 #include "errors.h"
 #include "job.h"
 #include "wire.h"
@@ -18,6 +19,11 @@
 /* Key of one record with all workers, as earlier versions wrote it. */
 #define KEY_WORKER_LIST "workers"
 
+/* Prefix of the key of the pool's share of an account's cap. */
+#define KEY_SHARE_PREFIX "a/"
+/* Key of the fence of the newest controller that has proposed shares. */
+#define KEY_CAP_CONTROLLER "capctl"
+
 /* Key of a worker that may run tasks of the pool, for the next owner. */
 void worker_record_key(char key[JOB_KEY_BYTES], const char *id);
 /* Id in the key of a worker's record; false if the key is another one. */
@@ -27,6 +33,18 @@
 /* Id in a specification's or progress key; false if the key is neither. */
 bool job_key_id(const char *key, char id[JOB_ID_BYTES], bool *progress);
 
+void share_record_key(char key[JOB_KEY_BYTES], const char *account);
+/* Account in the key of a share; false if the key is another one. */
+bool share_key_account(const char *key, char account[NAME_BYTES]);
+/* NULL when out of memory. */
+struct buf *share_record_encode(const struct cap_share *s);
+/* Returns -1 and fills "e" if the record is damaged. */
+int share_record_decode(
+    struct cap_share *s, const void *data, size_t len, struct err *e);
+struct buf *cap_controller_encode(int64_t fence);
+int cap_controller_decode(
+    int64_t *fence, const void *data, size_t len, struct err *e);
+
 /* A queue's settings as one map; daemons exchange it, too. */
 void queue_settings_write(
     struct wire_writer *w, const struct queue_settings *q);
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -78,6 +78,7 @@
 	if (serial > p->stored_serial)
 		p->stored_serial = serial;
 	p->placement_due = true;
+	p->caps.update_due = true;
 	while ((a = STAILQ_FIRST(&p->pending_answers)) != NULL &&
 	    a->serial <= p->stored_serial) {
 		STAILQ_REMOVE_HEAD(&p->pending_answers, entries);
@@ -115,6 +116,9 @@
 	case POOL_ACCOUNT_CHANGE:
 		pool_account_change(p, ev);
 		break;
+	case POOL_CAP_REQUEST:
+		caps_apply_request(p, ev->u.cap_request);
+		break;
 	case POOL_WORKER_ENTRY:
 		pool_worker_entry(p, ev->u.worker.report);
 		break;
@@ -191,6 +195,17 @@
 	    ev->now_us - p->now_us >= LOOP_LATE_MS * US_PER_MS;
 }
 
+/* Before a pass, after a write is stored, and at intervals. */
+static bool
+caps_update_due(const struct pool *p)
+{
+	if (LIST_EMPTY(&p->caps.accounts))
+		return false;
+	return p->caps.update_due ||
+	    (p->placement_due && p->now_us >= p->placement_not_before_us) ||
+	    p->now_us - p->caps.updated_us >= TICK_INTERVAL_MAX_US;
+}
+
 void
 pool_step(struct pool *p, const struct pool_event *ev, struct pool_effects *fx)
 {
@@ -215,6 +230,8 @@
 	pool_note_workers_answered(p);
 	if (p->now_ms >= p->next_occurrence_ms || p->now_us >= p->wait_end_us)
 		p->placement_due = true;
+	if (caps_update_due(p))
+		caps_update(p);
 	if (p->placement_due && p->now_us >= p->placement_not_before_us) {
 		p->placement_due = false;
 		pool_place(p);
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "account.h"
+#include "cap_share.h"
 #include "demand.h"
 #include "effect.h"
 #include "job.h"
@@ -65,6 +66,7 @@
 	POOL_LOADED, /* all records of earlier terms are loaded */
 	POOL_QUEUE_CHANGE, /* a queue's settings have changed */
 	POOL_ACCOUNT_CHANGE, /* an account's settings have changed */
+	POOL_CAP_REQUEST, /* from the allocator of caps */
 	POOL_WORKER_ENTRY, /* a worker's entry, new or changed */
 	POOL_WORKER_UNLISTED, /* a worker's entry was dropped */
 	POOL_CORDON, /* cordon, maintenance or removal of a worker */
@@ -98,6 +100,7 @@
 			const struct account_settings *settings;
 			bool removed; /* the configuration has it no longer */
 		} account_change;
+		const struct cap_request *cap_request;
 		struct pool_event_worker {
 			const struct worker_report *report;
 		} worker;
@@ -277,6 +280,13 @@
 /* Loads a list of workers (KEY_WORKER_LIST) in the same way. */
 int pool_load_worker_list(
     struct pool *p, const void *data, size_t len, struct err *e);
+/*
+ * Loads the share of an account's cap (KEY_SHARE_PREFIX), or the newest
+ * controller that proposed shares (KEY_CAP_CONTROLLER), before POOL_LOADED.
+ * Returns -1 and fills "e" if the record is damaged.
+ */
+int pool_load_cap_record(struct pool *p, const char *key, const void *data,
+    size_t len, struct err *e);
 /* Processes one event and appends its effects to "fx". */
 void pool_step(
     struct pool *p, const struct pool_event *ev, struct pool_effects *fx);
@@ -316,6 +326,14 @@
 };
 
 void pool_demand(struct pool *p, struct pool_demand *d);
+/*
+ * Report on the shares of accounts that have changed since the revision that
+ * the allocator has; on all if that is 0.  "request" is NULL if the
+ * controller's message has none; then returns false if nothing has changed.
+ * Free the report with cap_report_uninit().
+ */
+bool pool_cap_report(
+    struct pool *p, const struct cap_request *request, struct cap_report *r);
 /* Calls back for each listed worker that answers, for the controller. */
 void pool_each_worker(const struct pool *p,
     void (*each)(void *arg, const struct pool_worker_view *w), void *arg);
--- a/src/jobs/pool_accounts.c
+++ b/src/jobs/pool_accounts.c
@@ -20,6 +20,7 @@
 		abort(); /* a job would run outside its account's cap */
 	snprintf(a->settings.name, sizeof(a->settings.name), "%s", name);
 	a->settings.weight = 1;
+	LIST_INIT(&a->share.unplaced_runs);
 	HASH_ADD_STR(p->accounts, settings.name, a);
 	return a;
 }
@@ -39,6 +40,7 @@
 	a->configured = !ev->u.account_change.removed;
 	if (a->configured)
 		a->settings = *s;
+	caps_settings_changed(p, a);
 	p->placement_due = true;
 }
 
@@ -81,6 +83,7 @@
 	HASH_ITER(hh, p->accounts, a, next)
 	{
 		HASH_DEL(p->accounts, a);
+		account_unplaced_free(a);
 		free(a);
 	}
 }
--- a/src/jobs/pool_demand.c
+++ b/src/jobs/pool_demand.c
@@ -39,6 +39,8 @@
 
 	pool_rank_occurrence(p, &c, o);
 	share = c.class > RANK_ON_TIME ? LATE_WORK_SHARE : 1;
+	if (o->job->account != NULL) /* a machine beyond it runs nothing */
+		share *= caps_demand_factor(o->job->account);
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = &o->steps[i];
 		tasks = s->open_dependency_count > 0
@@ -233,6 +235,7 @@
 
 	memset(d, 0, sizeof(*d));
 	update_typical_worker(p);
+	caps_count_needs(p);
 	d->coverage = demand_coverage(p);
 	TAILQ_FOREACH(j, &p->active, entries) {
 		if (job_final(j))
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -66,8 +66,10 @@
 	HASH_ADD_STR(p->jobs, id, j);
 	TAILQ_INSERT_TAIL(&p->active, j, entries);
 	p->active_count++;
-	if (j->account != NULL)
+	if (j->account != NULL) {
 		j->account->active_jobs++;
+		caps_track(p, j->account);
+	}
 }
 
 static void
@@ -95,6 +97,11 @@
 		    p, ev->u.submit.token, POOL_ACCEPTED, j->spec_serial);
 		return;
 	}
+	why = caps_submit_refusal(p, ev);
+	if (why != NULL) {
+		refuse_job(p, ev, why, SUBMIT_RETRY_MAX_MS);
+		return;
+	}
 	pool_note_arrival(p, ev->u.submit.spec, ev->u.submit.queue, 0);
 	retry_ms = pool_submit_refusal_ms(p, ev, &why);
 	j = retry_ms > 0
--- a/src/jobs/pool_late_starts.c
+++ b/src/jobs/pool_late_starts.c
@@ -49,6 +49,7 @@
 		w->late_start_until_us = until_us;
 	if (l != NULL)
 		return;
+	account_note_late_start(t);
 	l = calloc(1, sizeof(*l));
 	if (l == NULL)
 		abort(); /* the task could run twice */
@@ -63,6 +64,7 @@
 {
 	struct late_start *l = find_late_start(t, worker, run);
 
+	account_start_arrived(t, worker, run);
 	if (l != NULL)
 		late_start_free(l);
 }
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -394,6 +394,7 @@
 		if (p->start_limit_reached)
 			break; /* the rest is not tried: it may find capacity */
 		if (list[i].class > RANK_ON_TIME ||
+		    caps_hold_back(list[i].occurrence->job) ||
 		    !another_worker_would_help(p, list[i].occurrence))
 			continue;
 		starved = true;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -279,6 +279,7 @@
 	case POOL_TICK:
 	case POOL_QUEUE_CHANGE:
 	case POOL_ACCOUNT_CHANGE:
+	case POOL_CAP_REQUEST:
 	case POOL_RENEWAL_DONE: /* only its own worker is checked */
 	case POOL_START_DONE:
 	case POOL_STOP_DONE: /* may have set next_renewal_us to now */
@@ -430,6 +431,7 @@
 		if (t != NULL && t->step->spec->long_running)
 			pool_log_availability(p, t, w, r->run, "unwanted-run");
 		fx_stop(p, w, &r->task, r->run);
+		account_note_unwanted_run(p, w, r);
 		w->unwanted_run_count++;
 		return;
 	}
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -6,6 +6,7 @@
 #define JOBS_POOL_STATE_H
 
 #include "pool.h"
+#include "pool_caps.h"
 
 /* A worker that missed this many renewals in a row gets no new tasks. */
 #define SILENT_MISSED_RENEWALS 2
@@ -195,6 +196,7 @@
 	 */
 	struct account_cap usage;
 	size_t active_jobs; /* unfinished jobs in the pool */
+	struct account_share share;
 	UT_hash_handle hh; /* by settings.name */
 };
 
@@ -226,6 +228,7 @@
 	struct job_list changed_jobs; /* since pool_flush_jobs() */
 	size_t active_count, finished_count;
 	struct pool_account *accounts; /* by name */
+	struct pool_caps caps;
 	struct pool_worker *workers; /* by id */
 	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
@@ -525,10 +528,6 @@
  */
 struct candidate *pool_gather_candidates(struct pool *p, size_t *count);
 
-/* pool_caps.c */
-/* The pool's share of its account's cap has room for the task. */
-bool caps_allow_start(const struct pool *p, const struct task *t);
-
 /* pool_place.c */
 /* The worker has capacity for the task and may run it. */
 bool worker_may_run(
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -15,6 +15,7 @@
 #include "demand.h"
 #include "effect.h"
 
+struct cap_report;
 struct roster;
 
 struct roster_opts {
@@ -63,6 +64,8 @@
 	int64_t worker_list_age_ms; /* since the owner read its worker list */
 	struct pool_worker_report *workers;
 	size_t worker_count;
+	/* On shares of accounts' caps; NULL: none.  Not for the roster. */
+	struct cap_report *caps;
 };
 
 /* Result of a command that was sent to the platform. */
--- a/src/scheduler/controller.c
+++ b/src/scheduler/controller.c
@@ -6,12 +6,11 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#include "cordon_wire.h"
+#include "cap_exchange.h"
 #include "machine_list_reader.h"
 #include "machine_wire.h"
 #include "membership.h"
-#include "peer_client.h"
-#include "shards.h"
+#include "owner_exchange.h"
 #include "store_writer.h"
 #include "topic_claim.h"
 #include "wire.h"
@@ -26,16 +25,14 @@
  */
 #define HANDOVER_MARGIN_MS 1300
 #define PLATFORM_TIMEOUT_MS 1000
-#define REPORT_TIMEOUT_MS 400
-/* Size limit of answers to commands and of pools' reports. */
+/* Size limit of answers to commands. */
 #define CALL_ANSWER_MAX_BYTES (2 * 1024 * 1024)
 
-/* A call in flight: a command to the platform, or cordons to a pool's owner. */
+/* A call in flight: a command to the platform. */
 struct controller_call {
 	struct controller *controller;
 	struct http_call *call;
-	char subject[NAME_BYTES]; /* name of the machine or the pool */
-	int64_t sent_us;
+	char subject[NAME_BYTES]; /* name of the machine */
 	LIST_ENTRY(controller_call) entries;
 };
 
@@ -49,7 +46,9 @@
 	int64_t confirmed_boot_us;
 	struct topic_claim *claim; /* NULL once the term is claimed */
 	int64_t fence; /* epoch of the term */
-	struct roster *roster; /* NULL until the term is claimed */
+	/* NULL until the term is claimed, and without a machine service. */
+	struct roster *roster;
+	struct owner_exchange *owners; /* NULL until the term is claimed */
 	struct roster_effects
 	    effects; /* memory for the effects of the next step */
 	struct store_writer *journal; /* read by the next controller */
@@ -104,7 +103,6 @@
 		return NULL;
 	c->controller = ctl;
 	snprintf(c->subject, sizeof(c->subject), "%s", subject);
-	c->sent_us = sched_boottime_us();
 	LIST_INSERT_HEAD(&ctl->calls, c, entries);
 	return c;
 }
@@ -366,120 +364,25 @@
 }
 
 static void
-handle_report(struct controller *ctl, const struct pool_report *r)
+handle_report(void *arg, const struct pool_report *r)
 {
 	struct roster_event ev = {.kind = ROSTER_EVENT_POOL_REPORT};
+	struct controller *ctl = arg;
 
 	ev.u.report = r;
 	controller_handle_event(ctl, &ev);
 }
 
-static void
-on_report_end(void *arg, enum http_outcome end, struct answer *a)
-{
-	struct controller_call *c = arg;
-	struct controller *ctl = c->controller;
-	int64_t sent_us = c->sent_us;
-	struct pool_report r;
-	struct err e;
-
-	call_free(c);
-	if (end != HTTP_ANSWERED || a->status != 200 || a->body == NULL) {
-		membership_refresh_owners(ctl->scheduler->membership);
-		return;
-	}
-	if (pool_report_decode(&r, a->body->data, a->body->len, &e) == -1) {
-		daemon_log(LOG_LEVEL_WARN, "duty", "msg=\"%s\" remedy=\"%s\"",
-		    e.message, e.remedy);
-		return;
-	}
-	r.request_sent_us = sent_us;
-	handle_report(ctl, &r);
-	pool_report_uninit(&r);
-}
-
-static void
-add_cordon(void *arg, const struct cordon *c)
-{
-	struct cordon_request *r = arg;
-
-	if (r->count == CORDONS_MAX) {
-		daemon_log(LOG_LEVEL_WARN, "duty",
-		    "msg=\"too many cordons for one request; the worker's is "
-		    "not sent\" pool=%s worker=%s",
-		    r->pool, c->worker);
-		return;
-	}
-	r->list[r->count++] = *c;
-}
-
-static void
-send_cordons(struct controller *ctl, const struct endpoint *to,
-    const struct cordon_request *r)
-{
-	struct http_call_opts o = {
-	    .addr = to->addr,
-	    .port = to->port,
-	    .method = "POST",
-	    .path = PEER_PATH_CORDONS,
-	    .body = cordon_request_encode(r),
-	    .timeout_ms = REPORT_TIMEOUT_MS,
-	    .on_done = on_report_end,
-	};
-	struct controller_call *c = call_new(ctl, r->pool);
-
-	if (c != NULL && o.body != NULL)
-		call_start(c, &o);
-	else if (c != NULL)
-		call_free(c);
-	buf_unref(o.body);
-}
-
-/*
- * Sends the pool's cordons to its owner, here or on a peer, which answers with
- * a report.
- */
-static void
-update_pool(struct controller *ctl, const char *pool)
-{
-	struct scheduler *s = ctl->scheduler;
-	struct cordon_request r;
-	struct pool_report report;
-	struct endpoint to;
-	int64_t sent_us = sched_boottime_us();
-	int within_ms;
-	bool self;
-
-	memset(&r, 0, sizeof(r));
-	snprintf(r.pool, sizeof(r.pool), "%s", pool);
-	r.incoming_count = roster_incoming(ctl->roster, pool, &within_ms);
-	r.incoming_within_ms = (uint64_t)within_ms;
-	roster_each_cordon(ctl->roster, pool, add_cordon, &r);
-	if (shards_apply_cordons(s->shards, &r, &report) == 0) {
-		report.request_sent_us = sent_us;
-		handle_report(ctl, &report);
-		pool_report_uninit(&report);
-	} else if (membership_owner_of(s->membership, pool, &to, &self) &&
-	    !self) {
-		send_cordons(ctl, &to, &r);
-	}
-}
-
 static void
 on_controller_tick(lws_sorted_usec_list_t *sul)
 {
 	struct roster_event ev = {.kind = ROSTER_EVENT_TICK};
 	struct controller *ctl =
 	    lws_container_of(sul, struct controller, tick_sul);
-	const struct config *c = ctl->scheduler->config;
-	size_t i;
 
 	lws_sul_schedule(ctl->scheduler->context, 0, sul, on_controller_tick,
 	    TICK_MS * US_PER_MS);
-	for (i = 0; i < c->pool_count; i++) {
-		if (!c->pools[i].spare)
-			update_pool(ctl, c->pools[i].name);
-	}
+	owner_exchange_tick(ctl->owners);
 	controller_handle_event(ctl, &ev);
 }
 
@@ -606,6 +509,33 @@
 	ctl->confirmed_boot_us = 0;
 }
 
+static bool
+has_machine_service(const struct controller *ctl)
+{
+	return ctl->scheduler->settings.machines_endpoint.addr[0] != '\0';
+}
+
+static bool
+term_confirmed(void *arg)
+{
+	return !controller_expired(arg);
+}
+
+static struct owner_exchange *
+exchange_new(struct controller *ctl)
+{
+	struct owner_exchange_opts o = {
+	    .scheduler = ctl->scheduler,
+	    .roster = ctl->roster,
+	    .fence = ctl->fence,
+	    .confirmed = term_confirmed,
+	    .on_report = handle_report,
+	    .arg = ctl,
+	};
+
+	return owner_exchange_new(&o);
+}
+
 static struct store_writer *
 writer_new(struct controller *ctl, const char *topic, int64_t seq,
     bool epoch_established, void (*on_written)(void *arg, uint64_t serial))
@@ -641,18 +571,23 @@
 	topic_claim_free(ctl->claim);
 	ctl->claim = NULL;
 	ctl->fence = epoch;
-	ctl->roster = roster_new(&o);
+	if (has_machine_service(ctl)) {
+		ctl->roster = roster_new(&o);
+		if (ctl->roster == NULL)
+			abort(); /* as below */
+	}
+	ctl->owners = exchange_new(ctl);
 	ctl->journal =
 	    writer_new(ctl, TOPIC_JOURNAL, next_seq, true, on_journal_written);
 	ctl->status_writer =
 	    writer_new(ctl, TOPIC_STATUS, 0, false, on_status_written);
-	if (ctl->roster == NULL || ctl->journal == NULL ||
+	if (ctl->owners == NULL || ctl->journal == NULL ||
 	    ctl->status_writer == NULL)
 		abort(); /* no other daemon acts while this one has the term */
 	daemon_log(LOG_LEVEL_INFO, "duty",
 	    "msg=\"this daemon is the controller of machines\" fence=%lld "
-	    "notes=%zu",
-	    (long long)epoch, ctl->journal_entry_count);
+	    "notes=%zu machines=%d",
+	    (long long)epoch, ctl->journal_entry_count, ctl->roster != NULL);
 	apply_pools(ctl);
 	for (i = 0; i < ctl->journal_entry_count; i++)
 		apply_journal_entry(ctl, &ctl->journal_entries[i]);
@@ -722,6 +657,8 @@
 		STAILQ_REMOVE_HEAD(&ctl->pending, entries);
 		free(p);
 	}
+	owner_exchange_free(ctl->owners);
+	ctl->owners = NULL;
 	store_writer_free(ctl->journal);
 	store_writer_free(ctl->status_writer);
 	ctl->journal = ctl->status_writer = NULL;
@@ -738,10 +675,12 @@
 controller_assign(
     struct controller *ctl, bool assigned, int64_t join_sent_boot_us)
 {
-	if (ctl->scheduler->settings.machines_endpoint.addr[0] == '\0')
-		return; /* the deployment has no machine service */
-	if (!assigned) {
-		controller_stop(ctl, "dealt-elsewhere");
+	/* without a machine service, it only allocates accounts' caps */
+	bool needed =
+	    has_machine_service(ctl) || config_has_caps(ctl->scheduler->config);
+
+	if (!assigned || !needed) {
+		controller_stop(ctl, needed ? "dealt-elsewhere" : "no-caps");
 		return;
 	}
 	if (ctl->assigned && ctl->confirmed_boot_us == 0)
@@ -763,6 +702,8 @@
 {
 	if (ctl->roster != NULL)
 		apply_pools(ctl);
+	if (ctl->owners != NULL)
+		owner_exchange_config_changed(ctl->owners);
 }
 
 void
@@ -821,3 +762,9 @@
 	roster_effects_uninit(&ctl->effects);
 	free(ctl);
 }
+
+void
+controller_metrics(const struct controller *ctl, struct buf *out)
+{
+	owner_exchange_metrics(ctl->owners, out);
+}
--- a/src/scheduler/controller.h
+++ b/src/scheduler/controller.h
@@ -21,6 +21,7 @@
 /* Stops the controller where the group has not confirmed it in time. */
 void controller_check(struct controller *ctl);
 void controller_config_changed(struct controller *ctl);
+void controller_metrics(const struct controller *ctl, struct buf *out);
 /*
  * Adds a wave that operators have requested, from its record.  All daemons
  * collect the waves, so that each can become the controller.
--- a/src/scheduler/cordon_wire.c
+++ b/src/scheduler/cordon_wire.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cap_wire.h"
 #include "codec.h"
 #include "wire.h"
 
@@ -28,7 +29,7 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 4);
+	wire_map(&w, r->caps.controller > 0 ? 5 : 4);
 	wire_str(&w, "pool", r->pool);
 	wire_u64(&w, "coming", r->incoming_count);
 	wire_u64(&w, "within", r->incoming_within_ms);
@@ -36,6 +37,8 @@
 	for (i = 0; i < r->count; i++)
 		codec_write(
 		    &w, cordon_fields, ARRAY_LEN(cordon_fields), &r->list[i]);
+	if (r->caps.controller > 0)
+		cap_request_write(&w, &r->caps);
 	return wire_writer_finish(&w);
 }
 
@@ -61,6 +64,8 @@
 			ARRAY_LEN(cordon_fields), &r->list[r->count]))
 			r->count++;
 	}
+	if (ok && !cap_request_read(in.root, &r->caps))
+		memset(&r->caps, 0, sizeof(r->caps));
 	wire_reader_uninit(&in);
 	if (!ok)
 		return err_set(e, ERR_PROTOCOL, 0,
@@ -69,6 +74,12 @@
 	return 0;
 }
 
+void
+cordon_request_uninit(struct cordon_request *r)
+{
+	cap_request_uninit(&r->caps);
+}
+
 struct buf *
 pool_report_encode(const struct pool_report *r)
 {
@@ -76,7 +87,7 @@
 	size_t i;
 
 	wire_writer_init(&w);
-	wire_map(&w, 9);
+	wire_map(&w, r->caps != NULL ? 10 : 9);
 	wire_str(&w, "pool", r->pool);
 	wire_i64(&w, "fence", r->fence);
 	wire_u64(&w, "known", r->demand.coverage);
@@ -89,6 +100,8 @@
 	for (i = 0; i < r->worker_count; i++)
 		codec_write(&w, worker_report_fields,
 		    ARRAY_LEN(worker_report_fields), &r->workers[i]);
+	if (r->caps != NULL)
+		cap_report_write(&w, r->caps);
 	return wire_writer_finish(&w);
 }
 
@@ -122,7 +135,14 @@
 			&r->workers[r->worker_count]))
 			r->worker_count++;
 	}
-	return r->workers != NULL;
+	if (r->workers == NULL)
+		return false;
+	r->caps = calloc(1, sizeof(*r->caps));
+	if (r->caps != NULL && !cap_report_read(root, r->caps)) {
+		free(r->caps);
+		r->caps = NULL;
+	}
+	return true;
 }
 
 int
@@ -148,5 +168,8 @@
 pool_report_uninit(struct pool_report *r)
 {
 	free(r->workers);
+	if (r->caps != NULL)
+		cap_report_uninit(r->caps);
+	free(r->caps);
 	memset(r, 0, sizeof(*r));
 }
--- a/src/scheduler/peer_server.c
+++ b/src/scheduler/peer_server.c
@@ -80,9 +80,11 @@
 		return;
 	}
 	if (shards_apply_cordons(p->scheduler->shards, &q, &report) == -1) {
+		cordon_request_uninit(&q);
 		answer(p, id, 503, NULL); /* not the pool's owner */
 		return;
 	}
+	cordon_request_uninit(&q);
 	answer(p, id, 200, pool_report_encode(&report));
 	pool_report_uninit(&report);
 }
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -374,6 +374,7 @@
 	    http_pool_connect_count(s->http_connections));
 	metric_counter(
 	    out, "takeovers_total", "pools taken over", "", n->takeovers);
+	controller_metrics(s->controller, out);
 	metric_gauge(out, "config_version", "version in force", "",
 	    s->config != NULL ? s->config->version : -1);
 	metric_gauge(out, "store_heard_ms_ago", "age of its newest answer", "",
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -84,6 +84,15 @@
  */
 void shard_end_term(struct shard *sh, const char *why);
 
+/* shards.c */
+/* NULL: the group has not dealt the pool to this daemon. */
+struct shard *shards_find(const struct shards *all, const char *pool);
+/*
+ * Whether the last confirmation is so old that a successor may assume that
+ * this daemon no longer acts for the pool.
+ */
+bool shard_ownership_expired(const struct shard *sh);
+
 /* shard_takeover.c */
 /* Returns -1 when memory is short. */
 int takeover_start(struct shard *sh);
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -27,9 +27,12 @@
 	UT_hash_handle hh;
 };
 
-/* Newest record of one worker; the offset is -1 where none was read. */
+/*
+ * Newest record of one worker, or about accounts' caps; the offset is -1 where
+ * none was read.
+ */
 struct stored_worker {
-	char id[NAME_BYTES];
+	char id[JOB_KEY_BYTES]; /* or the key of a record about caps */
 	struct buf *record; /* NULL: none or dropped */
 	int64_t offset;
 	UT_hash_handle hh;
@@ -40,6 +43,7 @@
 	struct topic_claim *claim;
 	struct stored_job *jobs;
 	struct stored_worker *workers; /* used by earlier terms */
+	struct stored_worker *caps; /* by key */
 	/* Record of all workers that an earlier version wrote; NULL none. */
 	struct buf *worker_list;
 	int64_t worker_list_offset;
@@ -55,11 +59,23 @@
 	free(j);
 }
 
+static void
+stored_workers_free(struct stored_worker **list)
+{
+	struct stored_worker *w, *next;
+
+	HASH_ITER(hh, *list, w, next)
+	{
+		HASH_DEL(*list, w);
+		buf_unref(w->record);
+		free(w);
+	}
+}
+
 void
 takeover_cancel(struct shard *sh)
 {
 	struct takeover *t = sh->takeover;
-	struct stored_worker *w, *next_worker;
 	struct stored_job *j, *next;
 
 	if (t == NULL)
@@ -67,12 +83,8 @@
 	lws_sul_cancel(&t->workers_timeout_sul);
 	topic_claim_free(t->claim);
 	buf_unref(t->worker_list);
-	HASH_ITER(hh, t->workers, w, next_worker)
-	{
-		HASH_DEL(t->workers, w);
-		buf_unref(w->record);
-		free(w);
-	}
+	stored_workers_free(&t->workers);
+	stored_workers_free(&t->caps);
 	HASH_ITER(hh, t->jobs, j, next)
 	{
 		HASH_DEL(t->jobs, j);
@@ -100,11 +112,11 @@
 }
 
 static struct stored_worker *
-stored_worker_get(struct takeover *t, const char *id)
+stored_worker_get(struct stored_worker **list, const char *id)
 {
 	struct stored_worker *w;
 
-	HASH_FIND_STR(t->workers, id, w);
+	HASH_FIND_STR(*list, id, w);
 	if (w != NULL)
 		return w;
 	w = calloc(1, sizeof(*w));
@@ -112,7 +124,7 @@
 		abort(); /* tasks that it may run would be started twice */
 	snprintf(w->id, sizeof(w->id), "%s", id);
 	w->offset = -1;
-	HASH_ADD_STR(t->workers, id, w);
+	HASH_ADD_STR(*list, id, w);
 	return w;
 }
 
@@ -142,7 +154,13 @@
 		return;
 	}
 	if (worker_key_id(r->key, worker)) {
-		w = stored_worker_get(t, worker);
+		w = stored_worker_get(&t->workers, worker);
+		keep_newest(&w->record, &w->offset, r);
+		return;
+	}
+	if (strcmp(r->key, KEY_CAP_CONTROLLER) == 0 ||
+	    share_key_account(r->key, worker)) {
+		w = stored_worker_get(&t->caps, r->key);
 		keep_newest(&w->record, &w->offset, r);
 		return;
 	}
@@ -252,6 +270,29 @@
 		    t->shard->pool_name, e.message);
 }
 
+/*
+ * Without its record, a share counts as none: the account starts nothing until
+ * the allocator proposes one.
+ */
+static void
+load_caps(struct takeover *t, struct pool *pool)
+{
+	const struct stored_worker *w;
+	struct err e;
+
+	for (w = t->caps; w != NULL; w = w->hh.next) {
+		if (w->record != NULL &&
+		    pool_load_cap_record(
+			pool, w->id, w->record->data, w->record->len, &e) == -1)
+			daemon_log(LOG_LEVEL_ERROR, "takeover",
+			    "msg=\"stored share of a cap cannot be decoded; "
+			    "it is left out\" pool=%s key=%s offset=%lld "
+			    "error=\"%s\"",
+			    t->shard->pool_name, w->id, (long long)w->offset,
+			    e.message);
+	}
+}
+
 /*
  * Builds the pool and starts it.  The term is claimed, so that no earlier owner
  * can write further records.
@@ -268,6 +309,7 @@
 	for (j = t->jobs; j != NULL; j = j->hh.next)
 		load_job(t, j, sh->pool);
 	load_workers(t, sh->pool);
+	load_caps(t, sh->pool);
 	daemon_log(LOG_LEVEL_INFO, "takeover",
 	    "msg=\"pool taken over\" pool=%s fence=%lld jobs=%u workers=%u "
 	    "took_ms=%lld entries_known=%d",
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -24,8 +24,8 @@
 
 static void shard_release(struct shard *sh, const char *why);
 
-static struct shard *
-find_shard(const struct shards *all, const char *pool)
+struct shard *
+shards_find(const struct shards *all, const char *pool)
 {
 	struct shard *sh;
 
@@ -36,11 +36,7 @@
 	return NULL;
 }
 
-/*
- * Whether the last confirmation is so old that a successor may assume that
- * this daemon no longer acts for the pool.
- */
-static bool
+bool
 shard_ownership_expired(const struct shard *sh)
 {
 	return sched_boottime_us() - sh->confirmed_boot_us >
@@ -382,7 +378,7 @@
 			sh->confirmed_boot_us = join_sent_boot_us;
 	}
 	for (i = 0; i < count && !all->scheduler->stopping; i++) {
-		if (find_shard(all, pools[i]) == NULL)
+		if (shards_find(all, pools[i]) == NULL)
 			shard_start_takeover(all, pools[i], join_sent_boot_us);
 	}
 }
@@ -423,7 +419,7 @@
 void
 shards_worker_changed(struct shards *all, const struct worker_report *r)
 {
-	struct shard *sh = find_shard(all, r->pool);
+	struct shard *sh = shards_find(all, r->pool);
 
 	if (sh != NULL && sh->pool != NULL)
 		handle_worker_report(sh, r);
@@ -433,7 +429,7 @@
 shards_worker_removed(struct shards *all, const char *pool, const char *id)
 {
 	struct pool_event ev = {.kind = POOL_WORKER_UNLISTED};
-	struct shard *sh = find_shard(all, pool);
+	struct shard *sh = shards_find(all, pool);
 
 	if (sh == NULL || sh->pool == NULL)
 		return;
@@ -549,7 +545,7 @@
 shards_handle_request(struct shards *all, const struct job_request *r,
     job_reply_fn *reply, void *arg)
 {
-	struct shard *sh = find_shard(all, r->pool);
+	struct shard *sh = shards_find(all, r->pool);
 	struct pending_request *req;
 
 	if (sh == NULL || sh->state != SHARD_OWNING || sh->term_ended ||
@@ -569,63 +565,10 @@
 	dispatch_request(sh, r, req->id);
 }
 
-static void
-add_worker_report(void *arg, const struct pool_worker_view *v)
-{
-	struct pool_report *r = arg;
-	struct pool_worker_report *w;
-
-	w = realloc(r->workers, (r->worker_count + 1) * sizeof(*w));
-	if (w == NULL)
-		return; /* the controller does not move unreported workers */
-	r->workers = w;
-	w = &r->workers[r->worker_count++];
-	memset(w, 0, sizeof(*w));
-	snprintf(w->worker, sizeof(w->worker), "%s", v->id);
-	w->task_count = v->task_count;
-	w->long_running_count = v->long_running_count;
-	w->cordoned = v->cordoned;
-}
-
-int
-shards_apply_cordons(struct shards *all, const struct cordon_request *r,
-    struct pool_report *report)
-{
-	struct shard *sh = find_shard(all, r->pool);
-	struct pool_event ev = {.kind = POOL_CORDON};
-	size_t i;
-
-	if (sh == NULL || sh->state != SHARD_OWNING || sh->term_ended ||
-	    shard_ownership_expired(sh))
-		return -1;
-	for (i = 0; i < r->count; i++) {
-		snprintf(ev.u.cordon.id, NAME_BYTES, "%s", r->list[i].worker);
-		ev.u.cordon.evacuate = r->list[i].kind == CORDON_EVACUATE;
-		ev.u.cordon.machine_removed =
-		    r->list[i].kind == CORDON_MACHINE_REMOVED;
-		ev.u.cordon.maintenance_pending =
-		    r->list[i].kind == CORDON_MAINTENANCE_PENDING;
-		ev.u.cordon.age_ms = r->list[i].age_ms;
-		shard_handle_event(sh, &ev);
-	}
-	ev.kind = POOL_INCOMING;
-	ev.u.incoming.count = (size_t)r->incoming_count;
-	ev.u.incoming.within_ms = (int)r->incoming_within_ms;
-	shard_handle_event(sh, &ev);
-	memset(report, 0, sizeof(*report));
-	snprintf(report->pool, sizeof(report->pool), "%s", sh->pool_name);
-	report->fence = sh->fence;
-	pool_demand(sh->pool, &report->demand);
-	report->worker_list_age_ms =
-	    store_watch_workers_age_us(sh->scheduler->watcher) / US_PER_MS;
-	pool_each_worker(sh->pool, add_worker_report, report);
-	return 0;
-}
-
 bool
 shards_owns(const struct shards *all, const char *pool)
 {
-	const struct shard *sh = find_shard(all, pool);
+	const struct shard *sh = shards_find(all, pool);
 
 	return sh != NULL && sh->state == SHARD_OWNING && !sh->term_ended;
 }
