accounts/cap_allocator_plan: a share held beyond its limit is taken back

After a cap is lowered and raised again, a pool holds a larger part than it may start. The plan took the difference for a reduction under way, and pools that lacked share waited for good.

--- a/src/accounts/cap_allocator_plan.c
+++ b/src/accounts/cap_allocator_plan.c
@@ -55,6 +55,10 @@
 		if (!t->counts)
 			continue;
 		*cap_at(&t->limit, d) = pool_limit(al, a, slot, d);
+		*cap_at(&t->kept, d) = cap_get(&t->held, d);
+		if (e != NULL && e->proposed && cap_get(&e->target.cap, d) > 0)
+			*cap_at(&t->kept, d) = minimum(cap_get(&t->held, d),
+			    cap_share_held(&e->target, cap, d));
 		if (e == NULL)
 			continue;
 		*cap_at(&t->need, d) =
@@ -260,8 +264,10 @@
 		*cap_at(free_cap, d) -= maximum(got - held, 0);
 		*cap_at(missing, d) += target - maximum(got, held);
 	}
-	if (raise_matters(t, cap, &next))
-		t->next = next;
+	if (!raise_matters(t, cap, &next))
+		return;
+	t->next = next;
+	t->changes = true;
 }
 
 /* Lowers shares above their targets until "missing" is covered. */
@@ -278,17 +284,23 @@
 	for (i = 0; i < al->slot_count; i++) {
 		t = &al->plan[i];
 		if (t->counts)
-			missing -= maximum(
-			    cap_get(&t->held, d) - cap_get(&t->next, d), 0);
+			missing -= maximum(cap_get(&t->held, d) -
+				maximum(
+				    cap_get(&t->kept, d), cap_get(&t->next, d)),
+			    0);
 	}
 	for (pass = 0; pass < 2; pass++) {
 		for (i = al->slot_count; i-- > 0 && missing > 0;) {
 			t = &al->plan[al->order[i]];
-			surplus = cap_get(&t->next, d) - cap_get(&t->target, d);
+			surplus = maximum(cap_get(&t->kept, d),
+				      cap_get(&t->next, d)) -
+			    cap_get(&t->target, d);
 			if (!t->counts || surplus <= 0 ||
 			    (pass == 0 && surplus < step))
 				continue;
 			*cap_at(&t->next, d) = cap_get(&t->target, d);
+			*cap_at(&t->kept, d) = cap_get(&t->target, d);
+			t->changes = true;
 			missing -= surplus;
 		}
 	}
@@ -317,29 +329,31 @@
 			if (next <= cap_get(&t->limit, d))
 				continue;
 			*cap_at(&t->next, d) = next;
+			t->changes = true;
 			*cap_at(free_cap, d) -= maximum(next - held, 0);
 		}
 	}
 }
 
-static bool
-same_cap(const struct account_cap *a, const struct account_cap *b)
-{
-	return a->cpu_milli == b->cpu_milli && a->memory_mb == b->memory_mb &&
-	    a->accelerators == b->accelerators;
-}
-
 static void
 propose_changes(struct cap_allocator *al, struct allocator_account *a)
 {
 	struct cap_share target = {.cap = a->settings.cap};
 	struct allocator_plan *t;
 	size_t i;
+	int d;
 
 	for (i = 0; i < al->slot_count; i++) {
 		t = &al->plan[i];
-		if (!t->counts || same_cap(&t->next, &t->limit))
+		if (!t->changes)
 			continue;
+		/* other dimensions keep what the pool holds */
+		for (d = 0; d < CAP_DIMENSIONS; d++) {
+			if (cap_get(&t->next, d) == cap_get(&t->limit, d))
+				*cap_at(&t->next, d) =
+				    maximum(cap_get(&t->limit, d),
+					cap_get(&t->kept, d));
+		}
 		if (t->next.cpu_milli > t->limit.cpu_milli ||
 		    t->next.memory_mb > t->limit.memory_mb ||
 		    t->next.accelerators > t->limit.accelerators)
--- a/src/accounts/cap_allocator_state.h
+++ b/src/accounts/cap_allocator_state.h
@@ -83,7 +83,10 @@
 	double used_part; /* of the cap, in the scarcest dimension */
 	struct account_cap held, limit, need, unit, usage;
 	struct account_cap target; /* share by the present needs */
-	struct account_cap next; /* to be proposed */
+	/* Held once what has been proposed is stored. */
+	struct account_cap kept;
+	struct account_cap next; /* to be proposed … */
+	bool changes; /* … unless this is false */
 };
 
 /* Proposes new shares of the account where they are needed. */
