accounts/cap_allocator_plan: shares make room for runs over a lowered cap

When a cap is lowered, what runs in a pool over its new share goes on, and other pools, below theirs, started up to the cap beside it. The allocator lowers their shares to what they run until the sum fits.

prop_caps judges both: runs from before do not count (any fault), and all runs count once the older cap has been out of force for 3 s (sound messages).

--- a/src/accounts/cap_allocator_plan.c
+++ b/src/accounts/cap_allocator_plan.c
@@ -365,6 +365,45 @@
 	}
 }
 
+/*
+ * After a cap was lowered, pools may run more than their shares.  Others start
+ * less meanwhile, so that the sum of what runs comes within the cap.
+ */
+static bool
+make_room_for_usage(struct cap_allocator *al, const struct account_cap *cap)
+{
+	struct allocator_plan *t;
+	int64_t excess, spare;
+	bool over = false;
+	size_t i;
+	int d;
+
+	for (d = 0; d < CAP_DIMENSIONS; d++) {
+		if (cap_get(cap, d) == 0)
+			continue;
+		excess = -cap_get(cap, d);
+		for (i = 0; i < al->slot_count; i++) {
+			t = &al->plan[i];
+			excess += maximum(
+			    cap_get(&t->kept, d), cap_get(&t->usage, d));
+		}
+		for (i = 0; i < al->slot_count && excess > 0; i++) {
+			t = &al->plan[i];
+			spare = cap_get(&t->kept, d) - cap_get(&t->usage, d);
+			if (!t->counts || spare <= 0)
+				continue;
+			spare = minimum(spare, excess);
+			*cap_at(&t->kept, d) -= spare;
+			*cap_at(&t->next, d) = minimum(
+			    cap_get(&t->kept, d), cap_get(&t->limit, d));
+			t->changes = over = true;
+			excess -= spare;
+		}
+		over |= excess > 0;
+	}
+	return over;
+}
+
 void
 allocator_plan_account(struct cap_allocator *al, struct allocator_account *a)
 {
@@ -376,9 +415,16 @@
 
 	for (i = 0; i < al->slot_count; i++) {
 		plan_pool(al, a, i);
-		cap_add(&free_cap, &al->plan[i].held, -1);
+		for (d = 0; d < CAP_DIMENSIONS; d++)
+			*cap_at(&free_cap, d) -=
+			    maximum(cap_get(&al->plan[i].held, d),
+				cap_get(&al->plan[i].usage, d));
 		lacks |= al->plan[i].lacks;
 	}
+	if (make_room_for_usage(al, cap)) {
+		propose_changes(al, a);
+		return;
+	}
 	for (d = 0; d < CAP_DIMENSIONS; d++)
 		*cap_at(&free_cap, d) = maximum(cap_get(&free_cap, d), 0);
 	if (!lacks) {
