--- a/src/scheduler/cap_exchange.c
+++ b/src/scheduler/cap_exchange.c
@@ -169,8 +169,8 @@
 	    sched_boottime_us();
 	if (wait_us < FOLLOW_UP_MS * US_PER_MS)
 		wait_us = FOLLOW_UP_MS * US_PER_MS;
-	lws_sul_schedule(x->scheduler->context, 0, &x->follow_up_sul,
-	    on_follow_up, wait_us);
+	lws_sul_schedule(
+	    x->scheduler->context, 0, &x->follow_up_sul, on_follow_up, wait_us);
 }
 
 void
