caps: merge shares of accounts' caps

An account's cap is cut into shares that live in the pools' topics; the allocator beside the controller proposes changes (docs/design/resource-caps.md).

--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -167,12 +167,12 @@
 struct known_job {
 	char id[JOB_ID_BYTES];
 	struct job_spec *spec;
+	char account[NAME_BYTES]; /* "": none */
 	bool accepted;
 	int64_t first_ms, done_ms, cancel_ms;
 	int64_t cancel_sent_ms; /* 0: it was not cancelled */
 	bool deadly; /* one of its tasks is */
 	bool may_be_given_up; /* enough workers ended under one of its tasks */
-	char account[NAME_BYTES];
 	int retry_ms; /* of its newest refusal; 0: accepted */
 	UT_hash_handle hh;
 };
@@ -1353,12 +1353,28 @@
 }
 
 static void
-feed_account(struct jobs_world *w, const struct account_settings *settings)
+load_caps(struct jobs_world *w, struct pool *pool)
+{
+	char account[NAME_BYTES];
+	struct stored *r;
+	struct err e;
+
+	for (r = w->records; r != NULL; r = r->hh.next) {
+		if (share_key_account(r->key, account) ||
+		    strcmp(r->key, KEY_CAP_CONTROLLER) == 0)
+			pool_load_cap_record(
+			    pool, r->key, r->value->data, r->value->len, &e);
+	}
+}
+
+static void
+change_account(
+    struct jobs_world *w, int owner, const struct account_settings *settings)
 {
 	struct pool_event ev = {.kind = POOL_ACCOUNT_CHANGE};
 
 	ev.u.account_change.settings = settings;
-	step(w, w->owner, &ev);
+	step(w, owner, &ev);
 }
 
 static void
@@ -1388,9 +1404,8 @@
 
 	o->pool = pool_new(&opts);
 	o->fence = opts.fence;
+	load_caps(w, o->pool);
 	o->alive = true;
-	for (i = 0; i < (int)w->account_count; i++)
-		feed_account(w, &w->accounts[i]);
 	for (r = w->records; r != NULL; r = r->hh.next) {
 		if (strncmp(r->key, "j/", 2) == 0)
 			job_spec_decode(
@@ -1403,6 +1418,8 @@
 		if (w->workers[i].listed)
 			feed_worker(w, w->owner, i);
 	}
+	for (i = 0; i < (int)w->account_count; i++)
+		change_account(w, w->owner, &w->accounts[i]);
 	step(w, w->owner, &ev);
 }
 
@@ -1723,8 +1740,7 @@
 	ev.u.submit.token = token_new(w, j);
 	snprintf(ev.u.submit.id, JOB_ID_BYTES, "%s", id);
 	w->terms.has_policy = w->opts.allowed_from > 0;
-	snprintf(
-	    ev.u.submit.account, NAME_BYTES, "%s", known_job(w, id)->account);
+	memcpy(ev.u.submit.account, j->account, NAME_BYTES);
 	ev.u.submit.queue = &w->terms;
 	ev.u.submit.spec = job_spec;
 	ev.u.submit.refuse_ms = w->refuse_ms;
@@ -1779,22 +1795,6 @@
 	return w->looked_state;
 }
 
-void
-jobs_world_account(
-    struct jobs_world *w, const struct account_settings *settings)
-{
-	w->accounts =
-	    realloc(w->accounts, (w->account_count + 1) * sizeof(*w->accounts));
-	w->accounts[w->account_count++] = *settings;
-	feed_account(w, settings);
-}
-
-void
-jobs_world_caller(struct jobs_world *w, const char *account)
-{
-	snprintf(w->caller, sizeof(w->caller), "%s", account);
-}
-
 int
 jobs_world_retry_ms(const struct jobs_world *w, const char *id)
 {
@@ -2240,3 +2240,72 @@
 
 	send_cordon(w, worker, &ev);
 }
+
+void
+jobs_world_caller(struct jobs_world *w, const char *account)
+{
+	snprintf(w->caller, sizeof(w->caller), "%s", account);
+}
+
+void
+jobs_world_account(
+    struct jobs_world *w, const struct account_settings *settings)
+{
+	size_t n = 0;
+	int i;
+
+	while (n < w->account_count &&
+	    strcmp(w->accounts[n].name, settings->name) != 0)
+		n++;
+	if (n == w->account_count)
+		w->accounts = realloc(
+		    w->accounts, ++w->account_count * sizeof(*w->accounts));
+	w->accounts[n] = *settings;
+	for (i = 0; i <= w->owner; i++) {
+		if (w->owners[i].alive)
+			change_account(w, i, settings);
+	}
+}
+
+struct account_cap
+jobs_world_usage(const struct jobs_world *w, const char *account)
+{
+	struct account_cap sum = {0};
+	const struct known_job *j;
+	const struct sim_run *r;
+	int i;
+
+	for (i = 0; i < w->opts.workers; i++) {
+		LIST_FOREACH(r, &w->workers[i].runs, entries) {
+			HASH_FIND_STR(w->jobs, r->task.job, j);
+			if (j == NULL || strcmp(j->account, account) != 0)
+				continue;
+			sum.cpu_milli += r->cpu;
+			sum.memory_mb += r->memory_mb;
+			sum.accelerators += r->accelerators;
+		}
+	}
+	return sum;
+}
+
+int
+jobs_world_owner(const struct jobs_world *w)
+{
+	return w->owner;
+}
+
+bool
+jobs_world_cap_request(struct jobs_world *w, int owner,
+    const struct cap_request *r, struct cap_report *report)
+{
+	struct pool_event ev = {.kind = POOL_CAP_REQUEST};
+	struct owner *o = &w->owners[owner];
+
+	if (!o->alive || w->ms < o->stalled_until_ms ||
+	    w->ms < o->suspended_until_ms)
+		return false;
+	ev.u.cap_request = r;
+	if (r != NULL)
+		step(w, owner, &ev);
+	return o->alive && pool_cap_report(o->pool, r, report);
+}
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -6,6 +6,7 @@
 #define JOBS_POOL_STATE_H
 
 #include "pool.h"
+#include "pool_caps.h"
 
 /* A worker that missed this many renewals in a row gets no new tasks. */
 #define SILENT_MISSED_RENEWALS 2
@@ -206,6 +207,7 @@
 	/* Its index in the load_problem of this pass. */
 	uint64_t load_pass;
 	size_t load_index;
+	struct account_share share;
 	UT_hash_handle hh; /* by settings.name */
 };
 
@@ -240,6 +242,7 @@
 	size_t configured_accounts;
 	struct pool_selection *selection;
 	bool placing_in_turn; /* see candidate.in_turn */
+	struct pool_caps caps;
 	struct pool_worker *workers; /* by id */
 	int64_t fences_used; /* of this term */
 	int64_t next_renewal_us; /* no renewal is due earlier */
@@ -514,10 +517,6 @@
 /* So many further starts may be sent now. */
 bool start_window_has_room(const struct pool *p, size_t count);
 
-/* pool_caps.c */
-/* The pool's share of its account's cap has room for the task. */
-bool caps_allow_start(const struct pool *p, const struct task *t);
-
 /* pool_place.c */
 /* The worker has capacity for the task and may run it. */
 bool worker_may_run(
