--- a/src/jobs/load_admission.c
+++ b/src/jobs/load_admission.c
@@ -1,4 +1,6 @@
 /* Decision on a job that is being submitted, see load_selection.h. */
+#include <math.h>
+
 #include "load_fluid.h"
 
 /* Beyond its share: by more than the rounding of sums. */
@@ -45,21 +47,22 @@
 /* Time until what is served before the job is done, if it is deferred. */
 static double
 deferred_wait_ms(const struct load_problem *p, const struct load_decision *d,
-    const struct load_candidate *job, struct load_vector own,
-    const struct load_vector *rates)
+    const struct load_candidate *job, const struct load_account *account,
+    struct load_vector own, const struct load_vector *rates)
 {
 	struct load_vector before = d->started;
 	const struct load_candidate *c;
-	double own_ms;
+	double own_ms, capped_ms;
 	size_t i;
 
-	vector_add(&own, &job->work, 1);
 	for (i = 0; i < p->candidate_count; i++) {
 		c = &p->candidates[i];
 		if (c->account == job->account && admission_counts(c) &&
 		    (c->verdict == LOAD_SERVED || deferred_before(c, job)))
 			vector_add(&own, &c->work, 1);
 	}
+	capped_ms = load_cap_duration_ms(account, &own);
+	vector_add(&own, &job->work, 1);
 	own_ms = load_share_ms(&own, rates);
 	for (i = 0; i < p->candidate_count; i++) {
 		c = &p->candidates[i];
@@ -69,7 +72,7 @@
 						    : c->share_ms <= own_ms)))
 			vector_add(&before, &c->work, 1);
 	}
-	return load_duration_ms(&p->capacity, &before);
+	return fmax(load_duration_ms(&p->capacity, &before), capped_ms);
 }
 
 void
@@ -82,7 +85,7 @@
 	    ? &p->accounts[job.account]
 	    : &sub->new_account;
 	struct load_vector rates, all, own = account->running;
-	double weights = load_weight_sum(p), all_ms;
+	double weights = load_weight_sum(p), all_ms, capped_ms;
 	size_t i;
 
 	job.cost = load_work_density(p, &job);
@@ -101,6 +104,7 @@
 			vector_add(&all, &c->work, 1);
 	}
 	a->own_ms = load_share_ms(&all, &rates);
+	capped_ms = load_cap_duration_ms(account, &all);
 	all = d->started;
 	for (i = 0; i < p->candidate_count; i++) {
 		if (admission_counts(&p->candidates[i]))
@@ -111,10 +115,11 @@
 	    BEYOND_SHARE_MIN * load_scaled_time(&p->capacity, all_ms);
 	a->retry_ms = 0;
 	a->verdict = LOAD_SERVED;
-	if (!a->beyond_share && fits_in_time(p, d, &job, a))
+	if (!a->beyond_share && capped_ms <= job.slack_ms &&
+	    fits_in_time(p, d, &job, a))
 		return;
 	a->verdict = LOAD_DEFERRED;
-	a->wait_ms = deferred_wait_ms(p, d, &job, own, &rates);
+	a->wait_ms = deferred_wait_ms(p, d, &job, account, own, &rates);
 	if (a->wait_ms + job.left_ms <= LOAD_LATENESS_MAX * sub->objective_ms)
 		return;
 	a->verdict = LOAD_REFUSED;
--- a/src/jobs/load_fluid.c
+++ b/src/jobs/load_fluid.c
@@ -72,6 +72,8 @@
 	for (i = 0; i < LOAD_DIMENSIONS; i++) {
 		fair = a->weight / weight_sum *
 		    (c->total.in[i] + c->incoming.in[i]);
+		if (a->cap.in[i] > 0)
+			fair = fmin(fair, a->cap.in[i]);
 		rates->in[i] =
 		    fmax(fair - a->held.in[i], fair * SHARE_LEFT_MIN);
 		if (rates->in[i] <= 0)
@@ -79,6 +81,22 @@
 	}
 }
 
+double
+load_cap_duration_ms(
+    const struct load_account *a, const struct load_vector *own)
+{
+	double longest = 0;
+	int i;
+
+	for (i = 0; i < LOAD_DIMENSIONS; i++) {
+		if (a->cap.in[i] > 0 && own->in[i] > 0)
+			longest = fmax(longest,
+			    own->in[i] /
+				fmax(a->cap.in[i] - a->held.in[i], 1e-9));
+	}
+	return longest;
+}
+
 double
 load_scaled_time(const struct load_capacity *c, double ms)
 {
--- a/src/jobs/load_fluid.h
+++ b/src/jobs/load_fluid.h
@@ -29,6 +29,9 @@
 /* Capacity that an account's share leaves for work that ends. */
 void load_account_rates(const struct load_capacity *c,
     const struct load_account *a, double weight_sum, struct load_vector *rates);
+/* Time in which the account's cap lets it do its own work. */
+double load_cap_duration_ms(
+    const struct load_account *a, const struct load_vector *own);
 /* Time in which all workers, present and incoming, do what can be done by "ms".
  */
 double load_scaled_time(const struct load_capacity *c, double ms);
--- a/src/jobs/load_selection.h
+++ b/src/jobs/load_selection.h
@@ -58,6 +58,7 @@
 struct load_account {
 	double weight; /* above 0 */
 	int priority; /* 0 comes first */
+	struct load_vector cap; /* most that it may occupy; 0: no limit */
 	struct load_vector held; /* by its long-running tasks */
 	struct load_vector running; /* work left of its other running tasks */
 	/* When an overdue job of it was in turn, on any clock; 0: never. */
--- a/src/jobs/pool_selection.c
+++ b/src/jobs/pool_selection.c
@@ -144,6 +144,10 @@
 	    .weight = a->settings.weight,
 	    .priority = a->settings.priority,
 	    .last_turn = (double)a->last_turn_us,
+	    /* of all pools: an upper bound of what it has in this one */
+	    .cap = {{(double)a->settings.cap.cpu_milli,
+		(double)a->settings.cap.memory_mb,
+		(double)a->settings.cap.accelerators}},
 	};
 	return a->load_index;
 }
--- a/tests/unit/test_load_selection.c
+++ b/tests/unit/test_load_selection.c
@@ -347,6 +347,26 @@
 	cr_expect(a.beyond_share);
 }
 
+/* An account's cap is what it waits for, though the pool has capacity. */
+Test(load_selection, work_of_an_account_waits_for_its_cap)
+{
+	struct load_submission s = submission(0, 50, 600);
+	struct load_admission a;
+	size_t i;
+
+	begin(2);
+	for (i = 0; i < 12; i++)
+		add(0, 50, 1500);
+	select_all();
+	load_admit(&problem, &decision, &s, &a);
+	cr_expect_neq(a.verdict, LOAD_REFUSED);
+	accounts[0].cap.in[LOAD_CPU] = CAPACITY / 5;
+	select_all();
+	load_admit(&problem, &decision, &s, &a);
+	cr_expect_eq(a.verdict, LOAD_REFUSED);
+	cr_expect_float_eq(a.wait_ms, 12 * 50 * 5, 1);
+}
+
 /* A retry at the time that was named was refused again. */
 Test(load_selection, a_retry_succeeds_at_the_time_named_if_the_load_ends)
 {
