--- a/tests/unit/test_shard.c
+++ b/tests/unit/test_shard.c
@@ -9,6 +9,7 @@
 
 #include <criterion/criterion.h>
 
+#include "config_relay.h"
 #include "http_context.h"
 #include "http_json.h"
 #include "pool_state.h"
@@ -98,6 +99,7 @@
 	scheduler.settings.store_endpoint.port = 1;
 	store_health_init(&scheduler.store_state, sched_monotonic_us());
 	scheduler.shards = shards_new(&scheduler);
+	scheduler.relay = config_relay_new(&scheduler);
 	scheduler.watcher = store_watch_new(&scheduler);
 	shard = calloc(1, sizeof(*shard));
 	cr_assert_not_null(shard);
