--- a/src/jobs/load_selection.c
+++ b/src/jobs/load_selection.c
@@ -236,6 +236,8 @@
 	size_t x = *(const size_t *)a, y = *(const size_t *)b;
 	int diff = compare_doubles(list[x].slack_ms, list[y].slack_ms);
 
+	if (diff == 0)
+		diff = list[x].priority - list[y].priority;
 	return diff != 0 ? diff : (x > y) - (x < y);
 }
 
