--- a/src/accounts/cap_allocator.c
+++ b/src/accounts/cap_allocator.c
@@ -221,7 +221,7 @@
 {
 	const struct allocator_pool *p = &al->pools[slot];
 	const struct allocator_entry *e = a->entries[slot];
-	int64_t divisor = e != NULL && e->excepted && e->proposed
+	int64_t divisor = e != NULL && e->excepted[d] && e->proposed
 	    ? p->divisor
 	    : held_divisor(p);
 	int64_t held = 0, other;
@@ -232,6 +232,10 @@
 		return held;
 	other = cap_share_held(&e->held, cap, d);
 	held = other > held ? other : held;
+	if (e->pending) { /* else several pools would get the same room */
+		other = cap_share_held(&e->target, cap, d);
+		held = other > held ? other : held;
+	}
 	if (!e->unconfirmed)
 		return held;
 	other = cap_share_held(&e->unconfirmed_max, cap, d);
@@ -361,7 +365,7 @@
 	const struct allocator_entry *e = a->entries[slot];
 	int64_t fixed = ACCOUNT_CAP_MAX / al->pools[slot].wanted_divisor;
 	struct cap_share share = {0};
-	bool exception = false;
+	bool excepted[CAP_DIMENSIONS] = {false}, exception = false;
 	int64_t room;
 	size_t i;
 	int d;
@@ -380,14 +384,15 @@
 		}
 		if (room >= fixed)
 			continue;
-		exception = true;
+		exception = excepted[d] = true;
 		*cap_at(&share.share, d) = room < 0 ? 0 : room;
 		*cap_at(&share.cap, d) = ACCOUNT_CAP_MAX;
 	}
 	if (!exception)
 		return;
 	allocator_propose(al, a, slot, &share);
-	a->entries[slot]->excepted = true;
+	for (d = 0; d < CAP_DIMENSIONS; d++)
+		a->entries[slot]->excepted[d] |= excepted[d];
 }
 
 /* The fixed parts of all pools fit an account that has nothing else. */
--- a/src/accounts/cap_allocator_state.h
+++ b/src/accounts/cap_allocator_state.h
@@ -39,7 +39,7 @@
 	bool proposed; /* "target" has been sent in this term of the owner */
 	struct cap_share target;
 	/* Proposed with a fixed part that does not apply to the account. */
-	bool excepted;
+	bool excepted[CAP_DIMENSIONS];
 	bool pending; /* "target" is to be sent */
 	bool unconfirmed; /* sent, and no report answers that yet */
 	struct cap_share unconfirmed_max; /* largest of these targets */
--- a/src/jobs/pool_caps.c
+++ b/src/jobs/pool_caps.c
@@ -53,24 +53,23 @@
 }
 
 bool
-caps_allow_start(const struct pool *p, const struct task *t)
+caps_allow_starts(const struct job_step *s, unsigned count)
 {
-	struct pool_account *a = t->step->occurrence->job->account;
+	struct pool_account *a = s->occurrence->job->account;
 	struct account_cap cap, size;
 	int64_t used, limit;
 	int d;
 
-	(void)p;
 	if (a == NULL)
 		return true;
 	cap = account_cap_now(a);
-	size = task_size(t->step->spec);
+	size = task_size(s->spec);
 	for (d = 0; d < CAP_DIMENSIONS; d++) {
 		if (cap_get(&cap, d) == 0 || cap_get(&size, d) == 0)
 			continue;
 		limit = account_start_limit(a, &cap, d);
 		used = cap_get(&a->usage, d) + cap_get(&a->share.unplaced, d);
-		if (used + cap_get(&size, d) > limit) {
+		if (used + count * cap_get(&size, d) > limit) {
 			a->share.blocked = true;
 			return false;
 		}
@@ -78,6 +77,13 @@
 	return true;
 }
 
+bool
+caps_allow_start(const struct pool *p, const struct task *t)
+{
+	(void)p;
+	return caps_allow_starts(t->step, 1);
+}
+
 bool
 caps_hold_back(const struct job *j)
 {
@@ -254,7 +260,8 @@
 	} else {
 		used = cap_get(&a->usage, d) + cap_get(&a->share.unplaced, d);
 		if (used > cap_share_limit(want, &cap, d) ||
-		    (a->active_jobs == 0 && old - share <= ROUNDING_MAX))
+		    (a->active_jobs == 0 && d != CAP_ACCELERATORS &&
+			old - share <= ROUNDING_MAX))
 			return false;
 	}
 	*cap_at(&next->share, d) = share;
--- a/src/jobs/pool_caps.h
+++ b/src/jobs/pool_caps.h
@@ -67,6 +67,8 @@
     const struct pool_account *a, const struct account_cap *cap, int dimension);
 /* The pool's share of its account's cap has room for the task. */
 bool caps_allow_start(const struct pool *p, const struct task *t);
+/* It has room for so many tasks of the step, e.g. for a gang. */
+bool caps_allow_starts(const struct job_step *s, unsigned count);
 /* A start of the job's account did not fit in the last scheduling pass. */
 bool caps_hold_back(const struct job *j);
 /* Why a job can never run under its account's cap; NULL: it can. */
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -280,6 +280,9 @@
 		return;
 	if (!gang_store_trial(p, s))
 		return;
+	/* members placed and taken off again would cause the next pass */
+	if (!caps_allow_starts(s, spec->task_count))
+		return;
 	if (!selection_allows_start(p, s, spec->task_count))
 		return;
 	/* a gang above the limit starts when no other start is in flight */
--- a/src/scheduler/caller_request.c
+++ b/src/scheduler/caller_request.c
@@ -391,7 +391,8 @@
 	};
 	int64_t now = sched_monotonic_us();
 	struct attempt_check check = attempt_check(&a, now);
-	int left_ms = (int)((check.end_us - now) / US_PER_MS);
+	/* not before the check at the end, which may extend the attempt */
+	int left_ms = (int)((check.end_us - now) / US_PER_MS) + 1;
 
 	if (left_ms < 1)
 		left_ms = 1;
--- a/src/scheduler/cap_exchange.c
+++ b/src/scheduler/cap_exchange.c
@@ -22,6 +22,7 @@
 	void (*send)(void *arg, const char *pool);
 	void *arg;
 	lws_sorted_usec_list_t follow_up_sul;
+	bool follow_up_due; /* further reports do not put it off */
 	int64_t followed_up_us;
 	int64_t logged_us;
 	uint64_t logged_proposals;
@@ -93,6 +94,7 @@
 	if (x == NULL)
 		return;
 	lws_sul_cancel(&x->follow_up_sul);
+	x->follow_up_due = false;
 	cap_allocator_free(x->allocator);
 	free(x);
 }
@@ -143,6 +145,7 @@
 	const struct config *c = x->scheduler->config;
 	size_t i;
 
+	x->follow_up_due = false;
 	if (!x->active)
 		return;
 	x->followed_up_us = sched_boottime_us();
@@ -165,6 +168,9 @@
 	if (r == NULL)
 		return;
 	cap_allocator_report(x->allocator, pool, r);
+	if (x->follow_up_due)
+		return;
+	x->follow_up_due = true;
 	wait_us = x->followed_up_us + FOLLOW_UP_SPACING_MS * US_PER_MS -
 	    sched_boottime_us();
 	if (wait_us < FOLLOW_UP_MS * US_PER_MS)
--- a/src/scheduler/config_relay.c
+++ b/src/scheduler/config_relay.c
@@ -315,6 +315,11 @@
 		a.age_ms = (age_us + US_PER_MS - 1) / US_PER_MS;
 	if (config_trust_supersedes(version_in_force(s), have))
 		a.value = store_watch_config_record(s->watcher);
+	/* without the record, the age would confirm the asker's older version
+	 */
+	if (config_trust_supersedes(version_in_force(s), have) &&
+	    a.value == NULL)
+		a.age_ms = -1;
 	membership_known_owners(s->membership, &a.owners);
 	out = config_answer_encode(&a);
 	if (out != NULL) {
--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -129,9 +129,8 @@
 	if (query != NULL)
 		*query = '\0';
 	q = config_find_queue(config, host != NULL ? host : "", r->path);
-	/* a newer configuration may have the queue, or another key */
-	if ((q == NULL || !q->public_access) &&
-	    !config_relay_trusts(f->scheduler->relay)) {
+	/* a newer configuration may have other queues and keys */
+	if (!config_relay_trusts(f->scheduler->relay)) {
 		f->scheduler->counters.config_unconfirmed++;
 		frontend_answer(f, id, 503, NULL, DEFAULT_RETRY_AFTER_MS);
 		return;
