--- a/tests/unit/test_caps.c
+++ b/tests/unit/test_caps.c
@@ -247,6 +247,60 @@
 	jobs_world_free(world);
 }
 
+static int64_t
+propose_accelerators(int64_t share)
+{
+	struct cap_proposal p = {.account = ACCOUNT};
+	struct cap_request r = {.controller = 1,
+	    .number = ++request_number,
+	    .owner = 1,
+	    .list = &p,
+	    .count = 1};
+	struct cap_report report;
+	int64_t held;
+
+	p.share.share.accelerators = share;
+	p.share.cap.accelerators = 4;
+	cr_assert(jobs_world_cap_request(world, 0, &r, &report));
+	held = report.count > 0 ? report.list[0].held.share.accelerators : -1;
+	cap_report_uninit(&report);
+	return held;
+}
+
+/* Another pool waited for good for an accelerator that nobody used. */
+Test(caps, an_idle_pool_gives_its_accelerator_back)
+{
+	struct jobs_world_opts o = {
+	    .seed = 20261204,
+	    .workers = 1,
+	    .cpu = 8000,
+	    .memory_mb = 16000,
+	    .accelerators = 4,
+	    .link_ms = 2,
+	    .store_ms = 4,
+	    .said_guarded = true,
+	};
+	struct account_settings s = {
+	    .name = ACCOUNT, .weight = 1, .cap = {.accelerators = 4}};
+	struct job_spec *job = jobs_order(1, 1, 500, 100);
+
+	request_number = 0;
+	world = jobs_world_new(&o);
+	jobs_world_account(world, &s);
+	jobs_world_caller(world, ACCOUNT);
+	propose_accelerators(1);
+	job->steps[0].accelerators = 1;
+	jobs_world_submit(world, job, NULL);
+	job_spec_unref(job);
+	jobs_world_run(world, 1000);
+	cr_expect_eq(jobs_world_accepted(world), 1);
+	cr_expect_eq(propose_accelerators(1), 1);
+	propose_accelerators(0);
+	jobs_world_run(world, 500);
+	cr_expect_eq(propose_accelerators(0), 0);
+	jobs_world_free(world);
+}
+
 /* Jobs that can never run waited for good. */
 Test(caps, a_task_or_gang_over_the_cap_is_refused)
 {
@@ -372,6 +426,32 @@
 	cap_allocator_free(al);
 }
 
+/* Two pools with new owners each got the same room that was left. */
+Test(caps, room_that_is_left_goes_to_one_pool)
+{
+	static const char *const new_owners[] = {"b", "c"};
+	struct cap_allocator *al = allocator_of(3, 4000);
+	const struct cap_share *share;
+	struct cap_request r;
+	double given = 0;
+	size_t i;
+
+	answer(al, "a", 3800, 3800, 0, &r);
+	for (i = 0; i < 2; i++)
+		answer(al, new_owners[i], -1, 0, 0, &r);
+	cap_allocator_step(al, 1);
+	for (i = 0; i < 2; i++) {
+		cr_assert(cap_allocator_request(al, new_owners[i], &r));
+		cr_assert_eq(r.count, 1);
+		share = &r.list[0].share;
+		given += (double)share->share.cpu_milli /
+		    (double)share->cap.cpu_milli;
+		cap_request_uninit(&r);
+	}
+	cr_expect_leq(given, 0.0501); /* of the cap; a has the rest */
+	cap_allocator_free(al);
+}
+
 /* Accounts without work cost bytes in each update. */
 Test(caps, nothing_is_sent_while_nothing_changes)
 {
