jobs: overdue jobs that their account's share keeps back take no turn

Found by the review: a job over its account's share came first in the turn of overdue jobs in each pass without starting, so that other accounts' overdue jobs got none. It counts as hopeless until its share has room. append_pace_patience_us() is now append_pace_timeout_us().

No test of its own yet.

--- a/src/jobs/pool_selection.c
+++ b/src/jobs/pool_selection.c
@@ -262,16 +262,11 @@
 	}
 }
 
-/* One task of its first step that has some waiting, or one gang. */
-static void
-add_unit(const struct occurrence *o, struct load_vector *unit)
+/* What starts at once in a step: one task, or one gang. */
+static unsigned
+unit_tasks(const struct job_step *s)
 {
-	const struct job_step *s = o->steps;
-
-	while (!step_has_waiting_tasks(s))
-		s++;
-	selection_add_step(
-	    unit, s->spec, s->spec->gang ? s->spec->task_count : 1);
+	return s->spec->gang ? s->spec->task_count : 1;
 }
 
 static void
@@ -292,6 +287,12 @@
 		to->slack_ms = 0;
 	to->left_ms = c->left_ms + rank_margin_ms(c->left_ms);
 	to->value = o->job->value;
+	for (s = o->steps; !step_has_waiting_tasks(s);)
+		s++;
+	selection_add_step(&to->unit, s->spec, unit_tasks(s));
+	/* else it would use up the turns of other accounts' overdue jobs */
+	if (to->class == LOAD_OVERDUE && !caps_allow_starts(s, unit_tasks(s)))
+		to->class = LOAD_HOPELESS;
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = &o->steps[i];
 		count = (double)s->spec->task_count - s->done_count -
@@ -299,7 +300,6 @@
 		selection_add_step(&to->work, s->spec, count * s->expected_ms);
 	}
 	add_demand(c, &to->demand);
-	add_unit(o, &to->unit);
 }
 
 static bool
--- a/src/scheduler/append_pace.c
+++ b/src/scheduler/append_pace.c
@@ -118,7 +118,7 @@
 }
 
 int64_t
-append_pace_patience_us(const struct append_pace *p)
+append_pace_timeout_us(const struct append_pace *p)
 {
 	int64_t us = append_pace_latency_us(p) * PATIENCE_LATENCIES;
 
@@ -148,7 +148,7 @@
 append_pace_retransmit_us(
     const struct append_pace *p, const struct append_wait *w, int64_t now_us)
 {
-	int64_t timeout_us = append_pace_patience_us(p), due_us;
+	int64_t timeout_us = append_pace_timeout_us(p), due_us;
 
 	if (timeout_us < w->timeout_us)
 		timeout_us = w->timeout_us;
--- a/src/scheduler/append_pace.h
+++ b/src/scheduler/append_pace.h
@@ -60,7 +60,7 @@
 /* Time from sending an append until its answer; 0 unless slow. */
 int64_t append_pace_latency_us(const struct append_pace *p);
 /* How long to wait for an answer before it counts as missing; 0 unless slow. */
-int64_t append_pace_patience_us(const struct append_pace *p);
+int64_t append_pace_timeout_us(const struct append_pace *p);
 /*
  * When to retransmit the append, or to ask again.  Retransmit if the result is
  * not after "now_us".
--- a/src/scheduler/append_window.c
+++ b/src/scheduler/append_window.c
@@ -306,8 +306,8 @@
 
 	if (left_us <= 0 || !w->pace.slow)
 		return stalled_us >= limit_us;
-	if (limit_us < append_pace_patience_us(&w->pace))
-		limit_us = append_pace_patience_us(&w->pace);
+	if (limit_us < append_pace_timeout_us(&w->pace))
+		limit_us = append_pace_timeout_us(&w->pace);
 	return stalled_us >= limit_us ||
 	    expected_wait_us(w, stalled_us) > left_us;
 }
