jobs: one copy of a task's size, a unit's tasks, and two constants

Reading the change again showed logic that it wrote more than once: what a task occupies of a cap (four times), the tasks that start together (four times), the name in a record's key (twice), the validity of the report of incoming workers (twice), and the lateness after which a job has no value (three times). Each has one place now; behaviour is as before.

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -18,17 +18,24 @@
 	snprintf(key, JOB_KEY_BYTES, PREFIX_WORKER "%s", id);
 }
 
-bool
-worker_key_id(const char *key, char id[NAME_BYTES])
+/* The name behind the prefix of a key; false if the key is another one. */
+static bool
+key_name(const char *key, const char *prefix, char name[NAME_BYTES])
 {
-	if (strncmp(key, PREFIX_WORKER, PREFIX_BYTES) != 0 ||
+	if (strncmp(key, prefix, PREFIX_BYTES) != 0 ||
 	    key[PREFIX_BYTES] == '\0' ||
 	    strlen(key + PREFIX_BYTES) >= NAME_BYTES)
 		return false;
-	snprintf(id, NAME_BYTES, "%s", key + PREFIX_BYTES);
+	snprintf(name, NAME_BYTES, "%s", key + PREFIX_BYTES);
 	return true;
 }
 
+bool
+worker_key_id(const char *key, char id[NAME_BYTES])
+{
+	return key_name(key, PREFIX_WORKER, id);
+}
+
 void
 job_spec_key(char key[JOB_KEY_BYTES], const char *id)
 {
@@ -62,12 +69,7 @@
 bool
 share_key_account(const char *key, char account[NAME_BYTES])
 {
-	if (strncmp(key, KEY_SHARE_PREFIX, PREFIX_BYTES) != 0 ||
-	    key[PREFIX_BYTES] == '\0' ||
-	    strlen(key + PREFIX_BYTES) >= NAME_BYTES)
-		return false;
-	snprintf(account, NAME_BYTES, "%s", key + PREFIX_BYTES);
-	return true;
+	return key_name(key, KEY_SHARE_PREFIX, account);
 }
 
 static const struct codec_field share_fields[] = {
--- a/src/jobs/job_spec.c
+++ b/src/jobs/job_spec.c
@@ -64,6 +64,12 @@
 	return s->best_effort ? 0 : s->cpu_milli;
 }
 
+unsigned
+step_spec_unit_tasks(const struct step_spec *s)
+{
+	return s->gang ? s->task_count : 1;
+}
+
 double
 job_spec_longest_path_ms(const struct job_spec *s, const double *step_ms)
 {
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -66,6 +66,8 @@
  * best-effort task.
  */
 int64_t step_spec_reserved_cpu_milli(const struct step_spec *s);
+/* Tasks that start together or not at all: one, or a whole gang. */
+unsigned step_spec_unit_tasks(const struct step_spec *s);
 /*
  * Longest sum of times along the steps' dependencies; "step_ms" has the time of
  * each step.
--- a/src/jobs/pool_accounts.c
+++ b/src/jobs/pool_accounts.c
@@ -56,13 +56,10 @@
 add_usage(const struct task *t, int sign)
 {
 	struct pool_account *a = t->step->occurrence->job->account;
-	const struct step_spec *s = t->step->spec;
+	struct account_cap size = step_spec_cap_size(t->step->spec);
 
-	if (a == NULL)
-		return;
-	a->usage.cpu_milli += sign * s->cpu_milli;
-	a->usage.memory_mb += sign * s->memory_mb;
-	a->usage.accelerators += sign * s->accelerators;
+	if (a != NULL)
+		cap_add(&a->usage, &size, sign);
 }
 
 void
--- a/src/jobs/pool_admission.c
+++ b/src/jobs/pool_admission.c
@@ -10,8 +10,6 @@
 
 /* Unfinished jobs: limits memory and the length of a takeover. */
 #define ACTIVE_JOBS_MAX 4000
-/* A job that ends after this many times its objective has no value. */
-#define LATENESS_MAX 3.0
 /*
  * With this lag of the event loop, a submission may not be answered in time: it
  * is refused, so that accepted jobs are served.
@@ -41,6 +39,13 @@
 	return cpu_milli;
 }
 
+bool
+pool_incoming_known(const struct pool *p)
+{
+	return p->now_us - p->incoming_reported_us <=
+	    INCOMING_VALID_MS * US_PER_MS;
+}
+
 /*
  * Time in ms for "work", in thousandths of a core times ms, with the incoming
  * workers counted from their arrival.  A surge begins in a pool of few workers;
@@ -53,8 +58,7 @@
 	double incoming = (double)p->incoming_workers * p->typical_cpu_milli;
 	double within_ms = p->incoming_within_ms;
 
-	if (incoming <= 0 || ms <= within_ms ||
-	    p->now_us - p->incoming_reported_us > INCOMING_VALID_MS * US_PER_MS)
+	if (incoming <= 0 || ms <= within_ms || !pool_incoming_known(p))
 		return ms;
 	return within_ms +
 	    (work - cpu_milli * within_ms) / (cpu_milli + incoming);
@@ -102,7 +106,7 @@
 	    spec, run_time_find(p->run_times, q->name));
 	objective_ms = q->stretch * critical_path_ms + q->target_latency_ms;
 	wait_ms = backlog_ms(p);
-	if (wait_ms + critical_path_ms <= LATENESS_MAX * objective_ms)
+	if (wait_ms + critical_path_ms <= LOAD_LATENESS_MAX * objective_ms)
 		return 0;
 	wait_ms -= objective_ms - critical_path_ms;
 	return wait_ms > SUBMIT_RETRY_MAX_MS ? SUBMIT_RETRY_MAX_MS
--- a/src/jobs/pool_cap_exchange.c
+++ b/src/jobs/pool_cap_exchange.c
@@ -80,18 +80,14 @@
 {
 	int64_t waiting =
 	    (int64_t)s->spec->task_count - s->done_count - s->placed_count;
-	struct account_cap size = {
-	    .cpu_milli = s->spec->cpu_milli,
-	    .memory_mb = s->spec->memory_mb,
-	    .accelerators = s->spec->accelerators,
-	};
+	struct account_cap size = step_spec_cap_size(s->spec);
 	int d;
 
 	if (!step_has_waiting_tasks(s))
 		return;
 	for (d = 0; d < CAP_DIMENSIONS; d++)
 		*cap_at(&share->need, d) += waiting * cap_get(&size, d);
-	raise_to(&share->unit, &size, s->spec->gang ? s->spec->task_count : 1);
+	raise_to(&share->unit, &size, step_spec_unit_tasks(s->spec));
 }
 
 void
--- a/src/jobs/pool_caps.c
+++ b/src/jobs/pool_caps.c
@@ -42,8 +42,8 @@
 	return limit;
 }
 
-static struct account_cap
-task_size(const struct step_spec *s)
+struct account_cap
+step_spec_cap_size(const struct step_spec *s)
 {
 	return (struct account_cap){
 	    .cpu_milli = s->cpu_milli,
@@ -63,7 +63,7 @@
 	if (a == NULL)
 		return true;
 	cap = account_cap_now(a);
-	size = task_size(s->spec);
+	size = step_spec_cap_size(s->spec);
 	for (d = 0; d < CAP_DIMENSIONS; d++) {
 		if (cap_get(&cap, d) == 0 || cap_get(&size, d) == 0)
 			continue;
@@ -124,8 +124,8 @@
 	cap = account_cap_now(a);
 	for (i = 0; i < spec->step_count; i++) {
 		s = &spec->steps[i];
-		size = task_size(s);
-		tasks = s->gang ? s->task_count : 1;
+		size = step_spec_cap_size(s);
+		tasks = step_spec_unit_tasks(s);
 		for (d = 0; d < CAP_DIMENSIONS; d++) {
 			if (cap_get(&cap, d) > 0 &&
 			    tasks * cap_get(&size, d) > cap_get(&cap, d))
--- a/src/jobs/pool_caps.h
+++ b/src/jobs/pool_caps.h
@@ -65,6 +65,8 @@
 /* What the account's tasks may occupy; INT64_MAX: no limit. */
 int64_t account_start_limit(
     const struct pool_account *a, const struct account_cap *cap, int dimension);
+/* What one task of the step occupies of a cap; best-effort ones, too. */
+struct account_cap step_spec_cap_size(const struct step_spec *s);
 /* The pool's share of its account's cap has room for the task. */
 bool caps_allow_start(const struct pool *p, const struct task *t);
 /* It has room for so many tasks of the step, e.g. for a gang. */
--- a/src/jobs/pool_rank.c
+++ b/src/jobs/pool_rank.c
@@ -7,8 +7,6 @@
 
 #include "pool_selection.h"
 
-/* A job that ends after this many times its objective has no value. */
-#define LATENESS_MAX 3.0
 /*
  * Slack that a job needs to rank as on time: a share of its remaining
  * critical path, and a constant for commands, renewals and a scheduling pass.
@@ -76,7 +74,7 @@
 	else if (c->slack_ms >= rank_margin_ms(left_ms))
 		c->class = RANK_ON_TIME;
 	else
-		c->class = c->slack_ms >= -(LATENESS_MAX - 1) * span_ms
+		c->class = c->slack_ms >= -(LOAD_LATENESS_MAX - 1) * span_ms
 		    ? RANK_LATE
 		    : RANK_HOPELESS;
 }
--- a/src/jobs/pool_reservation.c
+++ b/src/jobs/pool_reservation.c
@@ -153,8 +153,7 @@
 		s = &o->steps[i];
 		if (step_has_waiting_tasks(s) && s->placed_count == 0 &&
 		    p->now_us >= s->tasks[0].start_not_before_us &&
-		    caps_allow_starts(
-			s, s->spec->gang ? s->spec->task_count : 1)) {
+		    caps_allow_starts(s, step_spec_unit_tasks(s->spec))) {
 			reserve(p, s);
 			return;
 		}
--- a/src/jobs/pool_selection.c
+++ b/src/jobs/pool_selection.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Validity of the controller's report of incoming workers: five reports. */
-#define INCOMING_VALID_MS 1000
 /* A pool is under pressure until nothing was deferred for so long. */
 #define PRESSURE_END_MS 500
 #define DEFERRED_LOG_INTERVAL_MS 1000
@@ -192,7 +190,7 @@
 {
 	double n = (double)p->incoming_workers;
 
-	if (p->now_us - p->incoming_reported_us > INCOMING_VALID_MS * US_PER_MS)
+	if (!pool_incoming_known(p))
 		return;
 	c->incoming.in[LOAD_CPU] = n * p->typical_cpu_milli;
 	c->incoming.in[LOAD_MEMORY] = n * p->typical_memory_mb;
@@ -262,13 +260,6 @@
 	}
 }
 
-/* What starts at once in a step: one task, or one gang. */
-static unsigned
-unit_tasks(const struct job_step *s)
-{
-	return s->spec->gang ? s->spec->task_count : 1;
-}
-
 static void
 fill_candidate(struct pool *p, struct load_candidate *to, struct candidate *c)
 {
@@ -289,9 +280,10 @@
 	to->value = o->job->value;
 	for (s = o->steps; !step_has_waiting_tasks(s);)
 		s++;
-	selection_add_step(&to->unit, s->spec, unit_tasks(s));
+	selection_add_step(&to->unit, s->spec, step_spec_unit_tasks(s->spec));
 	/* else it would use up the turns of other accounts' overdue jobs */
-	if (to->class == LOAD_OVERDUE && !caps_allow_starts(s, unit_tasks(s)))
+	if (to->class == LOAD_OVERDUE &&
+	    !caps_allow_starts(s, step_spec_unit_tasks(s->spec)))
 		to->class = LOAD_HOPELESS;
 	for (i = 0; i < o->job->spec->step_count; i++) {
 		s = &o->steps[i];
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -495,6 +495,8 @@
 void pool_accounts_free(struct pool *p);
 
 /* pool_admission.c */
+/* The controller's report of incoming workers is recent enough to count. */
+bool pool_incoming_known(const struct pool *p);
 #define SUBMIT_RETRY_MAX_MS 10000 /* upper bound of a refusal's retry time */
 /* Returns the retry time of a refused job and the reason; 0: accepted. */
 int pool_submit_refusal_ms(
--- a/src/jobs/pool_unplaced_runs.c
+++ b/src/jobs/pool_unplaced_runs.c
@@ -63,9 +63,7 @@
 	snprintf(u->worker, sizeof(u->worker), "%s", worker);
 	u->task = *task;
 	u->run = run;
-	u->size.cpu_milli = s->cpu_milli;
-	u->size.memory_mb = s->memory_mb;
-	u->size.accelerators = s->accelerators;
+	u->size = step_spec_cap_size(s);
 	LIST_INSERT_HEAD(&a->share.unplaced_runs, u, entries);
 	return u;
 }
