review/13: a replaced controller's upkeep breaks the cap of a wave

Cause: a new controller does not count machines that its predecessor has sent a command for as possibly down.

--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -91,7 +91,7 @@
 "platform":{"addr":"$HOST:$BASE","form":"log","writesPerS":800,"readsPerS":2000,"parts":8,
 "appendMs":4.0,"partitionMbS":20.0,"readMbS":80.0,"recordBytes":262144,"requestBytes":2097152,
 "keep_s":300,"partMb":200,"ttlMinMs":1000},
-"cloudApi":{"addr":"$HOST:$BASE","ratePerS":64.0,"duties":[],"dutyPerS":64.0}}
+"cloudApi":{"addr":"$HOST:${CLOUD_PORT:-$BASE}","ratePerS":64.0,"duties":[],"dutyPerS":64.0}}
 T
 }
 
@@ -122,6 +122,22 @@
 	[ "$STATUS" = 200 ] || could_not_run "the platform does not take the configuration"
 }
 
+# start_machines SPARE: the stand-in of the machine service, with machines of a
+# spare pool beside those of two workers of each pool.
+start_machines() {
+	local i
+	[ -x "$ROOT/target/review-machines" ] || could_not_run "target/review-machines is not built"
+	CLOUD_PORT=$((BASE + 1))
+	"$ROOT/target/review-machines" -l "$HOST:$CLOUD_PORT" --workers 2 --spare "$1" \
+		--log "$WORK/machines.log" >"$WORK/cloud.log" 2>&1 &
+	PIDS+=($!)
+	for ((i = 0; i < 50; i++)); do
+		port_is_free "$CLOUD_PORT" || return
+		sleep 0.1
+	done
+	could_not_run "the machine service does not start"
+}
+
 # start_daemons N: and waits until each is ready and the pools have owners.
 start_daemons() {
 	local i k
@@ -143,7 +159,25 @@
 CONFIG='{"configVersion":1,"routes":[
 {"name":"seats","host":"jobs.example","pathPrefix":"/seats/","service":"blue","maxAttempts":3,"stretch":1.6,"targetLatencyMs":600},
 {"name":"crates","host":"jobs.example","pathPrefix":"/crates/","service":"green","priority":1,"maxAttempts":2,"stretch":2,"targetLatencyMs":600}],
-"services":[{"name":"blue","admissionControl":true},{"name":"green","admissionControl":true}]}'
+"services":[{"name":"blue","admissionControl":true},{"name":"green","admissionControl":true},{"name":"off","admissionControl":true,"spare":true}]}'
+
+# The operator's request op/wave/$1 for machines $2 (JSON), at most $3 at once.
+put_wave() {
+	http POST "$BASE" "/put?topic=keyed.op&key=wave/$1" "{\"wave\":$1,\"machines\":$2,\"withinS\":30,\"cap\":$3}"
+	[ "$STATUS" = 200 ] || could_not_run "the wave cannot be written"
+	note "op/wave/$1: machines $2, cap $3"
+}
+
+# Prints what the operator reads as status/wave/$1.
+wave_status() {
+	http GET "$BASE" '/log-newest?topic=keyed.status&part=0'
+	case $ANSWER in
+	*"\"key\":\"wave/$1\""* | *"\"key\":\"wave\\/$1\""* | *"\"key\": \"wave/$1\""*)
+		printf '%s' "$ANSWER" | tr '{' '\n' | grep "wave[\\]*/$1\"" |
+			sed 's/.*"value": *"\([^"]*\)".*/\1/; s#\\/#/#g' | base64 -d
+		;;
+	esac
+}
 
 # hand_in DAEMON PATH JOB: like a sound client, again after no answer, a 502 or a 504.
 hand_in() {
