review/14: a wave for a new machine is completed without its upkeep

Cause: a wave takes a machine that is not in the controller's last list, which may be four seconds old, for one that is gone.

--- a/review/standin-3/machines.c
+++ b/review/standin-3/machines.c
@@ -114,6 +114,8 @@
 		json_object_array_add(list, o);
 	}
 	json_object_object_add(root, "machines", list);
+	fprintf(world.log, "%" PRId64 " list is read\n", now_ms());
+	fflush(world.log);
 	exchange_json(x, 200, root, 4);
 }
 
