--- a/review/standin-3/machines.c
+++ b/review/standin-3/machines.c
@@ -16,7 +16,6 @@
 #include "listen.h"
 
 #define MACHINES_MAX 64
-#define LATE_MAX 8
 #define MAINTENANCE_MS 2000
 #define TICK_MS 5
 #define NAME_LEN 64
@@ -30,9 +29,7 @@
 	int64_t done_wave; /* newest wave whose upkeep has begun; 0: none */
 };
 
-/* A command without an answer that is carried out later. */
-struct late_command {
-	int64_t due_ms; /* 0: none */
+struct command {
 	char machine[NAME_LEN], holder[NAME_LEN];
 	int64_t wave, fence;
 };
@@ -42,9 +39,6 @@
 	struct listen_addr listen;
 	struct machine machines[MACHINES_MAX];
 	int machine_count;
-	struct late_command late[LATE_MAX];
-	int late_count; /* commands that are to be carried out late */
-	int late_ms;
 	int workers, spare;
 	FILE *log;
 	lws_sorted_usec_list_t tick;
@@ -142,7 +136,7 @@
 
 /* Returns the status, and the reason of a 409. */
 static int
-carry_out(const struct late_command *c, const char **reason, const char *how)
+carry_out(const struct command *c, const char **reason)
 {
 	struct machine *m = find_machine(c->machine);
 	int status = 200;
@@ -170,8 +164,8 @@
 		}
 	}
 	fprintf(world.log,
-	    "%" PRId64 " command %s of %s token %" PRId64 " for %s: %d %s\n",
-	    now_ms(), how, c->holder, c->fence, c->machine, status, *reason);
+	    "%" PRId64 " command of %s token %" PRId64 " for %s: %d %s\n",
+	    now_ms(), c->holder, c->fence, c->machine, status, *reason);
 	fflush(world.log);
 	return status;
 }
@@ -180,7 +174,7 @@
 upkeep(struct exchange *x)
 {
 	struct json_object *in = exchange_body_json(x), *out;
-	struct late_command c = {0}, *l = world.late;
+	struct command c = {0};
 	const char *text, *reason;
 	int status;
 
@@ -196,19 +190,7 @@
 	c.fence = text != NULL ? strtoll(text, NULL, 10) : 0;
 	text = headers_get(&x->headers, "mimosalead-lease-holder");
 	snprintf(c.holder, sizeof(c.holder), "%s", text != NULL ? text : "");
-	if (world.late_count > 0) {
-		world.late_count--;
-		while (l->due_ms != 0 && l < &world.late[LATE_MAX - 1])
-			l++;
-		*l = c;
-		l->due_ms = now_ms() + world.late_ms;
-		fprintf(world.log,
-		    "%" PRId64 " holds up the command of %s for %s\n", now_ms(),
-		    c.holder, c.machine);
-		fflush(world.log);
-		return; /* without an answer */
-	}
-	status = carry_out(&c, &reason, "at once");
+	status = carry_out(&c, &reason);
 	out = json_object_new_object();
 	if (status == 409)
 		add_text(out, "reason", reason);
@@ -225,10 +207,6 @@
 		list_machines(x);
 	} else if (strcmp(x->path, "/machine-upkeep") == 0) {
 		upkeep(x);
-	} else if (strcmp(x->path, "/late") == 0) {
-		world.late_count = (int)exchange_int(x, "count", 0);
-		world.late_ms = (int)exchange_int(x, "ms", 0);
-		exchange_answer(x, 200, NULL);
 	} else if (strcmp(x->path, "/add") == 0 &&
 	    exchange_str(x, "machine", name, sizeof(name))) {
 		add_machine(name, "off", "");
@@ -249,7 +227,6 @@
 on_tick(lws_sorted_usec_list_t *sul)
 {
 	int64_t now = now_ms();
-	const char *reason;
 	struct machine *m;
 	int i;
 
@@ -260,12 +237,6 @@
 		if (m->upkeep_end_ms != 0 && now >= m->upkeep_end_ms)
 			m->upkeep_end_ms = 0;
 	}
-	for (i = 0; i < LATE_MAX; i++) {
-		if (world.late[i].due_ms == 0 || now < world.late[i].due_ms)
-			continue;
-		world.late[i].due_ms = 0;
-		carry_out(&world.late[i], &reason, "late");
-	}
 }
 
 static const struct argp_option options[] = {
