--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds every stand-in that the scripts of review/11 to review/15 start; the
+# Builds every stand-in that the scripts of review/11 to review/14 start; the
 # daemons come from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,5 +1,5 @@
-# Functions of the scripts in review/11 to review/15.  Sourced with the case's
-# folder in CASE.  Needs bash only: requests go through /dev/tcp.
+# Functions of the scripts in review/11, review/13 and review/14.  Sourced with the
+# case's folder in CASE.  Needs bash and no curl: requests go through /dev/tcp.
 ROOT=$(cd "$CASE/../.." && pwd)
 TROUBLE=${TROUBLE:-1}
 HOST=127.0.0.1
