review: case 16 cancels and repeats after its queue has moved

The case keeps the name of the route that is given to another service, and shows two further rules that break with the same cause: a lasting job can no longer be cancelled, and a completed one is answered 410. The stand-in learns to hold a start up, to count starts by taskSpec, and drops what no case needs.

--- a/review/lib-4.sh
+++ b/review/lib-4.sh
@@ -140,8 +140,8 @@
 # client METHOD DAEMON PATH [BODY]: prints and records status and body.
 client() {
 	eval "port=\$front_$2"
-	answer=$(call "$1" "$port" "$3" jobs.example ${4:+"$4"})
-	say "client: $1 $3 at daemon $2 ${4:+body $4 }-> $answer" >/dev/null
+	answer=$(call "$1" "$port" "$3" "${host:-jobs.example}" ${4:+"$4"})
+	say "client: $1 ${host:-jobs.example}$3 at daemon $2 ${4:+body $4 }-> $answer" >/dev/null
 	echo "$answer"
 }
 
--- a/review/standin-4/world.c
+++ b/review/standin-4/world.c
@@ -35,6 +35,7 @@
 #define STOP_MS 50 /* a stop takes that long */
 #define SAVE_MS 500 /* of work for each checkpoint */
 #define RECORD_HEAD 4
+#define SPECS_MAX 32
 
 struct buf {
 	char *data;
@@ -97,6 +98,10 @@
 	int64_t flap_until_ms, flap_half_ms, flap_next_ms;
 	int64_t fence, lease_end_ms, ends;
 	int64_t calls; /* in this life */
+	int64_t life;
+	/* A start without an answer, which arrives in the next life. */
+	struct json_object *late;
+	int64_t late_life, late_after_ms;
 	bool lapsed;
 	struct run *runs;
 	struct end *ended, **ended_tail;
@@ -106,7 +111,8 @@
 enum wait_kind {
 	WAIT_NONE,
 	WAIT_READ,
-	WAIT_HOLD
+	WAIT_HOLD,
+	WAIT_FOR_EVER /* no answer */
 };
 
 struct conn {
@@ -144,7 +150,12 @@
 	char topic_name[NAME_LEN];
 	int64_t generation;
 	int saved_len;
+	int64_t hold_up; /* the next start; arrives so long after a birth */
 	struct fate *fates[4096];
+	struct {
+		char text[NAME_LEN];
+		int64_t starts;
+	} specs[SPECS_MAX]; /* taskSpecs that were started */
 	int64_t wrong_label;
 	FILE *log;
 } world;
@@ -893,6 +904,21 @@
 	}
 }
 
+static void
+note_spec(const char *spec)
+{
+	int i;
+
+	for (i = 0; i < SPECS_MAX && world.specs[i].text[0] != '\0'; i++) {
+		if (strcmp(world.specs[i].text, spec) == 0)
+			break;
+	}
+	if (i == SPECS_MAX)
+		return;
+	snprintf(world.specs[i].text, NAME_LEN, "%s", spec);
+	world.specs[i].starts++;
+}
+
 static void
 run_start(struct conn *c, struct json_object *in)
 {
@@ -937,8 +963,9 @@
 	r->next = w->runs;
 	w->runs = r;
 	note("start worker=%s task=%s run=%" PRId64 " fence=%" PRId64
-	     " saved=%s",
-	    w->id, task, number, json_int(in, "fence"), saved);
+	     " saved=%s taskSpec=%s",
+	    w->id, task, number, json_int(in, "fence"), saved, spec);
+	note_spec(spec);
 	answer_stamp(c, 200, NULL);
 }
 
@@ -1028,6 +1055,16 @@
 		return;
 	}
 	w->fence = fence;
+	if (strcmp(path, "/run-start") == 0 && world.hold_up >= 0) {
+		w->late = json_object_get(in);
+		w->late_life = w->life;
+		w->late_after_ms = world.hold_up;
+		world.hold_up = -1;
+		c->wait = WAIT_FOR_EVER;
+		note("held up: start worker=%s task=%s run=%" PRId64, w->id,
+		    json_text(in, "task"), json_int(in, "run"));
+		return;
+	}
 	if (strcmp(path, "/run-start") == 0)
 		run_start(c, in);
 	else if (strcmp(path, "/run-stop") == 0)
@@ -1059,6 +1096,7 @@
 worker_born(struct worker *w)
 {
 	w->dead = false;
+	w->life++;
 	w->born_mono_ms = now_ms();
 	w->born_ms = clock_now(CLOCK_REALTIME) + w->clock_off_ms;
 	memcpy(w->kind, w->next_kind, sizeof(w->kind));
@@ -1117,6 +1155,22 @@
 	w->back_ms = back_ms > 0 ? now_ms() + back_ms : 0;
 }
 
+/* The start that was held up; its sender has long given the answer up. */
+static void
+late_arrives(struct worker *w)
+{
+	struct conn nobody = {.fd = -1, .worker = w};
+
+	note("arrives late: start worker=%s task=%s run=%" PRId64
+	     " clock=%" PRId64 " fence_known=%" PRId64,
+	    w->id, json_text(w->late, "task"), json_int(w->late, "run"),
+	    worker_clock(w), w->fence);
+	worker_request(&nobody, "/run-start", w->id, w->late);
+	free(nobody.out.data);
+	json_object_put(w->late);
+	w->late = NULL;
+}
+
 static void
 worker_tick(struct worker *w)
 {
@@ -1142,6 +1196,9 @@
 		if (w->dead)
 			return;
 	}
+	if (w->late != NULL && w->life > w->late_life &&
+	    worker_clock(w) >= w->late_after_ms)
+		late_arrives(w);
 	if (now >= w->beat_ms) {
 		w->beat_ms = now + HEARTBEAT_MS;
 		worker_beat(w);
@@ -1216,6 +1273,21 @@
 	    overlaps, after_done, again, world.wrong_label, up);
 }
 
+/* Starts of tasks with a taskSpec. */
+static void
+ctl_spec(struct conn *c, const char *query)
+{
+	char text[NAME_LEN];
+	int i;
+
+	query_text(query, "text", text, sizeof(text));
+	for (i = 0; i < SPECS_MAX; i++) {
+		if (strcmp(world.specs[i].text, text) == 0)
+			break;
+	}
+	answerf(c, 200, "%" PRId64, i < SPECS_MAX ? world.specs[i].starts : 0);
+}
+
 static void
 ctl(struct conn *c, const char *path, const char *query, const char *body)
 {
@@ -1231,6 +1303,20 @@
 		query_text(query, "job", text, sizeof(text));
 		ctl_stats(c, text);
 		return;
+	} else if (strcmp(path, "/ctl/hold-up") == 0) {
+		world.hold_up = query_int(query, "after_ms", 20);
+	} else if (strcmp(path, "/ctl/held-up") == 0) {
+		for (w = world.workers; w < world.workers + world.worker_count;
+		     w++) {
+			if (w->late != NULL)
+				break;
+		}
+		answerf(c, 200, "%s",
+		    w < world.workers + world.worker_count ? w->id : "none");
+		return;
+	} else if (strcmp(path, "/ctl/spec") == 0) {
+		ctl_spec(c, query);
+		return;
 	} else if (strcmp(path, "/ctl/holder") == 0) {
 		answerf(c, 200, "%s",
 		    world.parts[query_int(query, "part", 0) % PARTS].holder);
@@ -1250,12 +1336,6 @@
 		w->flap_half_ms = query_int(query, "gap_ms", 1400) / 2;
 		w->flap_until_ms = now_ms() + query_int(query, "for_ms", 0);
 		w->flap_next_ms = now_ms();
-	} else if (strcmp(path, "/ctl/kind") == 0) {
-		query_text(query, "kind", w->next_kind, sizeof(w->next_kind));
-	} else if (strcmp(path, "/ctl/clock") == 0) {
-		w->clock_off_ms = query_int(query, "off_ms", 0);
-	} else if (strcmp(path, "/ctl/entry") == 0) {
-		w->entry_delay_ms = query_int(query, "delay_ms", 0);
 	}
 	answerf(c, 200, "ok");
 }
@@ -1528,6 +1608,7 @@
 	world.record_bytes = strtoul(argv[3], NULL, 10);
 	world.request_bytes = strtoul(argv[4], NULL, 10);
 	world.saved_len = 16;
+	world.hold_up = -1;
 	world.listen_fd = listen_on(world.port);
 	for (i = 5; i < argc; i++)
 		add_worker(argv[i]);
