--- a/review/lib-4.sh
+++ b/review/lib-4.sh
@@ -74,7 +74,6 @@
 start_daemon() { # NUMBER
 	(cd "$root" && MIMOSALEAD_SETTINGS=$dir/edge-$1.json \
 		exec target/mimosalead schedule) >>"$dir/edge-$1.log" 2>&1 &
-	eval "daemon_$1=$!"
 	pids="$pids $!"
 }
 
@@ -144,12 +143,3 @@
 	say "client: $1 ${host:-jobs.example}$3 at daemon $2 ${4:+body $4 }-> $answer" >/dev/null
 	echo "$answer"
 }
-
-# Number of the daemon that holds a partition of the group.
-holder() { # PARTITION
-	case $(ctl "holder?part=$1") in
-	127.0.0.1:$peer_1*) echo 1 ;;
-	127.0.0.1:$peer_2*) echo 2 ;;
-	*) echo 0 ;;
-	esac
-}
--- a/review/standin-4/world.c
+++ b/review/standin-4/world.c
@@ -87,17 +87,14 @@
 
 struct worker {
 	char id[NAME_LEN], service[NAME_LEN], kind[NAME_LEN], rack[NAME_LEN];
-	char next_kind[NAME_LEN];
 	int port, listen_fd;
 	int64_t cpu;
-	int64_t born_mono_ms, born_ms, clock_off_ms;
+	int64_t born_mono_ms, born_ms;
 	bool dead;
 	int64_t dead_ms, back_ms;
-	int64_t entry_delay_ms, beat_ms, seq;
+	int64_t beat_ms, seq;
 	bool listed;
-	int64_t flap_until_ms, flap_half_ms, flap_next_ms;
 	int64_t fence, lease_end_ms, ends;
-	int64_t calls; /* in this life */
 	int64_t life;
 	/* A start without an answer, which arrives in the next life. */
 	struct json_object *late;
@@ -156,7 +153,6 @@
 		char text[NAME_LEN];
 		int64_t starts;
 	} specs[SPECS_MAX]; /* taskSpecs that were started */
-	int64_t wrong_label;
 	FILE *log;
 } world;
 
@@ -874,9 +870,9 @@
 }
 
 static void
-judge_start(const struct worker *w, struct json_object *in)
+judge_start(struct json_object *in)
 {
-	const char *task = json_text(in, "task"), *spec, *needs;
+	const char *task = json_text(in, "task");
 	struct fate *f = fate_get(task);
 	int i;
 
@@ -893,15 +889,6 @@
 		    task, f->done_acked);
 	}
 	f->starts++;
-	spec = json_text(in, "taskSpec");
-	needs = strstr(spec, "needs:");
-	if (needs != NULL &&
-	    strncmp(needs + 6, w->kind, strcspn(needs + 6, ";")) != 0) {
-		world.wrong_label++;
-		note("judge start on a worker without the label task=%s "
-		     "worker=%s kind=%s",
-		    task, w->id, w->kind);
-	}
 }
 
 static void
@@ -923,7 +910,7 @@
 run_start(struct conn *c, struct json_object *in)
 {
 	const char *task = json_text(in, "task"), *spec, *saved;
-	int64_t number = json_int(in, "run"), index, shorts;
+	int64_t number = json_int(in, "run");
 	struct worker *w = c->worker;
 	struct run *r = run_find(w, task);
 
@@ -940,7 +927,7 @@
 		answer_stamp(c, 409, "late");
 		return;
 	}
-	judge_start(w, in);
+	judge_start(in);
 	lengthen_lease(w, json_int(in, "deadlineMs"));
 	spec = json_text(in, "taskSpec");
 	saved = json_text(in, "saved");
@@ -951,10 +938,6 @@
 	r->saves = strstr(spec, "saves") != NULL;
 	r->takes_ms = spec_int(spec, "ms:", 300);
 	r->lasts = strncmp(spec, "lasts", 5) == 0;
-	index = strtoll(strrchr(task, '.') + 1, NULL, 10);
-	shorts = spec_int(spec, "first:", 0);
-	if (index < shorts)
-		r->takes_ms = spec_int(spec, "firstms:", 300);
 	if (saved[0] != '\0')
 		r->resumed_ms =
 		    strtoll((char[9]){saved[0], saved[1], saved[2], saved[3],
@@ -1045,7 +1028,6 @@
 	struct worker *w = c->worker;
 	int64_t fence = json_int(in, "fence");
 
-	w->calls++;
 	if (strcmp(target, w->id) != 0) {
 		answer_stamp(c, 421, NULL);
 		return;
@@ -1098,12 +1080,11 @@
 	w->dead = false;
 	w->life++;
 	w->born_mono_ms = now_ms();
-	w->born_ms = clock_now(CLOCK_REALTIME) + w->clock_off_ms;
-	memcpy(w->kind, w->next_kind, sizeof(w->kind));
-	w->fence = w->lease_end_ms = w->ends = w->seq = w->calls = 0;
+	w->born_ms = clock_now(CLOCK_REALTIME);
+	w->fence = w->lease_end_ms = w->ends = w->seq = 0;
 	w->lapsed = false;
 	w->ended_tail = &w->ended;
-	w->beat_ms = now_ms() + w->entry_delay_ms;
+	w->beat_ms = now_ms();
 	note(
 	    "born worker=%s kind=%s born=%" PRId64, w->id, w->kind, w->born_ms);
 }
@@ -1177,15 +1158,6 @@
 	int64_t now = now_ms();
 	struct run *r, *next;
 
-	if (w->flap_until_ms != 0 && now >= w->flap_next_ms) {
-		w->flap_next_ms = now + w->flap_half_ms;
-		if (w->dead)
-			worker_born(w);
-		else if (now < w->flap_until_ms)
-			worker_crash(w, 0);
-		if (!w->dead && now >= w->flap_until_ms)
-			w->flap_until_ms = 0;
-	}
 	if (w->dead) {
 		if (w->back_ms != 0 && now >= w->back_ms)
 			worker_born(w);
@@ -1268,9 +1240,9 @@
 	answerf(c, 200,
 	    "tasks=%d starts=%d done=%d acknowledged=%d failed=%d stopped=%d "
 	    "lapsed=%d lost=%d running=%d overlaps=%d after_done=%d again=%d "
-	    "wrong_label=%" PRId64 " workers_up=%d",
+	    "workers_up=%d",
 	    tasks, starts, done, acked, failed, stopped, lapsed, lost, running,
-	    overlaps, after_done, again, world.wrong_label, up);
+	    overlaps, after_done, again, up);
 }
 
 /* Starts of tasks with a taskSpec. */
@@ -1317,25 +1289,13 @@
 	} else if (strcmp(path, "/ctl/spec") == 0) {
 		ctl_spec(c, query);
 		return;
-	} else if (strcmp(path, "/ctl/holder") == 0) {
-		answerf(c, 200, "%s",
-		    world.parts[query_int(query, "part", 0) % PARTS].holder);
-		return;
 	} else if (strcmp(path, "/ctl/saved") == 0) {
 		world.saved_len = (int)query_int(query, "len", 16);
 	} else if (w == NULL) {
 		answerf(c, 404, "no such worker or path");
 		return;
-	} else if (strcmp(path, "/ctl/calls") == 0) {
-		answerf(c, 200, "%" PRId64 " in %" PRId64 " ms", w->calls,
-		    worker_clock(w));
-		return;
 	} else if (strcmp(path, "/ctl/crash") == 0) {
 		worker_crash(w, query_int(query, "back_ms", 0));
-	} else if (strcmp(path, "/ctl/flap") == 0) {
-		w->flap_half_ms = query_int(query, "gap_ms", 1400) / 2;
-		w->flap_until_ms = now_ms() + query_int(query, "for_ms", 0);
-		w->flap_next_ms = now_ms();
 	}
 	answerf(c, 200, "ok");
 }
@@ -1581,7 +1541,7 @@
 	w->port = atoi(strtok_r(text, ":", &save));
 	snprintf(w->id, NAME_LEN, "%s", strtok_r(NULL, ":", &save));
 	snprintf(w->service, NAME_LEN, "%s", strtok_r(NULL, ":", &save));
-	snprintf(w->next_kind, NAME_LEN, "%s", strtok_r(NULL, ":", &save));
+	snprintf(w->kind, NAME_LEN, "%s", strtok_r(NULL, ":", &save));
 	snprintf(w->rack, NAME_LEN, "%s", strtok_r(NULL, ":", &save));
 	w->cpu = strtoll(strtok_r(NULL, ":", &save), NULL, 10);
 	w->listen_fd = listen_on(w->port);
