--- a/review/17/run.sh
+++ b/review/17/run.sh
@@ -31,6 +31,10 @@
 sleep 4
 figures=$(ctl "stats?job=$job")
 say "figures: $figures"
+if [ "$TROUBLE" != 0 ] && ! grep -q 'arrives late' "$record"; then
+	say "the start that was held up has not arrived"
+	verdict 2
+fi
 if [ "$(figure "$figures" again)" != 0 ]; then
 	say "TWICE: a start after the run had ended done and was taken note of"
 	verdict 1
