--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -312,6 +312,10 @@
  * pool does not have it.  A worker that rejects this one follows a later owner.
  */
 int64_t pool_worker_fence(const struct pool *p, const char *worker);
+/* The pool has the job, which may have ended. */
+bool pool_has_job(const struct pool *p, const char *id);
+/* The pool has jobs of the queue, some of which may have ended. */
+bool pool_has_queue_jobs(const struct pool *p, const char *queue);
 /* Monotonic time at which a POOL_TICK is due. */
 int64_t pool_next_us(const struct pool *p);
 
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -14,6 +14,24 @@
 	return j;
 }
 
+bool
+pool_has_job(const struct pool *p, const char *id)
+{
+	return pool_find_job(p, id) != NULL;
+}
+
+bool
+pool_has_queue_jobs(const struct pool *p, const char *queue)
+{
+	const struct job *j;
+
+	for (j = p->jobs; j != NULL; j = j->hh.next) {
+		if (strcmp(j->queue.name, queue) == 0)
+			return true;
+	}
+	return false;
+}
+
 struct task *
 pool_find_task(const struct pool *p, const struct task_name *n)
 {
--- a/src/scheduler/caller_request.c
+++ b/src/scheduler/caller_request.c
@@ -36,6 +36,7 @@
 	lws_sul_cancel(&c->timer);
 	peer_call_cancel(c->peer_call);
 	buf_unref(c->request.body);
+	home_search_uninit(&c->search);
 	free(c);
 }
 
@@ -161,8 +162,10 @@
 		finish(c, 410, NULL, 0, "no-such-job");
 		return;
 	case POOL_WAITING_COUNT:
-		finish(
-		    c, 200, queue_waiting_body(r->waiting_count), 0, "counted");
+		finish(c, 200,
+		    queue_waiting_body(
+			r->waiting_count + c->search.waiting_count),
+		    0, "counted");
 		return;
 	}
 }
@@ -171,7 +174,7 @@
 caller_request_finish_unserved(struct caller_request *c)
 {
 	/* the pool's owner may carry out an attempt in flight */
-	if (c->outcome_unknown || c->peer_call != NULL)
+	if (c->outcome_unknown || (c->peer_call != NULL && !c->search.active))
 		finish(c, 504, NULL, 0, "owner-silent");
 	else
 		finish(c, 503, NULL, DEFAULT_RETRY_AFTER_MS, "no-owner");
@@ -264,13 +267,27 @@
 	c->local = false;
 	switch (r->kind) {
 	case REPLY_ANSWER:
-		finish_decided(c, r);
+		if (!c->search.active) {
+			finish_decided(c, r);
+			return;
+		}
+		home_search_answered(&c->search, &c->request, r);
+		caller_request_start(c);
+		return;
+	case REPLY_ELSEWHERE:
+		if (!home_search_follow(&c->search, &c->request, r))
+			break;
+		caller_request_start(c);
+		return;
+	case REPLY_SEARCH:
+		home_search_begin(&c->search, &c->request, r);
+		caller_request_start(c);
 		return;
 	case REPLY_INVALID:
 		finish(c, 400, error_body(&r->error), 0, "bad-job");
 		return;
 	case REPLY_UNKNOWN:
-		c->outcome_unknown = true;
+		c->outcome_unknown |= !c->search.active;
 		break;
 	case REPLY_NOT_DONE:
 		break;
@@ -346,6 +363,7 @@
 	if (b->query_in_flight || circuit_breaker_is_open(&b->breaker))
 		return;
 	r.op = JOB_COUNT_WAITING;
+	r.searched = true; /* the count of this pool alone */
 	r.id[0] = '\0';
 	r.body = NULL;
 	c->alive_query =
--- a/src/scheduler/caller_request.h
+++ b/src/scheduler/caller_request.h
@@ -8,6 +8,7 @@
 #include <sys/queue.h>
 
 #include "circuit_breaker.h"
+#include "home_search.h"
 #include "job_call.h"
 #include "scheduler.h"
 
@@ -28,6 +29,7 @@
 	struct job_frontend *frontend;
 	uint64_t listener_id; /* the listener's number of the request */
 	struct job_request request;
+	struct home_search search;
 	int64_t received_us;
 	int64_t deadline_us; /* latest time of the answer */
 	int attempts;
--- a/src/scheduler/job_call.h
+++ b/src/scheduler/job_call.h
@@ -8,6 +8,7 @@
 #include "buf.h"
 #include "errors.h"
 #include "pool.h"
+#include "queue_homes.h"
 
 enum job_op {
 	JOB_SUBMIT,
@@ -25,6 +26,14 @@
 	char account[NAME_BYTES]; /* of the caller; "": none */
 	int left_ms; /* until the caller's deadline; 0: unknown */
 	struct buf *body; /* JOB_SUBMIT; NULL otherwise */
+	/*
+	 * Of the forwarding daemon's configuration; 0: a daemon of an earlier
+	 * version, which does not know REPLY_ELSEWHERE and REPLY_SEARCH.
+	 */
+	int64_t config_version;
+	bool searched; /* the queue's other homes do not have the job */
+	/* Of a search: answered only by a configuration that is not older. */
+	bool probe;
 };
 
 enum job_reply_kind {
@@ -32,7 +41,9 @@
 	REPLY_INVALID, /* the body is not a valid job; see "error" */
 	REPLY_NOT_DONE, /* certainly not processed: not the pool's owner, or the
 			   takeover is not complete */
-	REPLY_UNKNOWN /* may have been processed */
+	REPLY_UNKNOWN, /* may have been processed */
+	REPLY_ELSEWHERE, /* not processed: the queue is the first of "pools" */
+	REPLY_SEARCH /* not processed: "pools" may have the job */
 };
 
 struct job_reply {
@@ -44,9 +55,11 @@
 	/* Of the owner's configuration with accounts; 0: not given. */
 	int64_t config_version;
 	struct err error;
+	char pools[HOMES_ASKED_MAX][NAME_BYTES];
+	size_t pool_count;
 };
 
-/* True if the pool's owner gave a final answer, positive or negative. */
+/* True if the pool's owner has answered, positively or negatively. */
 bool job_reply_decided(const struct job_reply *r);
 
 typedef void job_reply_fn(void *arg, const struct job_reply *reply);
--- a/src/scheduler/job_frontend.c
+++ b/src/scheduler/job_frontend.c
@@ -100,6 +100,7 @@
 	snprintf(c->request.id, JOB_ID_BYTES, "%s",
 	    op == JOB_COUNT_WAITING ? "" : rest);
 	c->request.settings = q->settings;
+	c->request.config_version = f->scheduler->config->version;
 	if (account != NULL)
 		snprintf(c->request.account, NAME_BYTES, "%s", account->name);
 	c->request.body = op == JOB_SUBMIT ? buf_ref(r->body) : NULL;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "config_relay.h"
 #include "controller.h"
+#include "home_registry.h"
 #include "job_frontend.h"
 #include "metric.h"
 #include "membership.h"
@@ -18,6 +19,7 @@
 #include "shards.h"
 #include "store_watch.h"
 
+#define HOMES_CHECK_MS 2000 /* which pools are homes of which queues */
 #define TICK_MS 500 /* polls settings, idle connections, ownership */
 /*
  * Idle connections are closed after this time; servers may close them earlier
@@ -47,6 +49,7 @@
 	bool listener_stopped;
 	struct timespec settings_mtime;
 	int64_t last_tick_boottime_us;
+	int64_t homes_due_boottime_us; /* next shards_check_homes() */
 } loop;
 
 int64_t
@@ -164,6 +167,10 @@
 	loop.last_tick_boottime_us = now;
 	poll_settings(s);
 	shards_release_expired(s->shards);
+	if (now >= loop.homes_due_boottime_us) {
+		loop.homes_due_boottime_us = now + HOMES_CHECK_MS * US_PER_MS;
+		shards_check_homes(s->shards);
+	}
 	controller_check(s->controller);
 	http_pool_expire(s->http_connections);
 }
@@ -198,14 +205,15 @@
 		    "cannot create a libwebsockets context");
 	loop_lag_start(&s->loop_lag, s->context);
 	s->http_connections = http_pool_new(IDLE_CONNECTION_MS);
+	s->homes = home_registry_new(s);
 	s->shards = shards_new(s);
 	s->controller = controller_new(s);
 	s->relay = config_relay_new(s);
 	s->watcher = store_watch_new(s);
 	s->membership = membership_new(s);
-	if (s->http_connections == NULL || s->shards == NULL ||
-	    s->controller == NULL || s->relay == NULL || s->watcher == NULL ||
-	    s->membership == NULL)
+	if (s->http_connections == NULL || s->homes == NULL ||
+	    s->shards == NULL || s->controller == NULL || s->relay == NULL ||
+	    s->watcher == NULL || s->membership == NULL)
 		return err_set(e, ERR_MEMORY, 0, "give the daemon more memory",
 		    "out of memory for the daemon's state");
 	s->peer_listener = peer_server_new(s, e);
@@ -222,6 +230,7 @@
 	loop_lag_stop(&s->loop_lag);
 	controller_free(s->controller);
 	shards_free(s->shards);
+	home_registry_free(s->homes);
 	job_frontend_cancel_requests(s->frontend);
 	membership_free(s->membership);
 	store_watch_free(s->watcher);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 
 struct config_relay;
 struct controller;
+struct home_registry;
 struct job_frontend;
 struct membership;
 struct peer_server;
@@ -59,6 +60,7 @@
 	struct store_watch *watcher;
 	struct config_relay *relay;
 	struct membership *membership;
+	struct home_registry *homes;
 	struct shards *shards;
 	struct controller *controller;
 	struct job_frontend *frontend;
--- a/src/scheduler/shard.h
+++ b/src/scheduler/shard.h
@@ -102,6 +102,18 @@
 /* In shards.c: starts the pool that the takeover has built. */
 void shard_takeover_done(struct shard *sh);
 
+/* shard_homes.c */
+/*
+ * The request may be passed to the pool.  If not, "reply" is the answer: the
+ * job may be elsewhere, or it is not known here whether it is.
+ */
+bool shard_homes_admit(
+    struct shard *sh, const struct job_request *r, struct job_reply *reply);
+/* Registers the pool as a home of the queues that are pointed at it. */
+void shard_homes_register(struct shard *sh);
+/* The same, and drops homes that are no longer needed. */
+void shard_homes_check(struct shard *sh);
+
 /* shard_liveness.c */
 /*
  * Reads the platform's list of machines, for the reducer to see which workers
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "home_registry.h"
 #include "machine_list_reader.h"
 #include "metric.h"
 #include "job_spec_wire.h"
@@ -199,8 +200,10 @@
 	pool_free(sh->pool);
 	pool_effects_uninit(&sh->effects);
 	sh->scheduler->counters.pools_released++;
-	if (LIST_EMPTY(&sh->all->list))
+	if (LIST_EMPTY(&sh->all->list)) {
 		store_watch_follow_workers(sh->scheduler->watcher, false);
+		home_registry_follow(sh->scheduler->homes, false);
+	}
 	free(sh);
 }
 
@@ -322,6 +325,7 @@
 	apply_queue_settings(sh);
 	apply_accounts(sh, NULL);
 	shard_handle_event(sh, &ev);
+	shard_homes_register(sh);
 }
 
 static void
@@ -346,6 +350,8 @@
 	}
 	LIST_INSERT_HEAD(&all->list, sh, entries);
 	store_watch_follow_workers(all->scheduler->watcher, true);
+	home_registry_follow(all->scheduler->homes, true);
+	home_registry_refresh(all->scheduler->homes);
 	daemon_log(LOG_LEVEL_INFO, "shards",
 	    "msg=\"the group deals this pool\" pool=%s", pool);
 }
@@ -456,6 +462,7 @@
 			continue;
 		apply_queue_settings(sh);
 		apply_accounts(sh, accounts_before);
+		shard_homes_register(sh);
 	}
 }
 
@@ -555,6 +562,7 @@
 shards_handle_request(struct shards *all, const struct job_request *r,
     job_reply_fn *reply, void *arg)
 {
+	struct job_reply elsewhere = {.kind = REPLY_NOT_DONE};
 	struct shard *sh = shards_find(all, r->pool);
 	struct pending_request *req;
 
@@ -563,6 +571,10 @@
 		send_reply(reply, arg, REPLY_NOT_DONE);
 		return;
 	}
+	if (!shard_homes_admit(sh, r, &elsewhere)) {
+		reply(arg, &elsewhere);
+		return;
+	}
 	req = calloc(1, sizeof(*req));
 	if (req == NULL) {
 		send_reply(reply, arg, REPLY_NOT_DONE);
@@ -575,6 +587,15 @@
 	dispatch_request(sh, r, req->id);
 }
 
+void
+shards_check_homes(struct shards *all)
+{
+	struct shard *sh;
+
+	LIST_FOREACH(sh, &all->list, entries)
+		shard_homes_check(sh);
+}
+
 bool
 shards_owns(const struct shards *all, const char *pool)
 {
--- a/src/scheduler/shards.h
+++ b/src/scheduler/shards.h
@@ -57,6 +57,8 @@
  */
 int shards_apply_cordons(struct shards *all, const struct cordon_request *r,
     struct pool_report *report);
+/* Registers and drops the owned pools as homes of queues.  Called regularly. */
+void shards_check_homes(struct shards *all);
 /* Whether this daemon owns the pool and its takeover is complete. */
 bool shards_owns(const struct shards *all, const char *pool);
 void shards_metrics(const struct shards *all, struct buf *out);
