--- a/src/platform/account_wire.c
+++ b/src/platform/account_wire.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 #define PRIORITY_MAX 1000000
 
@@ -153,7 +154,7 @@
 	unsigned fields;
 
 	memset(&a, 0, sizeof(a));
-	if (!json_get_text(o, "name", a.name, sizeof(a.name)))
+	if (!json_get_name(o, "name", a.name))
 		a.name[0] = '\0'; /* invalid */
 	fields = parse_settings(&a, o);
 	switch (account_table_add(t, &a)) {
--- a/src/platform/advice_wire.c
+++ b/src/platform/advice_wire.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 #define TICKET_VALID_MAX_MS (24 * 3600 * 1000)
 
@@ -15,12 +16,16 @@
 	struct json_object *o = json_object_new_object();
 	struct json_object *list = json_object_new_array();
 	char name[TASK_NAME_BYTES];
+	const char *id;
 	size_t i;
 
 	snprintf(name, sizeof(name), "%s.%u.%u", step->job, step->occurrence,
 	    step->step);
-	for (i = 0; i < count; i++)
-		json_object_array_add(list, json_object_new_string(workers[i]));
+	for (i = 0; i < count; i++) {
+		id = name_full(workers[i]);
+		if (id != NULL) /* else it is asked about once it is known */
+			json_object_array_add(list, json_object_new_string(id));
+	}
 	json_object_object_add(o, "step", json_object_new_string(name));
 	json_object_object_add(o, "workers", list);
 	return json_to_buf(o);
@@ -36,8 +41,7 @@
 	id = json_object_array_get_idx(row, 0);
 	ticket = json_object_array_get_idx(row, 1);
 	/* workers would reject a truncated ticket */
-	return id != NULL && ticket != NULL &&
-	    json_copy_text(id, t->worker, sizeof(t->worker)) &&
+	return id != NULL && ticket != NULL && json_copy_name(id, t->worker) &&
 	    json_copy_text(ticket, t->ticket, sizeof(t->ticket));
 }
 
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 /* An entry with more than this names no worker. */
 #define WORKER_CPU_MAX_MILLI 1000000 /* thousandths of a core */
@@ -18,9 +19,21 @@
 #define CONFIG_PER_WORKER_MAX_MS 1000000.0
 #define WAVE_WITHIN_MAX_S (20 * 24 * 3600) /* a longer one is refused */
 
+static void
+queue_uninit(struct config_queue *q)
+{
+	free(q->host);
+	free(q->path_prefix);
+	memset(q, 0, sizeof(*q));
+}
+
 static void
 config_free(struct config *c)
 {
+	size_t i;
+
+	for (i = 0; i < c->queue_count; i++)
+		queue_uninit(&c->queues[i]);
 	free(c->queues);
 	free(c->pools);
 	account_table_unref(c->accounts);
@@ -35,19 +48,21 @@
 		config_free(c);
 }
 
-static bool
+/* Returns why the queue cannot be used; NULL: it can. */
+static const char *
 parse_queue(struct config_queue *q, struct json_object *o)
 {
 	struct json_object *advice;
 
-	if (!json_get_text(
-		o, "name", q->settings.name, sizeof(q->settings.name)) ||
-	    !json_get_text(o, "host", q->host, sizeof(q->host)) ||
-	    !json_get_text(
-		o, "pathPrefix", q->path_prefix, sizeof(q->path_prefix)) ||
-	    !json_get_text(o, "service", q->pool, sizeof(q->pool)) ||
+	if (!json_get_name(o, "name", q->settings.name))
+		return "its name is no text";
+	if (!json_get_name(o, "service", q->pool))
+		return "its service is no text";
+	q->host = json_dup_text(o, "host");
+	q->path_prefix = json_dup_text(o, "pathPrefix");
+	if (q->host == NULL || q->path_prefix == NULL ||
 	    q->path_prefix[0] == '\0')
-		return false;
+		return "its host or path prefix is no text";
 	q->request_timeout_ms =
 	    json_get_int_clamped(o, "timeoutMs", 0, CONFIG_TIME_MAX_MS);
 	q->settings.target_latency_ms =
@@ -69,24 +84,41 @@
 		(double)US_PER_MS);
 	q->settings.ticket_valid_ms = json_get_int_clamped(
 	    advice, "validityMs", 1000, CONFIG_TIME_MAX_MS);
-	return true;
+	return NULL;
 }
 
-static bool
+static const char *
 parse_pool(struct config_pool *p, struct json_object *o)
 {
-	if (!json_get_text(o, "name", p->name, sizeof(p->name)) ||
-	    p->name[0] == '\0')
-		return false;
+	if (!json_get_name(o, "name", p->name) || p->name[0] == '\0')
+		return "its name is no text";
 	p->admission_control = json_get_bool(o, "admissionControl");
 	p->spare = json_get_bool(o, "spare");
-	return true;
+	return NULL;
+}
+
+/* Keeps the first of the entries that are left out, for a log line. */
+static void
+note_left_out(struct config *c, const char *list, size_t index,
+    const char *name, const char *why)
+{
+	struct config_fault *f = &c->first_left_out;
+
+	if (c->left_out_count++ > 0)
+		return;
+	f->list = list;
+	f->index = index;
+	snprintf(f->name, sizeof(f->name), "%s", name);
+	f->why = why;
 }
 
 static int
 parse_lists(struct config *c, struct json_object *root)
 {
 	struct json_object *routes, *services;
+	struct config_queue *q;
+	struct config_pool *p;
+	const char *why;
 	size_t i, n;
 
 	routes = json_get_member(root, "routes", json_type_array);
@@ -96,18 +128,26 @@
 	if (c->queues == NULL)
 		return -1;
 	for (i = 0; i < n; i++) {
-		if (parse_queue(&c->queues[c->queue_count],
-			json_object_array_get_idx(routes, i)))
+		q = &c->queues[c->queue_count];
+		why = parse_queue(q, json_object_array_get_idx(routes, i));
+		if (why == NULL) {
 			c->queue_count++;
+			continue;
+		}
+		note_left_out(c, "routes", i, q->settings.name, why);
+		queue_uninit(q);
 	}
 	n = services != NULL ? json_object_array_length(services) : 0;
 	c->pools = calloc(n + 1, sizeof(*c->pools));
 	if (c->pools == NULL)
 		return -1;
 	for (i = 0; i < n; i++) {
-		if (parse_pool(&c->pools[c->pool_count],
-			json_object_array_get_idx(services, i)))
+		p = &c->pools[c->pool_count];
+		why = parse_pool(p, json_object_array_get_idx(services, i));
+		if (why == NULL)
 			c->pool_count++;
+		else
+			note_left_out(c, "services", i, p->name, why);
 	}
 	return accounts_parse(&c->accounts, &c->account_faults,
 	    json_get_member(root, "tenants", json_type_array));
@@ -222,8 +262,7 @@
 		return -1;
 	for (i = 0; i < n; i++) {
 		o = json_object_array_get_idx(list, i);
-		if (o == NULL ||
-		    !json_copy_text(o, w->machine_names[i], NAME_BYTES))
+		if (o == NULL || !json_copy_name(o, w->machine_names[i]))
 			return -1;
 	}
 	w->machine_count = n;
@@ -251,7 +290,7 @@
 	memset(w, 0, sizeof(*w));
 }
 
-/* False when a label is no string or too long, or there are too many. */
+/* False when a label is no string, or there are too many. */
 static bool
 parse_labels(struct worker_report *r, struct json_object *root)
 {
@@ -267,7 +306,7 @@
 		return false;
 	for (i = 0; i < n; i++) {
 		o = json_object_array_get_idx(list, i);
-		if (o == NULL || !json_copy_text(o, r->labels[i], NAME_BYTES))
+		if (o == NULL || !json_copy_name(o, r->labels[i]))
 			return false;
 	}
 	r->label_count = n;
@@ -317,7 +356,7 @@
 		if (*p <= ' ' || *p > '~')
 			return false;
 	}
-	return p != id && (size_t)(p - id) < NAME_BYTES;
+	return p != id;
 }
 
 static int
@@ -325,11 +364,9 @@
 {
 	char state[NAME_BYTES];
 
-	if (!json_get_text(root, "service", r->pool, sizeof(r->pool)) ||
-	    r->pool[0] == '\0' ||
+	if (!json_get_name(root, "service", r->pool) || r->pool[0] == '\0' ||
 	    !json_get_addr(root, "addr", r->addr, sizeof(r->addr), &r->port) ||
-	    !json_get_text(
-		root, "zone", r->data_centre, sizeof(r->data_centre)) ||
+	    !json_get_name(root, "zone", r->data_centre) ||
 	    r->data_centre[0] == '\0' ||
 	    !json_get_text(root, "state", state, sizeof(state)))
 		return -1;
@@ -350,7 +387,7 @@
 	if (root == NULL)
 		return -1;
 	ret = is_worker_id(id) ? parse_entry(r, root) : -1;
-	snprintf(r->id, sizeof(r->id), "%s", id);
+	name_shorten(r->id, id);
 	json_object_put(root);
 	return ret;
 }
--- a/src/platform/config_wire.h
+++ b/src/platform/config_wire.h
@@ -16,15 +16,12 @@
 #include "queue_settings.h"
 #include "worker.h"
 
-#define PATH_PREFIX_BYTES 256
-#define HOST_BYTES 256
-
 /* A queue and the requests of callers that are routed to it. */
 struct config_queue {
 	struct queue_settings settings;
 	char pool[NAME_BYTES]; /* its workers run the tasks */
-	char host[HOST_BYTES];
-	char path_prefix[PATH_PREFIX_BYTES];
+	char *host;
+	char *path_prefix;
 	int request_timeout_ms; /* 0: not set */
 	bool public_access; /* calls need no key, jobs have no account */
 };
@@ -35,6 +32,14 @@
 	bool spare; /* its machines are switched off */
 };
 
+/* An entry that cannot be used. */
+struct config_fault {
+	const char *list; /* the platform's name of the list */
+	size_t index;
+	char name[NAME_BYTES]; /* "": unknown */
+	const char *why;
+};
+
 struct config {
 	unsigned ref_count;
 	int64_t version;
@@ -42,13 +47,16 @@
 	size_t queue_count;
 	struct config_pool *pools;
 	size_t pool_count;
+	size_t left_out_count; /* queues and pools that cannot be used */
+	struct config_fault first_left_out;
 	/* NULL: the configuration has none, and calls need no key. */
 	struct account_table *accounts;
 	struct account_faults account_faults;
 };
 
 /*
- * Parses the configuration; queues and pools that are malformed are left out.
+ * Parses the configuration; queues and pools that cannot be used are left out,
+ * and counted.
  * Returns one reference, or NULL with "e" filled in.
  */
 struct config *config_parse(const void *data, size_t len, struct err *e);
--- a/src/platform/job_spec_wire.c
+++ b/src/platform/job_spec_wire.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 #define TASK_SPEC_MAX_BYTES 4000
 
@@ -43,9 +44,9 @@
 static bool
 parse_strings(struct step_spec *s, struct json_object *o)
 {
-	return json_get_text(o, "requires", s->label, sizeof(s->label)) &&
-	    json_get_text(o, "dataLocality", s->rack, sizeof(s->rack)) &&
-	    json_get_text(o, "image", s->image, sizeof(s->image));
+	return json_get_name(o, "requires", s->label) &&
+	    json_get_name(o, "dataLocality", s->rack) &&
+	    json_get_name(o, "image", s->image);
 }
 
 static void
--- a/src/platform/json_get.c
+++ b/src/platform/json_get.c
@@ -177,6 +177,23 @@
 	return json_copy_text(v, out, size);
 }
 
+char *
+json_dup_text(struct json_object *o, const char *key)
+{
+	struct json_object *v = NULL;
+	const char *text;
+
+	json_object_object_get_ex(o, key, &v);
+	if (v == NULL)
+		return strdup("");
+	if (!json_object_is_type(v, json_type_string))
+		return NULL;
+	text = json_object_get_string(v);
+	return strlen(text) == (size_t)json_object_get_string_len(v)
+	    ? strdup(text)
+	    : NULL;
+}
+
 bool
 addr_split(const char *text, char *addr, size_t size, int *port)
 {
--- a/src/platform/json_get.h
+++ b/src/platform/json_get.h
@@ -62,6 +62,11 @@
 /* As json_copy_text(), for a member; "" when it is missing. */
 bool json_get_text(
     struct json_object *o, const char *key, char *out, size_t size);
+/*
+ * As json_get_text(), for a text of any length, which the caller frees.  NULL
+ * also when memory is short.
+ */
+char *json_dup_text(struct json_object *o, const char *key);
 /*
  * Splits "IP:PORT" into "addr", of "size" bytes, and "port".  False when the
  * text is anything else or the address is too long.  IP is numeric: resolving a
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 #define MACHINE_CPU_MAX_MILLI 1000000 /* a row with more is malformed */
 
@@ -42,9 +43,9 @@
 	char state[NAME_BYTES];
 
 	memset(m, 0, sizeof(*m));
-	if (!json_get_text(o, "machine", m->machine, sizeof(m->machine)) ||
-	    !json_get_text(o, "pool", m->pool, sizeof(m->pool)) ||
-	    !json_get_text(o, "id", m->worker, sizeof(m->worker)) ||
+	if (!json_get_name(o, "machine", m->machine) ||
+	    !json_get_name(o, "pool", m->pool) ||
+	    !json_get_name(o, "id", m->worker) ||
 	    !json_get_text(o, "state", state, sizeof(state)) ||
 	    m->machine[0] == '\0' || !parse_state(state, &m->state))
 		return false;
@@ -57,8 +58,7 @@
 	labels = json_get_member(o, "labels", json_type_array);
 	/* the first label is the hardware kind */
 	return labels == NULL ||
-	    json_copy_text(json_object_array_get_idx(labels, 0), m->label,
-		sizeof(m->label));
+	    json_copy_name(json_object_array_get_idx(labels, 0), m->label);
 }
 
 int
@@ -101,13 +101,23 @@
 	memset(l, 0, sizeof(*l));
 }
 
+/* One that is not known any more is refused by the platform. */
+static void
+add_name(struct json_object *o, const char *key, const char *name)
+{
+	const char *text = name_full(name);
+
+	json_object_object_add(
+	    o, key, json_object_new_string(text != NULL ? text : name));
+}
+
 struct buf *
 machine_move_body(const char *machine, const char *pool)
 {
 	struct json_object *o = json_object_new_object();
 
-	json_object_object_add(o, "machine", json_object_new_string(machine));
-	json_object_object_add(o, "pool", json_object_new_string(pool));
+	add_name(o, "machine", machine);
+	add_name(o, "pool", pool);
 	return json_to_buf(o);
 }
 
@@ -116,7 +126,7 @@
 {
 	struct json_object *o = json_object_new_object();
 
-	json_object_object_add(o, "machine", json_object_new_string(machine));
+	add_name(o, "machine", machine);
 	json_object_object_add(o, "wave", json_object_new_int64(wave_number));
 	return json_to_buf(o);
 }
--- a/src/platform/platform_settings.c
+++ b/src/platform/platform_settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "long_name.h"
 
 #define SETTINGS_MAX_BYTES (256 * 1024)
 #define BOUND_MAX_MS (24 * 3600 * 1000)
@@ -95,9 +96,8 @@
 {
 	struct json_object *o;
 
-	if (!json_get_text(root, "node", s->name, sizeof(s->name)) ||
-	    !json_get_text(
-		root, "zone", s->data_centre, sizeof(s->data_centre)) ||
+	if (!json_get_name(root, "node", s->name) ||
+	    !json_get_name(root, "zone", s->data_centre) ||
 	    !json_get_text(root, "ip", s->ip, sizeof(s->ip)) ||
 	    s->ip[0] == '\0')
 		return err_set(e, ERR_TYPE, 0,
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -12,6 +12,7 @@
 #include "controller.h"
 #include "home_registry.h"
 #include "job_frontend.h"
+#include "long_name.h"
 #include "metric.h"
 #include "membership.h"
 #include "peer_server.h"
@@ -241,6 +242,7 @@
 	job_frontend_free(s->frontend);
 	peer_server_free(s->peer_listener);
 	config_unref(s->config);
+	long_names_uninit();
 }
 
 static void
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "advice_wire.h"
+#include "long_name.h"
 #include "shard.h"
 #include "worker_wire.h"
 
@@ -33,6 +34,7 @@
 	int64_t sent_us; /* boot clock */
 	int timeout_ms;
 	struct http_call *call;
+	lws_sorted_usec_list_t unsent_timer; /* ends one that is not sent */
 	LIST_ENTRY(shard_command) entries;
 };
 
@@ -205,6 +207,14 @@
 	free(cmd);
 }
 
+static void
+on_unsent(lws_sorted_usec_list_t *sul)
+{
+	on_command_end(
+	    lws_container_of(sul, struct shard_command, unsent_timer),
+	    HTTP_UNSENT, NULL);
+}
+
 struct command_request {
 	const struct worker_target *worker; /* NULL: the advice service */
 	const char *path;
@@ -220,6 +230,9 @@
 {
 	const struct platform_settings *settings = &sh->scheduler->settings;
 	struct headers headers = {.count = 0};
+	/* unknown: its entry has not been read since this process started */
+	const char *instance =
+	    req->worker != NULL ? name_full(req->worker->id) : "";
 	struct http_call_opts c = {
 	    .context = sh->scheduler->context,
 	    .pool = sh->scheduler->http_connections,
@@ -240,15 +253,21 @@
 	};
 
 	headers_add(&headers, "content-type", "application/json");
-	if (req->worker != NULL) {
-		headers_add(
-		    &headers, WORKER_HEADER_TARGET_INSTANCE, req->worker->id);
+	if (req->worker != NULL)
 		cmd->fence = req->worker->fence;
-	}
 	cmd->sent_us = sched_boottime_us();
 	cmd->timeout_ms = req->timeout_ms;
 	sh->scheduler->counters.worker_commands++;
 	LIST_INSERT_HEAD(&sh->commands, cmd, entries);
+	if (instance == NULL) {
+		lws_sul_schedule(sh->scheduler->context, 0, &cmd->unsent_timer,
+		    on_unsent, 1);
+		headers_uninit(&headers);
+		buf_unref(req->body);
+		return;
+	}
+	if (req->worker != NULL)
+		headers_add(&headers, WORKER_HEADER_TARGET_INSTANCE, instance);
 	cmd->call = req->body != NULL ? http_call_start(&c, NULL) : NULL;
 	if (cmd->call == NULL)
 		abort(); /* out of memory; the reducer waits for the answer */
@@ -401,7 +420,9 @@
 
 	while ((cmd = LIST_FIRST(&sh->commands)) != NULL) {
 		LIST_REMOVE(cmd, entries);
-		http_call_cancel(cmd->call);
+		lws_sul_cancel(&cmd->unsent_timer);
+		if (cmd->call != NULL)
+			http_call_cancel(cmd->call);
 		free(cmd);
 	}
 }
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -8,6 +8,7 @@
 
 #include "config_relay.h"
 #include "controller.h"
+#include "long_name.h"
 #include "shards.h"
 #include "topic_follower.h"
 
@@ -62,6 +63,14 @@
 	    "queues=%zu pools=%zu offset=%lld",
 	    (long long)c->version, (long long)before, c->queue_count,
 	    c->pool_count, (long long)offset);
+	if (c->left_out_count > 0)
+		daemon_log(LOG_LEVEL_WARN, "watch",
+		    "msg=\"entries of the configuration cannot be used: left "
+		    "out\" version=%lld entries=%zu first=%s[%zu] name=%s "
+		    "why=\"%s\"",
+		    (long long)c->version, c->left_out_count,
+		    c->first_left_out.list, c->first_left_out.index,
+		    c->first_left_out.name, c->first_left_out.why);
 	scheduler_set_config(s, c);
 	return CONFIG_TAKEN;
 }
@@ -150,7 +159,7 @@
 
 	if (!topic_follower_may_log_odd(f))
 		return;
-	snprintf(key, sizeof(key), "%s", r->key);
+	snprintf(key, sizeof(key), "%.*s", (int)sizeof(key) - 1, r->key);
 	for (i = 0; key[i] != '\0'; i++) {
 		if (key[i] <= ' ' || key[i] > '~')
 			key[i] = '?';
@@ -167,9 +176,12 @@
 on_worker_record(void *arg, const struct store_record *r)
 {
 	struct store_watch *w = arg;
-	struct worker_entry *e = find_worker(w, r->key);
+	struct worker_entry *e;
 	struct worker_report report;
+	char id[NAME_BYTES];
 
+	name_shorten(id, r->key);
+	e = find_worker(w, id);
 	/* an odd record leaves the last good entry as it is */
 	if (e != NULL)
 		e->scan = w->workers.scan;
@@ -192,7 +204,7 @@
 		if (e == NULL)
 			return; /* out of memory: the worker's next record tries
 				   again */
-		snprintf(e->report.id, sizeof(e->report.id), "%s", r->key);
+		memcpy(e->report.id, id, sizeof(e->report.id));
 		e->scan = w->workers.scan;
 		HASH_ADD(
 		    hh, w->entries_by_id, report.id, strlen(e->report.id), e);
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -794,3 +794,34 @@
 	cr_expect_eq(
 	    http_json(fleet->platform_port, "GET", "/judge", NULL, NULL), 200);
 }
+
+/* A route was left out for its long name, and its requests answered 404. */
+Test(jobs, a_route_with_long_texts_serves_at_every_daemon)
+{
+	char prefix[400], path[440], routes[1024];
+	const char *body =
+	    "{\"taskSpec\":\"w\",\"steps\":[{\"count\":2,\"cpu\":100}]}";
+	int i, status = -1, tries;
+
+	memset(prefix, 'p', 300);
+	prefix[300] = '\0';
+	snprintf(routes, sizeof(routes),
+	    ",{\"name\":\"northern-academy-cosmetology-seat-reservation-checks"
+	    "\",\"host\":\"jobs.example\",\"pathPrefix\":\"/%s/\","
+	    "\"service\":\"blue\",\"maxAttempts\":3,\"stretch\":1.6}",
+	    prefix);
+	cr_assert_eq(job_fleet_configure(fleet, 20, routes), 200);
+	for (i = 0; i < JOB_DAEMONS; i++) {
+		snprintf(path, sizeof(path), "/%s/%016x", prefix, 0xa1 + i);
+		for (tries = 0; status != 200 && tries < 100; tries++) {
+			status = call(i, "POST", path, body, NULL, 0);
+			sleep_ms(50);
+		}
+		cr_expect_eq(status, 200, "daemon %d: %d", i, status);
+		tries = 0;
+		while (!has_state(path, "completed") && tries++ < 100)
+			sleep_ms(50);
+		cr_expect(has_state(path, "completed"));
+		status = -1;
+	}
+}
