--- a/src/scheduler/home_registry.c
+++ b/src/scheduler/home_registry.c
@@ -7,10 +7,11 @@
 #include <uthash.h>
 
 #include "store_client.h"
+#include "store_watch.h"
 #include "topic_follower.h"
 
 #define TOPIC_HOMES "keyed.homes"
-#define LONG_POLL_MS 3000 /* the store holds a read until a change */
+#define LONG_POLL_MS 5000 /* the store holds a read until a change */
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 150
 #define APPEND_RECORDS_MAX 64 /* of one append */
@@ -149,7 +150,7 @@
 	    .topic = TOPIC_HOMES, .expected_end = -1, .epoch = -1};
 	struct store_call c;
 
-	if (r->append != NULL || !r->follower.active)
+	if (r->append != NULL)
 		return;
 	o.records = collect_registrations(r);
 	if (o.records == NULL)
@@ -182,6 +183,7 @@
 	r->follower.may_be_missing = true;
 	r->follower.on_record = on_home_record;
 	r->follower.on_loaded = on_homes_loaded;
+	topic_follower_set(&r->follower, true);
 	return r;
 }
 
@@ -203,12 +205,6 @@
 	free(r);
 }
 
-void
-home_registry_follow(struct home_registry *r, bool follow)
-{
-	topic_follower_set(&r->follower, follow);
-}
-
 void
 home_registry_refresh(struct home_registry *r)
 {
@@ -244,8 +240,12 @@
 home_registry_decide(struct home_registry *r, const struct home_query *q,
     int64_t since_us, struct home_decision *d)
 {
+	int64_t config_read_us =
+	    store_watch_operators_read_us(r->scheduler->watcher);
+
 	if (!r->follower.loaded ||
-	    r->follower.last_read_boottime_us < since_us) {
+	    (r->follower.last_read_boottime_us < since_us &&
+		config_read_us < since_us)) {
 		memset(d, 0, sizeof(*d));
 		d->verdict = HOME_UNKNOWN;
 		return;
--- a/src/scheduler/home_registry.h
+++ b/src/scheduler/home_registry.h
@@ -1,6 +1,6 @@
 /*
- * Registers the pools that this daemon owns as homes of their queues, and
- * follows the homes of all queues: see queue_homes.h.
+ * Follows the homes of all queues, and registers the pools that this daemon
+ * owns as homes of their queues: see queue_homes.h.
  */
 #ifndef HOME_REGISTRY_H
 #define HOME_REGISTRY_H
@@ -12,14 +12,13 @@
 
 struct home_registry *home_registry_new(struct scheduler *s);
 void home_registry_free(struct home_registry *r);
-/* Starts or stops following; needed while owning a pool. */
-void home_registry_follow(struct home_registry *r, bool follow);
 /* A pool is being taken over: reads what its earlier owners have registered. */
 void home_registry_refresh(struct home_registry *r);
 /*
- * Decides on a request for a job that the pool does not have, by what was read
- * after "since_us" (boot clock).  A pool that is not registered is being
- * registered afterwards.
+ * Decides on a request for a job that the pool does not have.  The homes, or
+ * the configuration, must have been read after "since_us" (boot clock), when
+ * the takeover of the pool began: an earlier owner may have known more.  A pool
+ * that is not registered is being registered afterwards.
  */
 void home_registry_decide(struct home_registry *r, const struct home_query *q,
     int64_t since_us, struct home_decision *d);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -200,10 +200,8 @@
 	pool_free(sh->pool);
 	pool_effects_uninit(&sh->effects);
 	sh->scheduler->counters.pools_released++;
-	if (LIST_EMPTY(&sh->all->list)) {
+	if (LIST_EMPTY(&sh->all->list))
 		store_watch_follow_workers(sh->scheduler->watcher, false);
-		home_registry_follow(sh->scheduler->homes, false);
-	}
 	free(sh);
 }
 
@@ -350,7 +348,6 @@
 	}
 	LIST_INSERT_HEAD(&all->list, sh, entries);
 	store_watch_follow_workers(all->scheduler->watcher, true);
-	home_registry_follow(all->scheduler->homes, true);
 	home_registry_refresh(all->scheduler->homes);
 	daemon_log(LOG_LEVEL_INFO, "shards",
 	    "msg=\"the group deals this pool\" pool=%s", pool);
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -271,6 +271,12 @@
 	free(w);
 }
 
+int64_t
+store_watch_operators_read_us(const struct store_watch *w)
+{
+	return w->operators.last_read_boottime_us;
+}
+
 void
 store_watch_follow_workers(struct store_watch *w, bool follow)
 {
