--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -139,6 +139,11 @@
 	snprintf(text, sizeof(text), "%d\n", n);
 	note("config %d", n);
 	procs_write(soak.fleet->procs, "config", text, path, sizeof(path));
+	used += (size_t)snprintf(routes, sizeof(routes),
+	    ",{\"name\":\"r-moved\",\"host\":\"jobs.example\","
+	    "\"pathPrefix\":\"" SOAK_MOVED_PREFIX "\",\"service\":\"%s\","
+	    "\"maxAttempts\":3,\"stretch\":2,\"targetLatencyMs\":600}",
+	    n % 2 == 0 ? "green" : "blue");
 	for (i = newest; i > 0 && i > newest - SOAK_PROBES; i--)
 		used += (size_t)snprintf(routes + used, sizeof(routes) - used,
 		    ",{\"name\":\"r-p%d\",\"host\":\"jobs.example\","
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -9,7 +9,7 @@
 	.steps = 1,
 	.step = {{.count = 3}},
 	.attempts = 3},
-    {.prefix = "/blue/",
+    {.prefix = SOAK_MOVED_PREFIX,
 	.body = "{\"taskSpec\":\"takes:300\",\"steps\":[{\"count\":2,"
 		"\"cpu\":500,\"estimateMs\":300},{\"count\":2,\"cpu\":500,"
 		"\"estimateMs\":300,\"after\":[0]},{\"count\":1,"
@@ -50,7 +50,7 @@
 	.steps = 1,
 	.step = {{.count = 2}},
 	.attempts = 2},
-    {.prefix = "/blue/",
+    {.prefix = SOAK_MOVED_PREFIX,
 	.body = "{\"taskSpec\":\"takes:2500\",\"steps\":[{\"count\":1,"
 		"\"cpu\":500,\"estimateMs\":2500}]}",
 	.steps = 1,
--- a/tests/soak/soak_jobs.h
+++ b/tests/soak/soak_jobs.h
@@ -12,6 +12,8 @@
 #define SOAK_DEADLY_OF 40
 #define SOAK_DEADLY_CLIENTS 8
 #define SOAK_PROBES 8 /* newest configurations with a route of their own */
+/* A queue that each configuration gives to the other pool. */
+#define SOAK_MOVED_PREFIX "/moved/"
 #define SOAK_DEADLINE_MS 3000 /* how long a client waits */
 #define SOAK_KEY_FORMAT "key-of-client-%d"
 #define SOAK_KEY_NEVER "key-of-nobody" /* no configuration ever has it */
