--- a/src/jobs/queue_homes.c
+++ b/src/jobs/queue_homes.c
@@ -15,6 +15,7 @@
 	struct queue_home home;
 	bool dropped;
 	int64_t offset; /* of its newest record */
+	uint64_t scan; /* when it was read */
 	int64_t valid_from; /* records before this offset do not count */
 	UT_hash_handle hh; /* by key */
 };
@@ -113,28 +114,40 @@
 }
 
 int
-queue_homes_apply(struct queue_homes *h, const char *key, const void *data,
-    size_t len, int64_t offset, struct err *e)
+queue_homes_apply(
+    struct queue_homes *h, const struct home_record *r, struct err *e)
 {
 	struct home_entry *entry;
 	struct queue_home home;
 
-	if (strlen(key) >= HOME_KEY_BYTES)
+	if (strlen(r->key) >= HOME_KEY_BYTES)
 		return err_set(e, ERR_PROTOCOL, 0,
 		    "check which processes write to the topic of queues' homes",
 		    "the record of a queue's home has a long key");
-	if (data != NULL && home_decode(&home, data, len, e) == -1)
+	entry = get_entry(h, r->key);
+	entry->scan = r->scan;
+	if (r->data != NULL && home_decode(&home, r->data, r->len, e) == -1)
 		return -1;
-	entry = get_entry(h, key);
-	if (offset < entry->offset) /* a scan repeats what was read before */
+	if (r->offset < entry->offset) /* a scan repeats what was read before */
 		return 0;
-	entry->offset = offset;
-	entry->dropped = data == NULL;
-	if (data != NULL)
+	entry->offset = r->offset;
+	entry->dropped = r->data == NULL;
+	if (r->data != NULL)
 		entry->home = home;
 	return 0;
 }
 
+void
+queue_homes_scanned(struct queue_homes *h, uint64_t scan, int64_t end)
+{
+	struct home_entry *e;
+
+	for (e = h->entries; e != NULL; e = e->hh.next) {
+		if (e->scan != scan && e->offset < end)
+			e->dropped = true;
+	}
+}
+
 static bool
 entry_valid(const struct home_entry *e)
 {
--- a/src/jobs/queue_homes.h
+++ b/src/jobs/queue_homes.h
@@ -38,12 +38,26 @@
     char key[HOME_KEY_BYTES], const char *queue, const char *pool);
 /* NULL when out of memory. */
 struct buf *queue_home_encode(const struct queue_home *home);
+/* A record of the topic; "data" NULL: the key was dropped. */
+struct home_record {
+	const char *key;
+	const void *data;
+	size_t len;
+	int64_t offset;
+	uint64_t scan; /* newest scan of all keys when it was read */
+};
+
+/*
+ * Returns -1 and fills "e" if the record is damaged; the home is then left as
+ * it was.
+ */
+int queue_homes_apply(
+    struct queue_homes *h, const struct home_record *r, struct err *e);
 /*
- * Applies a record of the topic at "offset"; "data" NULL: the key was dropped.
- * Returns -1 and fills "e" if the record is damaged; it is then left as it was.
+ * A scan of all keys is complete.  Homes before "end" that it did not include
+ * were dropped, by records that are no longer there to be read.
  */
-int queue_homes_apply(struct queue_homes *h, const char *key, const void *data,
-    size_t len, int64_t offset, struct err *e);
+void queue_homes_scanned(struct queue_homes *h, uint64_t scan, int64_t end);
 
 /* A request for a job that the pool does not have. */
 struct home_query {
--- a/src/scheduler/home_registry.c
+++ b/src/scheduler/home_registry.c
@@ -46,11 +46,17 @@
 on_home_record(void *arg, const struct store_record *rec)
 {
 	struct home_registry *r = arg;
+	struct home_record record = {
+	    .key = rec->key,
+	    .data = rec->value,
+	    .len = rec->value_len,
+	    .offset = rec->offset,
+	    .scan = r->follower.scan,
+	};
 	struct registration *g;
 	struct err e;
 
-	if (queue_homes_apply(r->homes, rec->key, rec->value, rec->value_len,
-		rec->offset, &e) == -1) {
+	if (queue_homes_apply(r->homes, &record, &e) == -1) {
 		if (topic_follower_may_log_odd(&r->follower))
 			daemon_log(LOG_LEVEL_WARN, "homes",
 			    "msg=\"record of a queue's home is ignored\" "
@@ -66,7 +72,11 @@
 static void
 on_homes_loaded(void *arg)
 {
-	(void)arg;
+	struct home_registry *r = arg;
+
+	if (!r->follower.scan_incomplete)
+		queue_homes_scanned(r->homes, r->follower.scan,
+		    r->follower.snapshot_end_offset);
 }
 
 static void
--- a/tests/unit/test_queue_homes.c
+++ b/tests/unit/test_queue_homes.c
@@ -6,6 +6,7 @@
 
 static struct queue_homes *homes;
 static int64_t end; /* of the topic */
+static uint64_t scan;
 
 static void
 setup(void)
@@ -13,6 +14,7 @@
 	homes = queue_homes_new();
 	cr_assert_not_null(homes);
 	end = 0;
+	scan = 1;
 }
 
 static void
@@ -28,6 +30,7 @@
 apply(const char *pool, int64_t version)
 {
 	struct queue_home home = {.queue = "seats", .config_version = version};
+	struct home_record r = {.offset = end++, .scan = scan};
 	char key[HOME_KEY_BYTES];
 	struct buf *value;
 	struct err e;
@@ -35,10 +38,10 @@
 	snprintf(home.pool, sizeof(home.pool), "%s", pool);
 	queue_home_key(key, home.queue, home.pool);
 	value = version != 0 ? queue_home_encode(&home) : NULL;
-	cr_assert_eq(
-	    queue_homes_apply(homes, key, value != NULL ? value->data : NULL,
-		value != NULL ? value->len : 0, end++, &e),
-	    0);
+	r.key = key;
+	r.data = value != NULL ? value->data : NULL;
+	r.len = value != NULL ? value->len : 0;
+	cr_assert_eq(queue_homes_apply(homes, &r, &e), 0);
 	buf_unref(value);
 }
 
@@ -151,3 +154,17 @@
 	apply("blue", 4);
 	cr_expect_str_eq(decide("blue", "blue", 4, 4, false), "unregistered");
 }
+
+/* The store has forgotten the records between, and with them a drop. */
+Test(queue_homes, a_home_that_a_scan_lacks_was_dropped)
+{
+	apply("blue", 4);
+	apply("green", 7);
+	scan++;
+	end = 1;
+	apply("green", 7);
+	queue_homes_scanned(homes, scan, 5);
+	cr_expect_str_eq(decide("green", "green", 7, 7, false), "here");
+	cr_expect_str_eq(
+	    decide("blue", "blue", 9, 9, false), "unregistered green");
+}
