--- a/src/jobs/pool_late_starts.c
+++ b/src/jobs/pool_late_starts.c
@@ -21,6 +21,8 @@
 #define LONG_RUNNING_HELD_UP_WAIT_MS 5000
 /* Between probes of silent workers, over all of a pool's workers. */
 #define PROBE_INTERVAL_MS 5
+/* An owner whose loop is later than this has no processor time for probes. */
+#define PROBE_LOOP_LAG_MAX_MS 20
 
 static void
 late_start_free(struct late_start *l)
@@ -175,7 +177,8 @@
 	    p->last_probe_us > p->now_us ? p->last_probe_us : p->now_us;
 
 	due_us += PROBE_INTERVAL_MS * US_PER_MS;
-	if (due_us > p->now_us + us)
+	if (due_us > p->now_us + us ||
+	    p->loop_lag_us > PROBE_LOOP_LAG_MAX_MS * US_PER_MS)
 		return us;
 	p->last_probe_us = due_us;
 	return due_us - p->now_us;
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -403,7 +403,8 @@
 void worker_fence_late_starts(struct pool *p, struct pool_worker *w);
 /*
  * Time until the next renewal to a silent worker that awaits late starts, "us"
- * at most.  Probes follow each other at short intervals, over all workers.
+ * at most.  Probes follow each other at short intervals, over all workers,
+ * unless the owner is overloaded.
  */
 int64_t pool_probe_pause_us(struct pool *p, int64_t us);
 
