--- a/src/jobs/pool_late_starts.c
+++ b/src/jobs/pool_late_starts.c
@@ -19,8 +19,14 @@
  */
 #define LONG_RUNNING_WAIT_MS 2000
 #define LONG_RUNNING_HELD_UP_WAIT_MS 5000
-/* Between probes of silent workers, over all of a pool's workers. */
-#define PROBE_INTERVAL_MS 5
+/*
+ * Between probes of silent workers, over all of a pool's workers: of one that
+ * has been silent for less than PROBE_CLOSE_MS since this owner sent it a start
+ * that may be late, and of any other.  Probes take processor time.
+ */
+#define PROBE_CLOSE_INTERVAL_MS 5
+#define PROBE_CLOSE_MS 2500
+#define PROBE_INTERVAL_MS 50
 /* An owner whose loop is later than this has no processor time for probes. */
 #define PROBE_LOOP_LAG_MAX_MS 20
 
@@ -170,13 +176,23 @@
 	    w->missed_renewals);
 }
 
+static bool
+worker_probed_closely(const struct pool *p, const struct pool_worker *w)
+{
+	return p->now_us < w->late_start_until_us &&
+	    p->now_us - w->silent_since_us < PROBE_CLOSE_MS * US_PER_MS;
+}
+
 int64_t
-pool_probe_pause_us(struct pool *p, int64_t us)
+worker_probe_pause_us(struct pool *p, const struct pool_worker *w, int64_t us)
 {
+	int64_t interval_ms = worker_probed_closely(p, w)
+	    ? PROBE_CLOSE_INTERVAL_MS
+	    : PROBE_INTERVAL_MS;
 	int64_t due_us =
 	    p->last_probe_us > p->now_us ? p->last_probe_us : p->now_us;
 
-	due_us += PROBE_INTERVAL_MS * US_PER_MS;
+	due_us += interval_ms * US_PER_MS;
 	if (due_us > p->now_us + us ||
 	    p->loop_lag_us > PROBE_LOOP_LAG_MAX_MS * US_PER_MS)
 		return us;
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -291,7 +291,7 @@
 	}
 	w->renewal_due_us = p->now_us;
 	w->renewal_due_us += worker_awaits_late_starts(p, w)
-	    ? pool_probe_pause_us(p, RENEWAL_RETRY_MS * US_PER_MS)
+	    ? worker_probe_pause_us(p, w, RENEWAL_RETRY_MS * US_PER_MS)
 	    : RENEWAL_RETRY_MAX_MS * US_PER_MS;
 	p->placement_due = true;
 }
@@ -349,7 +349,7 @@
 	if (w->renewal_cut_short)
 		pause_us = 0;
 	else if (result != COMMAND_REFUSED && worker_awaits_late_starts(p, w))
-		pause_us = pool_probe_pause_us(p, pause_us);
+		pause_us = worker_probe_pause_us(p, w, pause_us);
 	w->renewal_due_us = p->now_us + pause_us;
 	if (result == COMMAND_OTHER_INCARNATION) {
 		worker_ended(p, w, "other-life");
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -406,7 +406,8 @@
  * at most.  Probes follow each other at short intervals, over all workers,
  * unless the owner is overloaded.
  */
-int64_t pool_probe_pause_us(struct pool *p, int64_t us);
+int64_t worker_probe_pause_us(
+    struct pool *p, const struct pool_worker *w, int64_t us);
 
 /* pool_lease_expiry.c */
 /*
