jobs: checkpoints and tickets of any length

All leases of the worker lapsed, its ends were never acknowledged, and no worker of the pool was ever used again.

Cause: a checkpoint had an array of 64 bytes in a row, in an end, in the start's effect and command; a row that did not fit made the parser refuse the list, and the whole answer counted as a missed renewal. Tickets had the same array: a longer one was left out, which counts as "not allowed" for good. A record with a longer one made the next owner ignore the task's failed attempts and crashes.

Change: values are bytes with a length, kept once and passed on by reference counts (text_store). They go back whole or not at all: one that a parser has altered (half a surrogate pair), that is over a quarter of a record, or that finds no room in 8 MB of a pool is left out; the longest go first, so that they cost their own task some work and no other anything. A gang keeps one value. A row that cannot be read is left out and counted, and while there is one no run counts as ended for want of its row. A line shows the size of a checkpoint, not its text.

--- a/bench/jobs_world.h
+++ b/bench/jobs_world.h
@@ -53,6 +53,13 @@
 	bool timed; /* the reducer's processor time is measured */
 	int64_t accelerators; /* of a worker */
 	bool select_by_cost; /* see struct pool_opts */
+	/*
+	 * Checkpoints and tickets are drawn from the seed and have up to this
+	 * many bytes; 0: they are short and plain.
+	 */
+	int text_max_bytes;
+	/* Limits of the pool, see struct pool_opts. */
+	size_t record_max_bytes, texts_max_bytes;
 	/* What workers, callers and the policy see, a line each; NULL: none. */
 	void (*trace)(void *arg, int64_t ms, const char *line);
 	void *trace_arg;
@@ -193,6 +200,10 @@
 
 /* Each message takes up to so much longer, so that they overtake each other. */
 void jobs_world_jitter(struct jobs_world *w, int ms);
+/* So many of the worker's next answers have a further row nobody can read. */
+void jobs_world_garble(struct jobs_world *w, int worker, int reports);
+/* The row is the one of its newest run. */
+void jobs_world_hide_run(struct jobs_world *w, int worker, int reports);
 /* The worker's clock is 2 % slow from now on. */
 void jobs_world_slow_clock(struct jobs_world *w, int worker);
 /* So many of the next lists of machines lack the worker, which is up. */
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -5,18 +5,18 @@
 #include <string.h>
 
 struct job *
-job_new(const char *id, const struct queue_settings *queue,
-    struct job_spec *spec, int64_t submitted_ms)
+job_new(const struct job_opts *opts)
 {
 	struct job *j;
 
 	j = calloc(1, sizeof(*j));
 	if (j == NULL)
 		return NULL;
-	snprintf(j->id, sizeof(j->id), "%s", id);
-	j->queue = *queue;
-	j->spec = job_spec_ref(spec);
-	j->submitted_ms = submitted_ms;
+	snprintf(j->id, sizeof(j->id), "%s", opts->id);
+	j->queue = *opts->queue;
+	j->spec = job_spec_ref(opts->spec);
+	j->submitted_ms = opts->submitted_ms;
+	j->checkpoints = opts->checkpoints;
 	LIST_INIT(&j->occurrences);
 	return j;
 }
@@ -30,7 +30,7 @@
 		LIST_REMOVE(l, entries);
 		free(l);
 	}
-	free(t->checkpoint);
+	stored_text_free(&t->checkpoint);
 	free(t->crashes);
 }
 
@@ -47,6 +47,7 @@
 	HASH_ITER(hh, s->advice.verdicts, v, next)
 	{
 		HASH_DEL(s->advice.verdicts, v);
+		stored_text_free(&v->ticket);
 		free(v);
 	}
 }
@@ -208,6 +209,7 @@
 	if (t->done)
 		return;
 	t->done = true;
+	stored_text_free(&t->checkpoint);
 	j->progress_stale = true;
 	if (++s->done_count < s->spec->task_count)
 		return;
@@ -248,19 +250,28 @@
 	return true;
 }
 
-void
-task_set_checkpoint(struct task *t, const char *checkpoint)
+/* Any member's checkpoint is valid for its gang, which starts from one. */
+static struct task *
+checkpoint_holder(const struct task *t)
 {
-	char *copy;
+	return &t->step->tasks[t->step->spec->gang ? 0 : t->index];
+}
 
-	if (checkpoint[0] == '\0' ||
-	    (t->checkpoint != NULL && strcmp(t->checkpoint, checkpoint) == 0))
-		return;
-	copy = strdup(checkpoint);
-	if (copy == NULL)
-		return; /* keeps the older checkpoint, which is valid, too */
-	free(t->checkpoint);
-	t->checkpoint = copy;
+bool
+task_set_checkpoint(struct task *t, const struct text_view *checkpoint)
+{
+	struct task *holder = checkpoint_holder(t);
+
+	if (checkpoint->len == 0 || holder->done)
+		return true;
+	return text_store_put(t->step->occurrence->job->checkpoints,
+	    &holder->checkpoint, checkpoint);
+}
+
+struct buf *
+task_checkpoint(const struct task *t)
+{
+	return stored_text_value(checkpoint_holder(t)->checkpoint);
 }
 
 struct task_crashes *
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -117,7 +117,9 @@
 	int64_t used_run; /* higher number used for a start; 0: there is none */
 	int failed_attempts; /* runs that ended with a failure */
 	int64_t failed_runs[FAILED_RUNS_KEPT]; /* newest failed runs */
-	char *checkpoint; /* newest checkpoint; NULL: none */
+	/* Newest checkpoint; NULL: none.  A gang's is at its first member. */
+	struct stored_text *checkpoint;
+	bool checkpoint_loss_logged; /* of its newest run */
 	struct task_crashes *crashes; /* NULL: no worker crashed under it */
 	char avoid_worker[NAME_BYTES]; /* of the last failed run; "": none */
 	int progress_percent; /* in the worker's last report */
@@ -138,7 +140,8 @@
 /* Ticket of a queue's policy that allows a worker to run a step. */
 struct step_ticket {
 	char worker[NAME_BYTES];
-	char ticket[CHECKPOINT_BYTES];
+	struct text_view ticket; /* may be empty */
+	bool usable; /* else the ticket cannot be read, or is too long */
 };
 
 /* The policy's decision on one incarnation of a worker. */
@@ -146,8 +149,9 @@
 	char worker[NAME_BYTES];
 	int64_t worker_started_ms; /* identifies the incarnation */
 	bool allowed; /* false is final for the incarnation */
-	char ticket[CHECKPOINT_BYTES];
+	struct stored_text *ticket; /* NULL: it was dropped or not usable */
 	int64_t ticket_end_us; /* the ticket is valid until then */
+	int64_t query_not_before_us; /* after an unusable ticket */
 	UT_hash_handle hh; /* by worker */
 };
 
@@ -190,6 +194,7 @@
 	char id[JOB_ID_BYTES];
 	struct queue_settings queue;
 	struct pool_account *account; /* NULL: it belongs to none */
+	struct text_store *checkpoints; /* the pool's */
 	struct job_spec *spec;
 	double value; /* relative to a mean job of its queue */
 	enum job_state state; /* set before it is stored */
@@ -210,9 +215,16 @@
 	TAILQ_ENTRY(job) entries; /* in pool.active or pool.finished */
 };
 
-/* Takes a reference to "spec".  NULL when out of memory. */
-struct job *job_new(const char *id, const struct queue_settings *queue,
-    struct job_spec *spec, int64_t submitted_ms);
+struct job_opts {
+	const char *id;
+	const struct queue_settings *queue;
+	struct job_spec *spec; /* the job takes a reference */
+	int64_t submitted_ms;
+	struct text_store *checkpoints; /* must outlive the job */
+};
+
+/* NULL when out of memory. */
+struct job *job_new(const struct job_opts *opts);
 void job_free(struct job *j);
 static inline bool
 job_final(const struct job *j)
@@ -241,7 +253,13 @@
 void job_drop_finished(struct job *j);
 /* Counts a failed run; false if the run was counted before. */
 bool task_count_failure(struct task *t, int64_t run);
-void task_set_checkpoint(struct task *t, const char *checkpoint);
+/*
+ * Replaces the checkpoint of an unfinished task, or of its gang.  False if it
+ * cannot be kept; the older one stays, which is valid, too.
+ */
+bool task_set_checkpoint(struct task *t, const struct text_view *checkpoint);
+/* Of the task or its gang; NULL: none. */
+struct buf *task_checkpoint(const struct task *t);
 /* Its crashes, which are added with a count of 0 unless the task has some. */
 struct task_crashes *task_get_crashes(struct task *t);
 /*
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -50,16 +50,25 @@
     struct wire_writer *w, const struct queue_settings *q);
 bool queue_settings_read(const msgpack_object *map, struct queue_settings *q);
 
-enum progress_detail {
-	PROGRESS_FULL,
-	/* Smaller; after a takeover, tasks start without their checkpoints. */
-	PROGRESS_NO_CHECKPOINTS
+/* How a progress record is encoded, and what came of it. */
+struct progress_encoding {
+	size_t max_bytes; /* of the record, as far as checkpoints go; 0: any */
+	/* After a takeover, their tasks start without them. */
+	size_t checkpoints_left_out;
 };
 
+/*
+ * Part of a record that checkpoints may take, so that the progress of a job
+ * with long ones, which is written again and again, delays no other write.
+ * "record_max_bytes" 0: any size.
+ */
+size_t progress_checkpoints_max_bytes(size_t record_max_bytes);
+
 /* NULL when out of memory. */
 struct buf *job_spec_encode(const struct job *j);
+/* Leaves out the longest checkpoints of those that do not fit together. */
 struct buf *job_progress_encode(
-    const struct job *j, enum progress_detail detail);
+    const struct job *j, struct progress_encoding *e);
 
 /* Content of a specification's record; the record owns "text". */
 struct job_spec_record {
--- a/src/jobs/pool.c
+++ b/src/jobs/pool.c
@@ -19,6 +19,24 @@
 #define PLACE_INTERVAL_US 1500
 #define PLACE_INTERVAL_PER_OCCURRENCE_US 20
 
+static void
+init_text_stores(struct pool *p)
+{
+	const struct text_store_opts checkpoints = {
+	    .text_max_bytes =
+		progress_checkpoints_max_bytes(p->opts.record_max_bytes),
+	    .bytes_max = p->opts.checkpoints_max_bytes,
+	    .eviction = EVICT_LONGEST,
+	};
+	const struct text_store_opts tickets = {
+	    .bytes_max = p->opts.tickets_max_bytes,
+	    .eviction = EVICT_OLDEST, /* which expire first */
+	};
+
+	text_store_init(&p->checkpoints, &checkpoints);
+	text_store_init(&p->tickets, &tickets);
+}
+
 struct pool *
 pool_new(const struct pool_opts *opts)
 {
@@ -33,6 +51,7 @@
 		return NULL;
 	}
 	p->opts = *opts;
+	init_text_stores(p);
 	p->now_us = opts->now_us;
 	p->now_ms = opts->now_ms;
 	p->reconcile_end_us =
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -38,6 +38,8 @@
 	/* Run time away from the data's rack, relative to that on it. */
 	double remote_factor;
 	size_t record_max_bytes; /* limit of the store; 0: none */
+	/* Of all checkpoints, and of all tickets, kept; 0: unlimited. */
+	size_t checkpoints_max_bytes, tickets_max_bytes;
 	/*
 	 * Overload is resolved by load_select() also where no accounts are
 	 * configured.  For trials.
@@ -223,8 +225,8 @@
 			int64_t run;
 			struct job_spec *spec; /* a reference */
 			int64_t lease_end_ms; /* on the worker's clock */
-			char checkpoint[CHECKPOINT_BYTES];
-			char ticket[CHECKPOINT_BYTES];
+			struct buf *checkpoint; /* a reference; NULL: none */
+			struct buf *ticket; /* in the same way */
 		} start;
 		struct pool_effect_command {
 			struct worker_target worker;
@@ -335,6 +337,7 @@
 	uint64_t crashes; /* unexpected ends of workers under tasks */
 	uint64_t trials, given_up; /* starts of suspects; jobs convicted */
 	uint64_t second_runs; /* listed by a worker while placed on another */
+	uint64_t checkpoints_lost; /* runs with one that could not be kept */
 };
 
 void pool_stats(const struct pool *p, struct pool_stats *s);
--- a/src/jobs/pool_advice.c
+++ b/src/jobs/pool_advice.c
@@ -17,6 +17,8 @@
 #define QUERY_TIMEOUT_MS 1500 /* a query without an answer is repeated */
 #define QUERY_RETRY_MS 200 /* after a query that failed */
 #define TICKET_VALID_MIN_MS 200 /* least remaining validity for a start */
+/* Until a query names a worker again whose ticket could not be used. */
+#define UNUSABLE_TICKET_RETRY_MS 1000
 
 static struct step_verdict *
 find_verdict(const struct job_step *s, const struct pool_worker *w)
@@ -28,7 +30,7 @@
 									 : NULL;
 }
 
-const char *
+struct buf *
 step_find_ticket(
     const struct job_step *s, const struct pool_worker *w, int64_t now_us)
 {
@@ -37,7 +39,7 @@
 	if (v == NULL || !v->allowed ||
 	    now_us + TICKET_VALID_MIN_MS * US_PER_MS > v->ticket_end_us)
 		return NULL;
-	return v->ticket;
+	return stored_text_value(v->ticket);
 }
 
 void
@@ -62,7 +64,8 @@
 	if (!worker_usable(p, w) || !worker_has_capacity(w, s->spec))
 		return false;
 	return v == NULL ||
-	    (v->allowed && step_find_ticket(s, w, p->now_us) == NULL);
+	    (v->allowed && p->now_us >= v->query_not_before_us &&
+		step_find_ticket(s, w, p->now_us) == NULL);
 }
 
 static bool
@@ -123,6 +126,19 @@
 	return NULL;
 }
 
+static void
+note_unusable_ticket(
+    struct pool *p, const struct job_step *s, struct step_verdict *v)
+{
+	stored_text_free(&v->ticket); /* an earlier one, which has expired */
+	v->query_not_before_us =
+	    p->now_us + UNUSABLE_TICKET_RETRY_MS * US_PER_MS;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"ticket cannot be used: the policy is asked again\" job=%s "
+	    "step=%u worker=%s kept_bytes=%zu",
+	    s->occurrence->job->id, s->number, v->worker, p->tickets.bytes);
+}
+
 static void
 note_verdict(struct pool *p, struct job_step *s, const char *worker,
     const struct pool_event *ev)
@@ -145,8 +161,12 @@
 	v->allowed = ticket != NULL;
 	v->ticket_end_us = s->advice.queried_us +
 	    (int64_t)ev->u.policy_answer.valid_ms * US_PER_MS;
-	if (ticket != NULL)
-		memcpy(v->ticket, ticket->ticket, sizeof(v->ticket));
+	v->query_not_before_us = 0;
+	if (ticket == NULL)
+		stored_text_free(&v->ticket);
+	else if (!ticket->usable ||
+	    !text_store_put(&p->tickets, &v->ticket, &ticket->ticket))
+		note_unusable_ticket(p, s, v);
 }
 
 void
--- a/src/jobs/pool_effects.c
+++ b/src/jobs/pool_effects.c
@@ -11,6 +11,8 @@
 	switch (x->kind) {
 	case POOL_START:
 		job_spec_unref(x->u.start.spec);
+		buf_unref(x->u.start.checkpoint);
+		buf_unref(x->u.start.ticket);
 		break;
 	case POOL_WRITE:
 		buf_unref(x->u.write.value);
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -127,6 +127,20 @@
 	j->spec_serial = p->write_serial;
 }
 
+static struct job *
+submitted_job_new(struct pool *p, const struct pool_event *ev)
+{
+	const struct job_opts opts = {
+	    .id = ev->u.submit.id,
+	    .queue = ev->u.submit.queue,
+	    .spec = ev->u.submit.spec,
+	    .submitted_ms = pool_remove_refused(p, ev->u.submit.id),
+	    .checkpoints = &p->checkpoints,
+	};
+
+	return job_new(&opts);
+}
+
 void
 pool_submit(struct pool *p, const struct pool_event *ev)
 {
@@ -152,10 +166,7 @@
 	}
 	pool_note_arrival(p, ev->u.submit.spec, ev->u.submit.queue, 0);
 	retry_ms = pool_submit_refusal_ms(p, ev, &why);
-	j = retry_ms > 0
-	    ? NULL
-	    : job_new(ev->u.submit.id, ev->u.submit.queue, ev->u.submit.spec,
-		  pool_remove_refused(p, ev->u.submit.id));
+	j = retry_ms > 0 ? NULL : submitted_job_new(p, ev);
 	if (j == NULL) {
 		pool_note_refused(p, ev->u.submit.id);
 		refuse_job(p, ev, retry_ms > 0 ? why : "memory",
@@ -282,20 +293,21 @@
 void
 pool_write_progress(struct pool *p, struct job *j)
 {
-	struct buf *value = job_progress_encode(j, PROGRESS_FULL);
+	struct progress_encoding e = {.max_bytes = p->opts.record_max_bytes};
+	struct buf *value;
 	char key[JOB_KEY_BYTES];
 
-	if (value != NULL && p->opts.record_max_bytes > 0 &&
-	    value->len + JOB_KEY_BYTES > p->opts.record_max_bytes) {
-		fx_log(p, LOG_LEVEL_WARN,
-		    "msg=\"job progress too large: saved without checkpoints\" "
-		    "job=%s bytes=%zu most=%zu",
-		    j->id, value->len, p->opts.record_max_bytes);
-		buf_unref(value);
-		value = job_progress_encode(j, PROGRESS_NO_CHECKPOINTS);
-	}
+	if (e.max_bytes > JOB_KEY_BYTES)
+		e.max_bytes -= JOB_KEY_BYTES;
+	value = job_progress_encode(j, &e);
 	if (value == NULL)
 		abort(); /* ends are acknowledged once progress is stored */
+	if (e.checkpoints_left_out > 0)
+		fx_log(p, LOG_LEVEL_WARN,
+		    "msg=\"job progress too large: saved without the longest "
+		    "checkpoints\" job=%s left_out=%zu bytes=%zu most=%zu",
+		    j->id, e.checkpoints_left_out, value->len,
+		    p->opts.record_max_bytes);
 	job_progress_key(key, j->id);
 	fx_write(p, key, value);
 	j->progress_stale = false;
@@ -369,7 +381,14 @@
 pool_load_job(struct pool *p, const char *id, const struct job_spec_record *r,
     struct job_spec *spec, const struct buf *progress, struct err *e)
 {
-	struct job *j = job_new(id, &r->queue, spec, r->submitted_ms);
+	const struct job_opts opts = {
+	    .id = id,
+	    .queue = &r->queue,
+	    .spec = spec,
+	    .submitted_ms = r->submitted_ms,
+	    .checkpoints = &p->checkpoints,
+	};
+	struct job *j = job_new(&opts);
 
 	if (j == NULL)
 		return err_set(e, ERR_MEMORY, 0, "give the process more memory",
--- a/src/jobs/pool_place.c
+++ b/src/jobs/pool_place.c
@@ -272,7 +272,6 @@
 {
 	const struct step_spec *spec = s->spec;
 	struct pool_worker *w;
-	const char *checkpoint = NULL;
 	int64_t run = 0, next;
 	unsigned i, n;
 
@@ -303,12 +302,8 @@
 		step_set_rack(s, w);
 		next = task_next_run(p, &s->tasks[n]);
 		run = next > run ? next : run;
-		if (s->tasks[n].checkpoint != NULL)
-			checkpoint = s->tasks[n].checkpoint;
 	}
 	for (i = 0; i < spec->task_count; i++) {
-		if (checkpoint != NULL)
-			task_set_checkpoint(&s->tasks[i], checkpoint);
 		if (task_suspect(&s->tasks[i]))
 			task_begin_trial(p, &s->tasks[i]);
 		task_start(p, &s->tasks[i], run);
--- a/src/jobs/pool_renewals.c
+++ b/src/jobs/pool_renewals.c
@@ -455,17 +455,20 @@
 			t->begun = true;
 			t->begun_clock_ms = report->clock_ms;
 		}
+		/* an unknown one is no sign of a run that hangs */
 		if (t->progress_percent != r->progress_percent ||
 		    t->progress_changed_us == 0)
 			t->progress_changed_us = p->now_us;
 		warmed_up |= task_warming_up(t) && r->progress_percent >= 100;
-		t->progress_percent = r->progress_percent;
+		if (r->progress_percent != RUN_PROGRESS_UNKNOWN)
+			t->progress_percent = r->progress_percent;
 		t->usage = r->usage;
 		t->last_listed_in = w->report_count;
 		if (t->crashes != NULL && t->crashes->on_trial &&
 		    task_survived_ms(t) >= t->crashes->trial_ms)
 			task_pass_trial(p, t);
-		task_set_checkpoint(t, r->checkpoint);
+		pool_note_checkpoint(
+		    p, t, &r->checkpoint, r->checkpoint_left_out);
 	}
 	return warmed_up;
 }
@@ -510,6 +513,18 @@
 	}
 }
 
+/* Their runs may be in rows that cannot be read: they go on. */
+static void
+excuse_unlisted_tasks(struct pool *p, struct pool_worker *w)
+{
+	struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on_worker) {
+		if (t->last_listed_in != w->report_count)
+			t->progress_changed_us = p->now_us;
+	}
+}
+
 /*
  * The answer to a renewal of "sent_us" shows the clock.  By the clock itself,
  * the worker may have made the answer late in the renewal's wait.
@@ -584,10 +599,12 @@
 	/* Ends come first, so that no ended run is adopted. */
 	process_ended(p, w, r);
 	warmed_up = process_running(p, w, r);
-	if (r->ended_count < ENDS_PER_REPORT_MAX) {
-		w->all_ends_listed = true;
+	w->all_ends_listed |=
+	    r->ended_count + r->unreadable_count < ENDS_PER_REPORT_MAX;
+	if (r->unreadable_count > 0)
+		excuse_unlisted_tasks(p, w);
+	else if (r->ended_count < ENDS_PER_REPORT_MAX)
 		detach_unlisted_tasks(p, w, ev->u.renewal.sent_us);
-	}
 	pool_watch_tasks(p, w);
 	if (warmed_up)
 		pool_watch_evacuating(p);
--- a/src/jobs/pool_runs.c
+++ b/src/jobs/pool_runs.c
@@ -81,7 +81,7 @@
 task_start(struct pool *p, struct task *t, int64_t run)
 {
 	struct pool_worker *w = t->worker;
-	const char *ticket;
+	struct buf *checkpoint = task_checkpoint(t);
 	struct pool_effect *x = fx_add(p, POOL_START);
 
 	task_set_place(p, t, PLACE_STARTING);
@@ -101,21 +101,18 @@
 	w->lease_sent_us = p->now_us;
 	if (x->u.start.lease_end_ms > w->lease_end_ms)
 		w->lease_end_ms = x->u.start.lease_end_ms;
-	if (t->checkpoint != NULL)
-		snprintf(x->u.start.checkpoint, CHECKPOINT_BYTES, "%s",
-		    t->checkpoint);
-	ticket = step_find_ticket(t->step, w, p->now_us);
-	if (ticket != NULL)
-		snprintf(x->u.start.ticket, CHECKPOINT_BYTES, "%s", ticket);
+	x->u.start.checkpoint = buf_ref(checkpoint);
+	x->u.start.ticket = buf_ref(step_find_ticket(t->step, w, p->now_us));
+	t->checkpoint_loss_logged = false;
 	p->stats.starts++;
 	fx_log(p, LOG_LEVEL_INFO,
 	    "msg=\"starts a run\" job=%s task=%u.%u.%u run=%lld worker=%s "
-	    "free_cpu=%lld heard_ms_ago=%lld saved=%s trial=%d",
+	    "free_cpu=%lld heard_ms_ago=%lld checkpoint_bytes=%zu trial=%d",
 	    t->step->occurrence->job->id, t->step->occurrence->number,
 	    t->step->number, t->index, (long long)run, w->report.id,
 	    (long long)(w->report.cpu_milli - w->cpu_milli),
 	    (long long)((p->now_us - w->last_reply_us) / US_PER_MS),
-	    t->checkpoint != NULL ? t->checkpoint : "none",
+	    checkpoint != NULL ? checkpoint->len : 0,
 	    t->crashes != NULL && t->crashes->on_trial);
 }
 
@@ -230,7 +227,7 @@
 {
 	const struct step_spec *s = t->step->spec;
 
-	if (t->checkpoint == NULL)
+	if (task_checkpoint(t) == NULL)
 		run_time_add(&p->run_times,
 		    t->step->occurrence->job->queue.name, s->estimate_ms,
 		    (double)(p->now_us - t->placed_us) / (double)US_PER_MS,
@@ -262,6 +259,24 @@
 	    (long long)(w->report.clock_ms - w->lease_end_ms));
 }
 
+void
+pool_note_checkpoint(struct pool *p, struct task *t,
+    const struct text_view *checkpoint, bool left_out)
+{
+	if ((!left_out && task_set_checkpoint(t, checkpoint)) ||
+	    t->checkpoint_loss_logged)
+		return;
+	t->checkpoint_loss_logged = true;
+	p->stats.checkpoints_lost++;
+	fx_log(p, LOG_LEVEL_WARN,
+	    "msg=\"checkpoint cannot be kept: the next run resumes from an "
+	    "older one, or from the start\" job=%s task=%u.%u.%u bytes=%zu "
+	    "kept_bytes=%zu older=%d",
+	    t->step->occurrence->job->id, t->step->occurrence->number,
+	    t->step->number, t->index, checkpoint->len, p->checkpoints.bytes,
+	    task_checkpoint(t) != NULL);
+}
+
 void
 pool_run_ended(
     struct pool *p, struct pool_worker *w, const struct end_report *r)
@@ -287,10 +302,8 @@
 	task_start_arrived(t, w->report.id, r->run);
 	if (r->run > t->run)
 		t->run = r->run;
-	if (r->checkpoint[0] != '\0') {
-		task_set_checkpoint(t, r->checkpoint);
-		j->progress_stale |= !t->done;
-	}
+	j->progress_stale |= !t->done && r->checkpoint.len > 0;
+	pool_note_checkpoint(p, t, &r->checkpoint, r->checkpoint_left_out);
 	if (placed && r->outcome == RUN_DONE && !t->step->spec->long_running)
 		note_run_time(p, t);
 	if (placed && t->crashes != NULL && t->crashes->on_trial &&
--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -228,6 +228,8 @@
 	bool workers_guarded;
 	bool capacity_known; /* the entries are not too old for starts */
 	struct pool_effects *fx; /* effects of that event */
+	struct text_store checkpoints; /* of tasks */
+	struct text_store tickets; /* of steps, for workers */
 	bool loaded; /* POOL_LOADED has been processed */
 	/* pool_reconciled() has been true: inherited tasks may be placed. */
 	bool reconciled;
@@ -489,6 +491,12 @@
 void task_start(struct pool *p, struct task *t, int64_t run);
 /* "why" is logged if a run of a long-running task ends with it. */
 void task_stop(struct pool *p, struct task *t, const char *why);
+/*
+ * Keeps a checkpoint that a worker has reported.  "left_out": it has not come
+ * with the report.  A loss is logged once for each run.
+ */
+void pool_note_checkpoint(struct pool *p, struct task *t,
+    const struct text_view *checkpoint, bool left_out);
 void pool_run_ended(
     struct pool *p, struct pool_worker *w, const struct end_report *r);
 void pool_start_done(struct pool *p, const struct pool_event *ev);
@@ -568,7 +576,7 @@
 
 /* pool_advice.c */
 /* NULL: the policy excludes the worker, or has not been queried about it. */
-const char *step_find_ticket(
+struct buf *step_find_ticket(
     const struct job_step *s, const struct pool_worker *w, int64_t now_us);
 /* The worker has refused the ticket: the policy is queried again. */
 void step_expire_ticket(struct job_step *s, const struct pool_worker *w);
--- a/src/jobs/worker.c
+++ b/src/jobs/worker.c
@@ -19,6 +19,7 @@
 {
 	free(r->running);
 	free(r->ended);
+	buf_unref(r->texts);
 	memset(r, 0, sizeof(*r));
 }
 
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -7,9 +7,9 @@
 #include <stdint.h>
 
 #include "bounds.h"
+#include "text_store.h"
 
 #define WORKER_LABELS_MAX 8
-#define CHECKPOINT_BYTES 64 /* name of a checkpoint, or a ticket, with NUL */
 #define TASK_NAME_BYTES 64 /* with NUL */
 
 struct worker_report {
@@ -44,11 +44,15 @@
 	unsigned index;
 };
 
+#define RUN_PROGRESS_UNKNOWN (-1) /* it cannot be read */
+
 struct run_report {
 	struct task_name task;
 	int64_t run;
-	char checkpoint[CHECKPOINT_BYTES]; /* newest; "": none */
-	int progress_percent; /* 100: a long-running task is at work */
+	struct text_view checkpoint; /* newest, in the report's texts */
+	bool checkpoint_left_out; /* it cannot be read, or is too long */
+	/* 100: a long-running task is at work; or RUN_PROGRESS_UNKNOWN */
+	int progress_percent;
 	/*
 	 * Tail latency in ms of a task that serves requests, otherwise used
 	 * thousandths of a core.
@@ -71,7 +75,8 @@
 	struct task_name task;
 	int64_t run;
 	enum run_end outcome;
-	char checkpoint[CHECKPOINT_BYTES];
+	struct text_view checkpoint; /* as in struct run_report */
+	bool checkpoint_left_out;
 };
 
 /* Answer to a lease renewal. */
@@ -82,6 +87,12 @@
 	size_t running_count;
 	struct end_report *ended;
 	size_t ended_count;
+	/*
+	 * Rows of both lists that cannot be read.  A run in neither list may be
+	 * the one of such a row.
+	 */
+	size_t unreadable_count;
+	struct buf *texts; /* a reference; what the rows point to */
 };
 
 void renewal_report_uninit(struct renewal_report *r);
--- a/src/platform/advice_wire.c
+++ b/src/platform/advice_wire.c
@@ -6,6 +6,7 @@
 
 #include "json_get.h"
 #include "long_name.h"
+#include "text_reader.h"
 
 #define TICKET_VALID_MAX_MS (24 * 3600 * 1000)
 
@@ -32,7 +33,8 @@
 }
 
 static bool
-parse_ticket(struct step_ticket *t, struct json_object *row)
+parse_ticket(
+    struct step_ticket *out, struct json_object *row, struct text_reader *t)
 {
 	struct json_object *id, *ticket;
 
@@ -40,22 +42,25 @@
 		return false;
 	id = json_object_array_get_idx(row, 0);
 	ticket = json_object_array_get_idx(row, 1);
-	/* workers would reject a truncated ticket */
-	return id != NULL && ticket != NULL && json_copy_name(id, t->worker) &&
-	    json_copy_text(ticket, t->ticket, sizeof(t->ticket));
+	if (id == NULL || ticket == NULL || !json_copy_name(id, out->worker))
+		return false;
+	out->usable = text_reader_copy(t, ticket, &out->ticket);
+	return true;
 }
 
 int
 advice_response_parse(struct advice *a, const void *data, size_t len)
 {
 	struct json_object *root = json_parse_object(data, len), *rows;
+	struct text_reader t;
 	int64_t valid_ms;
 	size_t i, n;
 
 	memset(a, 0, sizeof(*a));
 	if (root == NULL || !json_has_type(root, "good", json_type_array) ||
 	    !json_get_int_within(
-		root, "validityMs", 0, TICKET_VALID_MAX_MS, &valid_ms)) {
+		root, "validityMs", 0, TICKET_VALID_MAX_MS, &valid_ms) ||
+	    text_reader_init(&t, data, len) == -1) {
 		json_object_put(root);
 		return -1;
 	}
@@ -63,18 +68,24 @@
 	n = rows != NULL ? json_object_array_length(rows) : 0;
 	a->valid_ms = (int)valid_ms;
 	a->tickets = calloc(n + 1, sizeof(*a->tickets));
+	a->texts = buf_ref(t.texts);
 	for (i = 0; a->tickets != NULL && i < n; i++) {
 		if (parse_ticket(&a->tickets[a->ticket_count],
-			json_object_array_get_idx(rows, i)))
+			json_object_array_get_idx(rows, i), &t))
 			a->ticket_count++;
 	}
+	text_reader_uninit(&t);
 	json_object_put(root);
-	return a->tickets == NULL ? -1 : 0;
+	if (a->tickets != NULL)
+		return 0;
+	advice_uninit(a);
+	return -1;
 }
 
 void
 advice_uninit(struct advice *a)
 {
 	free(a->tickets);
+	buf_unref(a->texts);
 	memset(a, 0, sizeof(*a));
 }
--- a/src/platform/advice_wire.h
+++ b/src/platform/advice_wire.h
@@ -20,6 +20,7 @@
 	struct step_ticket
 	    *tickets; /* one for each worker that may run the step */
 	size_t ticket_count;
+	struct buf *texts; /* a reference; what the tickets point to */
 	int valid_ms; /* validity of the tickets from the response on */
 };
 
--- /dev/null
+++ b/src/platform/text_reader.c
@@ -0,0 +1,84 @@
+#include "text_reader.h"
+
+#include <string.h>
+
+#define REPLACEMENT "\xef\xbf\xbd" /* U+FFFD, in the place of half a pair */
+#define ESCAPE_CHARS 6 /* \uXXXX */
+
+/* The UTF-16 unit of an escape; -1: the bytes are none. */
+static int
+escaped_unit(const char *s, const char *end)
+{
+	int unit = 0, i;
+
+	if (end - s < ESCAPE_CHARS || s[0] != '\\' || s[1] != 'u')
+		return -1;
+	for (i = 2; i < ESCAPE_CHARS; i++) {
+		const char *digits = "0123456789abcdef";
+		const char *d = strchr(digits, s[i] | ('a' - 'A'));
+
+		if (d == NULL || *d == '\0')
+			return -1;
+		unit = unit * 16 + (int)(d - digits);
+	}
+	return unit;
+}
+
+static bool
+find_lone_surrogate(const char *s, const char *end)
+{
+	int unit, next;
+
+	while ((s = memchr(s, '\\', (size_t)(end - s))) != NULL) {
+		unit = escaped_unit(s, end);
+		if (unit < 0xd800 || unit > 0xdfff) {
+			s += end - s > 1 ? 2 : 1;
+			continue;
+		}
+		next = escaped_unit(s + ESCAPE_CHARS, end);
+		if (unit > 0xdbff || next < 0xdc00 || next > 0xdfff)
+			return true;
+		s += (ptrdiff_t)2 * ESCAPE_CHARS;
+	}
+	return false;
+}
+
+int
+text_reader_init(struct text_reader *t, const void *json, size_t len)
+{
+	/* escaped characters are longer than what they stand for */
+	t->texts = buf_new(len);
+	t->has_lone_surrogate =
+	    find_lone_surrogate(json, (const char *)json + len);
+	return t->texts != NULL ? 0 : -1;
+}
+
+void
+text_reader_uninit(struct text_reader *t)
+{
+	buf_unref(t->texts);
+	t->texts = NULL;
+}
+
+bool
+text_reader_copy(
+    struct text_reader *t, struct json_object *v, struct text_view *out)
+{
+	size_t len, room = t->texts->cap - t->texts->len;
+	const char *text;
+
+	memset(out, 0, sizeof(*out));
+	if (v == NULL)
+		return true;
+	if (!json_object_is_type(v, json_type_string))
+		return false;
+	text = json_object_get_string(v);
+	len = (size_t)json_object_get_string_len(v);
+	if (len > room ||
+	    (t->has_lone_surrogate &&
+		memmem(text, len, REPLACEMENT, strlen(REPLACEMENT)) != NULL))
+		return false;
+	out->data = (const char *)t->texts->data + t->texts->len;
+	out->len = len;
+	return buf_append(t->texts, text, len) == 0;
+}
--- a/src/platform/worker_wire.c
+++ b/src/platform/worker_wire.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "json_get.h"
+#include "text_reader.h"
 
 static void
 add_text(struct json_object *o, const char *key, const char *value)
@@ -18,6 +19,16 @@
 	json_object_object_add(o, key, json_object_new_int64(value));
 }
 
+/* Adds the text unless it is NULL or empty. */
+static void
+add_buf(struct json_object *o, const char *key, const struct buf *text)
+{
+	if (text != NULL && text->len > 0)
+		json_object_object_add(o, key,
+		    json_object_new_string_len(
+			(const char *)text->data, (int)text->len));
+}
+
 static struct json_object *
 command_new(const struct task_name *task, int64_t run, int64_t fence)
 {
@@ -38,10 +49,8 @@
 
 	add_text(o, "taskSpec", c->task_spec);
 	add_int(o, "deadlineMs", c->lease_end_ms);
-	if (c->checkpoint[0] != '\0')
-		add_text(o, "saved", c->checkpoint);
-	if (c->ticket[0] != '\0')
-		add_text(o, "ticket", c->ticket);
+	add_buf(o, "saved", c->checkpoint);
+	add_buf(o, "ticket", c->ticket);
 	return json_to_buf(o);
 }
 
@@ -160,18 +169,23 @@
 
 /* [task, run, checkpoint, percent, usage] */
 static bool
-parse_running_row(void *out, struct json_object *row)
+parse_running_row(
+    struct renewal_report *r, struct json_object *row, struct text_reader *t)
 {
-	struct run_report *r = out;
+	struct run_report *out = &r->running[r->running_count];
 	int64_t percent;
 
 	if (!json_object_is_type(row, json_type_array) ||
-	    !row_task(row, 0, &r->task) || !row_number(row, 1, &r->run) ||
-	    !row_text(row, 2, r->checkpoint, sizeof(r->checkpoint)) ||
-	    !row_int(row, 3, 0, INT32_MAX, &percent) ||
-	    !row_int(row, 4, -JSON_INT_MAX, JSON_INT_MAX, &r->usage))
+	    !row_task(row, 0, &out->task) || !row_number(row, 1, &out->run))
 		return false;
-	r->progress_percent = (int)percent;
+	out->checkpoint_left_out = !text_reader_copy(
+	    t, json_object_array_get_idx(row, 2), &out->checkpoint);
+	out->progress_percent = row_int(row, 3, 0, INT32_MAX, &percent)
+	    ? (int)percent
+	    : RUN_PROGRESS_UNKNOWN;
+	if (!row_int(row, 4, -JSON_INT_MAX, JSON_INT_MAX, &out->usage))
+		out->usage = 0;
+	r->running_count++;
 	return true;
 }
 
@@ -193,79 +207,94 @@
 	return i >= 0;
 }
 
-/* [number, task, run, outcome, checkpoint] */
+/*
+ * [number, task, run, outcome, checkpoint].  An outcome that cannot be read is
+ * none of those that count: the task starts again.
+ */
 static bool
-parse_ended_row(void *out, struct json_object *row)
+parse_ended_row(
+    struct renewal_report *r, struct json_object *row, struct text_reader *t)
 {
-	struct end_report *r = out;
+	struct end_report *out = &r->ended[r->ended_count];
 	char outcome[NAME_BYTES];
 
-	return json_object_is_type(row, json_type_array) &&
-	    row_number(row, 0, &r->number) && row_task(row, 1, &r->task) &&
-	    row_number(row, 2, &r->run) &&
-	    row_text(row, 3, outcome, sizeof(outcome)) &&
-	    parse_run_end(outcome, &r->outcome) &&
-	    row_text(row, 4, r->checkpoint, sizeof(r->checkpoint));
+	if (!json_object_is_type(row, json_type_array) ||
+	    !row_number(row, 0, &out->number) ||
+	    !row_task(row, 1, &out->task) || !row_number(row, 2, &out->run))
+		return false;
+	if (!row_text(row, 3, outcome, sizeof(outcome)) ||
+	    !parse_run_end(outcome, &out->outcome))
+		out->outcome = RUN_STOPPED;
+	out->checkpoint_left_out = !text_reader_copy(
+	    t, json_object_array_get_idx(row, 4), &out->checkpoint);
+	r->ended_count++;
+	return true;
 }
 
-/*
- * Returns the rows of a member, each of "size" bytes; the caller frees them.
- * NULL when the member or a row is malformed, or memory is short.
- */
-static void *
-parse_rows(struct json_object *root, const char *key, size_t size,
-    bool (*parse_row)(void *out, struct json_object *row), size_t *count)
+/* Counts the rows of the list that cannot be read. */
+static size_t
+parse_rows(struct renewal_report *r, struct json_object *list,
+    struct text_reader *t,
+    bool (*parse_row)(struct renewal_report *r, struct json_object *row,
+	struct text_reader *t))
 {
-	struct json_object *list = NULL;
-	uint8_t *out;
-	size_t i, n;
-
-	json_object_object_get_ex(root, key, &list);
-	if (list != NULL && !json_object_is_type(list, json_type_array))
-		return NULL;
-	n = list != NULL ? json_object_array_length(list) : 0;
-	out = calloc(n + 1, size);
-	for (i = 0; out != NULL && i < n; i++) {
-		if (parse_row(
-			out + i * size, json_object_array_get_idx(list, i)))
-			continue;
-		free(out);
-		return NULL;
-	}
-	*count = n;
-	return out;
+	size_t i, n = json_object_array_length(list), unreadable = 0;
+
+	for (i = 0; i < n; i++)
+		unreadable +=
+		    !parse_row(r, json_object_array_get_idx(list, i), t);
+	return unreadable;
+}
+
+static size_t
+row_count(struct json_object *list)
+{
+	return list != NULL ? json_object_array_length(list) : 0;
 }
 
 static int
-parse_report(struct renewal_report *r, struct json_object *root)
+parse_report(
+    struct renewal_report *r, struct json_object *root, struct text_reader *t)
 {
-	struct json_object *clock;
+	struct json_object *clock, *running, *ended;
 
 	if (!json_object_object_get_ex(root, "clockMs", &clock) ||
 	    clock == NULL ||
 	    !json_int_within(clock, 0, UNIX_TIME_MAX_MS, &r->clock_ms) ||
 	    !json_get_whole_within(
-		root, "born", 0, UNIX_TIME_MAX_MS, &r->started_ms))
+		root, "born", 0, UNIX_TIME_MAX_MS, &r->started_ms) ||
+	    !json_has_type(root, "running", json_type_array) ||
+	    !json_has_type(root, "ended", json_type_array))
 		return -1;
-	r->running = parse_rows(root, "running", sizeof(*r->running),
-	    parse_running_row, &r->running_count);
-	if (r->running == NULL)
+	running = json_get_member(root, "running", json_type_array);
+	ended = json_get_member(root, "ended", json_type_array);
+	r->running = calloc(row_count(running) + 1, sizeof(*r->running));
+	r->ended = calloc(row_count(ended) + 1, sizeof(*r->ended));
+	r->texts = buf_ref(t->texts);
+	if (r->running == NULL || r->ended == NULL)
 		return -1;
-	r->ended = parse_rows(
-	    root, "ended", sizeof(*r->ended), parse_ended_row, &r->ended_count);
-	return r->ended != NULL ? 0 : -1;
+	if (running != NULL)
+		r->unreadable_count +=
+		    parse_rows(r, running, t, parse_running_row);
+	if (ended != NULL)
+		r->unreadable_count += parse_rows(r, ended, t, parse_ended_row);
+	return 0;
 }
 
 int
 renewal_report_parse(struct renewal_report *r, const void *body, size_t len)
 {
 	struct json_object *root = json_parse_object(body, len);
-	int ret;
+	struct text_reader t;
+	int ret = -1;
 
 	memset(r, 0, sizeof(*r));
 	if (root == NULL)
 		return -1;
-	ret = parse_report(r, root);
+	if (text_reader_init(&t, body, len) == 0) {
+		ret = parse_report(r, root, &t);
+		text_reader_uninit(&t);
+	}
 	json_object_put(root);
 	if (ret == -1)
 		renewal_report_uninit(r);
--- a/src/platform/worker_wire.h
+++ b/src/platform/worker_wire.h
@@ -20,8 +20,8 @@
 	const char *task_spec; /* as the caller sent it */
 	int64_t lease_end_ms; /* on the worker's clock */
 	int64_t fence;
-	const char *checkpoint; /* to resume from; "": none */
-	const char *ticket; /* of the policy service; "": none */
+	const struct buf *checkpoint; /* to resume from; NULL: none */
+	const struct buf *ticket; /* of the policy service; NULL: none */
 };
 
 /* These return a JSON body, or NULL when memory is short. */
@@ -57,9 +57,9 @@
 enum worker_answer worker_answer_parse(
     int status, const void *body, size_t len, int64_t *clock_ms);
 /*
- * Parses the response to a renewal.  -1 when any part of it is malformed or
- * memory is short: without one of its rows a run would count as ended, or an
- * end as acknowledged.
+ * Parses the response to a renewal.  A row that cannot be read is counted and
+ * left out; of the others, a checkpoint that cannot be used, and a number of
+ * progress or usage.  -1 when the rest is malformed or memory is short.
  */
 int renewal_report_parse(
     struct renewal_report *r, const void *body, size_t len);
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -117,6 +117,12 @@
 		    cmd->worker);
 		result = COMMAND_REFUSED;
 	}
+	if (read && report.unreadable_count > 0)
+		daemon_log(LOG_LEVEL_WARN, "orders",
+		    "msg=\"rows of a worker's answer cannot be read and are "
+		    "left out\" worker=%s rows=%zu running=%zu ended=%zu",
+		    cmd->worker, report.unreadable_count, report.running_count,
+		    report.ended_count);
 	snprintf(ev.u.renewal.worker, NAME_BYTES, "%s", cmd->worker);
 	ev.u.renewal.sent_us = cmd->sent_us;
 	ev.u.renewal.report = read ? &report : NULL;
--- a/src/scheduler/shard_metrics.c
+++ b/src/scheduler/shard_metrics.c
@@ -64,6 +64,8 @@
 		    out, "pool_jobs_given_up_total", NULL, labels, st.given_up);
 		metric_counter(out, "pool_second_runs_total", NULL, labels,
 		    st.second_runs);
+		metric_counter(out, "pool_checkpoints_lost_total", NULL, labels,
+		    st.checkpoints_lost);
 	}
 }
 
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -19,6 +19,9 @@
 #define WORKERS_LOAD_TIMEOUT_MS 400
 /* Load selection also without client accounts; see pool_opts. */
 #define SELECT_BY_COST_WITHOUT_ACCOUNTS false
+/* Of one pool; a daemon may own all of them. */
+#define CHECKPOINTS_MAX_BYTES ((size_t)8 * 1024 * 1024)
+#define TICKETS_MAX_BYTES ((size_t)4 * 1024 * 1024)
 
 /* Newest records of one job; offsets are -1 where none was read. */
 struct stored_job {
@@ -241,6 +244,8 @@
 	    .restore_ms = settings->checkpoint_restore_ms,
 	    .remote_factor = settings->remote_data_factor,
 	    .record_max_bytes = (size_t)settings->store_record_max_bytes,
+	    .checkpoints_max_bytes = CHECKPOINTS_MAX_BYTES,
+	    .tickets_max_bytes = TICKETS_MAX_BYTES,
 	    .select_by_cost = SELECT_BY_COST_WITHOUT_ACCOUNTS,
 	};
 
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -1455,3 +1455,42 @@
 	cr_expect_eq(jobs_world_starts(world), 2);
 	expect_kept();
 }
+
+/* The run would count as ended, and its task would start a second time. */
+Test(pool, a_run_that_may_be_in_an_unreadable_row_stays_placed)
+{
+	char id[JOB_ID_BYTES];
+
+	world = world_of(3);
+	submit(1, 3, 4000, 6000, id);
+	jobs_world_run(world, 500);
+	cr_expect_eq(jobs_world_starts(world), 3);
+	jobs_world_hide_run(world, 0, 1000);
+	jobs_world_hide_run(world, 1, 1000);
+	jobs_world_run(world, 5000);
+	cr_expect_eq(jobs_world_starts(world), 3);
+	jobs_world_run(world, 5000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	cr_expect_eq(jobs_world_starts(world), 3);
+	expect_kept();
+}
+
+/* All workers are used while their answers have a row nobody can read. */
+Test(pool, a_worker_with_an_unreadable_row_stays_usable)
+{
+	char id[JOB_ID_BYTES];
+	int i;
+
+	world = world_of(2);
+	submit(1, 2, 100, 60000, NULL);
+	jobs_world_run(world, 500);
+	for (i = 0; i < 2; i++)
+		jobs_world_garble(world, i, 1000000);
+	submit(2, 20, 1000, 200, id);
+	jobs_world_run(world, 3000);
+	cr_expect_eq(jobs_world_state(world, id), JOB_COMPLETED);
+	for (i = 0; i < 2; i++)
+		jobs_world_garble(world, i, 0);
+	jobs_world_run(world, 70000);
+	expect_kept();
+}
