http_client: long strings of a worker's answer are dropped as they arrive

What would be seen: a worker whose answer to a lease renewal is over 1 MiB (500 ends with values of some KB, or a few values of 100 KB) gets no lease: the answer counts as truncated, each time. The same for a policy's tickets.

Cause: one limit on an answer as a whole, which values of any length count against, though only lists are needed for leases and ends.

Change: a filter on the body (json_string_limit) replaces strings over 128 KiB, and those over 256 bytes once the body has 256 KiB, by a mark that counts as a value that was left out. An answer takes at most some hundred KiB whatever its values are.

--- a/src/platform/text_reader.c
+++ b/src/platform/text_reader.c
@@ -60,6 +60,13 @@
 	t->texts = NULL;
 }
 
+/* It stands for a long one, see json_string_limit.h. */
+static bool
+string_was_dropped(const char *text, size_t len)
+{
+	return len == 1 && text[0] == '\0';
+}
+
 bool
 text_reader_copy(
     struct text_reader *t, struct json_object *v, struct text_view *out)
@@ -74,7 +81,7 @@
 		return false;
 	text = json_object_get_string(v);
 	len = (size_t)json_object_get_string_len(v);
-	if (len > room ||
+	if (len > room || string_was_dropped(text, len) ||
 	    (t->has_lone_surrogate &&
 		memmem(text, len, REPLACEMENT, strlen(REPLACEMENT)) != NULL))
 		return false;
--- a/src/scheduler/shard_commands.c
+++ b/src/scheduler/shard_commands.c
@@ -21,7 +21,17 @@
  */
 #define RENEWAL_ANSWER_LATE_MAX_MS 500
 #define ADVICE_TIMEOUT_MS 1200 /* the service answers one request at a time */
+/*
+ * Of an answer without the strings that are dropped: two lists of runs, the
+ * checkpoint of each not longer than the short ones.
+ */
 #define WORKER_ANSWER_MAX_BYTES (1024 * 1024)
+/* Hundreds of answers may arrive at once. */
+static const struct json_string_limit_opts answer_strings = {
+    .string_max_bytes = 128 * 1024,
+    .short_bytes = 256,
+    .body_bytes = 256 * 1024,
+};
 
 struct shard_command {
 	struct shard *shard;
@@ -254,6 +264,7 @@
 	    .timeout_ms = req->timeout_ms,
 	    .connect_timeout_ms = req->connect_timeout_ms,
 	    .answer_body_max_bytes = WORKER_ANSWER_MAX_BYTES,
+	    .answer_strings = &answer_strings,
 	    .on_done = on_command_end,
 	    .arg = cmd,
 	};
--- a/src/shell/http_answer.c
+++ b/src/shell/http_answer.c
@@ -9,12 +9,15 @@
 #define FIELD_BYTES 64 /* header name with NUL; longer names are truncated */
 /* header value with NUL; longer values are truncated */
 #define VALUE_BYTES 2048
+#define BODY_INITIAL_BYTES 1024 /* of a body whose length is not known yet */
 
 struct answer_reader {
 	struct http_parser parser;
 	const char *const *keep_headers;
 	size_t max_bytes;
 	bool bodyless;
+	bool limits_strings;
+	struct json_string_limit strings;
 	char field[FIELD_BYTES]; /* name of the current header, lower case */
 	char value[VALUE_BYTES];
 	bool reading_value;
@@ -108,9 +111,11 @@
 	r->keep_alive = http_should_keep_alive(p) != 0;
 	if (r->bodyless)
 		return 1;
-	if (len != UINT64_MAX && len > r->max_bytes)
+	if (len == UINT64_MAX || r->limits_strings)
+		len = 0;
+	if (len > r->max_bytes)
 		return -1;
-	r->answer->body = buf_new(len != UINT64_MAX ? len : 1024);
+	r->answer->body = buf_new(len > 0 ? len : BODY_INITIAL_BYTES);
 	return r->answer->body == NULL ? -1 : 0;
 }
 
@@ -120,6 +125,10 @@
 	struct answer_reader *r = p->data;
 	struct buf *body = r->answer->body;
 
+	if (r->limits_strings)
+		return json_string_limit_feed(&r->strings, body, at, len) ==
+		    -1 ||
+		    body->len > r->max_bytes;
 	if (body->len + len > r->max_bytes)
 		return 1;
 	return buf_append(body, at, len) == -1;
@@ -150,16 +159,19 @@
 };
 
 struct answer_reader *
-answer_reader_new(const char *const *keep, size_t max_bytes, bool bodyless)
+answer_reader_new(const struct answer_reader_opts *opts)
 {
 	struct answer_reader *r;
 
 	r = calloc(1, sizeof(*r));
 	if (r == NULL)
 		return NULL;
-	r->keep_headers = keep;
-	r->max_bytes = max_bytes;
-	r->bodyless = bodyless;
+	r->keep_headers = opts->keep;
+	r->max_bytes = opts->max_bytes;
+	r->bodyless = opts->bodyless;
+	r->limits_strings = opts->strings != NULL;
+	if (r->limits_strings)
+		json_string_limit_init(&r->strings, opts->strings);
 	answer_reader_reset(r);
 	return r;
 }
@@ -181,6 +193,11 @@
 	r->field[0] = r->value[0] = '\0';
 	r->reading_value = r->headers_complete = r->complete = r->keep_alive =
 	    false;
+	if (r->limits_strings) {
+		struct json_string_limit_opts opts = r->strings.opts;
+
+		json_string_limit_init(&r->strings, &opts);
+	}
 	http_parser_init(&r->parser, HTTP_RESPONSE);
 	r->parser.data = r;
 }
--- a/src/shell/http_answer.h
+++ b/src/shell/http_answer.h
@@ -9,17 +9,24 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "json_string_limit.h"
 #include "request.h"
 
 struct answer_reader;
 
-/*
- * "keep" lists the lower-case names of headers to keep, NULL-terminated; it may
- * be NULL and must outlive the reader. "max_bytes" limits the body. "bodyless"
- * is for answers without a body (to HEAD).
- */
-struct answer_reader *answer_reader_new(
-    const char *const *keep, size_t max_bytes, bool bodyless);
+struct answer_reader_opts {
+	/*
+	 * Lower-case names of headers to keep, NULL-terminated; may be NULL,
+	 * must outlive the reader.
+	 */
+	const char *const *keep;
+	size_t max_bytes; /* of the body as it is kept */
+	bool bodyless; /* for answers without a body (to HEAD) */
+	/* The body is JSON that may have strings of any length; or NULL. */
+	const struct json_string_limit_opts *strings;
+};
+
+struct answer_reader *answer_reader_new(const struct answer_reader_opts *opts);
 void answer_reader_free(struct answer_reader *r);
 /*
  * Discards what was parsed, to read the answer to a retry on a new connection.
--- a/src/shell/http_client.c
+++ b/src/shell/http_client.c
@@ -471,6 +471,12 @@
 static struct http_call *
 call_new(const struct http_call_opts *opts)
 {
+	const struct answer_reader_opts reader = {
+	    .keep = opts->keep_headers,
+	    .max_bytes = opts->answer_body_max_bytes,
+	    .bodyless = strcmp(opts->method, "HEAD") == 0,
+	    .strings = opts->answer_strings,
+	};
 	struct http_call *call;
 
 	call = calloc(1, sizeof(*call));
@@ -491,8 +497,7 @@
 	call->on_sent = opts->on_sent;
 	call->on_done = opts->on_done;
 	call->arg = opts->arg;
-	call->reader = answer_reader_new(opts->keep_headers,
-	    opts->answer_body_max_bytes, strcmp(opts->method, "HEAD") == 0);
+	call->reader = answer_reader_new(&reader);
 	if (call->reader == NULL || call_serialise_head(call, opts) != 0) {
 		call_free(call);
 		return NULL;
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -14,6 +14,7 @@
 #include <libwebsockets.h>
 
 #include "errors.h"
+#include "json_string_limit.h"
 #include "request.h"
 
 enum http_outcome {
@@ -66,6 +67,8 @@
 	/* Ends the call as HTTP_UNSENT if it is not sent by then; 0: no. */
 	int connect_timeout_ms;
 	size_t answer_body_max_bytes;
+	/* Long strings in the answer's JSON are dropped; NULL: none. */
+	const struct json_string_limit_opts *answer_strings;
 	/* Called at most once, before on_done; may be NULL. */
 	void (*on_sent)(void *arg);
 	/*
--- a/tests/process/test_checkpoints.c
+++ b/tests/process/test_checkpoints.c
@@ -126,6 +126,23 @@
 	cr_expect_eq(job_fleet_judged(fleet, "twice"), 0);
 }
 
+/* 500 ends of 2 KB, or a few of 100 KB, were more than an answer may have. */
+Test(checkpoints, values_over_every_limit_cost_no_lease_and_no_end)
+{
+	begin("400000");
+	submit(JOB,
+	    "{\"taskSpec\":\"saves;takes:6000\",\"steps\":[{\"count\":12,"
+	    "\"cpu\":1000,\"estimateMs\":6000,\"checkpointing\":true}]}");
+	submit(TICKETS,
+	    "{\"taskSpec\":\"work\",\"steps\":[{\"count\":6,"
+	    "\"cpu\":1000,\"estimateMs\":60}]}");
+	expect_completed(TICKETS);
+	expect_completed(JOB);
+	cr_expect_eq(job_fleet_judged(fleet, "starts"), 12 + 6);
+	cr_expect_eq(job_fleet_judged(fleet, "odd_texts"), 0);
+	cr_expect_eq(job_fleet_judged(fleet, "twice"), 0);
+}
+
 /* The next owners hear of the values from the workers, which then crash. */
 Test(checkpoints, a_value_goes_back_whole_after_all_daemons_were_killed)
 {
