platform: page tokens of any length

What would be seen: with a page token over 127 bytes the platform's list of machines is discarded at each read, so that no machine is moved, waves stand still and lost workers are never known to be gone.

The token also went into the query as it was.

Change: the token is kept as long as it is, and encoded in the query.

--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -7,17 +7,42 @@
 
 #include "json_get.h"
 #include "long_name.h"
+#include "percent_encode.h"
 
 #define MACHINE_CPU_MAX_MILLI 1000000 /* a row with more is malformed */
 
-void
-machine_list_path(char out[MACHINE_PATH_BYTES], const char *page_token)
+char *
+machine_list_path(const char *page_token)
 {
-	if (page_token[0] == '\0')
-		snprintf(out, MACHINE_PATH_BYTES, "/machines");
-	else
-		snprintf(out, MACHINE_PATH_BYTES, "/machines?pageToken=%s",
-		    page_token);
+	static const char first[] = "/machines", next[] = "?pageToken=";
+	/* an encoded byte takes three */
+	size_t encoded_bytes =
+	    page_token != NULL ? 3 * strlen(page_token) + 1 : 1;
+	size_t size = sizeof(first) + sizeof(next) + encoded_bytes;
+	char *out = malloc(size);
+	int n;
+
+	if (out == NULL)
+		return NULL;
+	n = snprintf(out, size, "%s%s", first, page_token != NULL ? next : "");
+	if (page_token != NULL)
+		percent_encode(out + n, size - (size_t)n, page_token);
+	return out;
+}
+
+/* False when the token is no text, or memory is short. */
+static bool
+read_next_token(struct machine_list *l, struct json_object *root)
+{
+	free(l->next_page_token);
+	l->next_page_token = json_dup_text(root, "nextToken");
+	if (l->next_page_token == NULL)
+		return false;
+	if (l->next_page_token[0] == '\0') {
+		free(l->next_page_token);
+		l->next_page_token = NULL;
+	}
+	return true;
 }
 
 static bool
@@ -70,9 +95,7 @@
 
 	rows = json_get_member(root, "machines", json_type_array);
 	/* without its token, the list would seem to end with this page */
-	if (rows == NULL ||
-	    !json_get_text(root, "nextToken", l->next_page_token,
-		sizeof(l->next_page_token))) {
+	if (rows == NULL || !read_next_token(l, root)) {
 		json_object_put(root);
 		return -1;
 	}
@@ -98,6 +121,7 @@
 machine_list_uninit(struct machine_list *l)
 {
 	free(l->machines);
+	free(l->next_page_token);
 	memset(l, 0, sizeof(*l));
 }
 
--- a/src/platform/machine_wire.h
+++ b/src/platform/machine_wire.h
@@ -7,21 +7,23 @@
 #include "buf.h"
 #include "roster.h"
 
-#define MACHINE_PATH_BYTES 256
 #define MACHINE_PATH_MOVE "/machine-move"
 #define MACHINE_PATH_MAINTENANCE "/machine-upkeep"
 /* Headers of commands: name of the controller and its fencing token. */
 #define MACHINE_HEADER_HOLDER "Mimosalead-Lease-Holder"
 #define MACHINE_HEADER_FENCE "Mimosalead-Fencing-Token"
 
-/* "page_token" comes from the previous page; "" for the first page. */
-void machine_list_path(char out[MACHINE_PATH_BYTES], const char *page_token);
+/*
+ * "page_token" comes from the previous page; NULL for the first page.  NULL
+ * when memory is short; free() the path.
+ */
+char *machine_list_path(const char *page_token);
 
 struct machine_list {
 	struct machine_report *machines;
 	size_t count;
 	size_t malformed_count; /* rows that were left out */
-	char next_page_token[MACHINE_PATH_BYTES / 2]; /* "": last page */
+	char *next_page_token; /* of any length; NULL: last page */
 };
 
 /* Appends a page; -1 when it is malformed or memory is short. */
--- a/src/platform/store_wire.c
+++ b/src/platform/store_wire.c
@@ -8,6 +8,7 @@
 #include <libwebsockets.h>
 
 #include "json_get.h"
+#include "percent_encode.h"
 
 #define JOBS_TOPIC_PREFIX "keyed.jobs."
 /* All writers use one name, so that the store compares their epochs. */
@@ -105,25 +106,6 @@
 	    topic, from, READ_MAX_KB, wait_ms);
 }
 
-/* Percent-encodes a query value; cuts it when it does not fit. */
-static void
-percent_encode(char *out, size_t size, const char *text)
-{
-	size_t n = 0;
-
-	for (; *text != '\0' && n + 3 < size; text++) {
-		if ((*text >= '0' && *text <= '9') ||
-		    (*text >= 'a' && *text <= 'z') ||
-		    (*text >= 'A' && *text <= 'Z') || *text == '-' ||
-		    *text == '.' || *text == '_')
-			out[n++] = *text;
-		else
-			n += (size_t)snprintf(
-			    out + n, size - n, "%%%02X", (unsigned char)*text);
-	}
-	out[n] = '\0';
-}
-
 void
 store_newest_call(struct store_call *c, const char *topic, const char *after)
 {
--- a/src/scheduler/machine_list_reader.c
+++ b/src/scheduler/machine_list_reader.c
@@ -30,7 +30,7 @@
 	    machine_list_add_page(&r->list, a->body->data, a->body->len) == 0;
 
 	r->call = NULL;
-	if (ok && r->list.next_page_token[0] != '\0') {
+	if (ok && r->list.next_page_token != NULL) {
 		if (read_page(r) == 0)
 			return;
 		ok = false;
@@ -49,7 +49,7 @@
 read_page(struct machine_list_reader *r)
 {
 	const struct platform_settings *b = &r->scheduler->settings;
-	char path[MACHINE_PATH_BYTES];
+	char *path = machine_list_path(r->list.next_page_token);
 	struct http_call_opts o = {
 	    .context = r->scheduler->context,
 	    .pool = r->scheduler->http_connections,
@@ -64,8 +64,10 @@
 	    .arg = r,
 	};
 
-	machine_list_path(path, r->list.next_page_token);
+	if (path == NULL)
+		return -1;
 	r->call = http_call_start(&o, NULL);
+	free(path);
 	return r->call != NULL ? 0 : -1;
 }
 
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -159,3 +159,31 @@
 	free(text);
 	buf_unref(body);
 }
+
+/* The list of machines ended with the page whose token was longer than 127. */
+Test(long_names, a_page_token_of_any_length_is_sent_back)
+{
+	struct machine_list list = {0};
+	char text[2 * LONG_BYTES], expected[2 * LONG_BYTES];
+	char *path;
+
+	snprintf(text, sizeof(text),
+	    "{\"machines\":[{\"machine\":\"m\",\"state\":\"up\"}],"
+	    "\"nextToken\":\"a b&%s\\\"\"}",
+	    beginning);
+	cr_assert_eq(machine_list_add_page(&list, text, strlen(text)), 0);
+	cr_assert_not_null(list.next_page_token);
+	path = machine_list_path(list.next_page_token);
+	snprintf(expected, sizeof(expected),
+	    "/machines?pageToken=a%%20b%%26%s%%22", beginning);
+	cr_expect_str_eq(path, expected);
+	free(path);
+	snprintf(text, sizeof(text), "{\"machines\":[]}");
+	cr_assert_eq(machine_list_add_page(&list, text, strlen(text)), 0);
+	cr_expect_null(list.next_page_token);
+	cr_expect_eq(list.count, 1);
+	machine_list_uninit(&list);
+	path = machine_list_path(NULL);
+	cr_expect_str_eq(path, "/machines");
+	free(path);
+}
