long_name: no text of a caller's job is kept

What was seen: 1,500 jobs with three texts of 80,000 characters each, all answered 200, take their owner to 731 MB of 260 (x86-64, 1,500 jobs in 8 s), and the daemon that takes the pool over to 1,064 MB. Each next owner would be killed in the same way.

Cause: three places kept texts without a bound in bytes. long_name.c had the text of each long name, also of labels, racks and images, which callers choose and which are only compared; a job kept its body after its record was written; and a takeover held the records of all jobs until it had read the last one.

Change: only names that go back to the platform are kept (workers, machines, pools), 16 MB of them; the body is passed along with the submission; a record is decoded as it is read.

The stand-in's pages of records have 1 MB at most, as the users' store's.

--- a/bench/bench_caps.c
+++ b/bench/bench_caps.c
@@ -112,6 +112,7 @@
 	    .name = "queue", .stretch = 2, .target_latency_ms = 100000};
 	struct account_settings s = settings_of(account);
 	struct pool_event ev = {.kind = POOL_CANCEL};
+	struct buf *text = buf_from("{}", 2);
 
 	if (p->jobs[account][0] != '\0') {
 		memcpy(ev.u.job.id, p->jobs[account], JOB_ID_BYTES);
@@ -126,9 +127,10 @@
 	ev.u.submit.queue = &queue;
 	ev.u.submit.spec = jobs_order(
 	    1, (unsigned)(1 + (account + p->next_job) % 6), 1000, 500);
-	ev.u.submit.spec->text = buf_from("{}", 2);
+	ev.u.submit.text = text;
 	step(p, &ev, c);
 	job_spec_unref(ev.u.submit.spec);
+	buf_unref(text);
 }
 
 static void
--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -10,6 +10,7 @@
 
 #define START_LIMIT_MS 30000
 #define CONFIG_VERSION 3
+#define RECORD_BYTES 8192 /* limit of the store, unless a test sets one */
 
 static const char settings_format[] =
     "{\"node\":\"edge-%d\",\"zone\":\"z\",\"ip\":\"127.0.0.%d\","
@@ -19,7 +20,7 @@
     "\"maintenanceS\":0.2,\"migrateS\":0.2,\"leaseMs\":300},"
     "\"advice\":\"127.0.0.1:%d\","
     "\"platform\":{\"addr\":\"127.0.0.1:%d\",\"parts\":8,"
-    "\"ttlMinMs\":500,\"recordBytes\":8192,\"requestBytes\":16384},"
+    "\"ttlMinMs\":500,\"recordBytes\":%d,\"requestBytes\":%d},"
     "\"cloudApi\":{\"addr\":\"127.0.0.1:%d\",\"dutyPerS\":64}}";
 
 static const char config_format[] =
@@ -86,7 +87,7 @@
 struct job_fleet *
 job_fleet_new_with(const struct job_fleet_opts *o)
 {
-	char listen[32], ports[8 * JOB_DAEMONS_MAX] = "";
+	char listen[32], ports[8 * JOB_DAEMONS_MAX] = "", record_bytes[16];
 	size_t len = 0;
 	const char *argv[PROC_ARGS_MAX] = {
 	    "--listen", listen, "--workers", "4", "--task-ms", "60"};
@@ -104,6 +105,7 @@
 	f->procs = o->procs != NULL ? o->procs : procs_new();
 	f->own_addresses = o->own_addresses;
 	f->daemon_count = o->daemons;
+	f->record_bytes = o->record_bytes > 0 ? o->record_bytes : RECORD_BYTES;
 	f->config_members = o->config_members;
 	f->platform_port = o->platform_port;
 	for (i = 0; i < f->daemon_count; i++) {
@@ -120,6 +122,11 @@
 		argv[n++] = "--store-ports";
 		argv[n++] = ports;
 	}
+	if (n < PROC_ARGS_MAX - 2) {
+		argv[n++] = "--record-bytes";
+		argv[n++] = record_bytes;
+	}
+	snprintf(record_bytes, sizeof(record_bytes), "%d", f->record_bytes);
 	snprintf(listen, sizeof(listen), "127.0.0.1:%d", f->platform_port);
 	if (proc_start(f->procs, "platform", "standin-jobs", argv) == NULL ||
 	    !wait_until(platform_answers, f, START_LIMIT_MS))
@@ -146,7 +153,8 @@
 	snprintf(text, sizeof(text), settings_format, i,
 	    f->own_addresses ? i + 1 : 1, f->callers_port[i], f->ready_port[i],
 	    f->peer_port[i], f->peer_port[i], f->store_port[i],
-	    f->store_port[i], f->store_port[i]);
+	    f->store_port[i], f->record_bytes, 2 * f->record_bytes,
+	    f->store_port[i]);
 	snprintf(name, sizeof(name), "boot-%d.json", i);
 	procs_write(f->procs, name, text, path, sizeof(path));
 }
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -26,6 +26,7 @@
 	int peer_port[JOB_DAEMONS_MAX];
 	int store_port[JOB_DAEMONS_MAX]; /* where a daemon finds the platform */
 	bool own_addresses; /* see job_fleet_opts */
+	int record_bytes; /* limit of the store */
 	const char *config_members; /* see job_fleet_opts; may change */
 	char caller_key[64]; /* sent by job_fleet_call(); "": none */
 };
@@ -41,6 +42,7 @@
 	 * the store.
 	 */
 	bool own_addresses;
+	int record_bytes; /* limit of the store; 0: the usual one */
 	/* Further members of the configuration, e.g. ",\"a\":1"; or NULL. */
 	const char *config_members;
 };
--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -1916,6 +1916,8 @@
 jobs_world_submit_again(
     struct jobs_world *w, struct job_spec *job_spec, const char *id)
 {
+	/* the text names the order, for the records of a take-over */
+	struct buf *text = buf_from(id, strlen(id));
 	struct pool_event ev = {.kind = POOL_SUBMIT};
 	struct known_job *j = known_job(w, id);
 
@@ -1925,8 +1927,10 @@
 	memcpy(ev.u.submit.account, j->account, NAME_BYTES);
 	ev.u.submit.queue = &w->terms;
 	ev.u.submit.spec = job_spec;
+	ev.u.submit.text = text;
 	ev.u.submit.refuse_ms = w->refuse_ms;
 	step(w, w->owner, &ev);
+	buf_unref(text);
 }
 
 void
@@ -1941,9 +1945,6 @@
 	j->first_ms = w->ms;
 	memcpy(j->account, w->caller, sizeof(j->account));
 	HASH_ADD_STR(w->jobs, id, j);
-	/* the text names the order, for the records of a take-over */
-	buf_unref(job_spec->text);
-	job_spec->text = buf_from(j->id, strlen(j->id));
 	if (id != NULL)
 		memcpy(id, j->id, JOB_ID_BYTES);
 	jobs_world_submit_again(w, job_spec, j->id);
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -209,7 +209,7 @@
 }
 
 struct buf *
-job_spec_encode(const struct job *j)
+job_spec_encode(const struct job *j, const struct buf *text)
 {
 	const char *account = job_account_name(j);
 	struct wire_writer w;
@@ -219,7 +219,7 @@
 	wire_i64(&w, "a", j->submitted_ms);
 	wire_key(&w, "t");
 	queue_settings_write(&w, &j->queue);
-	wire_bin(&w, "b", j->spec->text->data, j->spec->text->len);
+	wire_bin(&w, "b", text->data, text->len);
 	if (account[0] != '\0')
 		wire_str(&w, "ac", account);
 	return wire_writer_finish(&w);
--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -64,8 +64,8 @@
  */
 size_t progress_checkpoints_max_bytes(size_t record_max_bytes);
 
-/* NULL when out of memory. */
-struct buf *job_spec_encode(const struct job *j);
+/* "text" is the job as submitted.  NULL when out of memory. */
+struct buf *job_spec_encode(const struct job *j, const struct buf *text);
 /* Leaves out the longest checkpoints of those that do not fit together. */
 struct buf *job_progress_encode(
     const struct job *j, struct progress_encoding *e);
--- a/src/jobs/job_spec.c
+++ b/src/jobs/job_spec.c
@@ -38,7 +38,6 @@
 		free(s->steps[i].depends_on);
 	free(s->steps);
 	free(s->task_spec);
-	buf_unref(s->text);
 	free(s);
 }
 
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -10,7 +10,6 @@
 #include <stdint.h>
 
 #include "bounds.h"
-#include "buf.h"
 #include "run_time.h"
 
 #define JOB_ID_BYTES 17 /* 16 hexadecimal digits and NUL */
@@ -50,7 +49,6 @@
 	unsigned repetitions; /* 0: runs once, when accepted */
 	int64_t first_start_ms; /* Unix time of occurrence 0 */
 	int64_t interval_ms; /* between occurrences */
-	struct buf *text; /* as submitted, for the store */
 };
 
 /* Returns one reference, with "steps" zeroed steps; NULL: out of memory. */
--- a/src/jobs/pool.h
+++ b/src/jobs/pool.h
@@ -151,6 +151,7 @@
 			char account[NAME_BYTES]; /* "": none */
 			bool isolated; /* as for queries and cancellations */
 			struct job_spec *spec;
+			const struct buf *text; /* of it, for the store */
 			/*
 			 * If not 0, the store takes no new jobs now, and the
 			 * caller may retry after this time.
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -115,9 +115,9 @@
 }
 
 static void
-write_spec(struct pool *p, struct job *j)
+write_spec(struct pool *p, struct job *j, const struct buf *text)
 {
-	struct buf *value = job_spec_encode(j);
+	struct buf *value = job_spec_encode(j, text);
 	char key[JOB_KEY_BYTES];
 
 	if (value == NULL)
@@ -176,7 +176,7 @@
 	j->account = pool_account_get(p, ev->u.submit.account);
 	selection_note_job(p, j);
 	add_active(p, j);
-	write_spec(p, j);
+	write_spec(p, j, ev->u.submit.text);
 	answer_when_stored(
 	    p, ev->u.submit.token, POOL_ACCEPTED, p->write_serial);
 	p->stats.accepted++;
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -56,7 +56,7 @@
 
 	if (!json_get_name(o, "name", q->settings.name))
 		return "its name is no text";
-	if (!json_get_name(o, "service", q->pool))
+	if (!json_get_kept_name(o, "service", q->pool))
 		return "its service is no text";
 	q->host = json_dup_text(o, "host");
 	q->path_prefix = json_dup_text(o, "pathPrefix");
@@ -90,7 +90,7 @@
 static const char *
 parse_pool(struct config_pool *p, struct json_object *o)
 {
-	if (!json_get_name(o, "name", p->name) || p->name[0] == '\0')
+	if (!json_get_kept_name(o, "name", p->name) || p->name[0] == '\0')
 		return "its name is no text";
 	p->admission_control = json_get_bool(o, "admissionControl");
 	p->spare = json_get_bool(o, "spare");
@@ -262,7 +262,7 @@
 		return -1;
 	for (i = 0; i < n; i++) {
 		o = json_object_array_get_idx(list, i);
-		if (o == NULL || !json_copy_name(o, w->machine_names[i]))
+		if (o == NULL || !json_copy_kept_name(o, w->machine_names[i]))
 			return -1;
 	}
 	w->machine_count = n;
@@ -364,7 +364,8 @@
 {
 	char state[NAME_BYTES];
 
-	if (!json_get_name(root, "service", r->pool) || r->pool[0] == '\0' ||
+	if (!json_get_kept_name(root, "service", r->pool) ||
+	    r->pool[0] == '\0' ||
 	    !json_get_addr(root, "addr", r->addr, sizeof(r->addr), &r->port) ||
 	    !json_get_name(root, "zone", r->data_centre) ||
 	    r->data_centre[0] == '\0' ||
@@ -387,7 +388,7 @@
 	if (root == NULL)
 		return -1;
 	ret = is_worker_id(id) ? parse_entry(r, root) : -1;
-	name_shorten(r->id, id);
+	name_keep(r->id, id);
 	json_object_put(root);
 	return ret;
 }
--- a/src/platform/job_spec_wire.c
+++ b/src/platform/job_spec_wire.c
@@ -162,13 +162,6 @@
 	}
 	out = parse_root(root, e);
 	json_object_put(root);
-	if (out == NULL)
-		return NULL;
-	out->text = buf_from(data, len);
-	if (out->text == NULL) {
-		job_spec_unref(out);
-		return NULL;
-	}
 	return out;
 }
 
--- a/src/platform/long_name.c
+++ b/src/platform/long_name.c
@@ -13,24 +13,27 @@
 /* What stands for a long name: its beginning, '~' and 16 digits. */
 #define HASH_DIGITS 16
 #define BEGINNING_BYTES (NAME_BYTES - 2 - HASH_DIGITS)
-/*
- * Texts kept; the one that was not used for longest goes.  Names in use are
- * looked up or read again all the time.
- */
-#define TEXTS_MAX 65536
-
 struct long_name {
 	char name[NAME_BYTES]; /* stands for the text */
 	char *text;
 	UT_hash_handle hh; /* by name, in the order of their newest use */
 };
 
+/* Names in use are looked up or read again all the time. */
 static struct long_name *texts;
+static size_t kept_bytes;
+
+static size_t
+long_name_bytes(const struct long_name *n)
+{
+	return sizeof(*n) + strlen(n->text) + 1;
+}
 
 static void
 long_name_free(struct long_name *n)
 {
 	HASH_DEL(texts, n);
+	kept_bytes -= long_name_bytes(n);
 	free(n->text);
 	free(n);
 }
@@ -64,7 +67,8 @@
 	}
 	snprintf(n->name, sizeof(n->name), "%s", name);
 	HASH_ADD_STR(texts, name, n);
-	if (HASH_COUNT(texts) > TEXTS_MAX)
+	kept_bytes += long_name_bytes(n);
+	while (kept_bytes > LONG_NAMES_MAX_BYTES)
 		long_name_free(texts);
 }
 
@@ -101,11 +105,20 @@
 	copy_beginning(out, text);
 	snprintf(out + BEGINNING_BYTES, NAME_BYTES - BEGINNING_BYTES,
 	    "~%016" PRIx64, (uint64_t)XXH64(text, len, 0));
-	keep_text(out, text);
 }
 
-bool
-json_copy_name(struct json_object *v, char out[NAME_BYTES])
+void
+name_keep(char out[NAME_BYTES], const char *text)
+{
+	name_shorten(out, text);
+	if (stands_for_long_name(out))
+		keep_text(out, text);
+}
+
+/* A missing string is "". */
+static bool
+copy_name(struct json_object *v, char out[NAME_BYTES],
+    void (*copy)(char out[NAME_BYTES], const char *text))
 {
 	const char *text;
 
@@ -117,10 +130,22 @@
 	text = json_object_get_string(v);
 	if (strlen(text) != (size_t)json_object_get_string_len(v))
 		return false;
-	name_shorten(out, text);
+	copy(out, text);
 	return true;
 }
 
+bool
+json_copy_name(struct json_object *v, char out[NAME_BYTES])
+{
+	return copy_name(v, out, name_shorten);
+}
+
+bool
+json_copy_kept_name(struct json_object *v, char out[NAME_BYTES])
+{
+	return copy_name(v, out, name_keep);
+}
+
 bool
 json_get_name(struct json_object *o, const char *key, char out[NAME_BYTES])
 {
@@ -130,6 +155,15 @@
 	return json_copy_name(v, out);
 }
 
+bool
+json_get_kept_name(struct json_object *o, const char *key, char out[NAME_BYTES])
+{
+	struct json_object *v = NULL;
+
+	json_object_object_get_ex(o, key, &v);
+	return json_copy_kept_name(v, out);
+}
+
 const char *
 name_full(const char *name)
 {
--- a/src/platform/machine_wire.c
+++ b/src/platform/machine_wire.c
@@ -68,9 +68,9 @@
 	char state[NAME_BYTES];
 
 	memset(m, 0, sizeof(*m));
-	if (!json_get_name(o, "machine", m->machine) ||
-	    !json_get_name(o, "pool", m->pool) ||
-	    !json_get_name(o, "id", m->worker) ||
+	if (!json_get_kept_name(o, "machine", m->machine) ||
+	    !json_get_kept_name(o, "pool", m->pool) ||
+	    !json_get_kept_name(o, "id", m->worker) ||
 	    !json_get_text(o, "state", state, sizeof(state)) ||
 	    m->machine[0] == '\0' || !parse_state(state, &m->state))
 		return false;
--- a/src/scheduler/shard_takeover.c
+++ b/src/scheduler/shard_takeover.c
@@ -26,7 +26,12 @@
 /* Newest records of one job; offsets are -1 where none was read. */
 struct stored_job {
 	char id[JOB_ID_BYTES];
-	struct buf *spec; /* NULL: none or dropped */
+	/*
+	 * Decoded as it is read: a record may have texts that take many times
+	 * what is kept of them.  NULL: none, dropped or damaged.
+	 */
+	struct job_spec *spec;
+	struct job_spec_record spec_record; /* its text is not valid */
 	struct buf *progress; /* NULL: none or dropped */
 	int64_t spec_offset, progress_offset;
 	UT_hash_handle hh;
@@ -59,7 +64,7 @@
 static void
 stored_job_free(struct stored_job *j)
 {
-	buf_unref(j->spec);
+	job_spec_unref(j->spec);
 	buf_unref(j->progress);
 	free(j);
 }
@@ -145,6 +150,46 @@
 	*to = r->value != NULL ? buf_from(r->value, r->value_len) : NULL;
 }
 
+/* Argument of decode_spec(). */
+struct spec_decoding {
+	struct stored_job *job;
+	struct err *error;
+};
+
+static void
+decode_spec(void *arg, const struct job_spec_record *r)
+{
+	struct spec_decoding *d = arg;
+
+	d->job->spec_record = *r;
+	d->job->spec_record.text = NULL;
+	d->job->spec = job_spec_parse(r->text, r->text_len, d->error);
+}
+
+static void
+keep_newest_spec(
+    struct takeover *t, struct stored_job *j, const struct store_record *r)
+{
+	struct err e;
+	struct spec_decoding d = {j, &e};
+
+	if (r->offset < j->spec_offset)
+		return;
+	j->spec_offset = r->offset;
+	job_spec_unref(j->spec);
+	j->spec = NULL;
+	if (r->value == NULL)
+		return;
+	err_clear(&e);
+	if (job_spec_decode(r->value, r->value_len, &e, decode_spec, &d) == 0 &&
+	    j->spec != NULL)
+		return;
+	daemon_log(LOG_LEVEL_ERROR, "takeover",
+	    "msg=\"stored job cannot be decoded; it is left out\" pool=%s "
+	    "job=%s offset=%lld error=\"%s\"",
+	    t->shard->pool_name, j->id, (long long)r->offset, e.message);
+}
+
 static void
 collect_record(void *arg, const struct store_record *r)
 {
@@ -180,46 +225,20 @@
 	if (progress)
 		keep_newest(&j->progress, &j->progress_offset, r);
 	else
-		keep_newest(&j->spec, &j->spec_offset, r);
-}
-
-/* Argument of load_job_spec(). */
-struct job_load {
-	struct pool *pool;
-	struct stored_job *job;
-	struct err *error;
-	int ret; /* of pool_load_job(); -1 before */
-};
-
-static void
-load_job_spec(void *arg, const struct job_spec_record *r)
-{
-	struct job_load *l = arg;
-	struct job_spec *job_spec =
-	    job_spec_parse(r->text, r->text_len, l->error);
-
-	if (job_spec == NULL)
-		return;
-	l->ret = pool_load_job(
-	    l->pool, l->job->id, r, job_spec, l->job->progress, l->error);
-	job_spec_unref(job_spec);
+		keep_newest_spec(t, j, r);
 }
 
 static void
 load_job(struct takeover *t, struct stored_job *j, struct pool *pool)
 {
-	struct job_load l = {.pool = pool, .job = j, .ret = -1};
 	struct err e;
 
-	err_clear(&e);
-	l.error = &e;
 	if (j->spec == NULL) /* dropped; a drop of its progress follows */
 		return;
-	if (job_spec_decode(
-		j->spec->data, j->spec->len, &e, load_job_spec, &l) == -1 ||
-	    l.ret == -1)
+	if (pool_load_job(
+		pool, j->id, &j->spec_record, j->spec, j->progress, &e) == -1)
 		daemon_log(LOG_LEVEL_ERROR, "takeover",
-		    "msg=\"stored job cannot be decoded; it is left out\" "
+		    "msg=\"stored job cannot be loaded; it is left out\" "
 		    "pool=%s job=%s offset=%lld error=\"%s\"",
 		    t->shard->pool_name, j->id, (long long)j->spec_offset,
 		    e.message);
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -516,6 +516,7 @@
 	snprintf(ev.u.submit.account, NAME_BYTES, "%s", r->account);
 	ev.u.submit.isolated = accounts_configured(sh);
 	ev.u.submit.spec = job_spec;
+	ev.u.submit.text = r->body;
 	if (store_writer_overdue(sh->writer, r->left_ms))
 		ev.u.submit.refuse_ms = STORE_STALL_RETRY_MS;
 	shard_handle_event(sh, &ev);
--- a/src/scheduler/store_watch.c
+++ b/src/scheduler/store_watch.c
@@ -180,7 +180,7 @@
 	struct worker_report report;
 	char id[NAME_BYTES];
 
-	name_shorten(id, r->key);
+	name_keep(id, r->key);
 	e = find_worker(w, id);
 	/* an odd record leaves the last good entry as it is */
 	if (e != NULL)
--- a/standin/job_store.c
+++ b/standin/job_store.c
@@ -18,8 +18,9 @@
 #define RECORD_KEY_BYTES 256
 #define RECORD_HEAD 4 /* bytes of a record's length */
 /* Larger ones are refused whole; the practice settings name the same. */
-#define RECORD_BYTES 8192
-#define REQUEST_BYTES 16384 /* records of one append */
+#define RECORD_BYTES 8192 /* unless job_store_records() says otherwise */
+#define REQUEST_RECORDS 2 /* longest records in one append */
+#define PAGE_BYTES (1024 * 1024) /* of newest records */
 
 struct record_bytes {
 	uint8_t *data;
@@ -91,6 +92,7 @@
 	struct turned_away turned_away[MEMBERS_MAX];
 	int lose; /* tries of each append that get no answer */
 	int unreadable; /* appends refused for good */
+	size_t record_bytes; /* a record's limit */
 	int page_items; /* of a page of newest records; 0: all */
 	int odd_pages, odd_reads; /* so many answers cannot be read */
 	int garble; /* so many appends are refused as if they were */
@@ -315,16 +317,16 @@
 
 /* All of its records are whole, and within the limits. */
 static bool
-readable(const struct buf *b)
+readable(const struct job_store *s, const struct buf *b)
 {
 	size_t pos = 0;
 	uint32_t len;
 
-	if (b->len > REQUEST_BYTES)
+	if (b->len > REQUEST_RECORDS * s->record_bytes)
 		return false;
 	while (pos + RECORD_HEAD <= b->len) {
 		len = get_u32(b->data + pos);
-		if (len > RECORD_BYTES || len > b->len - pos - RECORD_HEAD)
+		if (len > s->record_bytes || len > b->len - pos - RECORD_HEAD)
 			return false;
 		pos += RECORD_HEAD + len;
 	}
@@ -349,7 +351,7 @@
 	bool mutate;
 	uint32_t len;
 
-	if (!readable(x->body) || (epoch >= 0 && s->garble > 0)) {
+	if (!readable(s, x->body) || (epoch >= 0 && s->garble > 0)) {
 		s->garble -= s->garble > 0;
 		s->unreadable++;
 		refuse_append(x, 400, "unreadable", (int64_t)t->count);
@@ -489,6 +491,7 @@
 	struct json_object *root, *items, *o;
 	char after[RECORD_KEY_BYTES] = "";
 	bool first = !page_after(x, after, sizeof(after)), more = false;
+	size_t bytes = 0;
 	const struct key_head *h;
 
 	if (!first && s->odd_pages > 0 && is_workers(t)) {
@@ -502,13 +505,17 @@
 	for (h = t->heads; h != NULL; h = h->hh.next) {
 		if (!first && strcmp(h->key, after) <= 0)
 			continue;
-		more = s->page_items > 0 &&
-		    json_object_array_length(items) == (size_t)s->page_items;
+		more = bytes > PAGE_BYTES ||
+		    (s->page_items > 0 &&
+			json_object_array_length(items) ==
+			    (size_t)s->page_items);
 		if (more)
 			break;
 		o = item_new(t, h);
-		if (o != NULL)
+		if (o != NULL) {
 			json_object_array_add(items, o);
+			bytes += t->list[h->at].len;
+		}
 	}
 	json_object_object_add(root, "items", items);
 	json_object_object_add(root, "hasMore", json_object_new_boolean(more));
@@ -721,6 +728,12 @@
 	topic_add(topic_of(s, topic), data, len);
 }
 
+void
+job_store_records(struct job_store *s, int record_bytes)
+{
+	s->record_bytes = (size_t)record_bytes;
+}
+
 void
 job_store_page(struct job_store *s, int items)
 {
@@ -826,6 +839,7 @@
 
 	if (s == NULL)
 		return NULL;
+	s->record_bytes = RECORD_BYTES;
 	LIST_INIT(&s->reads);
 	STAILQ_INIT(&s->appends);
 	return s;
--- a/standin/job_store.h
+++ b/standin/job_store.h
@@ -28,6 +28,8 @@
     struct job_store *s, const char *topic, const void *data, size_t len);
 /* Pages of the newest records have so many; 0: all of them. */
 void job_store_page(struct job_store *s, int items);
+/* Limit of a record; an append may have twice as much. */
+void job_store_records(struct job_store *s, int record_bytes);
 /* So many further pages after the first one are cut off. */
 void job_store_odd_pages(struct job_store *s, int pages);
 /* So many reads of records have a record with a length of 4 GB. */
--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -125,6 +125,7 @@
 	lws_sorted_usec_list_t tick;
 	int64_t starts, twice, ended, upkeeps, moves, advised;
 	struct worker_texts *texts;
+	int record_bytes; /* 0: the usual limit */
 	int text_bytes; /* longest text of a worker or the policy */
 	int64_t resumed; /* starts with a value that was saved */
 	int64_t odd_texts; /* values and tickets that are not the task's */
@@ -973,6 +974,7 @@
 	"Further ports, by which the store tells "
 	"its clients apart",
 	0},
+    {"record-bytes", 'R', "BYTES", 0, "Limit of a record of the store", 0},
     {"texts", 'T', "BYTES", 0,
 	"Workers' values and tickets are drawn and have up to so many bytes",
 	0},
@@ -1013,6 +1015,9 @@
 	case 'S':
 		parse_store_ports(arg);
 		break;
+	case 'R':
+		world.record_bytes = (int)strtol(arg, NULL, 10);
+		break;
 	case 'T':
 		world.text_bytes = (int)strtol(arg, NULL, 10);
 		break;
@@ -1074,6 +1079,8 @@
 	LIST_INIT(&world.dones);
 	world.began_ms = now_ms();
 	world.store = job_store_new();
+	if (world.record_bytes > 0)
+		job_store_records(world.store, world.record_bytes);
 	world.texts = worker_texts_new(world.text_bytes);
 	if (world.mutation == MUTATE_LOSE)
 		job_store_forget_appends(world.store, MUTATE_EVERY);
--- a/tests/unit/test_caller_auth.c
+++ b/tests/unit/test_caller_auth.c
@@ -201,6 +201,7 @@
 	static const struct queue_settings queue = {.name = "q", .stretch = 2};
 	static const char id[] = "00000000000000a1";
 	struct pool_event ev = {.kind = kind, .now_us = 1, .now_ms = 1};
+	struct buf *text = buf_from("{}", 2);
 	int answer = -1;
 	size_t i;
 
@@ -210,6 +211,7 @@
 		ev.u.submit.isolated = isolated;
 		ev.u.submit.queue = &queue;
 		ev.u.submit.spec = spec;
+		ev.u.submit.text = text;
 	} else {
 		snprintf(ev.u.job.id, JOB_ID_BYTES, "%s", id);
 		snprintf(ev.u.job.account, NAME_BYTES, "%s", account);
@@ -218,6 +220,7 @@
 	writes = 0;
 	pool_effects_clear(&effects);
 	pool_step(p, &ev, &effects);
+	buf_unref(text);
 	for (i = 0; i < effects.count; i++) {
 		writes += effects.list[i].kind == POOL_WRITE;
 		if (effects.list[i].kind == POOL_ANSWER)
--- a/tests/unit/test_long_names.c
+++ b/tests/unit/test_long_names.c
@@ -1,5 +1,6 @@
 /* Names of the platform that are longer than names inside may be. */
 #include <criterion/criterion.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -92,8 +93,8 @@
 {
 	char one[NAME_BYTES], two[NAME_BYTES], again[NAME_BYTES];
 
-	name_shorten(one, beginning);
-	name_shorten(two, other);
+	name_keep(one, beginning);
+	name_keep(two, other);
 	name_shorten(again, beginning);
 	cr_expect_str_neq(one, two);
 	cr_expect_str_eq(one, again);
@@ -109,7 +110,7 @@
 {
 	char one[NAME_BYTES];
 
-	name_shorten(one, beginning);
+	name_keep(one, beginning);
 	long_names_uninit();
 	cr_expect_null(name_full(one));
 }
@@ -146,12 +147,18 @@
 /* Commands to the platform carry its own names. */
 Test(long_names, a_machine_moves_under_its_own_name)
 {
-	char machine[NAME_BYTES], pool[NAME_BYTES], *text;
+	char page[4 * LONG_BYTES], *text;
+	struct machine_list list = {0};
 	struct buf *body;
 
-	name_shorten(machine, beginning);
-	name_shorten(pool, other);
-	body = machine_move_body(machine, pool);
+	snprintf(page, sizeof(page),
+	    "{\"machines\":[{\"machine\":\"%s\",\"pool\":\"%s\","
+	    "\"state\":\"up\"}]}",
+	    beginning, other);
+	cr_assert_eq(machine_list_add_page(&list, page, strlen(page)), 0);
+	body =
+	    machine_move_body(list.machines[0].machine, list.machines[0].pool);
+	machine_list_uninit(&list);
 	cr_assert_not_null(body);
 	text = strndup((const char *)body->data, body->len);
 	cr_expect_not_null(strstr(text, beginning));
@@ -187,3 +194,78 @@
 	cr_expect_str_eq(path, "/machines");
 	free(path);
 }
+
+#define JOBS 200
+#define JOB_TEXT_BYTES 80000
+#define KEPT_MAX_BYTES ((size_t)4 * 1024 * 1024)
+
+static struct job_spec *
+parse_job_with_texts(unsigned number)
+{
+	size_t size = 4 * JOB_TEXT_BYTES, n;
+	char *text = malloc(size), *label = malloc(JOB_TEXT_BYTES + 1);
+	struct job_spec *spec;
+	struct err e;
+
+	memset(label, 'l', JOB_TEXT_BYTES);
+	label[JOB_TEXT_BYTES] = '\0';
+	n = (size_t)snprintf(text, size,
+	    "{\"taskSpec\":\"x\",\"steps\":[{\"count\":1,\"requires\":\"a%u%"
+	    "s\","
+	    "\"dataLocality\":\"b%u%s\",\"image\":\"c%u%s\"}]}",
+	    number, label, number, label, number, label);
+	spec = job_spec_parse(text, n, &e);
+	cr_assert_not_null(spec);
+	free(label);
+	free(text);
+	return spec;
+}
+
+/* 1,500 such jobs took their owner to 696 MB of 260: no text was given up. */
+Test(long_names, texts_of_jobs_are_not_kept)
+{
+	struct job_spec *specs[JOBS];
+	struct mallinfo2 before = mallinfo2();
+	unsigned i;
+
+	for (i = 0; i < JOBS; i++)
+		specs[i] = parse_job_with_texts(i);
+	cr_expect_lt(mallinfo2().uordblks, before.uordblks + KEPT_MAX_BYTES,
+	    "%zu bytes for %d jobs", mallinfo2().uordblks - before.uordblks,
+	    JOBS);
+	for (i = 0; i < JOBS; i++)
+		job_spec_unref(specs[i]);
+}
+
+/* A label is compared by what stands for it, with whatever text it is. */
+Test(long_names, a_long_label_of_a_job_is_that_of_its_worker)
+{
+	struct job_spec *spec = parse_job_with_texts(7);
+	char *label = malloc(JOB_TEXT_BYTES + 3), name[NAME_BYTES];
+
+	memset(label, 'l', JOB_TEXT_BYTES + 2);
+	memcpy(label, "a7", 2);
+	label[JOB_TEXT_BYTES + 2] = '\0';
+	name_shorten(name, label);
+	cr_expect_str_eq(name, spec->steps[0].label);
+	free(label);
+	job_spec_unref(spec);
+}
+
+/* Names of workers and machines are kept up to a bound, the newest ones. */
+Test(long_names, kept_names_have_a_bound_in_bytes)
+{
+	char text[LONG_BYTES * 100], name[NAME_BYTES];
+	struct mallinfo2 before = mallinfo2();
+	unsigned i;
+
+	memset(text, 'n', sizeof(text));
+	text[sizeof(text) - 1] = '\0';
+	for (i = 0; i < 2000; i++) {
+		text[snprintf(text, sizeof(text), "%u", i)] = 'n';
+		name_keep(name, text);
+		cr_assert_str_eq(name_full(name), text);
+	}
+	cr_expect_lt(mallinfo2().uordblks,
+	    before.uordblks + LONG_NAMES_MAX_BYTES + 100000);
+}
