daemon_log: a name from outside cannot begin a line

Cause: names of operators and of the platform go into lines as they are; a line break in one begins a line of its own, which may look like any other.

Change: control characters of a line are replaced. Spaces and quotes in names are not: they may still look like a field of the same line.

Measured: the unit test; it has no counterpart before.

--- a/src/shell/daemon_log.c
+++ b/src/shell/daemon_log.c
@@ -183,6 +183,15 @@
 	log4c_fini();
 }
 
+void
+log_line_clean(char *line)
+{
+	for (; *line != '\0'; line++) {
+		if ((unsigned char)*line < ' ' || *line == '\x7f')
+			*line = '?';
+	}
+}
+
 void
 daemon_log(enum log_level level, const char *module, const char *fmt, ...)
 {
@@ -203,5 +212,6 @@
 	va_start(ap, fmt);
 	vsnprintf(text + n, sizeof(text) - (size_t)n, fmt, ap);
 	va_end(ap);
+	log_line_clean(text);
 	log4c_category_log(category, priorities[level], "%s", text);
 }
--- a/src/shell/daemon_log.h
+++ b/src/shell/daemon_log.h
@@ -19,5 +19,8 @@
 void daemon_log_close(void);
 void daemon_log(enum log_level level, const char *module, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/* Replaces control characters, so that a name in a line cannot begin another.
+ */
+void log_line_clean(char *line);
 
 #endif
--- a/tests/unit/test_checkpoints.c
+++ b/tests/unit/test_checkpoints.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "advice_wire.h"
+#include "daemon_log.h"
 #include "drawn_text.h"
 #include "job_record.h"
 #include "json_get.h"
@@ -489,3 +490,12 @@
 	stored_text_free(&second);
 	cr_expect_eq(store.bytes, 0);
 }
+
+/* Values are not logged, and a name from outside begins no line. */
+Test(checkpoints, a_line_of_the_log_stays_one_line)
+{
+	char line[] = "worker=a\nts=0 level=error\r\x7f\t msg=\"\xc3\xa9\"";
+
+	log_line_clean(line);
+	cr_expect_str_eq(line, "worker=a?ts=0 level=error??? msg=\"\xc3\xa9\"");
+}
