tests/soak: values of workers and tickets are drawn, up to 3,000 bytes

Three kinds of jobs save values while they run and when they are stopped, one of them lasting; the policy's tickets are drawn, too, and a start that carries another text than its task's or its step's breaks "unasked". One kind has an image with a long name, quotes and a line break.

--- a/standin/main_jobs.c
+++ b/standin/main_jobs.c
@@ -108,7 +108,8 @@
 	MUTATE_EXCUSE, /* failed is listed as stopped */
 	MUTATE_FENCE, /* lower fences are obeyed */
 	MUTATE_PRETEND, /* lasting tasks are listed and do not run */
-	MUTATE_LOSE /* an append in some is acknowledged and not kept */
+	MUTATE_LOSE, /* an append in some is acknowledged and not kept */
+	MUTATE_TEXT /* other values are listed than were saved */
 };
 
 static struct {
@@ -439,7 +440,10 @@
 					      : 0) >=
 			SAVE_MS)
 			run_save(r);
-		json_object_array_add(row, saved_value_json(r->saved));
+		json_object_array_add(row,
+		    world.mutation == MUTATE_TEXT && r->saved != NULL
+			? json_object_new_string("another value")
+			: saved_value_json(r->saved));
 		json_object_array_add(row, json_object_new_int(run_percent(r)));
 		json_object_array_add(running, row);
 	}
--- a/tests/soak/main_soak.c
+++ b/tests/soak/main_soak.c
@@ -23,6 +23,7 @@
 #include "soak_plan.h"
 #include "view.h"
 
+#define TEXT_BYTES "3000" /* longest value of a task, or ticket */
 #define WORKERS 8 /* of the stand-in's two pools */
 #define WORKERS_OF_POOL (WORKERS / 2)
 #define CLIENTS 8
@@ -657,8 +658,8 @@
 static int
 standin_mutation(void)
 {
-	static const char *const names[] = {
-	    "", "hide", "redo", "early", "excuse", "fence", "pretend", "lose"};
+	static const char *const names[] = {"", "hide", "redo", "early",
+	    "excuse", "fence", "pretend", "lose", "text"};
 	size_t i;
 
 	for (i = 1; i < sizeof(names) / sizeof(names[0]); i++) {
@@ -672,8 +673,8 @@
 make_fleet(void)
 {
 	char log[256], ports[256] = "", mutation[8];
-	const char *args[] = {
-	    "--log", log, "--ports", ports, "--mutate", mutation, NULL};
+	const char *args[] = {"--log", log, "--ports", ports, "--mutate",
+	    mutation, "--texts", TEXT_BYTES, NULL};
 	struct job_fleet_opts o = {.daemons = soak.daemons,
 	    .platform_port = free_port(),
 	    .procs = procs_new(),
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -32,8 +32,9 @@
 	.attempts = 3,
 	.hopeless = true},
     {.prefix = "/blue/",
-	.body = "{\"taskSpec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":100,"
-		"\"longRunning\":true,\"mayMiss\":1}]}",
+	.body = "{\"taskSpec\":\"saves;lasts\",\"steps\":[{\"count\":2,"
+		"\"cpu\":100,\"longRunning\":true,\"mayMiss\":1,"
+		"\"checkpointing\":true}]}",
 	.steps = 1,
 	.step = {{.count = 2}},
 	.attempts = 3,
@@ -45,14 +46,16 @@
 	.step = {{.count = 4}},
 	.attempts = 2},
     {.prefix = "/blue/green/",
-	.body = "{\"taskSpec\":\"takes:1500\",\"steps\":[{\"count\":2,"
-		"\"cpu\":500,\"estimateMs\":1500}]}",
+	.body = "{\"taskSpec\":\"saves;takes:1500\",\"steps\":[{\"count\":2,"
+		"\"cpu\":500,\"estimateMs\":1500,\"checkpointing\":true,"
+		"\"image\":\"an image whose name is \\\"longer\\\" than a name "
+		"inside may be,\\nand has a line break\"}]}",
 	.steps = 1,
 	.step = {{.count = 2}},
 	.attempts = 2},
     {.prefix = SOAK_MOVED_PREFIX,
-	.body = "{\"taskSpec\":\"takes:2500\",\"steps\":[{\"count\":1,"
-		"\"cpu\":500,\"estimateMs\":2500}]}",
+	.body = "{\"taskSpec\":\"saves;takes:2500\",\"steps\":[{\"count\":1,"
+		"\"cpu\":500,\"estimateMs\":2500,\"checkpointing\":true}]}",
 	.steps = 1,
 	.step = {{.count = 1}},
 	.attempts = 3},
--- a/tests/soak/soak_judge.c
+++ b/tests/soak/soak_judge.c
@@ -303,6 +303,14 @@
 	}
 }
 
+/* A start with a checkpoint or ticket that is not the task's. */
+static void
+on_odd_text(struct soak_judge *j, const char *args)
+{
+	soak_judge_broken(j, CHECK_UNASKED,
+	    "%s starts with a text that is not its own", args);
+}
+
 static void
 on_start(struct soak_judge *j, const char *args)
 {
@@ -473,7 +481,9 @@
 	char worker[WORKER_BYTES] = "";
 	int64_t life = 0, fence = 0;
 
-	if (strcmp(what, "start") == 0)
+	if (strcmp(what, "odd") == 0)
+		on_odd_text(j, args);
+	else if (strcmp(what, "start") == 0)
 		on_start(j, args);
 	else if (strcmp(what, "end") == 0)
 		on_end(j, args);
