job_spec_wire: a text that cannot be passed on whole is refused

What workers would see: a job whose "taskSpec" has half of a surrogate pair ("\ud83c") is accepted, and its tasks start with U+FFFD in its place, which nobody has sent.

Change: such a job is answered 400 where it is handed in. One that is stored already is loaded as before, so that it is not lost.

Measured: the unit test (job_spec_parse() takes the text, the parser for submissions refuses it) and the process test of bad input.

--- a/src/platform/job_spec_wire.c
+++ b/src/platform/job_spec_wire.c
@@ -5,6 +5,7 @@
 
 #include "json_get.h"
 #include "long_name.h"
+#include "text_reader.h"
 
 #define TASK_SPEC_MAX_BYTES 4000
 
@@ -165,6 +166,20 @@
 	return out;
 }
 
+struct job_spec *
+job_spec_parse_submitted(const void *data, size_t len, struct err *e)
+{
+	struct job_spec *s = job_spec_parse(data, len, e);
+
+	if (s == NULL || !json_text_altered(data, len, s->task_spec))
+		return s;
+	job_spec_unref(s);
+	err_set(e, ERR_SYNTAX, 0, "send whole characters",
+	    "\"taskSpec\" has half of a surrogate pair, which cannot be passed "
+	    "on");
+	return NULL;
+}
+
 struct buf *
 job_state_body(enum job_state state)
 {
--- a/src/platform/job_spec_wire.h
+++ b/src/platform/job_spec_wire.h
@@ -15,10 +15,16 @@
 #define CALLER_HEADER_KEY "x-api-key"
 
 /*
- * Parses a job specification, which keeps a copy of the bytes.  NULL when it is
- * invalid, with the error and its place in "e".
+ * Parses a job specification.  NULL when it is invalid, with the error and its
+ * place in "e".
  */
 struct job_spec *job_spec_parse(const void *data, size_t len, struct err *e);
+/*
+ * The same for a job that is not stored yet: also refuses a text that workers
+ * would not get as it was sent.
+ */
+struct job_spec *job_spec_parse_submitted(
+    const void *data, size_t len, struct err *e);
 /* {"state": STATE} */
 struct buf *job_state_body(enum job_state state);
 /* {"waiting": N} */
--- a/src/platform/text_reader.c
+++ b/src/platform/text_reader.c
@@ -43,6 +43,13 @@
 	return false;
 }
 
+bool
+json_text_altered(const void *json, size_t len, const char *parsed)
+{
+	return strstr(parsed, REPLACEMENT) != NULL &&
+	    find_lone_surrogate(json, (const char *)json + len);
+}
+
 int
 text_reader_init(struct text_reader *t, const void *json, size_t len)
 {
--- a/src/platform/text_reader.h
+++ b/src/platform/text_reader.h
@@ -21,6 +21,8 @@
 
 /* "json" is the text that was parsed.  -1 when memory is short. */
 int text_reader_init(struct text_reader *t, const void *json, size_t len);
+/* "parsed" is a string of the text that may differ from what was sent. */
+bool json_text_altered(const void *json, size_t len, const char *parsed);
 void text_reader_uninit(struct text_reader *t);
 /*
  * The copy is in "texts"; a string that is missing is empty.  False when "v" is
--- a/src/scheduler/shards.c
+++ b/src/scheduler/shards.c
@@ -499,8 +499,8 @@
 		    "store",
 		    r->body != NULL ? r->body->len : 0);
 	else
-		job_spec =
-		    job_spec_parse(r->body->data, r->body->len, &invalid.error);
+		job_spec = job_spec_parse_submitted(
+		    r->body->data, r->body->len, &invalid.error);
 	if (job_spec == NULL) {
 		HASH_FIND(hh, sh->requests, &token, sizeof(token), req);
 		if (req == NULL)
--- a/tests/process/test_jobs.c
+++ b/tests/process/test_jobs.c
@@ -646,6 +646,7 @@
 	    "{\"steps\":[{\"count\":1,\"after\":[-1]}]}",
 	    "{\"steps\":[{\"count\":1,\"cpu\":-5}]}",
 	    "{\"taskSpec\":7,\"steps\":[{\"count\":1}]}",
+	    "{\"taskSpec\":\"a\\ud83c\",\"steps\":[{\"count\":1}]}",
 	    "{\"steps\":[{\"count\":99999999}]}"};
 	char path[64], text[256];
 	size_t i;
--- a/tests/unit/test_checkpoints.c
+++ b/tests/unit/test_checkpoints.c
@@ -9,6 +9,7 @@
 #include "daemon_log.h"
 #include "drawn_text.h"
 #include "job_record.h"
+#include "job_spec_wire.h"
 #include "json_get.h"
 #include "worker_wire.h"
 
@@ -491,6 +492,30 @@
 	cr_expect_eq(store.bytes, 0);
 }
 
+/* A worker would be told to start what nobody sent. */
+Test(checkpoints, a_job_whose_text_cannot_be_passed_on_is_refused)
+{
+	static const char lone[] =
+	    "{\"taskSpec\":\"a\\udf3f\",\"steps\":[{\"count\":1}]}";
+	static const char *const whole[] = {
+	    "{\"taskSpec\":\"\\ud83c\\udf3f\",\"steps\":[{\"count\":1}]}",
+	    "{\"taskSpec\":\"\xef\xbf\xbd\",\"steps\":[{\"count\":1}]}"};
+	struct job_spec *s;
+	struct err e;
+	size_t i;
+
+	cr_expect_null(job_spec_parse_submitted(lone, strlen(lone), &e));
+	/* one that an earlier version has accepted is not lost */
+	s = job_spec_parse(lone, strlen(lone), &e);
+	cr_expect_not_null(s);
+	job_spec_unref(s);
+	for (i = 0; i < sizeof(whole) / sizeof(whole[0]); i++) {
+		s = job_spec_parse_submitted(whole[i], strlen(whole[i]), &e);
+		cr_expect_not_null(s, "%s", whole[i]);
+		job_spec_unref(s);
+	}
+}
+
 /* Values are not logged, and a name from outside begins no line. */
 Test(checkpoints, a_line_of_the_log_stays_one_line)
 {
