config_wire: a worker with more than 8 labels is used

What would be seen: a worker whose entry has more than 8 labels is never used.

Change: the first 8 labels are kept, of which the users' pages name two, kind and rack; the line "worker listed" says how many were left out. A task that requires one of those does not start there.

--- a/src/jobs/pool_workers.c
+++ b/src/jobs/pool_workers.c
@@ -446,8 +446,10 @@
 	started_ms = r->started_ms != 0 ? r->started_ms : w->report.started_ms;
 	if (!w->listed)
 		fx_log(p, LOG_LEVEL_INFO,
-		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld",
-		    r->id, r->data_centre, (long long)r->cpu_milli);
+		    "msg=\"worker listed\" worker=%s data_centre=%s cpu=%lld "
+		    "labels=%zu labels_left_out=%zu",
+		    r->id, r->data_centre, (long long)r->cpu_milli,
+		    r->label_count, r->labels_left_out);
 	w->report = *r;
 	w->report.clock_ms = clock_ms;
 	w->report.started_ms = started_ms;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -22,6 +22,7 @@
 	char data_centre[NAME_BYTES];
 	char labels[WORKER_LABELS_MAX][NAME_BYTES];
 	size_t label_count;
+	size_t labels_left_out; /* beyond WORKER_LABELS_MAX */
 	int64_t cpu_milli; /* thousandths of a core */
 	int64_t memory_mb;
 	int64_t accelerators;
--- a/src/platform/config_wire.c
+++ b/src/platform/config_wire.c
@@ -290,7 +290,10 @@
 	memset(w, 0, sizeof(*w));
 }
 
-/* False when a label is no string, or there are too many. */
+/*
+ * False when a label is no string.  Tasks that require one beyond those kept do
+ * not start on the worker.
+ */
 static bool
 parse_labels(struct worker_report *r, struct json_object *root)
 {
@@ -302,14 +305,13 @@
 	if (!json_object_is_type(list, json_type_array))
 		return false;
 	n = json_object_array_length(list);
-	if (n > WORKER_LABELS_MAX)
-		return false;
-	for (i = 0; i < n; i++) {
+	r->label_count = n < WORKER_LABELS_MAX ? n : WORKER_LABELS_MAX;
+	r->labels_left_out = n - r->label_count;
+	for (i = 0; i < r->label_count; i++) {
 		o = json_object_array_get_idx(list, i);
 		if (o == NULL || !json_copy_name(o, r->labels[i]))
 			return false;
 	}
-	r->label_count = n;
 	return true;
 }
 
