--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -208,6 +208,7 @@
 	bool inherited; /* accepted by an earlier owner */
 	uint64_t spec_serial; /* write that stores the specification */
 	bool progress_stale; /* progress differs from what was written */
+	size_t checkpoints_left_out; /* of a record, the most so far */
 	bool in_changed_list; /* pool.changed_jobs contains the job */
 	TAILQ_ENTRY(job) changed_entries;
 	int64_t ended_ms; /* Unix time of the final state */
--- a/src/jobs/pool_jobs.c
+++ b/src/jobs/pool_jobs.c
@@ -302,12 +302,14 @@
 	value = job_progress_encode(j, &e);
 	if (value == NULL)
 		abort(); /* ends are acknowledged once progress is stored */
-	if (e.checkpoints_left_out > 0)
+	if (e.checkpoints_left_out > j->checkpoints_left_out) {
+		j->checkpoints_left_out = e.checkpoints_left_out;
 		fx_log(p, LOG_LEVEL_WARN,
 		    "msg=\"job progress too large: saved without the longest "
 		    "checkpoints\" job=%s left_out=%zu bytes=%zu most=%zu",
 		    j->id, e.checkpoints_left_out, value->len,
 		    p->opts.record_max_bytes);
+	}
 	job_progress_key(key, j->id);
 	fx_write(p, key, value);
 	j->progress_stale = false;
