--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -9,6 +9,8 @@
 #include "http_json.h"
 
 #define START_LIMIT_MS 30000
+#define SUBMIT_TRIES 300
+#define SUBMIT_PAUSE_MS 50
 #define CONFIG_VERSION 3
 #define RECORD_BYTES 8192 /* limit of the store, unless a test sets one */
 
@@ -188,6 +190,43 @@
 	    job_fleet_call(f, 1, "GET", "/blue/", NULL, NULL, 0) == 200;
 }
 
+static bool
+all_serve(void *arg)
+{
+	const struct job_fleet *f = arg;
+	int i;
+
+	for (i = 0; i < f->daemon_count; i++) {
+		if (!job_fleet_ready(f, i))
+			return false;
+	}
+	return job_fleet_owned(f);
+}
+
+bool
+job_fleet_start_all(struct job_fleet *f, int limit_ms)
+{
+	int i;
+
+	for (i = 0; i < f->daemon_count; i++)
+		job_fleet_start(f, i);
+	return wait_until(all_serve, f, limit_ms);
+}
+
+int
+job_fleet_submit(const struct job_fleet *f, const char *path, const char *body)
+{
+	int status = -1, tries = 0;
+
+	while (status != 200 && tries++ < SUBMIT_TRIES) {
+		status = job_fleet_call(
+		    f, tries % f->daemon_count, "POST", path, body, NULL, 0);
+		if (status != 200)
+			sleep_ms(SUBMIT_PAUSE_MS);
+	}
+	return status;
+}
+
 int
 job_fleet_call(const struct job_fleet *f, int i, const char *method,
     const char *path, const char *body, char *out, size_t size)
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -54,6 +54,11 @@
 void job_fleet_settings(const struct job_fleet *f, int daemon);
 void job_fleet_free(struct job_fleet *f);
 void job_fleet_start(struct job_fleet *f, int daemon);
+/* Starts all; false if they are not ready, or do not own the pools, in time. */
+bool job_fleet_start_all(struct job_fleet *f, int limit_ms);
+/* Hands a job in at any daemon until it is accepted; the newest status. */
+int job_fleet_submit(
+    const struct job_fleet *f, const char *path, const char *body);
 /* The daemon answers /readiness with 200. */
 bool job_fleet_ready(const struct job_fleet *f, int daemon);
 /* Both daemons reach an owner of each pool. */
--- a/src/platform/text_reader.c
+++ b/src/platform/text_reader.c
@@ -1,29 +1,30 @@
 #include "text_reader.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define REPLACEMENT "\xef\xbf\xbd" /* U+FFFD, in the place of half a pair */
 #define ESCAPE_CHARS 6 /* \uXXXX */
+/* UTF-16 units: the first high surrogate, the first low one, the last. */
+#define HIGH_SURROGATE 0xd800
+#define LOW_SURROGATE 0xdc00
+#define SURROGATE_LAST 0xdfff
 
 /* The UTF-16 unit of an escape; -1: the bytes are none. */
 static int
 escaped_unit(const char *s, const char *end)
 {
-	int unit = 0, i;
+	char digits[ESCAPE_CHARS - 1] = "";
 
 	if (end - s < ESCAPE_CHARS || s[0] != '\\' || s[1] != 'u')
 		return -1;
-	for (i = 2; i < ESCAPE_CHARS; i++) {
-		const char *digits = "0123456789abcdef";
-		const char *d = strchr(digits, s[i] | ('a' - 'A'));
-
-		if (d == NULL || *d == '\0')
-			return -1;
-		unit = unit * 16 + (int)(d - digits);
-	}
-	return unit;
+	memcpy(digits, s + 2, ESCAPE_CHARS - 2);
+	return strspn(digits, "0123456789abcdefABCDEF") == ESCAPE_CHARS - 2
+	    ? (int)strtol(digits, NULL, 16)
+	    : -1;
 }
 
+/* A high surrogate stands before a low one, and only there. */
 static bool
 find_lone_surrogate(const char *s, const char *end)
 {
@@ -31,12 +32,13 @@
 
 	while ((s = memchr(s, '\\', (size_t)(end - s))) != NULL) {
 		unit = escaped_unit(s, end);
-		if (unit < 0xd800 || unit > 0xdfff) {
+		if (unit < HIGH_SURROGATE || unit > SURROGATE_LAST) {
 			s += end - s > 1 ? 2 : 1;
 			continue;
 		}
 		next = escaped_unit(s + ESCAPE_CHARS, end);
-		if (unit > 0xdbff || next < 0xdc00 || next > 0xdfff)
+		if (unit >= LOW_SURROGATE || next < LOW_SURROGATE ||
+		    next > SURROGATE_LAST)
 			return true;
 		s += (ptrdiff_t)2 * ESCAPE_CHARS;
 	}
--- a/tests/process/test_checkpoints.c
+++ b/tests/process/test_checkpoints.c
@@ -20,27 +20,10 @@
 
 static struct job_fleet *fleet;
 
-static bool
-daemons_ready(void *arg)
-{
-	int i;
-
-	(void)arg;
-	for (i = 0; i < JOB_DAEMONS; i++) {
-		if (!job_fleet_ready(fleet, i))
-			return false;
-	}
-	return job_fleet_owned(fleet);
-}
-
 static void
 start_daemons(void)
 {
-	int i;
-
-	for (i = 0; i < JOB_DAEMONS; i++)
-		job_fleet_start(fleet, i);
-	cr_assert(wait_until(daemons_ready, NULL, LIMIT_MS));
+	cr_assert(job_fleet_start_all(fleet, LIMIT_MS));
 }
 
 /* Texts of up to so many bytes. */
@@ -67,15 +50,7 @@
 static void
 submit(const char *path, const char *body)
 {
-	int status = -1, tries = 0;
-
-	while (status != 200 && tries++ < 300) {
-		status = job_fleet_call(
-		    fleet, tries % JOB_DAEMONS, "POST", path, body, NULL, 0);
-		if (status != 200)
-			sleep_ms(50);
-	}
-	cr_assert_eq(status, 200, "job %s: %d", path, status);
+	cr_assert_eq(job_fleet_submit(fleet, path, body), 200, "%s", path);
 }
 
 static bool
--- a/tests/process/test_long_texts.c
+++ b/tests/process/test_long_texts.c
@@ -19,27 +19,10 @@
 
 static struct job_fleet *fleet;
 
-static bool
-daemons_ready(void *arg)
-{
-	int i;
-
-	(void)arg;
-	for (i = 0; i < JOB_DAEMONS; i++) {
-		if (!job_fleet_ready(fleet, i))
-			return false;
-	}
-	return job_fleet_owned(fleet);
-}
-
 static void
 start_daemons(void)
 {
-	int i;
-
-	for (i = 0; i < JOB_DAEMONS; i++)
-		job_fleet_start(fleet, i);
-	cr_assert(wait_until(daemons_ready, NULL, LIMIT_MS));
+	cr_assert(job_fleet_start_all(fleet, LIMIT_MS));
 }
 
 static void
@@ -92,7 +75,6 @@
 {
 	static char body[4 * TEXT_BYTES], text[TEXT_BYTES + 1];
 	char path[64];
-	int status = -1, tries = 0;
 
 	memset(text, 't', TEXT_BYTES);
 	snprintf(body, sizeof(body),
@@ -101,13 +83,8 @@
 	    "\"image\":\"c%d%s\"}]}",
 	    number, text, number, text, number, text);
 	snprintf(path, sizeof(path), "/blue/%016x", number);
-	while (status != 200 && tries++ < 300) {
-		status = job_fleet_call(
-		    fleet, tries % JOB_DAEMONS, "POST", path, body, NULL, 0);
-		if (status != 200)
-			sleep_ms(50);
-	}
-	cr_assert_eq(status, 200, "job %d: %d", number, status);
+	cr_assert_eq(
+	    job_fleet_submit(fleet, path, body), 200, "job %d", number);
 }
 
 static bool
