--- a/src/jobs/pool_state.h
+++ b/src/jobs/pool_state.h
@@ -431,6 +431,14 @@
 /* Time of the next renewal, "latest_us" at the latest. */
 int64_t pool_next_renewal_us(const struct pool *p, int64_t latest_us);
 
+/* pool_reports.c */
+/*
+ * Adopts, ends and detaches runs by an answer to a renewal that was sent at
+ * "sent_us".  True if a long-running task has begun to work.
+ */
+bool worker_process_report(struct pool *p, struct pool_worker *w,
+    const struct renewal_report *r, int64_t sent_us);
+
 /* pool_liveness.c */
 /* Starts a liveness check if a silent worker keeps tasks waiting. */
 void pool_check_liveness(struct pool *p);
