tests: process tests start their daemons and wait for a job in one way

Cause: test_queue_moves and test_odd_entries had copies of what job_fleet now does for the two new tests, and "wait until the job is completed" stood in two.

--- a/bench/job_fleet.c
+++ b/bench/job_fleet.c
@@ -203,6 +203,12 @@
 	return job_fleet_owned(f);
 }
 
+bool
+job_fleet_wait_serving(struct job_fleet *f, int limit_ms)
+{
+	return wait_until(all_serve, f, limit_ms);
+}
+
 bool
 job_fleet_start_all(struct job_fleet *f, int limit_ms)
 {
@@ -210,7 +216,32 @@
 
 	for (i = 0; i < f->daemon_count; i++)
 		job_fleet_start(f, i);
-	return wait_until(all_serve, f, limit_ms);
+	return job_fleet_wait_serving(f, limit_ms);
+}
+
+struct shown_job {
+	const struct job_fleet *fleet;
+	const char *path;
+};
+
+static bool
+shown_completed(void *arg)
+{
+	const struct shown_job *j = arg;
+	char text[128];
+
+	return job_fleet_call(j->fleet, 0, "GET", j->path, NULL, text,
+		   sizeof(text)) == 200 &&
+	    strstr(text, "completed") != NULL;
+}
+
+bool
+job_fleet_wait_completed(
+    const struct job_fleet *f, const char *path, int limit_ms)
+{
+	struct shown_job j = {f, path};
+
+	return wait_until(shown_completed, &j, limit_ms);
 }
 
 int
--- a/bench/job_fleet.h
+++ b/bench/job_fleet.h
@@ -54,11 +54,16 @@
 void job_fleet_settings(const struct job_fleet *f, int daemon);
 void job_fleet_free(struct job_fleet *f);
 void job_fleet_start(struct job_fleet *f, int daemon);
-/* Starts all; false if they are not ready, or do not own the pools, in time. */
+/* Starts all and waits for them, as below. */
 bool job_fleet_start_all(struct job_fleet *f, int limit_ms);
+/* False if not all are ready, or do not own the pools, in time. */
+bool job_fleet_wait_serving(struct job_fleet *f, int limit_ms);
 /* Hands a job in at any daemon until it is accepted; the newest status. */
 int job_fleet_submit(
     const struct job_fleet *f, const char *path, const char *body);
+/* The first daemon shows the job as completed before "limit_ms" are over. */
+bool job_fleet_wait_completed(
+    const struct job_fleet *f, const char *path, int limit_ms);
 /* The daemon answers /readiness with 200. */
 bool job_fleet_ready(const struct job_fleet *f, int daemon);
 /* Both daemons reach an owner of each pool. */
--- a/tests/process/test_checkpoints.c
+++ b/tests/process/test_checkpoints.c
@@ -53,20 +53,10 @@
 	cr_assert_eq(job_fleet_submit(fleet, path, body), 200, "%s", path);
 }
 
-static bool
-job_completed(void *arg)
-{
-	char text[128];
-
-	return job_fleet_call(fleet, 0, "GET", arg, NULL, text, sizeof(text)) ==
-	    200 &&
-	    strstr(text, "completed") != NULL;
-}
-
 static void
 expect_completed(char *path)
 {
-	cr_expect(wait_until(job_completed, path, LIMIT_MS), "%s", path);
+	cr_expect(job_fleet_wait_completed(fleet, path, LIMIT_MS), "%s", path);
 }
 
 static bool
--- a/tests/process/test_odd_entries.c
+++ b/tests/process/test_odd_entries.c
@@ -18,29 +18,12 @@
 static char paths[64][64];
 static size_t job_count;
 
-static bool
-ready_and_owned(void *arg)
-{
-	int i;
-
-	(void)arg;
-	for (i = 0; i < JOB_DAEMONS; i++) {
-		if (!job_fleet_ready(fleet, i))
-			return false;
-	}
-	return job_fleet_owned(fleet);
-}
-
 static void
 setup(void)
 {
-	int i;
-
 	fleet = job_fleet_new();
 	job_count = 0;
-	for (i = 0; i < JOB_DAEMONS; i++)
-		job_fleet_start(fleet, i);
-	cr_assert(wait_until(ready_and_owned, NULL, LIMIT_MS));
+	cr_assert(job_fleet_start_all(fleet, LIMIT_MS));
 }
 
 static void
@@ -239,7 +222,7 @@
 	proc_signal(fleet->daemons[0], SIGKILL);
 	cr_assert_neq(proc_wait(fleet->daemons[0], LIMIT_MS), -1);
 	job_fleet_start(fleet, 0);
-	cr_assert(wait_until(ready_and_owned, NULL, LIMIT_MS));
+	cr_assert(job_fleet_wait_serving(fleet, LIMIT_MS));
 	expect_jobs_run_once();
 	cr_expect_eq(count_lines("worker listed", "odd"), 0);
 }
--- a/tests/process/test_queue_moves.c
+++ b/tests/process/test_queue_moves.c
@@ -44,27 +44,10 @@
 	cr_assert_eq(job_fleet_configure(fleet, version, route), 200);
 }
 
-static bool
-daemons_ready(void *arg)
-{
-	int i;
-
-	(void)arg;
-	for (i = 0; i < JOB_DAEMONS; i++) {
-		if (!job_fleet_ready(fleet, i))
-			return false;
-	}
-	return job_fleet_owned(fleet);
-}
-
 static void
 start_daemons(void)
 {
-	int i;
-
-	for (i = 0; i < JOB_DAEMONS; i++)
-		job_fleet_start(fleet, i);
-	cr_assert(wait_until(daemons_ready, NULL, LIMIT_MS));
+	cr_assert(job_fleet_start_all(fleet, LIMIT_MS));
 }
 
 static void
@@ -105,20 +88,10 @@
 		    status);
 }
 
-static bool
-completed(void *arg)
-{
-	char text[128];
-
-	return job_fleet_call(fleet, 0, "GET", arg, NULL, text, sizeof(text)) ==
-	    200 &&
-	    strstr(text, "completed") != NULL;
-}
-
 static void
 expect_completed(char *path)
 {
-	cr_expect(wait_until(completed, path, LIMIT_MS), "%s", path);
+	cr_expect(job_fleet_wait_completed(fleet, path, LIMIT_MS), "%s", path);
 }
 
 static void
