progress_record: no passes over tasks of a job that saves nothing

Cause: each record of progress passed over all tasks three times more than before checkpoints had any length, also for jobs without one; the lengths were collected four levels deep.

Change: the lengths are collected by step, and the second pass over them and the two for separate checkpoints are left out where there are none. The bytes of a record are the same.

--- a/src/jobs/progress_record.c
+++ b/src/jobs/progress_record.c
@@ -179,6 +179,10 @@
 	const struct task *t;
 	size_t n = 0;
 
+	if (limit->longest == 0) { /* most jobs: they save nothing */
+		msgpack_pack_array(&w->pk, 0);
+		return;
+	}
 	for (t = s->tasks; t < s->tasks + s->spec->task_count; t++)
 		n += separate_checkpoint(t, &counting) != NULL;
 	msgpack_pack_array(&w->pk, n);
@@ -243,29 +247,40 @@
 	return wire_writer_finish(&w);
 }
 
-/* Writes the lengths of the checkpoints to "out" unless it is NULL. */
+/* As checkpoint_lengths(), of one step. */
 static size_t
-checkpoint_lengths(const struct job *j, size_t *out)
+step_checkpoint_lengths(const struct job_step *s, size_t *out)
 {
-	const struct occurrence *o;
 	const struct buf *value;
 	const struct task *t;
+	size_t n = 0;
+
+	for (t = s->tasks; t < s->tasks + s->spec->task_count; t++) {
+		value = checkpoint_to_record(t);
+		if (value == NULL)
+			continue;
+		if (out != NULL)
+			out[n] = value->len;
+		n++;
+	}
+	return n;
+}
+
+/*
+ * Lengths of the checkpoints that the record should have, which are written to
+ * "out" unless it is NULL.  Returns the number of them.
+ */
+static size_t
+checkpoint_lengths(const struct job *j, size_t *out)
+{
+	const struct occurrence *o;
 	size_t i, n = 0;
 
 	LIST_FOREACH(o, &j->occurrences, entries) {
 		for (i = 0; occurrence_in_record(o) && i < j->spec->step_count;
-		     i++) {
-			for (t = o->steps[i].tasks; t <
-			     o->steps[i].tasks + j->spec->steps[i].task_count;
-			     t++) {
-				value = checkpoint_to_record(t);
-				if (value == NULL)
-					continue;
-				if (out != NULL)
-					out[n] = value->len;
-				n++;
-			}
-		}
+		     i++)
+			n += step_checkpoint_lengths(
+			    &o->steps[i], out != NULL ? out + n : NULL);
 	}
 	return n;
 }
@@ -320,7 +335,8 @@
 
 	if (lengths == NULL)
 		return NULL;
-	checkpoint_lengths(j, lengths);
+	if (count > 0)
+		checkpoint_lengths(j, lengths);
 	qsort(lengths, count, sizeof(*lengths), compare_lengths);
 	fitting = fit_checkpoints(lengths, count, room, &limit);
 	out = encode_progress(j, limit);
